--- /dev/null
+++ b/camphorpath/events/catalogue.py
@@ -0,0 +1,58 @@
+"""The catalogue of numbered events; docs/events.md explains each."""
+
+import enum
+
+
+@enum.unique
+class Event(enum.IntEnum):
+    """An event and its number.
+
+    1xx process, 2xx members, 3xx requests, 4xx admission, 5xx upstreams, 6xx platform,
+    7xx configuration, 8xx bad input.
+    """
+
+    DAEMON_STARTED = 101
+    DAEMON_STOPPING = 102
+    DAEMON_STOPPED = 103
+    MEMBER_JOINED = 201
+    MEMBER_LOST = 202
+    MEMBER_STOPPING = 203
+    OWNER_CHANGED = 204
+    CONTACT_LOST = 205
+    CONTACT_RESTORED = 206
+    REQUEST_ACCEPTED = 301
+    REQUEST_SENT = 302
+    REQUEST_COMPLETE = 303
+    REQUEST_REFUSED = 304
+    REQUEST_FAILED = 305
+    CALLER_LEFT = 306
+    REQUEST_RETRIED = 307
+    CLAIM_RECORDED = 311
+    CLAIM_REPEATED = 312
+    CLAIM_RELEASED = 313
+    ENQUEUED = 401
+    GRANTED = 402
+    SHED = 403
+    PREEMPTED = 404
+    RELEASED = 405
+    HOME_REGISTERED = 406
+    HOME_LOST = 407
+    SHED_UNCONFIRMED = 408
+    UPSTREAM_FOUND = 501
+    UPSTREAM_LEAVING = 502
+    UPSTREAM_SILENT = 503
+    UPSTREAM_LOST = 504
+    UPSTREAM_SLOW = 505
+    UPSTREAM_RESTORED = 506
+    SUSPECT_RECORDED = 507
+    SUSPECT_CLEARED = 508
+    TABLE_DOWN = 601
+    TABLE_UP = 602
+    VM_LIST_STALE = 603
+    CONFIG_PREPARED = 701
+    CONFIG_COMMITTED = 702
+    CONFIG_ACTIVATED = 703
+    CONFIG_CONFLICT = 704
+    MEMBER_FENCED = 705
+    BAD_REQUEST = 801
+    BAD_PEER = 802
--- /dev/null
+++ b/camphorpath/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and settings, generated from camphorpath.proto."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for developers: the demo, the soak and the measurement."""
