--- /dev/null
+++ b/camphorpath/calls/dispatch.py
@@ -0,0 +1,193 @@
+"""One dispatch: a slot, the single send, the answer, and the release of the slot."""
+
+import types
+from collections.abc import Awaitable, Callable
+
+import anyio
+import attrs
+
+from ..admission import Grant, Ticket
+from ..clocks import read_lease_clock
+from ..errors import NotSent, Refusal, SentUnknown, Truncated, UpstreamError
+from ..events import Event
+from ..schema import camphorpath_pb2 as pb
+from ..upstreams import Call, UpstreamAnswer, open_call
+from .bodies import BYTES_PER_TOKEN
+from .context import CallContext
+from .exchange import Exchange
+
+# Connections refused before a byte was sent; each try asks for a new slot.
+MAX_UNSENT_TRIES = 3
+RETRY_AFTER_S = 2
+SERVER_ERROR = 500
+STATUS_UNAVAILABLE = 503
+RESULTS_BY_REASON = types.MappingProxyType(
+    {
+        'preempted': pb.Release.PREEMPTED,
+        'caller_left': pb.Release.CALLER_LEFT,
+        'deadline_exceeded': pb.Release.TIMED_OUT,
+    }
+)
+
+
+@attrs.define
+class Interruption:
+    """Ends a dispatch early; the first reason counts."""
+
+    scope: anyio.CancelScope
+    reason: str = ''
+
+    def interrupt(self, reason: str) -> None:
+        """Cancel the dispatch for `reason`."""
+        if not self.reason:
+            self.reason = reason
+            self.scope.cancel()
+
+
+async def dispatch(
+    context: CallContext,
+    exchange: Exchange,
+    relay: Callable[[UpstreamAnswer], Awaitable[int]],
+    interruption: Interruption,
+) -> None:
+    """Send the request to one upstream and pass its answer to `relay`.
+
+    `relay` returns the bytes of the answer. Raises Refusal, the final answer to the caller.
+    """
+
+    def preempt() -> None:
+        interruption.interrupt('preempted')
+
+    for attempt in range(1, MAX_UNSENT_TRIES + 1):
+        ticket = Ticket(enqueue=_make_enqueue(context, exchange), on_preempt=preempt)
+        grant = await context.admission.acquire(ticket)
+        try:
+            await _use_grant(context, exchange, relay, interruption, ticket, grant)
+        except NotSent as error:
+            context.events.emit(
+                Event.REQUEST_RETRIED, exchange.request_id, grant.upstream, attempt=attempt
+            )
+            last_error = error
+            continue
+        return
+    raise exchange.refuse_not_run(
+        'upstream_unreachable', f'no upstream could be reached: {last_error}', RETRY_AFTER_S
+    )
+
+
+async def _use_grant(
+    context: CallContext,
+    exchange: Exchange,
+    relay: Callable[[UpstreamAnswer], Awaitable[int]],
+    interruption: Interruption,
+    ticket: Ticket,
+    grant: Grant,
+) -> None:
+    timing = _Timing()
+    release = pb.Release(
+        request_id=exchange.request_id,
+        upstream=grant.upstream,
+        result=pb.Release.UPSTREAM_ERROR,
+    )
+    try:
+        await _send(context, exchange, relay, grant, release, timing)
+    except NotSent:
+        release.result = pb.Release.NOT_SENT
+        raise
+    except (SentUnknown, Truncated) as error:
+        release.result = pb.Release.UPSTREAM_LOST
+        raise exchange.fail_sent('upstream_lost', str(error), grant.upstream) from error
+    except UpstreamError as error:
+        raise exchange.fail_sent('upstream_error', str(error), grant.upstream) from error
+    except anyio.get_cancelled_exc_class():
+        release.result = RESULTS_BY_REASON.get(interruption.reason, pb.Release.TIMED_OUT)
+        raise
+    finally:
+        release.first_byte = timing.first_byte
+        release.duration = timing.duration()
+        context.admission.release(ticket, release)
+
+
+@attrs.define
+class _Timing:
+    sent: float = 0
+    first_byte: float = 0
+
+    def duration(self) -> float:
+        return read_lease_clock() - self.sent if self.sent else 0
+
+
+async def _send(
+    context: CallContext,
+    exchange: Exchange,
+    relay: Callable[[UpstreamAnswer], Awaitable[int]],
+    grant: Grant,
+    release: pb.Release,
+    timing: _Timing,
+) -> None:
+    def mark_sent() -> None:
+        # A daemon that was paused after the grant must not use it: the slot may be taken by now.
+        if read_lease_clock() > grant.expires_at:
+            raise NotSent('the grant has expired', step='send', peer=grant.upstream)
+        exchange.mark_sent()
+        timing.sent = read_lease_clock()
+        context.events.emit(
+            Event.REQUEST_SENT, exchange.request_id, grant.upstream, pool=exchange.pool
+        )
+        context.metrics.dispatches.inc({'service': exchange.service.name})
+
+    call = Call(
+        method=exchange.method,
+        path=exchange.path,
+        headers=exchange.headers,
+        body=exchange.body,
+        request_id=exchange.request_id,
+        timeout_s=exchange.time_left(),
+    )
+    async with open_call(context.client, grant.upstream_url, call, mark_sent) as answer:
+        timing.first_byte = timing.duration()
+        size = await relay(answer)
+        release.output_tokens = size // BYTES_PER_TOKEN
+        release.result = _judge(answer.status)
+    route = 'same_zone' if grant.zone == context.settings.zone else 'other_zone'
+    context.metrics.relayed.add({'service': exchange.service.name, 'route': route}, size)
+
+
+def _judge(status: int) -> 'pb.Release.Result':
+    if status == STATUS_UNAVAILABLE:
+        return pb.Release.UPSTREAM_REFUSED
+    return pb.Release.UPSTREAM_ERROR if status >= SERVER_ERROR else pb.Release.COMPLETE
+
+
+def _make_enqueue(context: CallContext, exchange: Exchange) -> pb.Enqueue:
+    time_left = exchange.time_left()
+    return pb.Enqueue(
+        request_id=exchange.request_id,
+        service=exchange.service.name,
+        pool=exchange.pool,
+        customer=exchange.customer,
+        tier=exchange.tier.name,
+        tier_rank=exchange.tier.rank,
+        time_left=time_left,
+        first_token_left=min(time_left, exchange.tier.first_token),
+        prompt_tokens=exchange.prompt_tokens,
+        output_tokens=exchange.output_tokens,
+        prefix_blocks=exchange.prefix_blocks,
+        digest=exchange.digest,
+        cancellable=exchange.idempotent,
+        zone=context.settings.zone,
+        body_bytes=len(exchange.body),
+    )
+
+
+def refuse_interrupted(exchange: Exchange, reason: str) -> Refusal:
+    """Return the final answer to a request whose dispatch was interrupted for `reason`."""
+    texts = {
+        'preempted': 'a request of a higher tier took the place of this one',
+        'deadline_exceeded': 'the deadline passed before the answer was complete',
+    }
+    retry_after_s = RETRY_AFTER_S if reason == 'preempted' else None
+    message = texts.get(reason, reason)
+    if exchange.phase.value == 'accepted':
+        return exchange.refuse_not_run(reason, message, retry_after_s)
+    return exchange.fail_sent(reason, message, retry_after_s=retry_after_s)
--- /dev/null
+++ b/camphorpath/handlers.py
@@ -0,0 +1,83 @@
+"""What a daemon answers to peers and operators."""
+
+import contextlib
+import math
+
+import anyio
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from .admission import AdmissionOwner
+from .events import EventLog
+from .members import Membership
+from .peers import Handlers
+from .platform import Table
+from .schema import camphorpath_pb2 as pb
+from .versions import Versions
+
+
+def make_handlers(
+    events: EventLog,
+    membership: Membership,
+    versions: Versions,
+    owner: AdmissionOwner,
+    table: Table,
+) -> Handlers:
+    """Return the handlers of one daemon."""
+
+    async def show_status(request: pb.StatusRequest) -> pb.StatusReply:
+        queues, upstreams = owner.status()
+        return pb.StatusReply(
+            self=membership.info(),
+            members=membership.live(),
+            queues=queues,
+            upstreams=upstreams,
+            table_up=table.is_up,
+        )
+
+    async def show_timeline(request: pb.TimelineRequest) -> pb.TimelineReply:
+        return pb.TimelineReply(events=events.select(request))
+
+    async def serve_admission(stream: object) -> None:
+        await serve_home(owner, stream)
+
+    return Handlers(
+        events=events,
+        beat=membership.answer_beat,
+        admission=serve_admission,
+        prepare=versions.prepare,
+        activate=versions.activate,
+        fetch_version=versions.fetch_version,
+        propose=versions.propose,
+        show_config=versions.show_config,
+        list_versions=versions.list_versions,
+        status=show_status,
+        timeline=show_timeline,
+    )
+
+
+async def serve_home(owner: AdmissionOwner, stream: object) -> None:
+    """Serve the admission stream of one home until it ends.
+
+    The queue towards the home needs no limit of its own: it holds at most a few messages for each
+    request of the home, and those are limited.
+    """
+    first = await stream.recv_message()
+    if first is None or first.WhichOneof('message') != 'hello':
+        raise GRPCError(Status.INVALID_ARGUMENT, 'the first message must be hello')
+    outbox, inbox = anyio.create_memory_object_stream[pb.AdmissionDown](math.inf)
+    session = owner.open_home(first.hello, outbox.send_nowait)
+    try:
+        async with anyio.create_task_group() as group:
+            group.start_soon(_write, stream, inbox)
+            async for message in stream:
+                session.handle(message)
+            group.cancel_scope.cancel()
+    finally:
+        session.close()
+
+
+async def _write(stream: object, inbox: anyio.abc.ObjectReceiveStream) -> None:
+    with contextlib.suppress(StreamTerminatedError, ConnectionError):
+        async for message in inbox:
+            await stream.send_message(message)
--- /dev/null
+++ b/camphorpath/ui/serve.py
@@ -0,0 +1,62 @@
+"""The `serve` command: run one daemon."""
+
+import argparse
+import json
+import sys
+
+import anyio
+from loguru import logger
+
+from ..daemon import run_daemon, watch_signals
+from ..errors import UserError
+from ..schema import camphorpath_pb2 as pb
+from ..settings import load_settings
+
+
+def add_parser(subparsers: argparse._SubParsersAction) -> None:
+    """Register the command."""
+    parser = subparsers.add_parser(
+        'serve',
+        help='run one daemon in the foreground',
+        description='Run one daemon until SIGTERM; then answer every accepted request and exit 0.',
+    )
+    parser.add_argument('settings', metavar='FILE', help='settings with a `daemon:` part')
+    parser.set_defaults(func=serve)
+
+
+def serve(args: argparse.Namespace) -> int:
+    """Run the daemon of a settings file."""
+    settings = load_settings(args.settings)
+    if not settings.HasField('daemon'):
+        raise UserError(f'{args.settings}: no `daemon:` part')
+    set_up_log(settings.daemon)
+    anyio.run(_run, settings.daemon)
+    return 0
+
+
+def set_up_log(settings: pb.Daemon) -> None:
+    """Write one JSON object a line to standard error."""
+
+    def write(message: object) -> None:
+        record = message.record
+        line = {
+            'time': record['time'].isoformat(),
+            'level': record['level'].name,
+            'daemon': settings.name,
+            'message': record['message'],
+            **record['extra'],
+        }
+        if record['exception'] is not None:
+            line['exception'] = repr(record['exception'].value)
+        sys.stderr.write(f'{json.dumps(line, default=str)}\n')
+
+    logger.remove()
+    logger.add(write, level=settings.log_level)
+
+
+async def _run(settings: pb.Daemon) -> None:
+    stop = anyio.Event()
+    async with anyio.create_task_group() as group:
+        group.start_soon(watch_signals, stop)
+        await run_daemon(settings, stop)
+        group.cancel_scope.cancel()
