--- /dev/null
+++ b/camphorpath/platform/records.py
@@ -0,0 +1,108 @@
+"""Records of the platform and their form in JSON."""
+
+import base64
+from collections.abc import Sequence
+from typing import Any, Literal
+
+from attrs import frozen
+
+Json = dict[str, Any]
+
+
+@frozen
+class Row:
+    """One row of the table; `revision` changes with every write of the row and is at least 1."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+@frozen
+class Check:
+    """A condition of a transaction: the row has this revision; 0 means that it is absent."""
+
+    key: str
+    revision: int
+
+
+@frozen
+class Write:
+    """One change in a transaction; a value of None deletes the row."""
+
+    key: str
+    value: bytes | None
+
+
+@frozen
+class Vm:
+    """One entry of the VM list."""
+
+    name: str
+    role: Literal['entry', 'upstream']
+    address: str
+    peers_address: str = ''
+    service: str = ''
+    pool: str = ''
+    zone: str = ''
+    state: Literal['live', 'leaving'] = 'live'
+
+
+def encode(raw: bytes | str) -> str:
+    """Return the base64 form in which keys and values are sent."""
+    content = raw.encode() if isinstance(raw, str) else raw
+    return base64.b64encode(content).decode('ascii')
+
+
+def read_row(document: Json) -> Row:
+    """Return the row of one `kvs` entry."""
+    return Row(
+        key=base64.b64decode(document['key']).decode(),
+        value=base64.b64decode(document.get('value', '')),
+        revision=int(document['mod_revision']),
+    )
+
+
+def build_compare(check: Check) -> Json:
+    """Return the comparison on the modification revision; 0 matches an absent key."""
+    return {
+        'key': encode(check.key),
+        'target': 'MOD',
+        'result': 'EQUAL',
+        'modRevision': str(check.revision),
+    }
+
+
+def build_operation(write: Write) -> Json:
+    """Return the put or the deletion of one row."""
+    if write.value is None:
+        return {'requestDeleteRange': {'key': encode(write.key)}}
+    return {'requestPut': {'key': encode(write.key), 'value': encode(write.value)}}
+
+
+def build_insert(write: Write) -> Json:
+    """Return a nested transaction that puts an absent row and reads a present one."""
+    return {
+        'requestTxn': {
+            'compare': [build_compare(Check(write.key, 0))],
+            'success': [build_operation(write)],
+            'failure': [{'requestRange': {'key': encode(write.key)}}],
+        },
+    }
+
+
+def build_transaction(checks: Sequence[Check], writes: Sequence[Write]) -> Json:
+    """Return a transaction that makes all writes if all checks hold."""
+    return {
+        'compare': [build_compare(check) for check in checks],
+        'success': [build_operation(write) for write in writes],
+        'failure': [],
+    }
+
+
+def build_range(prefix: str, limit: int, after: str) -> Json:
+    """Return the request for the rows under a prefix, in key order, that follow `after`."""
+    first = prefix if after < prefix else f'{after}\0'
+    # The end of the range is the prefix with its last byte raised by one; keys are ASCII.
+    end = f'{prefix[:-1]}{chr(ord(prefix[-1]) + 1)}'
+    return {'key': encode(first), 'range_end': encode(end), 'limit': str(limit)}
--- /dev/null
+++ b/camphorpath/platform/table.py
@@ -0,0 +1,190 @@
+"""The client of the transactional table."""
+
+import random
+from collections.abc import Callable, Sequence
+from typing import TypeVar
+
+import anyio
+import httpx
+
+from ..clocks import read_lease_clock
+from ..errors import PlatformError, TableDown, TableUnsure
+from ..events import Event, EventLog
+from ..schema import camphorpath_pb2 as pb
+from .records import (
+    Check,
+    Json,
+    Row,
+    Write,
+    build_insert,
+    build_range,
+    build_transaction,
+    encode,
+    read_row,
+)
+
+Answer = TypeVar('Answer')
+
+# Connecting may take this share of `table_timeout`. The rest is left for the request, so that an
+# attempt that does not connect ends as TableDown before the limit on the whole attempt.
+CONNECT_SHARE = 0.5
+# A failure that lasts this long is an outage: other daemons saw it too and return together.
+OUTAGE_S = 5.0
+# The first reads after an outage are spread over this time.
+SPREAD_S = 2.0
+# The request never left the process: there was no connection to send it on.
+NEVER_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+FAILURES = (httpx.HTTPError, OSError, TimeoutError)
+UNREADABLE = (ValueError, KeyError, TypeError, AttributeError, IndexError)
+
+
+class Table:
+    """Reads and compare-and-set transactions; at most one transaction is in flight.
+
+    Each operation ends within `table_timeout` of being sent. Reads raise TableDown. Writes raise
+    TableDown if they provably had no effect and TableUnsure if they may have had one.
+    """
+
+    def __init__(
+        self,
+        settings: pb.Platform,
+        events: EventLog,
+        rng: random.Random | None = None,
+        transport: httpx.AsyncBaseTransport | None = None,
+    ) -> None:
+        """Keep the settings; the first operation connects."""
+        self.is_up = True
+        self._settings = settings
+        self._events = events
+        self._rng = rng or random.Random()
+        self._writing = anyio.Lock()
+        self._failed_at: float = 0
+        self._spread_until: float = 0
+        limit_s = settings.table_timeout
+        self._client = httpx.AsyncClient(
+            base_url=settings.table_url,
+            timeout=httpx.Timeout(
+                limit_s, connect=limit_s * CONNECT_SHARE, pool=limit_s * CONNECT_SHARE
+            ),
+            transport=transport,
+            trust_env=False,
+        )
+
+    async def read(self, key: str) -> Row | None:
+        """Return the row, or None where there is none; raises TableDown."""
+        rows = await self._read({'key': encode(key)})
+        return rows[0] if rows else None
+
+    async def scan(self, prefix: str, limit: int = 0, after: str = '') -> list[Row]:
+        """Return the rows under a prefix in key order, after the key `after`; raises TableDown.
+
+        A limit of 0 returns all of them.
+        """
+        return await self._read(build_range(prefix, limit, after))
+
+    async def commit(self, checks: Sequence[Check], writes: Sequence[Write]) -> bool:
+        """Make all writes if all checks hold, else none; raises TableDown or TableUnsure."""
+        body = build_transaction(checks, writes)
+        return await self._write(body, lambda answer: bool(answer.get('succeeded', False)))
+
+    async def insert_all(self, writes: Sequence[Write]) -> list[Row | None]:
+        """Insert each row that is absent and return the rows that existed, None for inserted ones.
+
+        The keys must differ. Raises TableDown or TableUnsure.
+        """
+        assert len({write.key for write in writes}) == len(writes), 'keys of one batch must differ'
+        body = {
+            'compare': [],
+            'success': [build_insert(write) for write in writes],
+            'failure': [],
+        }
+        return await self._write(body, lambda answer: _read_inserts(answer, len(writes)))
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+    async def _read(self, body: Json) -> list[Row]:
+        await self._spread()
+        try:
+            return await self._post('/v3/kv/range', body, _read_rows)
+        except TableUnsure as error:
+            raise TableDown(error.message, step=error.step, peer=error.peer) from error
+
+    async def _write(self, body: Json, parse: Callable[[Json], Answer]) -> Answer:
+        async with self._writing:
+            return await self._post('/v3/kv/txn', body, parse)
+
+    async def _spread(self) -> None:
+        now = read_lease_clock()
+        in_outage = not self.is_up and now - self._failed_at >= OUTAGE_S
+        if in_outage or now < self._spread_until:
+            await anyio.sleep(self._rng.uniform(0, SPREAD_S))
+
+    async def _post(self, path: str, body: Json, parse: Callable[[Json], Answer]) -> Answer:
+        try:
+            with anyio.fail_after(self._settings.table_timeout):
+                response = await self._client.post(path, json=body)
+        except NEVER_SENT as error:
+            raise self._fail(TableDown, 'no connection to the table', path) from error
+        except FAILURES as error:
+            problem = f'the answer of the table was lost: {type(error).__name__}'
+            raise self._fail(TableUnsure, problem, path) from error
+        try:
+            return self._accept(response, path, parse)
+        except UNREADABLE as error:
+            raise self._fail(TableUnsure, 'the table sent an unreadable answer', path) from error
+
+    def _accept(
+        self, response: httpx.Response, path: str, parse: Callable[[Json], Answer]
+    ) -> Answer:
+        if response.status_code != httpx.codes.OK:
+            problem = f'the table answered with status {response.status_code}'
+            kind = TableDown if _states_no_effect(response) else TableUnsure
+            raise self._fail(kind, problem, path)
+        answer = parse(response.json())
+        self._mark_up()
+        return answer
+
+    def _fail(self, kind: type[PlatformError], problem: str, path: str) -> PlatformError:
+        if self.is_up:
+            self.is_up = False
+            self._failed_at = read_lease_clock()
+            self._events.emit(Event.TABLE_DOWN, problem=problem)
+        return kind(problem, step=path, peer=self._settings.table_url)
+
+    def _mark_up(self) -> None:
+        if self.is_up:
+            return
+        now = read_lease_clock()
+        outage_s = now - self._failed_at
+        if outage_s >= OUTAGE_S:
+            self._spread_until = now + SPREAD_S
+        self.is_up = True
+        self._events.emit(Event.TABLE_UP, outage_s=round(outage_s, 3))
+
+
+def _states_no_effect(response: httpx.Response) -> bool:
+    if response.status_code != httpx.codes.SERVICE_UNAVAILABLE:
+        return False
+    try:
+        return response.json().get('applied') is False
+    except (ValueError, AttributeError):
+        return False
+
+
+def _read_rows(answer: Json) -> list[Row]:
+    return [read_row(document) for document in answer.get('kvs', ())]
+
+
+def _read_inserts(answer: Json, number: int) -> list[Row | None]:
+    found: list[Row | None] = []
+    for response in answer['responses']:
+        nested = response['response_txn']
+        if nested.get('succeeded', False):
+            found.append(None)
+            continue
+        found.append(read_row(nested['responses'][0]['response_range']['kvs'][0]))
+    if len(found) != number:
+        raise ValueError(f'{len(found)} results for {number} inserts')
+    return found
--- /dev/null
+++ b/tests/platform/test_table.py
@@ -0,0 +1,115 @@
+import pytest
+
+from camphorpath.errors import TableDown, TableUnsure
+from camphorpath.platform import Check, Row, Table, Write
+from camphorpath.platform import table as table_module
+from camphorpath.schema import camphorpath_pb2 as pb
+from standins.platform import serve_platform
+
+pytestmark = pytest.mark.anyio
+
+
+def names(events):
+    return [record.name for record in events.select(pb.TimelineRequest())]
+
+
+async def test_commit_checks_revisions(table):
+    """Guards against a write that ignores a concurrent change of the row."""
+    assert await table.commit([Check('a/1', 0)], [Write('a/1', b'one')])
+    row = await table.read('a/1')
+    assert not await table.commit([Check('a/1', 0)], [Write('a/1', b'two'), Write('a/2', b'')])
+    assert await table.read('a/1') == row
+    assert await table.read('a/2') is None
+    assert await table.commit([Check('a/1', row.revision)], [Write('a/1', None)])
+    assert await table.read('a/1') is None
+
+
+async def test_inserts_of_one_batch_are_independent(table, platform):
+    """Guards against one present row that makes the other inserts of its batch fail."""
+    await table.commit([], [Write('a/1', b'old')])
+    revision = (await table.read('a/1')).revision
+    found = await table.insert_all([Write('a/1', b'new'), Write('a/2', b'new')])
+    assert found == [Row('a/1', b'old', revision), None]
+    assert platform.counters.writes == 2
+
+
+async def test_scan_is_bounded_by_prefix_limit_and_start(table):
+    """Guards against a sweep that reads rows of other kinds or the same page for ever."""
+    await table.commit([], [Write(key, b'') for key in ('a/1', 'a/2', 'a/3', 'a0', 'b/1')])
+    assert [row.key for row in await table.scan('a/')] == ['a/1', 'a/2', 'a/3']
+    assert [row.key for row in await table.scan('a/', limit=1, after='a/1')] == ['a/2']
+
+
+async def test_lost_answer_is_unsure_and_took_effect(table, platform, events):
+    """Guards against a lost answer that is reported as a write without effect."""
+    platform.change_faults(lose_next=1)
+    with pytest.raises(TableUnsure) as caught:
+        await table.commit([], [Write('a', b'one')])
+    assert caught.value.peer == platform.url
+    assert not table.is_up
+    assert (await table.read('a')).value == b'one'
+    assert table.is_up
+    assert names(events) == ['table_down', 'table_up']
+
+
+async def test_service_that_states_no_effect_is_down(table, platform, events):
+    """Guards against one event per failed operation in an outage."""
+    platform.change_faults(down=True)
+    for _ in range(3):
+        with pytest.raises(TableDown):
+            await table.commit([], [Write('a', b'one')])
+        with pytest.raises(TableDown):
+            await table.read('a')
+    assert names(events) == ['table_down']
+
+
+async def test_refused_connection_is_down(platform, settings, events):
+    """Guards against 'unsure' where no connection was made, which would delay every refusal."""
+    async with serve_platform(type(platform)()) as other:
+        table = Table(pb.Platform(table_url=other.url, table_timeout=5), events)
+        await table.commit([], [Write('a', b'')])
+    with pytest.raises(TableDown):
+        await table.commit([], [Write('a', b'')])
+    await table.close()
+
+
+@pytest.mark.parametrize('fault', ['slow_ms', 'slow_answer_ms'])
+async def test_write_without_answer_in_time_is_unsure(platform, events, fault):
+    """Guards against a timeout that is taken for a write without effect."""
+    table = Table(pb.Platform(table_url=platform.url, table_timeout=0.1), events)
+    platform.change_faults(**{fault: 600_000})
+    with pytest.raises(TableUnsure):
+        await table.commit([], [Write('a', b'')])
+    with pytest.raises(TableDown):
+        await table.read('a')
+    await table.close()
+
+
+async def test_other_errors_of_the_service_are_unsure(table, platform):
+    """Guards against an error status that is taken for a proof of no effect."""
+    writes = [Write('a', b''), Write('a', b'')]
+    with pytest.raises(TableUnsure):
+        await table.commit([], writes)
+
+
+async def test_reads_after_an_outage_are_spread(settings, events, platform, monkeypatch):
+    """Guards against all daemons reading at the instant at which the table returns."""
+    draws = []
+
+    class Draw:
+        def uniform(self, low, high):
+            draws.append((low, high))
+            return 0
+
+    table = Table(settings, events, rng=Draw())
+    await table.read('a')
+    platform.change_faults(down=True)
+    with pytest.raises(TableDown):
+        await table.read('a')
+    assert draws == []
+    monkeypatch.setattr(table_module, 'OUTAGE_S', 0)
+    platform.change_faults(down=False)
+    await table.read('a')
+    await table.read('a')
+    assert draws == [(0, table_module.SPREAD_S)] * 2
+    await table.close()
