Add calls to upstreams and the engine and service stand-ins

Cause: the request path and its tests need upstream calls that know exactly what was sent, and upstreams to run them against. Change: camphorpath.upstreams (calls, load, control), standins.engine and standins.service, each usable as a script and in process; errors.SentUnknown has a cause, errors.AnswerTooLarge is new. No tests yet.

--- a/camphorpath/errors.py
+++ b/camphorpath/errors.py
@@ -58,14 +58,38 @@
     """Provably no byte of the request reached the upstream."""
 
 
+@enum.unique
+class LossCause(enum.Enum):
+    """Why the outcome of a request that may have been sent is not known."""
+
+    LOST = 'lost'
+    TIMED_OUT = 'timed_out'
+
+
 class SentUnknown(UpstreamError):
     """The request may have reached the upstream and its outcome is not known."""
 
+    def __init__(
+        self,
+        message: str,
+        *,
+        cause: LossCause = LossCause.LOST,
+        step: str = '',
+        peer: str = '',
+    ) -> None:
+        """Keep whether the connection was lost or the wait timed out."""
+        super().__init__(message, step=step, peer=peer)
+        self.cause = cause
+
 
 class Truncated(UpstreamError):
     """The answer of the upstream began and did not end properly."""
 
 
+class AnswerTooLarge(UpstreamError):
+    """The answer of the upstream is longer than the caller of `read_whole` allows."""
+
+
 @enum.unique
 class Outcome(enum.Enum):
     """What a refusal says about the work of the request."""
--- /dev/null
+++ b/camphorpath/upstreams/__init__.py
@@ -0,0 +1,30 @@
+"""Calls to upstreams, their load reports and the control side of engines."""
+
+from .calls import Call, UpstreamAnswer, make_client, open_call, read_whole
+from .control import (
+    CacheEvent,
+    CacheEvents,
+    Order,
+    cancel_stream,
+    give_order,
+    read_cache_events,
+    resume_stream,
+)
+from .load import LoadReport, read_load
+
+__all__ = (
+    'CacheEvent',
+    'CacheEvents',
+    'Call',
+    'LoadReport',
+    'Order',
+    'UpstreamAnswer',
+    'cancel_stream',
+    'give_order',
+    'make_client',
+    'open_call',
+    'read_cache_events',
+    'read_load',
+    'read_whole',
+    'resume_stream',
+)
--- /dev/null
+++ b/camphorpath/upstreams/headers.py
@@ -0,0 +1,49 @@
+"""Which headers pass between callers and upstreams."""
+
+REQUEST_ID_HEADER = b'camphorpath-request-id'
+HOP_BY_HOP = frozenset((
+    b'connection',
+    b'keep-alive',
+    b'proxy-authenticate',
+    b'proxy-authorization',
+    b'proxy-connection',
+    b'te',
+    b'trailer',
+    b'transfer-encoding',
+    b'upgrade',
+))
+# Set anew for each call. Without accept-encoding the answer is not compressed, so that the end of
+# a stream can be recognized in its raw bytes.
+SET_PER_CALL = frozenset((
+    b'accept-encoding',
+    b'content-length',
+    b'expect',
+    b'host',
+    REQUEST_ID_HEADER,
+))
+
+
+def select_request_headers(headers: list[tuple[str, str]]) -> list[tuple[bytes, bytes]]:
+    """Return the headers of a caller that go to the upstream; raise UnicodeEncodeError."""
+    raw = [(name.encode('ascii'), text.encode('latin-1')) for name, text in headers]
+    dropped = HOP_BY_HOP | SET_PER_CALL | _read_connection_options(raw)
+    return [(name, text) for name, text in raw if name.lower() not in dropped]
+
+
+def select_answer_headers(raw: list[tuple[bytes, bytes]]) -> list[tuple[str, str]]:
+    """Return the headers of an answer that go to the caller."""
+    dropped = HOP_BY_HOP | _read_connection_options(raw)
+    return [
+        (name.decode('latin-1'), text.decode('latin-1'))
+        for name, text in raw
+        if name.lower() not in dropped
+    ]
+
+
+def _read_connection_options(raw: list[tuple[bytes, bytes]]) -> set[bytes]:
+    return {
+        option.strip().lower()
+        for name, text in raw
+        if name.lower() == b'connection'
+        for option in text.split(b',')
+    }
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,270 @@
+"""An engine: model calls in a continuous batch, and a control side; a script."""
+
+import argparse
+import os
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import anyio
+import attrs
+
+from . import faults as fault_settings
+from .batching import Batch, EngineOptions, Stream, make_stream
+from .faults import Faults
+from .prompts import DEFAULT_MAX_TOKENS, read_prompt
+from .serving import JSON_TYPE, Exchange, Server, make_parser, run_script, serve
+
+CRASH_STATUS = 70
+CALL_PATHS = ('/v1/chat/completions', '/v1/completions')
+STREAM_ID_HEADER = b'stream-id'
+STREAM_TYPE = (b'content-type', b'text/event-stream; charset=utf-8')
+
+
+@attrs.define
+class Engine:
+    """One engine; `in_process` engines restart with a new incarnation instead of exiting."""
+
+    batch: Batch
+    faults: Faults
+    in_process: bool = True
+    server: Server = Server('')
+    models: set[str] = attrs.field(factory=set)
+    orders: list[dict[str, Any]] = attrs.field(factory=list)
+    _highest_fence: int = 0
+    _count: int = 0
+
+    @property
+    def url(self) -> str:
+        """The base URL."""
+        return self.server.url
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        if exchange.path == '/faults':
+            await self._set_faults(exchange)
+            return
+        await self.faults.wait_until(lambda faults: faults.hang != 'all')
+        if exchange.path in CALL_PATHS:
+            await self._serve_call(exchange)
+        elif exchange.path.startswith('/streams/'):
+            await self._serve_stream(exchange)
+        else:
+            await self._serve_control(exchange)
+
+    def crash(self) -> None:
+        """End the process, or lose all connections and state."""
+        if not self.in_process:
+            os._exit(CRASH_STATUS)
+        self.batch.restart()
+        self.server.abort_all()
+
+    def read_stats(self) -> dict[str, Any]:
+        """Return what was executed since the start, over all incarnations."""
+        batch = self.batch
+        names = ('tokens_prefilled', 'tokens_prefilled_cancelled', 'tokens_cached')
+        counts = {name: batch.counts[name] for name in names}
+        others = ('tokens_decoded', 'max_batch', 'completed', 'cancelled')
+        counts.update({name: batch.counts[name] for name in others})
+        return {
+            **counts,
+            'incarnation': batch.incarnation,
+            'running': len(batch.active),
+            'executions': dict(batch.executions),
+            'digests': dict(batch.digests),
+            'orders': self.orders,
+        }
+
+    async def _set_faults(self, exchange: Exchange) -> None:
+        try:
+            self.faults.set_all(exchange.read_json() or {})
+        except ValueError as error:
+            await exchange.reply(400, {'error': str(error)})
+            return
+        self.batch.record_load()
+        await exchange.reply(200, self.faults.read_all())
+
+    async def _serve_control(self, exchange: Exchange) -> None:
+        batch = self.batch
+        if exchange.path == '/load':
+            await exchange.reply(200, batch.loads.read(stale=self.faults.load_stale))
+        elif exchange.path == '/stats':
+            await exchange.reply(200, self.read_stats())
+        elif exchange.path == '/v1/models':
+            models = [{'id': name, 'object': 'model'} for name in sorted(self.models)]
+            await exchange.reply(200, {'object': 'list', 'data': models})
+        elif exchange.path == '/cache_events':
+            events = batch.cache.read_events(int(exchange.query.get('after', '0')))
+            await exchange.reply(200, {'incarnation': batch.incarnation, 'events': events})
+        elif exchange.path == '/orders':
+            await self._take_order(exchange)
+        else:
+            await exchange.reply(404, {'error': f'no path {exchange.path}'})
+
+    async def _take_order(self, exchange: Exchange) -> None:
+        order = exchange.read_json()
+        if not isinstance(order, dict) or type(order.get('fence')) is not int:
+            await exchange.reply(400, {'error': 'an order needs a fence'})
+            return
+        if order['fence'] < self._highest_fence and not self.faults.ignore_fences:
+            await exchange.reply(409, {'error': 'old fence', 'highest': self._highest_fence})
+            return
+        self._highest_fence = max(self._highest_fence, order['fence'])
+        self.orders.append(order)
+        model = order.get('details', {}).get('model')
+        if order.get('kind') == 'load_model' and model:
+            self.models.add(model)
+        if order.get('kind') == 'unload_model':
+            self.models.discard(model)
+        await exchange.reply(202, {'accepted': True})
+
+    async def _serve_call(self, exchange: Exchange) -> None:
+        hit = self.faults.hits()
+        if hit and self.faults.late_s:
+            await anyio.sleep(self.faults.late_s)
+        if hit and self.faults.refuse:
+            await exchange.reply(503, {'error': {'message': 'the engine refuses the call'}})
+            return
+        try:
+            stream = self._make_stream(exchange)
+        except (ValueError, KeyError, TypeError) as error:
+            await exchange.reply(400, {'error': {'message': f'bad request: {error}'}})
+            return
+        if stream.model not in self.models and self.models:
+            await exchange.reply(404, {'error': {'message': f'no model {stream.model}'}})
+            return
+        self.batch.add(stream)
+        marker = self.faults.crash_marker.encode()
+        if marker and marker in exchange.body:
+            self.crash()
+            return
+        limit = self.faults.truncate_after if hit else -1
+        try:
+            await self._answer(exchange, stream, limit)
+        finally:
+            if not (self.batch.options.resumable and stream.is_streamed):
+                self.batch.cancel(stream)
+
+    def _make_stream(self, exchange: Exchange) -> Stream:
+        found = exchange.read_json()
+        if not isinstance(found, dict):
+            raise ValueError('the body is not a JSON object')
+        max_tokens = found.get('max_tokens', DEFAULT_MAX_TOKENS)
+        if type(max_tokens) is not int or max_tokens < 1:
+            raise ValueError('max_tokens is not a positive number')
+        self._count += 1
+        request_id = exchange.headers.get('camphorpath-request-id', '')
+        name = request_id or f'{self.batch.incarnation}-{self._count}'
+        if name in self.batch.streams:
+            name = f'{name}.{self._count}'
+        return make_stream(
+            name,
+            request_id,
+            read_prompt(found),
+            max_tokens=max_tokens,
+            is_chat=exchange.path == CALL_PATHS[0],
+            is_streamed=bool(found.get('stream')),
+            model=str(found.get('model', '')),
+        )
+
+    async def _answer(self, exchange: Exchange, stream: Stream, limit: int) -> None:
+        if stream.is_streamed:
+            await self._relay(exchange, stream, 0, limit)
+            return
+        while not stream.is_over():
+            await stream.wait_changed()
+        if stream.cancelled:
+            await exchange.reply(409, {'error': {'message': 'the stream was cancelled'}})
+            return
+        body = stream.make_whole()
+        length = (b'content-length', str(len(body)).encode())
+        await exchange.start(200, [JSON_TYPE, length, (STREAM_ID_HEADER, stream.stream_id.encode())])
+        if limit >= 0:
+            await exchange.write(body[: len(body) // 2])
+            return
+        await exchange.write(body)
+        await exchange.finish()
+
+    async def _relay(self, exchange: Exchange, stream: Stream, position: int, limit: int) -> None:
+        """Send the body from `position`, at most `limit` events (-1: all).
+
+        Leaving without `finish` makes the server close the connection without the end of the body.
+        """
+        await exchange.start(200, [STREAM_TYPE, (STREAM_ID_HEADER, stream.stream_id.encode())])
+        while True:
+            end = len(stream.body)
+            is_cut = 0 <= limit <= len(stream.ends)
+            if is_cut:
+                end = stream.ends[limit - 1] if limit else 0
+            if position < end:
+                await exchange.write(bytes(stream.body[position:end]))
+                position = end
+                continue
+            if is_cut or stream.is_over():
+                break
+            await stream.wait_changed()
+        if (is_cut and self.faults.truncate == 'clean') or (not is_cut and not stream.cancelled):
+            await exchange.finish()
+
+    async def _serve_stream(self, exchange: Exchange) -> None:
+        name = exchange.path.split('/')[2]
+        stream = self.batch.streams.get(name)
+        if stream is None:
+            await exchange.reply(404, {'error': f'no stream {name}'})
+        elif exchange.path.endswith('/cancel'):
+            self.batch.cancel(stream)
+            await exchange.reply(200, {'cancelled': stream.cancelled})
+        elif self.batch.options.resumable and stream.is_streamed:
+            await self._relay(exchange, stream, int(exchange.query.get('from', '0')), -1)
+        else:
+            await exchange.reply(409, {'error': f'{name} cannot be resumed'})
+
+
+@asynccontextmanager
+async def run_engine(
+    options: EngineOptions | None = None,
+    faults: Faults | None = None,
+    *,
+    port: int = 0,
+    in_process: bool = True,
+) -> AsyncIterator[Engine]:
+    """Serve an engine on a loopback port until the context is left."""
+    options = options or EngineOptions()
+    faults = faults or Faults()
+    models = {name for name in options.models.split(',') if name}
+    engine = Engine(Batch(options, faults), faults, in_process, models=models)
+    async with anyio.create_task_group() as group:
+        group.start_soon(engine.batch.run)
+        async with serve(engine.handle, port) as engine.server:
+            yield engine
+        group.cancel_scope.cancel()
+
+
+def main() -> None:
+    """Run the script."""
+    parser = make_parser('Stand-in for an engine.')
+    for field in attrs.fields(EngineOptions):
+        option = f'--{field.name.replace("_", "-")}'
+        if field.name == 'seed':
+            continue
+        if field.type is bool:
+            parser.add_argument(option, action='store_true')
+        else:
+            parser.add_argument(option, type=field.type, default=field.default)
+    fault_settings.add_options(parser)
+    options = parser.parse_args()
+    anyio.run(run_script, _open(options))
+
+
+def _open(options: argparse.Namespace) -> Any:
+    names = [field.name for field in attrs.fields(EngineOptions)]
+    return run_engine(
+        EngineOptions(**{name: getattr(options, name) for name in names}),
+        fault_settings.read_options(options),
+        port=options.port,
+        in_process=False,
+    )
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/standins/faults.py
@@ -0,0 +1,89 @@
+"""Faults of a stand-in, set by options and at run time through POST /faults."""
+
+import argparse
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+
+@attrs.define
+class Faults:
+    """The faults in force; `share` and `times` limit those that hit single calls.
+
+    `hang`: '' | 'before' | 'after' the work | 'all' (also /load). `crash_marker`: a call whose body
+    contains it ends the process. `truncate`: 'cut' | 'clean' (a proper end of the body without the
+    final event). `refuse`: answer 503.
+    """
+
+    slow: float = 1.0
+    hang: str = ''
+    crash_marker: str = ''
+    truncate_after: int = -1
+    truncate: str = 'cut'
+    cut_after_effect: bool = False
+    refuse: bool = False
+    late_s: float = 0.0
+    draining: bool = False
+    load_stale: bool = False
+    ignore_fences: bool = False
+    share: float = 1.0
+    times: int = -1
+    _random: random.Random = attrs.field(factory=random.Random, repr=False)
+    _changed: asyncio.Event = attrs.field(factory=asyncio.Event, repr=False)
+
+    def hits(self) -> bool:
+        """Return whether the next call suffers the faults of single calls; counts `times` down."""
+        if self.times == 0 or self._random.random() >= self.share:
+            return False
+        self.times = max(self.times - 1, -1)
+        return True
+
+    def set_all(self, found: dict[str, Any]) -> None:
+        """Set the faults named in `found`; raise ValueError for an unknown name or a wrong type."""
+        defaults = list_faults()
+        for name, setting in found.items():
+            if name not in defaults:
+                raise ValueError(f'{name} is not a fault')
+            kind = type(defaults[name])
+            if type(setting) is not kind and not (kind is float and type(setting) is int):
+                raise ValueError(f'{name} is not of type {kind.__name__}')
+        for name, setting in found.items():
+            setattr(self, name, setting)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def read_all(self) -> dict[str, Any]:
+        """Return the faults in force."""
+        return {name: getattr(self, name) for name in list_faults()}
+
+    async def wait_until(self, check: Callable[['Faults'], bool]) -> None:
+        """Return when `check` holds."""
+        while not check(self):
+            await self._changed.wait()
+
+
+def list_faults() -> dict[str, Any]:
+    """Return the names of the faults with their defaults."""
+    fields = attrs.fields(Faults)
+    return {field.name: field.default for field in fields if not field.name.startswith('_')}
+
+
+def add_options(parser: argparse.ArgumentParser) -> None:
+    """Add one option for each fault."""
+    for name, default in list_faults().items():
+        option = f'--{name.replace("_", "-")}'
+        if isinstance(default, bool):
+            parser.add_argument(option, action='store_true')
+        else:
+            parser.add_argument(option, type=type(default), default=default)
+
+
+def read_options(options: argparse.Namespace) -> Faults:
+    """Return the faults that the options state."""
+    faults = Faults(random=random.Random(options.seed))
+    for name in list_faults():
+        setattr(faults, name, getattr(options, name))
+    return faults
--- /dev/null
+++ b/standins/loads.py
@@ -0,0 +1,33 @@
+"""Load reports that lag behind the state of a stand-in."""
+
+import time
+from collections import deque
+from typing import Any
+
+import attrs
+
+
+@attrs.define
+class LoadHistory:
+    """Reports of the last `lag_s` seconds, and the one before."""
+
+    lag_s: float
+    _reports: deque[tuple[float, dict[str, Any]]] = attrs.field(factory=deque)
+
+    def record(self, report: dict[str, Any]) -> None:
+        """Keep the report that holds from now on."""
+        self._reports.append((time.time(), report))
+        self._forget(time.time() - self.lag_s)
+
+    def read(self, *, stale: bool) -> dict[str, Any]:
+        """Return the report of `lag_s` ago; `stale` freezes it at its present value and time."""
+        as_of = time.time() - self.lag_s
+        if stale:
+            as_of = self._reports[0][0]
+        else:
+            self._forget(as_of)
+        return {**self._reports[0][1], 'as_of': as_of}
+
+    def _forget(self, before: float) -> None:
+        while len(self._reports) > 1 and self._reports[1][0] <= before:
+            self._reports.popleft()
--- /dev/null
+++ b/standins/prompts.py
@@ -0,0 +1,62 @@
+"""Prompts and answers of the engine stand-in, as tests need them to check an answer."""
+
+import hashlib
+import json
+from typing import Any
+
+TOKEN_BYTES = 4
+BLOCK_TOKENS = 16
+BLOCK_BYTES = TOKEN_BYTES * BLOCK_TOKENS
+HASH_BYTES = 8
+DIGEST_CHARACTERS = 16
+DEFAULT_MAX_TOKENS = 16
+
+
+def read_prompt(found: dict[str, Any]) -> bytes:
+    """Return the prompt of a request: its text, or role and content of each message."""
+    if 'messages' in found:
+        lines = [f'{message["role"]}: {message["content"]}' for message in found['messages']]
+        return '\n'.join(lines).encode()
+    return str(found['prompt']).encode()
+
+
+def count_tokens(prompt: bytes) -> int:
+    """Return the number of tokens of a prompt: one for each 4 bytes begun."""
+    return max(1, -(-len(prompt) // TOKEN_BYTES))
+
+
+def hash_blocks(prompt: bytes) -> list[int]:
+    """Return the chained 64-bit hashes of the whole 64-byte blocks of a prompt."""
+    hashes = []
+    last = b''
+    for start in range(0, len(prompt) - BLOCK_BYTES + 1, BLOCK_BYTES):
+        block = prompt[start : start + BLOCK_BYTES]
+        last = hashlib.blake2b(last + block, digest_size=HASH_BYTES).digest()
+        hashes.append(int.from_bytes(last, 'big'))
+    return hashes
+
+
+def make_digest(prompt: bytes) -> str:
+    """Return the digest of a prompt that every token of its answer carries."""
+    return hashlib.sha256(prompt).hexdigest()[:DIGEST_CHARACTERS]
+
+
+def make_token(digest: str, index: int) -> str:
+    """Return one token of an answer."""
+    return f'{digest}:{index} '
+
+
+def expect_content(found: dict[str, Any]) -> str:
+    """Return the whole content of the answer to a request."""
+    digest = make_digest(read_prompt(found))
+    count = found.get('max_tokens', DEFAULT_MAX_TOKENS)
+    return ''.join(make_token(digest, index) for index in range(count))
+
+
+def read_content(stream: bytes) -> str:
+    """Return the content of a streamed answer, which must end with its final event."""
+    events = stream.decode().split('\n\n')
+    if events[-2:] != ['data: [DONE]', '']:
+        raise ValueError('the stream has no final event')
+    choices = [json.loads(event.removeprefix('data: '))['choices'][0] for event in events[:-2]]
+    return ''.join(choice.get('text', choice.get('delta', {}).get('content', '')) for choice in choices)
--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,192 @@
+"""Serving a stand-in on a loopback port, in a script or inside a test."""
+
+import argparse
+import asyncio
+import json
+import signal
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+from urllib.parse import parse_qsl
+
+import anyio
+import anyio.lowlevel
+import attrs
+from hypercorn.asyncio.tcp_server import TCPServer
+from hypercorn.asyncio.worker_context import WorkerContext
+from hypercorn.config import Config
+from hypercorn.utils import wrap_app
+
+HOST = '127.0.0.1'
+BACKLOG = 1024
+JSON_TYPE = (b'content-type', b'application/json')
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@attrs.define
+class Server:
+    """A stand-in that accepts connections; `drop` cuts them all."""
+
+    url: str
+    _tasks: dict[tuple[str, int], tuple[asyncio.Task, asyncio.StreamWriter]] = attrs.field(
+        factory=dict
+    )
+
+    def cut(self, client: tuple[str, int]) -> None:
+        """Cut the connection of one client without an end of the answer."""
+        if client in self._tasks:
+            self._tasks[client][1].transport.abort()
+
+    def abort_all(self) -> None:
+        """Cut all connections."""
+        for client in tuple(self._tasks):
+            self.cut(client)
+
+    async def drop(self) -> None:
+        """Cut all connections and return when all are closed."""
+        tasks = [task for task, _ in self._tasks.values()]
+        self.abort_all()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def count_connections(self) -> int:
+        """Return the number of open connections."""
+        return len(self._tasks)
+
+
+@attrs.define
+class Exchange:
+    """One HTTP request and the means to answer it."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+    server: Server
+    _client: tuple[str, int]
+    _receive: Callable[[], Awaitable[dict[str, Any]]]
+    _send: Callable[[dict[str, Any]], Awaitable[None]]
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head of the answer."""
+        await self._send({'type': 'http.response.start', 'status': status, 'headers': headers})
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a part of the body."""
+        await self._send({'type': 'http.response.body', 'body': chunk, 'more_body': True})
+
+    async def finish(self) -> None:
+        """End the body properly."""
+        await self._send({'type': 'http.response.body', 'body': b'', 'more_body': False})
+
+    async def reply(self, status: int, found: Any) -> None:
+        """Answer with JSON and its length."""
+        body = json.dumps(found).encode()
+        await self.start(status, [JSON_TYPE, (b'content-length', str(len(body)).encode())])
+        await self.write(body)
+        await self.finish()
+
+    def cut(self) -> None:
+        """Cut the connection."""
+        self.server.cut(self._client)
+
+    async def wait_disconnected(self) -> None:
+        """Return when the client has closed the connection."""
+        while (await self._receive())['type'] != 'http.disconnect':
+            await anyio.lowlevel.checkpoint()
+
+    def read_json(self) -> Any:
+        """Return the body parsed as JSON, or None if it is not JSON."""
+        try:
+            return json.loads(self.body)
+        except ValueError:
+            return None
+
+
+Handle = Callable[[Exchange], Awaitable[None]]
+
+
+@asynccontextmanager
+async def serve(handle: Handle, port: int = 0) -> AsyncIterator[Server]:
+    """Serve on a loopback port (0: any free one) until the context is left."""
+    config = Config()
+    config.include_server_header = False
+    config.errorlog = None
+    context = WorkerContext(None)
+    server = Server('')
+    app = wrap_app(_make_app(handle, server), config.wsgi_max_body_size, 'asgi')
+    loop = asyncio.get_running_loop()
+
+    async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        client = writer.get_extra_info('peername')[:2]
+        server._tasks[client] = (asyncio.current_task(), writer)
+        try:
+            await TCPServer(app, loop, config, context, {}, reader, writer)
+        except asyncio.CancelledError:
+            writer.transport.abort()
+        finally:
+            server._tasks.pop(client, None)
+
+    listener = await asyncio.start_server(accept, HOST, port, backlog=BACKLOG)
+    server.url = f'http://{HOST}:{listener.sockets[0].getsockname()[1]}'
+    try:
+        yield server
+    finally:
+        listener.close()
+        await context.terminated.set()
+        with anyio.CancelScope(shield=True):
+            await server.drop()
+
+
+def make_parser(description: str) -> argparse.ArgumentParser:
+    """Return a parser with the options of every stand-in."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument('--port', type=int, default=0)
+    parser.add_argument('--seed', type=int, default=1)
+    return parser
+
+
+async def run_script(opened: Any) -> None:
+    """Enter a stand-in's context, print its port and serve until SIGTERM or SIGINT."""
+    async with opened as standin:
+        print('ready', standin.server.url.rpartition(':')[2], flush=True)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                return
+
+
+def _make_app(handle: Handle, server: Server) -> Callable[..., Awaitable[None]]:
+    async def app(scope: dict[str, Any], receive: Any, send: Any) -> None:
+        body = b''
+        more = True
+        while more:
+            message = await receive()
+            if message['type'] == 'http.disconnect':
+                return
+            body += message['body']
+            more = message['more_body']
+        exchange = Exchange(
+            scope['method'],
+            scope['path'],
+            dict(parse_qsl(scope['query_string'].decode())),
+            {name.decode(): text.decode('latin-1') for name, text in scope['headers']},
+            body,
+            server,
+            tuple(scope['client']),
+            receive,
+            send,
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(_cancel_when_disconnected, exchange, group.cancel_scope)
+            await handle(exchange)
+            group.cancel_scope.cancel()
+
+    return app
+
+
+async def _cancel_when_disconnected(exchange: Exchange, scope: anyio.CancelScope) -> None:
+    await exchange.wait_disconnected()
+    scope.cancel()
