Add membership by heartbeat and the gRPC server and clients

The daemons need to know each other, choose owners and exchange messages without a table. Membership beats each address in its own task; only answered beats, dated at their sending, prove contact, since received beats may have waited in a buffer during a pause. The server checks one token per service, limits messages to 4 MiB and closes connections without a request after 10 s. grpclib cancels tasks without uncancel, which broke the next cancel scope of anyio; the clients restore the count.

--- /dev/null
+++ b/camphorpath/members/__init__.py
@@ -0,0 +1,5 @@
+"""Membership by heartbeat, incarnations and the choice of owners."""
+
+from .membership import Membership
+
+__all__ = ('Membership',)
--- /dev/null
+++ b/camphorpath/members/hashing.py
@@ -0,0 +1,40 @@
+"""Rendezvous hashing of keys over members."""
+
+import hashlib
+from collections.abc import Iterable
+
+from ..schema import camphorpath_pb2 as pb
+
+SCORE_BYTES = 8
+
+
+def choose_member(key: str, members: Iterable[pb.MemberInfo]) -> pb.MemberInfo:
+    """Return the member that owns `key`; `members` must not be empty.
+
+    Members that are not stopping and serve come first, then those that are not stopping, then those
+    that are stopping. A change of one member moves only the keys that it gains or loses. The score
+    uses the address, so that a restarted daemon owns the keys that it owned before.
+    """
+    ranked = sorted(members, key=lambda info: _score(key, info.peers_address))
+    for wanted in (_is_preferred, _is_staying, _is_any):
+        chosen = [info for info in ranked if wanted(info)]
+        if chosen:
+            return chosen[-1]
+    raise ValueError('no members')
+
+
+def _is_preferred(info: pb.MemberInfo) -> bool:
+    return info.serving and not info.stopping
+
+
+def _is_staying(info: pb.MemberInfo) -> bool:
+    return not info.stopping
+
+
+def _is_any(info: pb.MemberInfo) -> bool:
+    return True
+
+
+def _score(key: str, address: str) -> tuple[bytes, str]:
+    text = f'{len(key)}:{key}{address}'
+    return hashlib.blake2b(text.encode(), digest_size=SCORE_BYTES).digest(), address
--- /dev/null
+++ b/camphorpath/peers/clients.py
@@ -0,0 +1,153 @@
+"""Clients of the other daemons."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Iterator
+
+import anyio
+import h2.exceptions
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from ..errors import CamphorpathError, PeerError
+from ..events import EventLog
+from ..schema import camphorpath_pb2 as pb
+from ..schema.camphorpath_grpc import PeerStub
+from .limits import limit_messages
+from .tokens import make_metadata
+
+# Above the round trip between regions (several ms) and a pause of a busy event loop.
+CALL_TIMEOUT_S = 2.0
+
+_FAULTS = (
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    h2.exceptions.H2Error,
+    ConnectionError,
+)
+_RESTORING_FAULTS = (CamphorpathError, *_FAULTS)
+# grpclib raises AssertionError when the answer ends inside a message.
+_CALL_FAULTS = (*_FAULTS, OSError, AssertionError)
+
+
+class PeerClients:
+    """One gRPC channel per peer address; all calls raise PeerError and nothing else."""
+
+    def __init__(self, token: str, events: EventLog) -> None:
+        """Use the token of the peers for every call."""
+        self._metadata = make_metadata(token)
+        self._events = events
+        self._channels: dict[str, Channel] = {}
+
+    async def beat(
+        self, address: str, message: pb.BeatMessage, timeout_s: float = CALL_TIMEOUT_S
+    ) -> pb.BeatMessage:
+        """Exchange one heartbeat."""
+        return await self._call('Beat', address, message, timeout_s)
+
+    async def prepare(
+        self, address: str, request: pb.PrepareRequest, timeout_s: float = CALL_TIMEOUT_S
+    ) -> pb.PrepareReply:
+        """Ask a member to get ready for a version."""
+        return await self._call('Prepare', address, request, timeout_s)
+
+    async def activate(
+        self, address: str, request: pb.ActivateRequest, timeout_s: float = CALL_TIMEOUT_S
+    ) -> pb.ActivateReply:
+        """Tell a member that a version is committed."""
+        return await self._call('Activate', address, request, timeout_s)
+
+    async def fetch_version(
+        self, address: str, request: pb.ShowConfigRequest, timeout_s: float = CALL_TIMEOUT_S
+    ) -> pb.ConfigVersion:
+        """Return the version that is activated at a member."""
+        return await self._call('FetchVersion', address, request, timeout_s)
+
+    @contextlib.asynccontextmanager
+    async def open_admission(self, address: str) -> AsyncIterator:
+        """Open the grpclib stream of Peer.Admission; faults of the stream become PeerError.
+
+        The first message must be sent by the caller. Leaving the context without an error ends the
+        stream; with an error the stream is reset.
+        """
+        try:
+            with _restore_cancellation():
+                async with PeerStub(self._open(address)).Admission.open(
+                    metadata=self._metadata
+                ) as stream:
+                    await _start_stream(stream, address)
+                    yield stream
+        except _FAULTS as error:
+            raise _make_error('Admission', address, error) from error
+        except BaseExceptionGroup as group:
+            if group.split(_FAULTS)[1] is not None:
+                raise
+            raise _make_error('Admission', address, group) from group
+
+    def reset(self, address: str) -> None:
+        """Close the channel to an address; the next call connects again."""
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    def close(self) -> None:
+        """Close all channels."""
+        for address in list(self._channels):
+            self.reset(address)
+
+    def _open(self, address: str) -> Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            host, _, port = address.rpartition(':')
+            try:
+                channel = Channel(host.strip('[]'), int(port))
+            except ValueError as error:
+                raise PeerError('not an address', step='connect', peer=address) from error
+            self._channels[address] = channel
+        return channel
+
+    async def _call(self, step: str, address: str, message, timeout_s: float):
+        method = getattr(PeerStub(self._open(address)), step)
+        with _restore_cancellation():
+            try:
+                return await method(message, timeout=timeout_s, metadata=self._metadata)
+            except _CALL_FAULTS as error:
+                raise _make_error(step, address, error) from error
+
+
+@contextlib.contextmanager
+def _restore_cancellation() -> Iterator[None]:
+    """Undo the cancellations that grpclib leaves in the count of the current task.
+
+    grpclib cancels the task to interrupt a call and turns the cancellation into an error without
+    `Task.uncancel`; the next cancel scope of anyio in this task would then not end. A cancellation
+    by an outer scope of anyio is not lost, since anyio delivers it again.
+    """
+    task = asyncio.current_task()
+    count = task.cancelling()
+    try:
+        yield
+    except _RESTORING_FAULTS:
+        while task.cancelling() > count:
+            task.uncancel()
+        raise
+
+
+async def _start_stream(stream, address: str) -> None:
+    try:
+        with anyio.fail_after(CALL_TIMEOUT_S):
+            await stream.send_request()
+    except OSError as error:
+        raise _make_error('Admission', address, error) from error
+    limit_messages(stream)
+
+
+def _make_error(step: str, address: str, error: BaseException) -> PeerError:
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    if isinstance(error, GRPCError):
+        text = f'{error.status.name.lower()}: {error.message}'
+    else:
+        text = str(error) or type(error).__name__
+    return PeerError(text, step=step.lower(), peer=address)
--- /dev/null
+++ b/camphorpath/peers/server.py
@@ -0,0 +1,166 @@
+"""The gRPC server of a daemon, with the Peer and Operator services."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import anyio
+from anyio.abc import TaskStatus
+from attrs import frozen
+from grpclib.const import Status
+from grpclib.events import RecvRequest, listen
+from grpclib.exceptions import GRPCError
+from grpclib.protocol import H2Protocol
+from grpclib.server import Server
+
+from ..errors import CamphorpathError, PlatformError, UserError
+from ..events import Event, EventLog
+from ..schema import camphorpath_pb2 as pb
+from ..schema.camphorpath_grpc import OperatorBase, PeerBase
+from .limits import limit_messages
+from .tokens import has_token, read_token
+
+PEER_PREFIX = '/camphorpath.Peer/'
+# Long enough for handlers to end after they are cancelled.
+CLOSE_LIMIT_S = 1.0
+# A connection without a first request after this time is closed; peers send one at once.
+FIRST_REQUEST_LIMIT_S = 10.0
+
+
+@frozen
+class Handlers:
+    """What answers the calls; each takes the request and returns the reply.
+
+    `admission` takes the grpclib server stream of AdmissionUp and AdmissionDown messages instead
+    and runs until the stream ends.
+    """
+
+    events: EventLog
+    beat: Callable[[pb.BeatMessage], Awaitable[pb.BeatMessage]]
+    admission: Callable[[object], Awaitable[None]]
+    prepare: Callable[[pb.PrepareRequest], Awaitable[pb.PrepareReply]]
+    activate: Callable[[pb.ActivateRequest], Awaitable[pb.ActivateReply]]
+    fetch_version: Callable[[pb.ShowConfigRequest], Awaitable[pb.ConfigVersion]]
+    propose: Callable[[pb.ProposeRequest], Awaitable[pb.ProposeReply]]
+    show_config: Callable[[pb.ShowConfigRequest], Awaitable[pb.ConfigVersion]]
+    list_versions: Callable[[pb.ListVersionsRequest], Awaitable[pb.VersionList]]
+    status: Callable[[pb.StatusRequest], Awaitable[pb.StatusReply]]
+    timeline: Callable[[pb.TimelineRequest], Awaitable[pb.TimelineReply]]
+
+
+async def serve_peers(
+    settings: pb.Daemon,
+    handlers: Handlers,
+    *,
+    task_status: TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve peers and operators at `settings.peers_address` until cancelled.
+
+    Reports the bound port as started. Raises UserError if a token file is missing or empty, if both
+    tokens are the same, or if the address cannot be used.
+    """
+    peer_token = read_token(settings.peer_token_file)
+    operator_token = read_token(settings.operator_token_file)
+    if peer_token == operator_token:
+        raise UserError('the tokens of peers and operators must differ', step='token')
+    server = _Server([_PeerService(handlers), _OperatorService(handlers)])
+
+    async def check_token(event: RecvRequest) -> None:
+        token = peer_token if event.method_name.startswith(PEER_PREFIX) else operator_token
+        if has_token(event.metadata, token):
+            return
+        handlers.events.emit(
+            Event.BAD_PEER,
+            peer=event.peer.addr(),
+            method=event.method_name,
+            problem='wrong or missing token',
+        )
+        raise GRPCError(Status.UNAUTHENTICATED, 'wrong or missing token')
+
+    listen(server, RecvRequest, check_token)
+    host, _, port = settings.peers_address.rpartition(':')
+    try:
+        await server.start(host.strip('[]'), int(port))
+    except OSError as error:
+        raise UserError(
+            f'cannot listen on {settings.peers_address}: {error.strerror}', step='listen'
+        ) from error
+    try:
+        task_status.started(server._server.sockets[0].getsockname()[1])
+        await anyio.sleep_forever()
+    finally:
+        server.close()
+        with anyio.move_on_after(CLOSE_LIMIT_S, shield=True):
+            await server.wait_closed()
+
+
+class _Server(Server):
+    """A server that closes connections on which no request arrives."""
+
+    def _protocol_factory(self) -> H2Protocol:
+        protocol = super()._protocol_factory()
+
+        def close_if_unused() -> None:
+            if not protocol.connection.streams_started:
+                protocol.connection.close()
+
+        asyncio.get_running_loop().call_later(FIRST_REQUEST_LIMIT_S, close_if_unused)
+        return protocol
+
+
+class _PeerService(PeerBase):
+    """The calls between daemons."""
+
+    def __init__(self, handlers: Handlers) -> None:
+        self._handlers = handlers
+
+    async def Beat(self, stream) -> None:
+        await _answer(stream, self._handlers.beat)
+
+    async def Admission(self, stream) -> None:
+        limit_messages(stream)
+        await self._handlers.admission(stream)
+
+    async def Prepare(self, stream) -> None:
+        await _answer(stream, self._handlers.prepare)
+
+    async def Activate(self, stream) -> None:
+        await _answer(stream, self._handlers.activate)
+
+    async def FetchVersion(self, stream) -> None:
+        await _answer(stream, self._handlers.fetch_version)
+
+
+class _OperatorService(OperatorBase):
+    """The calls of operators."""
+
+    def __init__(self, handlers: Handlers) -> None:
+        self._handlers = handlers
+
+    async def Propose(self, stream) -> None:
+        await _answer(stream, self._handlers.propose)
+
+    async def ShowConfig(self, stream) -> None:
+        await _answer(stream, self._handlers.show_config)
+
+    async def ListVersions(self, stream) -> None:
+        await _answer(stream, self._handlers.list_versions)
+
+    async def Status(self, stream) -> None:
+        await _answer(stream, self._handlers.status)
+
+    async def Timeline(self, stream) -> None:
+        await _answer(stream, self._handlers.timeline)
+
+
+async def _answer(stream, handler: Callable[..., Awaitable]) -> None:
+    limit_messages(stream)
+    request = await stream.recv_message()
+    if request is None:
+        raise GRPCError(Status.INVALID_ARGUMENT, 'no message')
+    try:
+        reply = await handler(request)
+    except PlatformError as error:
+        raise GRPCError(Status.UNAVAILABLE, str(error)) from error
+    except CamphorpathError as error:
+        raise GRPCError(Status.FAILED_PRECONDITION, str(error)) from error
+    await stream.send_message(reply)
--- /dev/null
+++ b/camphorpath/peers/tokens.py
@@ -0,0 +1,34 @@
+"""Shared tokens of peers and operators, read from files and sent as bearer tokens."""
+
+import hmac
+import pathlib
+
+from ..errors import UserError
+
+HEADER = 'authorization'
+SCHEME = 'Bearer '
+
+
+def read_token(path: str) -> str:
+    """Return the token in the file; raises UserError if it is missing, empty or not ASCII."""
+    try:
+        token = pathlib.Path(path).read_text('ascii').strip()
+    except (OSError, UnicodeDecodeError) as error:
+        raise UserError(f'cannot read the token file {path}: {error}', step='token') from error
+    if not token:
+        raise UserError(f'the token file {path} is empty', step='token')
+    if not token.isprintable() or ' ' in token:
+        raise UserError(f'the token file {path} holds more than one word', step='token')
+    return token
+
+
+def make_metadata(token: str) -> dict[str, str]:
+    """Return the metadata of a call that carries the token."""
+    return {HEADER: SCHEME + token}
+
+
+def has_token(metadata, token: str) -> bool:
+    """Tell whether the metadata carries the token; takes the same time for any wrong token."""
+    given = metadata.get(HEADER, '')
+    expected = SCHEME + token
+    return hmac.compare_digest(str(given).encode(), expected.encode())
--- a/camphorpath/schema/camphorpath_grpc.py
+++ b/camphorpath/schema/camphorpath_grpc.py
@@ -30,6 +30,10 @@
     async def Activate(self, stream: 'grpclib.server.Stream[camphorpath_pb2.ActivateRequest, camphorpath_pb2.ActivateReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def FetchVersion(self, stream: 'grpclib.server.Stream[camphorpath_pb2.ShowConfigRequest, camphorpath_pb2.ConfigVersion]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/camphorpath.Peer/Beat': grpclib.const.Handler(
@@ -56,6 +60,12 @@
                 camphorpath_pb2.ActivateRequest,
                 camphorpath_pb2.ActivateReply,
             ),
+            '/camphorpath.Peer/FetchVersion': grpclib.const.Handler(
+                self.FetchVersion,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                camphorpath_pb2.ShowConfigRequest,
+                camphorpath_pb2.ConfigVersion,
+            ),
         }
 
 
@@ -86,6 +96,12 @@
             camphorpath_pb2.ActivateRequest,
             camphorpath_pb2.ActivateReply,
         )
+        self.FetchVersion = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/camphorpath.Peer/FetchVersion',
+            camphorpath_pb2.ShowConfigRequest,
+            camphorpath_pb2.ConfigVersion,
+        )
 
 
 class OperatorBase(abc.ABC):
