--- /dev/null
+++ b/camphorpath/admission/agenda.py
@@ -0,0 +1,36 @@
+"""Times at which the owner has to look at a service again."""
+
+import heapq
+import itertools
+from collections.abc import Iterator
+
+import anyio
+import attrs
+
+
+@attrs.define(eq=False)
+class Agenda:
+    """Entries (time on the lease clock, service, request id), taken in the order of time."""
+
+    _heap: list[tuple[float, int, str, str]] = attrs.field(factory=list)
+    _numbers: Iterator[int] = attrs.field(factory=itertools.count)
+    _changed: anyio.Event = attrs.field(factory=anyio.Event)
+
+    def add(self, when: float, service: str, request_id: str) -> None:
+        """Add an entry."""
+        heapq.heappush(self._heap, (when, next(self._numbers), service, request_id))
+        if self._heap[0][0] == when:
+            self._changed.set()
+
+    def take_due(self, now: float) -> Iterator[tuple[str, str]]:
+        """Yield and remove what is due."""
+        while self._heap and self._heap[0][0] <= now:
+            _when, _number, service, request_id = heapq.heappop(self._heap)
+            yield service, request_id
+
+    async def wait(self, now: float) -> None:
+        """Return when the first entry is due or a new one precedes it."""
+        delay = self._heap[0][0] - now if self._heap else None
+        with anyio.move_on_after(None if delay is None else max(delay, 0)):
+            await self._changed.wait()
+        self._changed = anyio.Event()
--- /dev/null
+++ b/camphorpath/admission/choice.py
@@ -0,0 +1,123 @@
+"""Policies for the choice of an upstream among those with room for a request."""
+
+import math
+import random
+import types
+from collections.abc import Callable, Mapping, Sequence
+
+import attrs
+
+from .fleet import FleetView
+from .records import Waiting
+from .upstream import Upstream
+
+# The longest wait for an upstream that has the prefix of the request.
+MAX_HOLD_S = 1
+
+
+@attrs.define
+class ChoiceState:
+    """What the policies of one service remember between choices."""
+
+    view: FleetView
+    numbers: random.Random = attrs.field(factory=random.Random)
+    turn: int = 0
+
+
+Policy = Callable[[Waiting, Sequence[Upstream], ChoiceState], Upstream]
+
+
+def choose_random(entry: Waiting, upstreams: Sequence[Upstream], state: ChoiceState) -> Upstream:
+    """Return any upstream."""
+    return state.numbers.choice(upstreams)
+
+
+def choose_in_turn(entry: Waiting, upstreams: Sequence[Upstream], state: ChoiceState) -> Upstream:
+    """Return the upstreams one after the other."""
+    state.turn += 1
+    return upstreams[state.turn % len(upstreams)]
+
+
+def choose_least_load(
+    entry: Waiting, upstreams: Sequence[Upstream], state: ChoiceState
+) -> Upstream:
+    """Return the upstream with the fewest requests in its report, which lags."""
+    return min(upstreams, key=_reported_load)
+
+
+def choose_cheapest(entry: Waiting, upstreams: Sequence[Upstream], state: ChoiceState) -> Upstream:
+    """Return the upstream where the request is expected to be done first, by `estimate_cost`."""
+    return min(upstreams, key=lambda upstream: estimate_cost(entry, upstream, state.view))
+
+
+POLICIES: Mapping[str, Policy] = types.MappingProxyType(
+    {
+        'random': choose_random,
+        'round_robin': choose_in_turn,
+        'least_load': choose_least_load,
+        'camphorpath': choose_cheapest,
+    }
+)
+
+
+def count_uncached(entry: Waiting, upstream: Upstream) -> int:
+    """Return the prompt tokens that the upstream probably has to process."""
+    blocks = entry.enqueue.prefix_blocks
+    prompt_tokens = entry.enqueue.prompt_tokens
+    if not blocks:
+        return prompt_tokens
+    missing = len(blocks) - upstream.prefixes.count_leading(blocks)
+    return prompt_tokens * missing // len(blocks)
+
+
+def estimate_cost(entry: Waiting, upstream: Upstream, view: FleetView) -> float:
+    """Return the seconds until the request is done, with the price of its bytes as seconds.
+
+    Work in flight is shared by the slots of the upstream. Foreign requests count as the average
+    of the own ones, since their size is not known.
+    """
+    pool, speed, enqueue = upstream.pool, upstream.speed, entry.enqueue
+    in_flight_s = upstream.work_s
+    if upstream.foreign:
+        own = len(upstream.running)
+        average_s = in_flight_s / own if own else entry.work_s
+        in_flight_s += upstream.foreign * average_s
+    prefill_s = count_uncached(entry, upstream) / pool.prefill_rate
+    decode_s = enqueue.output_tokens / pool.decode_rate
+    return (
+        speed.factor * in_flight_s / pool.slots
+        + speed.prefill_factor * prefill_s
+        + speed.decode_factor * decode_s
+        + 2 * view.delay(enqueue.zone, upstream.vm.zone)
+        + view.transfer_price(enqueue.zone, upstream.vm.zone, enqueue.body_bytes)
+    )
+
+
+def estimate_hold(
+    entry: Waiting, chosen: Upstream, full: Sequence[Upstream], view: FleetView, now: float
+) -> float:
+    """Return how long to wait for a full upstream with the prefix; 0 if that is not cheaper."""
+    if not entry.enqueue.prefix_blocks:
+        return 0
+    limit = estimate_cost(entry, chosen, view)
+    uncached = count_uncached(entry, chosen)
+    holds = [
+        hold
+        for upstream in full
+        if count_uncached(entry, upstream) < uncached
+        and (hold := _estimate_free(upstream, now)) + estimate_cost(entry, upstream, view) < limit
+    ]
+    shortest = min(holds, default=math.inf)
+    return shortest if shortest <= MAX_HOLD_S else 0
+
+
+def _estimate_free(upstream: Upstream, now: float) -> float:
+    factor = upstream.speed.factor
+    ends = (running.granted_at + factor * running.work_s for running in upstream.running.values())
+    # A request that has outlasted its estimate says nothing about when it ends.
+    return min((end - now for end in ends if end > now), default=math.inf)
+
+
+def _reported_load(upstream: Upstream) -> int:
+    report = upstream.report
+    return 0 if report is None else report.running + report.waiting
--- /dev/null
+++ b/camphorpath/admission/fleet.py
@@ -0,0 +1,73 @@
+"""Lookups into the fleet configuration that admission needs for every request."""
+
+import attrs
+
+from ..schema import camphorpath_pb2 as pb
+
+BYTES_PER_MIB = 1048576
+
+
+@attrs.define
+class FleetView:
+    """The fleet configuration of one version, indexed."""
+
+    fleet: pb.Fleet
+    services: dict[str, pb.Service] = attrs.field(init=False)
+    weights: dict[str, float] = attrs.field(init=False)
+    _regions: dict[str, str] = attrs.field(init=False)
+    _limits: dict[tuple[str, str], int] = attrs.field(init=False)
+    _delays: dict[tuple[str, str], float] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Index the configuration."""
+        fleet = self.fleet
+        self.services = {service.name: service for service in fleet.services}
+        self.weights = {customer.name: customer.weight for customer in fleet.customers}
+        self._regions = {zone: region.name for region in fleet.regions for zone in region.zones}
+        self._limits = {
+            ('', customer.name): customer.max_running
+            for customer in fleet.customers
+            if customer.max_running
+        }
+        for rule in fleet.exceptions:
+            # Rules for a tier are about one tier's timeout; they set no limit on a customer.
+            if rule.max_running and not rule.tier:
+                self._limits[rule.service, rule.customer] = rule.max_running
+
+    def pool(self, service: str, name: str) -> pb.Pool | None:
+        """Return a pool of a service, or None."""
+        found = self.services.get(service)
+        pools = () if found is None else found.pools
+        return next((pool for pool in pools if pool.name == name), None)
+
+    def customer_limit(self, service: str, customer: str) -> int:
+        """Return how many requests of a customer may run in a service; 0 sets no limit."""
+        own = self._limits.get((service, customer), 0)
+        return own or self._limits.get(('', customer), 0)
+
+    def service_limit(self, service: str) -> int:
+        """Return how many requests may run in a service; 0 sets no limit."""
+        return self._limits.get((service, ''), 0)
+
+    def delay(self, first: str, second: str) -> float:
+        """Return the one-way latency between two availability zones in seconds."""
+        key = first, second
+        found = self._delays.get(key)
+        if found is None:
+            found = self._find_delay(first, second)
+            self._delays[key] = found
+        return found
+
+    def transfer_price(self, first: str, second: str, size: int) -> float:
+        """Return the price of `size` bytes between two zones, in seconds."""
+        if self._regions.get(first) == self._regions.get(second):
+            return 0
+        return self.fleet.region_price * size / BYTES_PER_MIB
+
+    def _find_delay(self, first: str, second: str) -> float:
+        links = self.fleet.links
+        if first == second:
+            return links.same_zone
+        if self._regions.get(first) == self._regions.get(second):
+            return links.between_zones
+        return links.between_regions
--- /dev/null
+++ b/camphorpath/admission/link.py
@@ -0,0 +1,87 @@
+"""The stream from a home daemon to one admission owner."""
+
+import collections
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import attrs
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from ..errors import PeerError
+from ..schema import camphorpath_pb2 as pb
+
+LINK_ERRORS = (PeerError, GRPCError, ProtocolError, StreamTerminatedError, OSError)
+
+Receive = Callable[['Link', pb.AdmissionDown], None]
+
+
+class Mailbox:
+    """Messages on their way from one task to another, in order."""
+
+    def __init__(self) -> None:
+        """Begin empty."""
+        self._messages: collections.deque[Any] = collections.deque()
+        self._filled = anyio.Event()
+
+    def put(self, message: Any) -> None:
+        """Add a message."""
+        self._messages.append(message)
+        self._filled.set()
+
+    async def take(self) -> Any:
+        """Wait for the next message and return it."""
+        while not self._messages:
+            self._filled = anyio.Event()
+            await self._filled.wait()
+        return self._messages.popleft()
+
+
+@attrs.define(eq=False)
+class Link:
+    """An owner, the services that it should own, and those registered on the present stream."""
+
+    info: pb.MemberInfo
+    services: frozenset[str] = frozenset()
+    registered: frozenset[str] = frozenset()
+    is_open: bool = False
+    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+    post: Callable[[pb.AdmissionUp], None] = attrs.field(init=False)
+
+    async def serve_remote(self, membership: Any, on_open: Callable[[], None], receive: Receive):
+        """Exchange messages over gRPC until the stream breaks; raises one of LINK_ERRORS."""
+        async with membership.peers.open_admission(self.info.peers_address) as stream:
+            outbox = Mailbox()
+            await stream.send_message(pb.AdmissionUp(hello=membership.info()))
+            self.post = outbox.put
+            self.is_open = True
+            on_open()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_write, stream, outbox)
+                message = await stream.recv_message()
+                while message is not None:
+                    receive(self, message)
+                    message = await stream.recv_message()
+                tasks.cancel_scope.cancel()
+
+    async def serve_local(self, membership: Any, owner: Any, on_open: Callable[[], None], receive):
+        """Exchange messages with the owner in this process until cancelled.
+
+        Its answers pass through a mailbox, since a callback of the home must not run in the middle
+        of a decision of the owner.
+        """
+        inbox = Mailbox()
+        session = owner.open_home(membership.info(), inbox.put)
+        try:
+            self.post = session.handle
+            self.is_open = True
+            on_open()
+            while session.is_open:
+                receive(self, await inbox.take())
+        finally:
+            session.close()
+
+
+async def _write(stream: Any, outbox: Mailbox) -> None:
+    while True:
+        await stream.send_message(await outbox.take())
--- /dev/null
+++ b/camphorpath/admission/preemption.py
@@ -0,0 +1,69 @@
+"""The choice of the running requests that give way to a waiting request of a higher tier."""
+
+import math
+from collections.abc import Callable, Iterable, Sequence
+
+from .records import Running, Waiting
+from .upstream import Upstream
+
+Fits = Callable[[Waiting, int, int], bool]
+
+
+def choose_victims(
+    entry: Waiting,
+    upstreams: Iterable[Upstream],
+    claims: Sequence[Waiting],
+    *,
+    is_suspect: bool = False,
+    is_at_limit: bool = False,
+) -> tuple[Upstream, list[Running]] | None:
+    """Return an upstream and the requests to preempt there, or None if that frees no slot.
+
+    Lowest tier first, then the least prefill discarded, then as few as possible: none where those
+    that are leaving already make room. `claims` are waiting requests for which requests were
+    preempted before; their slots stay theirs. A crash suspect needs an upstream on which nothing
+    is left. At the limit of the service a free slot alone does not help.
+    """
+    best = None
+    for upstream in upstreams:
+        claimed = [other for other in claims if other.claim == upstream.name]
+        victims = _choose_on(entry, upstream, claimed, _is_empty if is_suspect else upstream.fits)
+        if victims is None or (is_at_limit and not victims):
+            continue
+        key = (
+            -min((victim.rank for victim in victims), default=math.inf),
+            sum(victim.enqueue.prompt_tokens for victim in victims),
+            len(victims),
+        )
+        if best is None or key < best[0]:
+            best = key, upstream, victims
+    return None if best is None else best[1:]
+
+
+def _choose_on(
+    entry: Waiting, upstream: Upstream, claimed: Sequence[Waiting], fits: Fits
+) -> list[Running] | None:
+    if upstream.is_exclusive or upstream.reserved_for not in {'', entry.request_id}:
+        return None
+    candidates = [
+        running
+        for running in upstream.running.values()
+        if running.rank > entry.rank and running.may_be_preempted
+    ]
+    candidates.sort(key=lambda running: (-running.rank, running.enqueue.prompt_tokens))
+    leaving = [running for running in upstream.running.values() if running.is_preempted]
+    occupied = upstream.occupied - len(leaving) + len(claimed)
+    tokens = upstream.tokens + sum(other.tokens for other in claimed)
+    tokens -= sum(running.tokens for running in leaving)
+    victims: list[Running] = []
+    for running in candidates:
+        if fits(entry, occupied, tokens):
+            break
+        victims.append(running)
+        occupied -= 1
+        tokens -= running.tokens
+    return victims if fits(entry, occupied, tokens) else None
+
+
+def _is_empty(entry: Waiting, occupied: int, tokens: int) -> bool:
+    return not occupied
--- /dev/null
+++ b/camphorpath/admission/queue.py
@@ -0,0 +1,117 @@
+"""The waiting requests of one service in the order in which they are granted."""
+
+import bisect
+from collections.abc import Callable, Iterator, Set
+
+import attrs
+
+from .records import Waiting
+from .shares import Shares
+
+MIN_COMPACTED = 64
+
+GroupKey = tuple[str, int]
+
+
+def _sort_key(entry: Waiting) -> tuple[float, int]:
+    return entry.deadline, entry.sequence
+
+
+@attrs.define
+class WaitingQueue:
+    """Waiting requests by pool and tier, then by customer, then by deadline."""
+
+    shares: Shares
+    entries: dict[str, Waiting] = attrs.field(factory=dict)
+    _groups: dict[GroupKey, dict[str, list[Waiting]]] = attrs.field(factory=dict)
+    _work_s: dict[GroupKey, float] = attrs.field(factory=dict)
+    # By tier in the order of arrival, with requests that have left; find_least needs the newest.
+    _newest: dict[int, list[Waiting]] = attrs.field(factory=dict)
+
+    def __len__(self) -> int:
+        """Return the number of waiting requests."""
+        return len(self.entries)
+
+    def add(self, entry: Waiting) -> None:
+        """Add a request that is not in the queue."""
+        assert entry.request_id not in self.entries, entry.request_id
+        key = entry.enqueue.pool, entry.rank
+        self.entries[entry.request_id] = entry
+        customers = self._groups.setdefault(key, {})
+        bisect.insort(customers.setdefault(entry.enqueue.customer, []), entry, key=_sort_key)
+        self._work_s[key] = self._work_s.get(key, 0) + entry.work_s
+        self._append_newest(entry)
+
+    def remove(self, request_id: str) -> Waiting | None:
+        """Remove and return a request, or None if it does not wait."""
+        entry = self.entries.pop(request_id, None)
+        if entry is None:
+            return None
+        key = entry.enqueue.pool, entry.rank
+        customers = self._groups[key]
+        line = customers[entry.enqueue.customer]
+        line.pop(bisect.bisect_left(line, _sort_key(entry), key=_sort_key))
+        self._work_s[key] -= entry.work_s
+        if not line:
+            customers.pop(entry.enqueue.customer)
+        if not customers:
+            self._groups.pop(key)
+            self._work_s.pop(key)
+        return entry
+
+    def has_customer(self, customer: str) -> bool:
+        """Return whether a request of the customer waits."""
+        return any(customer in customers for customers in self._groups.values())
+
+    def pools(self) -> list[str]:
+        """Return the pools for which requests wait."""
+        return list({pool for pool, _rank in self._groups})
+
+    def head(
+        self, pool: str, skipped: Set[str], is_limited: Callable[[str], bool]
+    ) -> Waiting | None:
+        """Return the next request of a pool that is neither skipped nor of a limited customer."""
+        for rank in self._ranks(pool):
+            customers = self._groups[pool, rank]
+            for customer in sorted(customers, key=self.shares.level):
+                if is_limited(customer):
+                    continue
+                for entry in customers[customer]:
+                    if entry.request_id not in skipped:
+                        return entry
+        return None
+
+    def ordered(self, pool: str) -> Iterator[Waiting]:
+        """Yield the requests of a pool by tier, then share as it stands now, then deadline."""
+        for rank in self._ranks(pool):
+            customers = self._groups[pool, rank]
+            for customer in sorted(customers, key=self.shares.level):
+                yield from customers[customer]
+
+    def find_least(self) -> Waiting | None:
+        """Return the newest request of the lowest waiting tier."""
+        if not self._groups:
+            return None
+        newest = self._newest[max(rank for _pool, rank in self._groups)]
+        while self.entries.get(newest[-1].request_id) is not newest[-1]:
+            newest.pop()
+        return newest[-1]
+
+    def work_ahead(self, pool: str, rank: int) -> float:
+        """Return the work in seconds of the requests of this and higher tiers in a pool."""
+        return sum(
+            work_s
+            for (name, other), work_s in self._work_s.items()
+            if name == pool and other <= rank
+        )
+
+    def _append_newest(self, entry: Waiting) -> None:
+        newest = self._newest.setdefault(entry.rank, [])
+        newest.append(entry)
+        if len(newest) > 2 * len(self.entries) + MIN_COMPACTED:
+            self._newest[entry.rank] = [
+                one for one in newest if self.entries.get(one.request_id) is one
+            ]
+
+    def _ranks(self, pool: str) -> list[int]:
+        return sorted(rank for name, rank in self._groups if name == pool)
--- /dev/null
+++ b/camphorpath/admission/records.py
@@ -0,0 +1,92 @@
+"""Records of requests in admission."""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from ..schema import camphorpath_pb2 as pb
+
+
+@attrs.define(eq=False)
+class Ticket:
+    """A request for a slot; `on_preempt` is called when the owner takes the slot back."""
+
+    enqueue: pb.Enqueue
+    on_preempt: Callable[[], None]
+
+
+@attrs.frozen
+class Grant:
+    """Permission to send one request to one upstream until `expires_at` on the lease clock."""
+
+    request_id: str
+    upstream: str
+    upstream_url: str
+    zone: str
+    expires_at: float
+
+
+@attrs.define(eq=False)
+class Waiting:
+    """A request in the queue; times are seconds on the lease clock.
+
+    `work_s` is its work at the rates of its pool, `claim` the upstream on which requests were
+    preempted for it, `hold_until` the end of its wait for an upstream with its prefix.
+    """
+
+    enqueue: pb.Enqueue
+    session: Any
+    arrived: float
+    deadline: float
+    sequence: int
+    work_s: float = 0
+    claim: str = ''
+    hold_until: float = 0
+    has_timer: bool = False
+    request_id: str = attrs.field(init=False)
+    rank: int = attrs.field(init=False)
+    tokens: int = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Copy the fields that every decision reads; protobuf access is slower."""
+        self.request_id = self.enqueue.request_id
+        self.rank = self.enqueue.tier_rank
+        self.tokens = self.enqueue.prompt_tokens + self.enqueue.output_tokens
+
+
+@attrs.define(eq=False)
+class Running:
+    """A request that holds a slot of an upstream.
+
+    `granted_at` and `deadline` are on the lease clock, `granted_wall` is seconds since 1970.
+    `session` is None after its home was lost. `is_alone` is set for a crash suspect.
+    """
+
+    enqueue: pb.Enqueue
+    session: Any
+    upstream: str
+    granted_at: float
+    granted_wall: float
+    deadline: float
+    work_s: float
+    uncached_tokens: int
+    is_alone: bool = False
+    is_probe: bool = False
+    is_preempted: bool = False
+    home: str = attrs.field(init=False)
+    request_id: str = attrs.field(init=False)
+    rank: int = attrs.field(init=False)
+    tokens: int = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Copy the fields that every decision reads."""
+        self.home = self.session.incarnation
+        self.request_id = self.enqueue.request_id
+        self.rank = self.enqueue.tier_rank
+        self.tokens = self.enqueue.prompt_tokens + self.enqueue.output_tokens
+
+    @property
+    def may_be_preempted(self) -> bool:
+        """Whether the owner may still order this request to stop."""
+        return self.enqueue.cancellable and not self.is_preempted and self.session is not None
--- /dev/null
+++ b/camphorpath/admission/requests.py
@@ -0,0 +1,181 @@
+"""What the messages of home daemons do to the requests of one service."""
+
+from typing import Any
+
+from ..events import Event
+from ..schema import camphorpath_pb2 as pb
+from .grants import check_late, dispatch
+from .records import Running, Waiting
+from .service import REFUSING_S, ServiceState
+from .shedding import shed_excess
+from .speed import estimate_work
+
+NOT_STARTED = (pb.Release.NOT_SENT, pb.Release.UPSTREAM_REFUSED)
+
+
+def enqueue_request(state: ServiceState, session: Any, enqueue: pb.Enqueue) -> None:
+    """Queue a request, or register one that waits or runs already."""
+    request_id = enqueue.request_id
+    if _is_known(state, session, enqueue):
+        return
+    # A home sends a waiting request again after it chose the owner again.
+    state.drop_waiting(request_id)
+    if enqueue.running_on:
+        _register_running(state, session, enqueue)
+        return
+    problem = _find_problem(state, enqueue)
+    if problem is not None:
+        session.refuse(problem)
+        return
+    entry = state.add_waiting(session, enqueue)
+    state.context.events.emit(Event.ENQUEUED, request_id, tier=enqueue.tier)
+    state.context.wake_at(entry.deadline, state.name, request_id)
+    # The last moment at which a start still makes sense.
+    state.context.wake_at(entry.deadline - entry.work_s, state.name, request_id)
+    dispatch(state)
+    if request_id in state.queue.entries:
+        shed_excess(state)
+    if request_id in state.queue.entries:
+        check_late(state, entry)
+
+
+def release_request(state: ServiceState, release: pb.Release) -> None:
+    """Free the slot of a request and learn from its result."""
+    running = state.running.get(release.request_id)
+    if running is None:
+        return
+    _apply_result(state, running, release)
+    state.remove_running(running)
+    state.context.events.emit(
+        Event.RELEASED,
+        running.request_id,
+        running.upstream,
+        result=pb.Release.Result.Name(release.result).lower(),
+    )
+    dispatch(state)
+
+
+def withdraw_request(state: ServiceState, session: Any, request_id: str) -> None:
+    """Remove a request whose home no longer wants a slot; a grant on its way is void."""
+    state.drop_waiting(request_id)
+    running = state.running.get(request_id)
+    if running is not None and running.session is session:
+        state.remove_running(running)
+    dispatch(state)
+
+
+def leave_home(state: ServiceState, session: Any) -> None:
+    """Remove the waiting requests of a home; its running ones stay counted."""
+    for entry in list(state.queue.entries.values()):
+        if entry.session is session:
+            state.drop_waiting(entry.request_id)
+    for running in state.running.values():
+        if running.session is session:
+            state.orphan(running)
+    dispatch(state)
+
+
+def check_request(state: ServiceState, request_id: str) -> None:
+    """Look at a request again at one of its times."""
+    now = state.context.clock()
+    running = state.running.get(request_id)
+    if running is not None and running.session is None and running.deadline <= now:
+        state.remove_running(running)
+    entry = state.queue.entries.get(request_id)
+    if entry is not None and entry.deadline <= now:
+        _expire(state, entry)
+        entry = None
+    dispatch(state)
+    if entry is not None and request_id in state.queue.entries:
+        check_late(state, entry)
+
+
+def refuse_digests(state: ServiceState, digests: list[str]) -> None:
+    """Refuse the waiting requests that are now known to crash upstreams."""
+    for entry in list(state.queue.entries.values()):
+        if digests and entry.enqueue.digest in digests:
+            problem = _refuse_crashing(entry.request_id)
+            state.refuse(entry, problem.reason, problem.text)
+
+
+def _is_known(state: ServiceState, session: Any, enqueue: pb.Enqueue) -> bool:
+    running = state.running.get(enqueue.request_id)
+    if running is None:
+        return False
+    if running.session is session:
+        # A grant is on its way to the home, or the home repeats what it has registered.
+        return True
+    if enqueue.running_on == running.upstream:
+        running.session = session
+        return True
+    # The home did not accept the grant of its former stream, and never will.
+    state.remove_running(running)
+    return False
+
+
+def _register_running(state: ServiceState, session: Any, enqueue: pb.Enqueue) -> None:
+    context, now = state.context, state.context.clock()
+    pool = context.view.pool(state.name, enqueue.pool) or pb.Pool()
+    state.add_running(
+        Running(
+            enqueue,
+            session,
+            enqueue.running_on,
+            granted_at=now,
+            granted_wall=context.wall(),
+            deadline=now + enqueue.time_left,
+            work_s=estimate_work(pool, enqueue.prompt_tokens, enqueue.output_tokens),
+            uncached_tokens=enqueue.prompt_tokens,
+            is_alone=context.suspects.count(state.name, enqueue.digest) > 0,
+        )
+    )
+
+
+def _find_problem(state: ServiceState, enqueue: pb.Enqueue) -> pb.Refused | None:
+    request_id, view = enqueue.request_id, state.context.view
+    if view.pool(state.name, enqueue.pool) is None:
+        text = f'service {state.name} has no pool {enqueue.pool}'
+        return pb.Refused(request_id=request_id, reason='unknown_pool', text=text)
+    if enqueue.time_left <= 0:
+        text = 'the deadline has passed'
+        return pb.Refused(request_id=request_id, reason='deadline_exceeded', text=text)
+    count = state.context.suspects.count(state.name, enqueue.digest)
+    if count >= state.settings.crash_limit:
+        return _refuse_crashing(request_id)
+    return None
+
+
+def _refuse_crashing(request_id: str) -> pb.Refused:
+    text = 'the upstreams that ran this request crashed'
+    return pb.Refused(request_id=request_id, reason='crashes_upstreams', text=text)
+
+
+def _expire(state: ServiceState, entry: Waiting) -> None:
+    state.context.events.emit(
+        Event.REQUEST_REFUSED, entry.request_id, reason='deadline_exceeded', tier=entry.enqueue.tier
+    )
+    text = 'no slot became free before the deadline'
+    state.refuse(entry, 'deadline_exceeded', text, state.estimate_retry(entry))
+
+
+def _apply_result(state: ServiceState, running: Running, release: pb.Release) -> None:
+    upstream = state.upstreams.get(running.upstream)
+    enqueue = running.enqueue
+    weight = state.context.view.weights.get(enqueue.customer, 1)
+    if release.result == pb.Release.COMPLETE:
+        state.context.suspects.clear(state.name, enqueue.digest)
+        unexpected = release.output_tokens - enqueue.output_tokens if release.output_tokens else 0
+        state.queue.shares.charge(enqueue.customer, unexpected, weight)
+    elif release.result in NOT_STARTED:
+        state.queue.shares.charge(enqueue.customer, -max(running.tokens, 1), weight)
+    if upstream is None:
+        return
+    if release.result in {pb.Release.UPSTREAM_REFUSED, pb.Release.UPSTREAM_LOST}:
+        upstream.refusing_until = state.context.clock() + REFUSING_S
+        state.context.wake_at(upstream.refusing_until, state.name, '')
+    if release.result == pb.Release.UPSTREAM_LOST:
+        refuse_digests(state, state.lose_upstream(upstream, 'connection lost'))
+    elif release.result == pb.Release.COMPLETE:
+        upstream.speed.learn(upstream.pool, running, release)
+    elif release.result not in NOT_STARTED:
+        upstream.speed.learn_bound(running, state.context.clock() - running.granted_at)
--- /dev/null
+++ b/camphorpath/admission/service.py
@@ -0,0 +1,252 @@
+"""The requests and upstreams of one service at its admission owner."""
+
+import collections
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+
+from ..events import Event
+from ..schema import camphorpath_pb2 as pb
+from ..upstreams.load import LoadReport
+from .choice import ChoiceState
+from .context import Context
+from .queue import WaitingQueue
+from .records import Running, Waiting
+from .shares import Shares
+from .speed import estimate_work
+from .stragglers import PROBE_INTERVAL_S, find_changes
+from .upstream import Upstream
+
+GRANT_VALID_S = 1
+# A new owner waits this long for the homes to register, so that it knows what already runs.
+REGISTRATION_WAIT_S = 2
+REFUSING_S = 2
+# How long a request of a lost home is counted past its deadline when no report shows it gone.
+ORPHAN_MARGIN_S = 10
+MIN_RETRY_S = 1
+MAX_RETRY_S = 30
+
+
+@attrs.define(eq=False)
+class ServiceState:
+    """The queue, the running set and the upstreams of one service."""
+
+    name: str
+    context: Context
+    owned_since: float
+    queue: WaitingQueue = attrs.field(init=False)
+    choice: ChoiceState = attrs.field(init=False)
+    running: dict[str, Running] = attrs.field(factory=dict)
+    upstreams: dict[str, Upstream] = attrs.field(factory=dict)
+    pools: dict[str, list[Upstream]] = attrs.field(factory=dict)
+    reservations: dict[str, Upstream] = attrs.field(factory=dict)
+    by_customer: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    sequence: int = 0
+    _compared_at: dict[str, float] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Begin with an empty queue."""
+        self.queue = WaitingQueue(Shares())
+        self.choice = ChoiceState(self.context.view)
+
+    @property
+    def settings(self) -> pb.Service:
+        """Return the settings of the service in the version in force."""
+        return self.context.view.services[self.name]
+
+    def may_grant(self) -> bool:
+        """Return whether what runs is known well enough to give grants."""
+        waited = self.context.clock() - self.owned_since
+        return waited >= REGISTRATION_WAIT_S or self.context.is_confirmed(self.name)
+
+    def usable(self, pool: str) -> list[Upstream]:
+        """Return the upstreams of a pool that may receive requests now."""
+        now, limit = self.context.clock(), self.settings.load_limit
+        return [one for one in self.pools.get(pool, ()) if one.is_usable(now, limit)]
+
+    def is_limited(self, customer: str) -> bool:
+        """Return whether a customer has as many requests running as it may."""
+        limit = self.context.view.customer_limit(self.name, customer)
+        return bool(limit) and self.by_customer[customer] >= limit
+
+    def is_at_limit(self) -> bool:
+        """Return whether as many requests run in the service as may."""
+        limit = self.context.view.service_limit(self.name)
+        return bool(limit) and len(self.running) >= limit
+
+    def is_suspect(self, entry: Waiting) -> bool:
+        """Return whether the request has to run alone."""
+        return self.context.suspects.count(self.name, entry.enqueue.digest) > 0
+
+    def find_lower(self, rank: int) -> Iterator[Running]:
+        """Yield the running requests of lower tiers that may be preempted, on usable upstreams."""
+        now, limit = self.context.clock(), self.settings.load_limit
+        for upstream in self.upstreams.values():
+            if not upstream.is_usable(now, limit):
+                continue
+            for running in upstream.running.values():
+                if running.rank > rank and running.may_be_preempted:
+                    yield running
+
+    def add_waiting(self, session: Any, enqueue: pb.Enqueue) -> Waiting:
+        """Put a request into the queue."""
+        now = self.context.clock()
+        customer = enqueue.customer
+        if not self.by_customer[customer] and not self.queue.has_customer(customer):
+            self.queue.shares.activate(customer)
+        pool = self.context.view.pool(self.name, enqueue.pool)
+        work_s = estimate_work(pool, enqueue.prompt_tokens, enqueue.output_tokens)
+        self.sequence += 1
+        entry = Waiting(enqueue, session, now, now + enqueue.time_left, self.sequence, work_s)
+        self.queue.add(entry)
+        return entry
+
+    def drop_waiting(self, request_id: str) -> Waiting | None:
+        """Take a request out of the queue, with the reservation made for it."""
+        self.unreserve(request_id)
+        return self.queue.remove(request_id)
+
+    def refuse(self, entry: Waiting, reason: str, text: str, retry_after: float = 0) -> None:
+        """Give a waiting request its final answer."""
+        self.drop_waiting(entry.request_id)
+        entry.session.refuse(
+            pb.Refused(
+                request_id=entry.request_id, reason=reason, text=text, retry_after=retry_after
+            )
+        )
+
+    def unreserve(self, request_id: str) -> None:
+        """Open the upstream that was being emptied for a crash suspect."""
+        upstream = self.reservations.pop(request_id, None)
+        if upstream is not None:
+            upstream.reserved_for = ''
+
+    def add_running(self, running: Running) -> None:
+        """Count a request as running, also when its upstream is not known yet."""
+        assert running.request_id not in self.running, running.request_id
+        self.running[running.request_id] = running
+        self.by_customer[running.enqueue.customer] += 1
+        upstream = self.upstreams.get(running.upstream)
+        if upstream is not None:
+            upstream.add(running)
+
+    def remove_running(self, running: Running) -> None:
+        """Stop counting a running request."""
+        self.running.pop(running.request_id)
+        self.by_customer[running.enqueue.customer] -= 1
+        if not self.by_customer[running.enqueue.customer]:
+            self.by_customer.pop(running.enqueue.customer)
+        upstream = self.upstreams.get(running.upstream)
+        if upstream is not None:
+            upstream.remove(running, self.context.wall())
+
+    def orphan(self, running: Running) -> None:
+        """Keep counting a request whose home is lost until a report shows it gone."""
+        running.session = None
+        late = running.deadline + ORPHAN_MARGIN_S
+        running.deadline = late
+        self.context.wake_at(late, self.name, running.request_id)
+
+    def preempt(self, running: Running, waiting_for: str) -> None:
+        """Order a request to stop; its slot is free when its home releases it."""
+        running.is_preempted = True
+        self.context.events.emit(
+            Event.PREEMPTED, running.request_id, running.upstream, waiting=waiting_for
+        )
+        running.session.preempt(running.request_id)
+
+    def take_vms(self, vms: list[Any]) -> None:
+        """Take in the VMs of this service; one that has gone stays while requests run there."""
+        listed = {vm.name: vm for vm in vms}
+        for name, upstream in list(self.upstreams.items()):
+            if name in listed:
+                continue
+            upstream.vm = attrs.evolve(upstream.vm, state='leaving')
+            if not upstream.running:
+                self.upstreams.pop(name)
+        for vm in vms:
+            self._take_vm(vm)
+        self.pools = {}
+        for upstream in self.upstreams.values():
+            self.pools.setdefault(upstream.vm.pool, []).append(upstream)
+
+    def take_report(self, upstream: Upstream, report: LoadReport) -> list[str]:
+        """Take in the answer to a poll; return the digests that are refused from now on."""
+        before = upstream.report
+        refused = []
+        if before is not None and before.incarnation != report.incarnation:
+            refused = self.lose_upstream(upstream, 'restarted')
+            for running in list(upstream.running.values()):
+                self.remove_running(running)
+            upstream.prefixes.clear()
+        upstream.take_report(report, self.context.clock())
+        for orphan in list(upstream.find_gone(self.context.clock())):
+            self.remove_running(orphan)
+        return refused
+
+    def lose_upstream(self, upstream: Upstream, cause: str) -> list[str]:
+        """Record what runs on a crashed upstream as suspects; return the refused digests."""
+        self.context.events.emit(
+            Event.UPSTREAM_LOST, '', upstream.name, cause=cause, running=len(upstream.running)
+        )
+        limit = self.settings.crash_limit
+        refused = []
+        for running in upstream.running.values():
+            digest = running.enqueue.digest
+            count = self.context.suspects.record(
+                self.name, digest, limit, was_alone=running.is_alone
+            )
+            if count >= limit:
+                refused.append(digest)
+        return refused
+
+    def compare_speeds(self, pool: str) -> None:
+        """Set slow upstreams of a pool aside and restore those that caught up."""
+        now = self.context.clock()
+        if now < self._compared_at.get(pool, 0) + self.settings.load_interval:
+            return
+        self._compared_at[pool] = now
+        for upstream in find_changes(self.pools.get(pool, []), now):
+            upstream.is_slow = not upstream.is_slow
+            upstream.probe_at = now + PROBE_INTERVAL_S
+            event = Event.UPSTREAM_SLOW if upstream.is_slow else Event.UPSTREAM_RESTORED
+            self.context.events.emit(event, '', upstream.name, factor=upstream.speed.factor)
+
+    def estimate_start(self, entry: Waiting) -> float | None:
+        """Return the seconds until a slot is free for a waiting request; None without upstreams.
+
+        All requests of its tier are taken to precede it, and half of the running work to be done.
+        """
+        upstreams = self.usable(entry.enqueue.pool)
+        if not upstreams:
+            return None
+        slots = sum(upstream.pool.slots for upstream in upstreams)
+        ahead_s = self.queue.work_ahead(entry.enqueue.pool, entry.rank) - entry.work_s
+        running_s = sum(upstream.work_s for upstream in upstreams) / 2
+        factor = min(upstream.speed.factor for upstream in upstreams)
+        return factor * max(ahead_s + running_s, 0) / slots
+
+    def estimate_retry(self, entry: Waiting) -> float:
+        """Return after how many seconds a refused caller should try again."""
+        start = self.estimate_start(entry)
+        return MAX_RETRY_S if start is None else min(max(start, MIN_RETRY_S), MAX_RETRY_S)
+
+    def _take_vm(self, vm: Any) -> None:
+        pool = self.context.view.pool(self.name, vm.pool)
+        if pool is None:
+            return
+        upstream = self.upstreams.get(vm.name)
+        if upstream is not None:
+            if vm.state != upstream.vm.state and vm.state != 'live':
+                self.context.events.emit(Event.UPSTREAM_LEAVING, '', vm.name)
+            upstream.vm = vm
+            upstream.pool = pool
+            return
+        upstream = Upstream(vm, pool)
+        self.upstreams[vm.name] = upstream
+        self.context.events.emit(Event.UPSTREAM_FOUND, '', vm.name, pool=vm.pool)
+        # Requests that homes registered before the VM list was read.
+        for running in self.running.values():
+            if running.upstream == vm.name:
+                upstream.add(running)
--- /dev/null
+++ b/camphorpath/admission/shedding.py
@@ -0,0 +1,91 @@
+"""Refusals because of load, and the check that no lower tier still runs."""
+
+import types
+
+from ..events import Event
+from .choice import count_uncached
+from .records import Running, Waiting
+from .service import ServiceState
+from .speed import estimate_work
+from .upstream import Upstream
+
+SHED_TEXTS = types.MappingProxyType(
+    {
+        'queue_full': 'too many requests wait for this service',
+        'deadline_unreachable': 'the request cannot be completed before its deadline',
+    }
+)
+
+
+def shed(state: ServiceState, entry: Waiting, reason: str) -> None:
+    """Refuse a waiting request because of load."""
+    is_confirmed = state.context.is_confirmed(state.name)
+    if is_confirmed:
+        _assert_may_shed(state, entry.rank)
+    event = Event.SHED if is_confirmed else Event.SHED_UNCONFIRMED
+    state.context.events.emit(event, entry.request_id, tier=entry.enqueue.tier, reason=reason)
+    state.refuse(entry, reason, SHED_TEXTS[reason], state.estimate_retry(entry))
+
+
+def shed_excess(state: ServiceState) -> None:
+    """Refuse what exceeds the queue limit: the newest of the lowest tier, after preemption.
+
+    Each request that is preempted here lets one request wait above the limit, so the queue exceeds
+    it by at most the number of running requests.
+    """
+    while len(state.queue) > state.settings.max_waiting:
+        entry = state.queue.find_least()
+        victim = _choose_any(state, entry)
+        if victim is not None:
+            state.preempt(victim, entry.request_id)
+            return
+        shed(state, entry, 'queue_full')
+
+
+def may_shed_late(state: ServiceState, rank: int) -> bool:
+    """Return whether a request of this tier may be refused because it would end too late."""
+    if not state.context.is_confirmed(state.name):
+        return False
+    return next(state.find_lower(rank), None) is None
+
+
+def is_hopeless(state: ServiceState, entry: Waiting, upstream: Upstream) -> bool:
+    """Return whether a request should be refused instead of started on a free upstream.
+
+    A service that runs nothing accepts it in any case: a wrong speed is corrected only by running
+    requests.
+    """
+    uncached = count_uncached(entry, upstream)
+    work_s = estimate_work(upstream.pool, uncached, entry.enqueue.output_tokens)
+    work_s *= upstream.speed.factor
+    if state.context.clock() + work_s <= entry.deadline or not state.running:
+        return False
+    return may_shed_late(state, entry.rank)
+
+
+def is_unreachable(state: ServiceState, entry: Waiting) -> bool:
+    """Return whether a request that has to wait is expected to end after its deadline."""
+    if not state.running or state.is_suspect(entry) or state.is_limited(entry.enqueue.customer):
+        return False
+    start_s = state.estimate_start(entry)
+    if start_s is None:
+        return False
+    factor = min(one.speed.factor for one in state.usable(entry.enqueue.pool))
+    return state.context.clock() + start_s + factor * entry.work_s > entry.deadline
+
+
+def _choose_any(state: ServiceState, entry: Waiting) -> Running | None:
+    return min(
+        state.find_lower(entry.rank),
+        key=lambda running: (
+            running.enqueue.pool != entry.enqueue.pool,
+            -running.rank,
+            running.enqueue.prompt_tokens,
+        ),
+        default=None,
+    )
+
+
+def _assert_may_shed(state: ServiceState, tier: int) -> None:
+    lower = [running.request_id for running in state.find_lower(tier)]
+    assert not lower, f'tier {tier} shed while lower tiers run: {lower}'
--- /dev/null
+++ b/camphorpath/admission/speed.py
@@ -0,0 +1,50 @@
+"""The learned speed of one upstream and the work of a request."""
+
+import attrs
+
+from ..schema import camphorpath_pb2 as pb
+from .records import Running
+
+# Work of a request without tokens; it lets calls of plain services be compared as well.
+BASE_WORK_S = 0.01
+EWMA_WEIGHT = 0.2
+# A set-aside upstream completes one probe in 5 s; a higher weight restores it after three.
+PROBE_WEIGHT = 0.7
+
+
+def estimate_work(pool: pb.Pool, prompt_tokens: float, output_tokens: float) -> float:
+    """Return the work in seconds at the configured rates of a pool."""
+    prefill_s = prompt_tokens / max(pool.prefill_rate, 1)
+    return BASE_WORK_S + prefill_s + output_tokens / max(pool.decode_rate, 0.1)
+
+
+@attrs.define
+class Speed:
+    """Measured time over estimated time: 1 is as configured, 3 is three times slower."""
+
+    factor: float = 1
+    prefill_factor: float = 1
+    decode_factor: float = 1
+    samples: int = 0
+
+    def learn(self, pool: pb.Pool, running: Running, release: pb.Release) -> None:
+        """Take in the times of a completed request."""
+        if release.duration <= 0:
+            return
+        prompt_s = estimate_work(pool, running.uncached_tokens, 0)
+        output_s = release.output_tokens / max(pool.decode_rate, 0.1)
+        weight = PROBE_WEIGHT if running.is_probe else EWMA_WEIGHT
+        if not self.samples:
+            weight = 1
+        self.factor += weight * (release.duration / (prompt_s + output_s) - self.factor)
+        self.prefill_factor += weight * (release.first_byte / prompt_s - self.prefill_factor)
+        if output_s:
+            decode_s = max(release.duration - release.first_byte, 0)
+            self.decode_factor += weight * (decode_s / output_s - self.decode_factor)
+        self.samples += 1
+
+    def learn_bound(self, running: Running, duration: float) -> None:
+        """Take in a request that ended before it was complete: it would have taken longer."""
+        ratio = duration / running.work_s
+        if ratio > self.factor:
+            self.factor += EWMA_WEIGHT * (ratio - self.factor)
--- /dev/null
+++ b/camphorpath/admission/suspects.py
@@ -0,0 +1,123 @@
+"""Requests that were running on upstreams that crashed, by digest."""
+
+import collections
+import json
+from typing import Any
+
+import anyio
+import attrs
+
+from ..errors import PlatformError
+from ..events import Event, EventLog
+
+MAX_SUSPECTS = 10000
+WRITES_PER_COMMIT = 32
+RETRY_S = 1
+
+SuspectKey = tuple[str, str]
+
+
+@attrs.frozen
+class Write:
+    """A write to the table, with the fields of `platform.Write`."""
+
+    key: str
+    value: bytes | None
+
+
+@attrs.define(eq=False)
+class Suspects:
+    """Crash counts by service and digest, bounded, and copied to the table when it is up.
+
+    A count of 1 marks a suspect, which has to run alone; at the crash limit it is refused.
+    """
+
+    table: Any
+    events: EventLog
+    _counts: collections.OrderedDict[SuspectKey, int] = attrs.field(factory=collections.OrderedDict)
+    _pending: collections.OrderedDict[SuspectKey, int] = attrs.field(
+        factory=collections.OrderedDict
+    )
+    _wake: anyio.Event = attrs.field(factory=anyio.Event)
+
+    def count(self, service: str, digest: str) -> int:
+        """Return the crash count of a digest."""
+        return self._counts.get((service, digest), 0) if self._counts else 0
+
+    def record(self, service: str, digest: str, crash_limit: int, *, was_alone: bool) -> int:
+        """Count a crash of an upstream that ran the digest; return the count.
+
+        A request that crashed an upstream on which it ran alone is the cause; one that ran among
+        others is only suspected.
+        """
+        if not digest:
+            return 0
+        count = crash_limit if was_alone else max(self.count(service, digest), 1)
+        self._set(service, digest, count)
+        self.events.emit(Event.SUSPECT_RECORDED, service=service, digest=digest, count=count)
+        return count
+
+    def clear(self, service: str, digest: str) -> None:
+        """Forget a digest that ran to completion."""
+        if self.count(service, digest):
+            self._set(service, digest, 0)
+            self.events.emit(Event.SUSPECT_CLEARED, service=service, digest=digest)
+
+    async def load(self, service: str) -> None:
+        """Read the counts of a service from the table; retries until it answers."""
+        prefix = f'suspects/{service}/'
+        while True:
+            try:
+                rows = await self.table.scan(prefix)
+            except PlatformError:
+                await anyio.sleep(RETRY_S)
+                continue
+            break
+        for row in rows[-MAX_SUSPECTS:]:
+            key = service, row.key.removeprefix(prefix)
+            # What happened here since this daemon became the owner is newer than the table.
+            if key not in self._pending and key not in self._counts:
+                self._counts[key] = int(json.loads(row.value)['count'])
+        self._trim()
+
+    async def run(self) -> None:
+        """Copy changes to the table; after a failure they are tried again."""
+        while True:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            while self._pending:
+                try:
+                    await self._write_some()
+                except PlatformError:
+                    await anyio.sleep(RETRY_S)
+
+    async def _write_some(self) -> None:
+        batch = dict(list(self._pending.items())[:WRITES_PER_COMMIT])
+        writes = [
+            Write(
+                f'suspects/{service}/{digest}',
+                json.dumps({'count': count}).encode() if count else None,
+            )
+            for (service, digest), count in batch.items()
+        ]
+        await self.table.commit([], writes)
+        for key, count in batch.items():
+            # A change made during the commit still has to be written.
+            if self._pending.get(key) == count:
+                self._pending.pop(key)
+
+    def _set(self, service: str, digest: str, count: int) -> None:
+        key = service, digest
+        self._counts.pop(key, None)
+        self._pending.pop(key, None)
+        if count:
+            self._counts[key] = count
+        self._pending[key] = count
+        self._trim()
+        self._wake.set()
+
+    def _trim(self) -> None:
+        while len(self._counts) > MAX_SUSPECTS:
+            self._counts.popitem(last=False)
+        while len(self._pending) > MAX_SUSPECTS:
+            self._pending.popitem(last=False)
--- /dev/null
+++ b/camphorpath/admission/upstream.py
@@ -0,0 +1,148 @@
+"""One upstream as the admission owner knows it."""
+
+import collections
+import math
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+
+from ..schema import camphorpath_pb2 as pb
+from ..upstreams.load import LoadReport
+from .prefixes import PrefixMemory
+from .records import Running, Waiting
+from .speed import Speed
+
+# Clocks of VMs are taken to agree within this many seconds when reports and grants are compared.
+CLOCK_MARGIN_S = 0.25
+# Reports older than this are not joined with releases any more.
+MAX_RELEASES = 1000
+
+
+@attrs.define(eq=False)
+class Upstream:
+    """A VM that runs requests: its report, the requests granted to it and its learned speed.
+
+    `vm` is the VM's entry in the VM list. `foreign` counts the requests that it reports and that
+    this owner did not grant. `reserved_for` is the crash suspect for which it is being emptied.
+    """
+
+    vm: Any
+    pool: pb.Pool
+    running: dict[str, Running] = attrs.field(factory=dict)
+    report: LoadReport | None = None
+    answered_at: float = -math.inf
+    refusing_until: float = -math.inf
+    foreign: int = 0
+    tokens: int = 0
+    work_s: float = 0
+    prefixes: PrefixMemory = attrs.field(factory=PrefixMemory)
+    speed: Speed = attrs.field(factory=Speed)
+    is_slow: bool = False
+    probe_at: float = 0
+    reserved_for: str = ''
+    is_exclusive: bool = False
+    _releases: collections.deque[tuple[float, float]] = attrs.field(
+        factory=lambda: collections.deque(maxlen=MAX_RELEASES)
+    )
+
+    @property
+    def name(self) -> str:
+        """Return the name of the VM."""
+        return self.vm.name
+
+    @property
+    def url(self) -> str:
+        """Return the base URL for calls."""
+        return f'http://{self.vm.address}'
+
+    @property
+    def occupied(self) -> int:
+        """Return the number of requests that run there, whoever sent them."""
+        return len(self.running) + self.foreign
+
+    def describe(self, now: float, load_limit: float) -> str:
+        """Return the state of the upstream; only `live` and `slow` ones may receive requests."""
+        if self.vm.state != 'live':
+            return 'leaving'
+        if self.report is not None and self.report.draining:
+            return 'draining'
+        if now - self.answered_at > load_limit:
+            return 'silent'
+        if now < self.refusing_until:
+            return 'refusing'
+        return 'slow' if self.is_slow else 'live'
+
+    def is_usable(self, now: float, load_limit: float) -> bool:
+        """Return whether the upstream may receive requests."""
+        return (
+            now - self.answered_at <= load_limit
+            and now >= self.refusing_until
+            and self.vm.state == 'live'
+            and not (self.report is None or self.report.draining)
+        )
+
+    def has_room(self, entry: Waiting) -> bool:
+        """Return whether the request fits into the slots and tokens that are free now."""
+        if self.is_exclusive or self.reserved_for not in {'', entry.request_id}:
+            return False
+        return self.fits(entry, self.occupied, self.tokens)
+
+    def fits(self, entry: Waiting, occupied: int, tokens: int) -> bool:
+        """Return whether the request fits beside `occupied` requests with `tokens`."""
+        if not occupied:
+            return True
+        limit = self.pool.max_tokens
+        return occupied < self.pool.slots and not (limit and tokens + entry.tokens > limit)
+
+    def add(self, running: Running) -> None:
+        """Count a granted request."""
+        assert running.request_id not in self.running, running.request_id
+        self.running[running.request_id] = running
+        self.tokens += running.tokens
+        self.work_s += running.work_s
+        self.is_exclusive = self.is_exclusive or running.is_alone
+
+    def remove(self, running: Running, wall: float) -> None:
+        """Stop counting a request that ended at `wall` seconds since 1970."""
+        self.running.pop(running.request_id)
+        self.tokens -= running.tokens
+        self.work_s -= running.work_s
+        self._releases.append((running.granted_wall, wall))
+        if running.is_alone:
+            self.is_exclusive = False
+
+    def take_report(self, report: LoadReport, now: float) -> None:
+        """Join a report with the own grants; it answers a poll of this moment.
+
+        A request of ours that may have run at the time of the report is taken to be in it, so
+        only what cannot be ours counts as foreign.
+        """
+        self.report = report
+        self.answered_at = now
+        earliest, latest = report.as_of - CLOCK_MARGIN_S, report.as_of + CLOCK_MARGIN_S
+        ours = sum(running.granted_wall <= latest for running in self.running.values())
+        ours += sum(
+            granted <= latest and released >= earliest for granted, released in self._releases
+        )
+        self.foreign = max(0, report.running + report.waiting - ours)
+
+    def find_gone(self, now: float) -> Iterator[Running]:
+        """Yield the requests of lost homes that the newest report shows to have ended.
+
+        A report counts requests without naming them: as many as are missing from it have ended,
+        and requests whose home is connected are taken to be still running. A request whose
+        deadline has passed is not counted any longer in any case.
+        """
+        orphans = [running for running in self.running.values() if running.session is None]
+        if not orphans or self.report is None:
+            return
+        latest = self.report.as_of - CLOCK_MARGIN_S
+        ours = sum(running.granted_wall <= latest for running in self.running.values())
+        missing = ours - self.report.running - self.report.waiting
+        for orphan in orphans:
+            if orphan.deadline < now:
+                yield orphan
+            elif missing > 0 and orphan.granted_wall <= latest:
+                missing -= 1
+                yield orphan
--- /dev/null
+++ b/camphorpath/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Calls to upstreams and their load reports."""
--- /dev/null
+++ b/tests/admission/test_owner.py
@@ -0,0 +1,197 @@
+import pytest
+
+from camphorpath.schema import camphorpath_pb2 as pb
+
+from .fakes import Bench, FakeVm
+
+
+def test_grants_stop_at_the_slots_and_resume():
+    """Guards against more requests at once on an upstream than it has slots."""
+    bench = Bench()
+    first, second, third = (bench.enqueue() for _ in range(3))
+    assert bench.granted_ids() == [first, second]
+    bench.release(first)
+    assert bench.granted_ids() == [first, second, third]
+
+
+def test_foreign_requests_occupy_slots():
+    """Guards against overfilling an upstream that also runs requests of another owner."""
+    bench = Bench()
+    bench.report('u1', running=1)
+    bench.enqueue(), bench.enqueue()
+    assert len(bench.granted()) == 1
+
+
+def test_own_requests_in_a_lagging_report_are_not_counted_twice():
+    """Guards against slots lost because a report still shows what has just ended."""
+    bench = Bench()
+    first, _second = bench.enqueue(), bench.enqueue()
+    bench.now += 1
+    bench.release(first)
+    bench.report('u1', running=2, lag=0.5)
+    bench.enqueue()
+    assert len(bench.granted()) == 3
+
+
+def test_tokens_limit_and_empty_upstream():
+    """Guards against exceeding max_tokens, and against a large request that never runs."""
+    bench = Bench(pool={'slots': 8, 'max_tokens': 1000})
+    large = bench.enqueue(prompt_tokens=5000)
+    small = bench.enqueue(prompt_tokens=400)
+    assert bench.granted_ids() == [large]
+    bench.release(large)
+    assert bench.granted_ids() == [large, small]
+
+
+def test_order_by_tier_share_and_deadline():
+    """Guards against a large customer or a lower tier that delays the others."""
+    bench = Bench(pool={'slots': 1}, preempt_after=3600)
+    running = bench.enqueue(customer='big')
+    spare = bench.enqueue(tier=2)
+    late = bench.enqueue(customer='big', time_left=50)
+    soon = bench.enqueue(customer='big', time_left=40)
+    small = bench.enqueue(customer='small')
+    top = bench.enqueue(tier=0)
+    for _ in range(5):
+        bench.release(bench.granted_ids()[-1])
+    assert bench.granted_ids() == [running, top, small, soon, late, spare]
+
+
+@pytest.mark.parametrize(
+    'spoil',
+    [
+        lambda bench: bench.owner.take_vms([FakeVm('u1', state='leaving')]),
+        lambda bench: bench.owner.take_vms([]),
+        lambda bench: bench.report('u1', draining=True),
+        lambda bench: bench.advance(3.1, reports=False),
+    ],
+    ids=['leaving', 'gone', 'draining', 'silent'],
+)
+def test_no_grant_to_unusable_upstreams(spoil):
+    """Guards against new work for an upstream that leaves, drains or is silent."""
+    bench = Bench()
+    spoil(bench)
+    bench.enqueue()
+    assert not bench.granted()
+
+
+def test_refusing_upstream_is_left_out_for_two_seconds():
+    """Guards against sending again at once to an upstream that refused."""
+    bench = Bench()
+    bench.release(bench.enqueue(), pb.Release.UPSTREAM_REFUSED)
+    waiting = bench.enqueue()
+    assert waiting not in bench.granted_ids()
+    bench.advance(2.1)
+    assert waiting in bench.granted_ids()
+
+
+def test_new_owner_waits_for_registration():
+    """Guards against a new owner that fills slots which other homes already use."""
+    bench = Bench(homes=('home-1', 'home-2'), is_registered=False)
+    waiting = bench.enqueue()
+    bench.register('home-1')
+    assert not bench.granted()
+    bench.enqueue(home='home-2', request_id='old', running_on='u1')
+    bench.enqueue(home='home-2', request_id='old2', running_on='u1')
+    bench.register('home-2')
+    assert not bench.granted()
+    bench.release('old', home='home-2')
+    assert bench.granted_ids() == [waiting]
+
+
+def test_unconfirmed_owner_grants_after_two_seconds():
+    """Guards against an outage because one member cannot reach the owner."""
+    bench = Bench(homes=('home-1', 'home-2'), is_registered=False)
+    waiting = bench.enqueue()
+    bench.advance(2.1)
+    assert bench.granted_ids() == [waiting]
+
+
+def test_not_owner():
+    """Guards against two owners that both keep a queue for one service."""
+    bench = Bench()
+    bench.enqueue()
+    bench.membership.members.append(pb.MemberInfo(incarnation='home-2'))
+    bench.membership.owner = pb.MemberInfo(incarnation='home-2')
+    bench.owner.refresh()
+    bench.enqueue()
+    assert [one.not_owner for one in bench.received['home-1'][-2:]] == ['scribe', 'scribe']
+    assert not bench.owner.services
+
+
+def test_lost_home():
+    """Guards against grants to a dead home, and against reusing slots still in use."""
+    bench = Bench(homes=('home-1', 'home-2'), pool={'slots': 1})
+    bench.enqueue(home='home-2')
+    bench.enqueue(home='home-2')
+    bench.sessions['home-2'].close()
+    mine = bench.enqueue()
+    bench.now += 1
+    bench.report('u1', running=1)
+    assert not bench.granted()
+    bench.report('u1', running=0)
+    assert bench.granted_ids() == [mine]
+    assert len(bench.granted('home-2')) == 1
+
+
+def test_home_registers_again():
+    """Guards against counting a request twice after its home opened a new stream."""
+    bench = Bench(pool={'slots': 2})
+    kept, ended = bench.enqueue(), bench.enqueue()
+    bench.open('home-1', is_registered=False)
+    bench.enqueue(request_id=kept, running_on='u1')
+    bench.register('home-1')
+    assert set(bench.state.running) == {kept}, ended
+    bench.release(kept)
+    assert not bench.state.running
+
+
+def test_deadline_in_the_queue():
+    """Guards against a caller that waits without an answer."""
+    bench = Bench(pool={'slots': 1})
+    bench.membership.members.append(pb.MemberInfo(incarnation='silent'))
+    bench.enqueue()
+    waiting = bench.enqueue(time_left=2)
+    bench.advance(1.9)
+    assert not bench.refusals()
+    bench.advance(0.2)
+    assert bench.refusals() == {waiting: 'deadline_exceeded'}
+
+
+def test_withdraw_of_a_granted_request_frees_its_slot():
+    """Guards against a slot lost when the caller leaves while the grant is on its way."""
+    bench = Bench(pool={'slots': 1})
+    first, second = bench.enqueue(), bench.enqueue()
+    bench.sessions['home-1'].handle(pb.AdmissionUp(withdraw=first))
+    assert bench.granted_ids() == [first, second]
+
+
+def test_limits_of_customer_and_service():
+    """Guards against one customer or service that takes all slots in spite of its limit."""
+    bench = Bench(pool={'slots': 8})
+    bench.fleet.customers[0].max_running = 1
+    bench.fleet.exceptions.add(name='all', reason='test', service='scribe', max_running=2)
+    bench.versions.current.fleet = pb.Fleet.FromString(bench.fleet.SerializeToString())
+    bench.owner.refresh()
+    first = bench.enqueue()
+    bench.enqueue()
+    small = bench.enqueue(customer='small')
+    bench.enqueue(customer='small')
+    assert bench.granted_ids() == [first, small]
+
+
+def test_status_names_queues_and_upstreams():
+    """Guards against a status page that omits a tier or an upstream."""
+    bench = Bench(vms=('u1', FakeVm('u2', state='leaving')))
+    for _ in range(3):
+        bench.enqueue(tier=2)
+    queues, upstreams = bench.owner.status()
+    assert [(one.tier, one.waiting, one.running) for one in queues][2] == ('spare', 1, 2)
+    assert {one.name: one.state for one in upstreams} == {'u1': 'live', 'u2': 'leaving'}
+
+
+def test_unknown_service_and_pool_are_refused():
+    """Guards against a request that waits for what does not exist."""
+    bench = Bench()
+    first, second = bench.enqueue(service='none'), bench.enqueue(pool='none')
+    assert bench.refusals() == {first: 'unknown_service', second: 'unknown_pool'}
