--- a/camphorpath/upstreams/__init__.py
+++ b/camphorpath/upstreams/__init__.py
@@ -1,3 +1,4 @@
+<<<<<<< HEAD
 """Calls to upstreams, their load reports and the control side of engines."""
 
 from .calls import Call, UpstreamAnswer, make_client, open_call, read_whole
@@ -28,3 +29,6 @@
     'read_whole',
     'resume_stream',
 )
+=======
+"""Calls to upstreams and their load reports."""
+>>>>>>> admission
