--- a/camphorpath/daemon.py
+++ b/camphorpath/daemon.py
@@ -155,7 +155,6 @@
             logger.debug('VM list not read: {}', error)
         else:
             daemon.membership.set_candidates(vms)
-            daemon.owner.set_vms(vms)
         await anyio.sleep(VM_LIST_INTERVAL_S)
 
 
--- a/camphorpath/upstreams/__init__.py
+++ b/camphorpath/upstreams/__init__.py
@@ -1,4 +1,3 @@
-<<<<<<< HEAD
 """Calls to upstreams, their load reports and the control side of engines."""
 
 from .calls import Call, UpstreamAnswer, make_client, open_call, read_whole
@@ -29,6 +28,3 @@
     'read_whole',
     'resume_stream',
 )
-=======
-"""Calls to upstreams and their load reports."""
->>>>>>> admission
