Let the HTTP server end by itself at a planned stop

Cause: the demo's graceful stop ended with exit code 1: hypercorn raises InvalidStateError when its task is cancelled. Change: the server is asked to close and awaited; callers of the demo drop an address they cannot connect to.

--- a/camphorpath/daemon.py
+++ b/camphorpath/daemon.py
@@ -50,6 +50,14 @@
     client: httpx.AsyncClient
 
 
+@attrs.frozen
+class CallersServer:
+    """The end of the HTTP server towards callers: asked for, and reached."""
+
+    closing: anyio.Event = attrs.Factory(anyio.Event)
+    closed: anyio.Event = attrs.Factory(anyio.Event)
+
+
 def build_daemon(settings: pb.Daemon, client: httpx.AsyncClient) -> Daemon:
     """Return a daemon whose parts are connected but not yet running."""
     events = EventLog(capacity=settings.limits.max_events)
@@ -98,7 +106,7 @@
         daemon = build_daemon(settings, client)
         async with anyio.create_task_group() as group:
             context = _make_context(daemon, group)
-            closed = anyio.Event()
+            callers = CallersServer()
             group.start_soon(_poll_vm_list, daemon)
             group.start_soon(daemon.membership.run)
             group.start_soon(daemon.versions.run)
@@ -106,11 +114,14 @@
             group.start_soon(daemon.admission.run)
             group.start_soon(daemon.claims.run)
             await group.start(serve_peers, settings, _make_handlers(daemon))
-            group.start_soon(_serve_callers, context, closed)
+            group.start_soon(_serve_callers, context, callers)
             daemon.events.emit(Event.DAEMON_STARTED, name=settings.name, zone=settings.zone)
-            await stop.wait()
-            await _drain(daemon, context)
-            closed.set()
+            try:
+                await stop.wait()
+                await _drain(daemon, context)
+            finally:
+                callers.closing.set()
+            await callers.closed.wait()
             group.cancel_scope.cancel()
         await daemon.table.close()
     daemon.events.emit(Event.DAEMON_STOPPED, name=settings.name)
@@ -158,7 +169,7 @@
         await anyio.sleep(VM_LIST_INTERVAL_S)
 
 
-async def _serve_callers(context: CallContext, closed: anyio.Event) -> None:
+async def _serve_callers(context: CallContext, callers: CallersServer) -> None:
     config = Config()
     config.bind = [context.settings.callers_address]
     config.accesslog = None
@@ -169,7 +180,15 @@
     config.h11_max_incomplete_size = context.settings.limits.max_head
     # Requests are finished before the server is closed, so it has nothing left to wait for.
     config.graceful_timeout = 1
-    await serve(make_application(context), config, shutdown_trigger=closed.wait, mode='asgi')
+    # A cancelled hypercorn raises an error of its own, so it is asked to end instead.
+    with anyio.CancelScope(shield=True):
+        await serve(
+            make_application(context),
+            config,
+            shutdown_trigger=callers.closing.wait,
+            mode='asgi',
+        )
+    callers.closed.set()
 
 
 def _make_handlers(daemon: Daemon) -> Handlers:
--- a/tools/callers.py
+++ b/tools/callers.py
@@ -55,6 +55,10 @@
     _kept: list[str] = attrs.Factory(list)
     _lapses: float = 0
 
+    def drop(self, url: str) -> None:
+        """Forget an address that could not be reached."""
+        self._kept = [kept for kept in self._kept if kept != url]
+
     async def choose(self, avoid: Sequence[str] = ()) -> str:
         """Return the best address that is not in `avoid`."""
         if time.monotonic() >= self._lapses or all(url in avoid for url in self._kept):
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -90,8 +90,14 @@
             'messages': [{'role': 'user', 'content': f'loan agreement {number} ' * 20}],
         }
         self.records.append(record)
-        url = await addresses.choose()
-        await call_model(client, url, document, record, _make_headers(record.customer))
+        headers = _make_headers(record.customer)
+        while not record.status:
+            url = await addresses.choose()
+            record.reason = ''
+            await call_model(client, url, document, record, headers)
+            if record.reason != 'ConnectError':
+                return
+            addresses.drop(url)
 
     async def _reserve(self, client: httpx.AsyncClient, addresses: AddressBook) -> None:
         number = next(self.numbers)
@@ -109,9 +115,15 @@
     async def _look_up(self, client: httpx.AsyncClient, addresses: AddressBook) -> None:
         record = CallRecord(kind='lookup', customer='parishes', zone=addresses.zone)
         self.records.append(record)
-        url = await addresses.choose()
         path = f'/services/ledger/lookup/{next(self.numbers)}'
-        await call_service(client, url, 'GET', path, None, record, _make_headers('parishes'))
+        headers = _make_headers('parishes')
+        while not record.status:
+            url = await addresses.choose()
+            record.reason = ''
+            await call_service(client, url, 'GET', path, None, record, headers)
+            if record.reason != 'ConnectError':
+                return
+            addresses.drop(url)
 
 
 def _make_headers(customer: str) -> dict[str, str]:
