--- /dev/null
+++ b/camphorpath/versions/fencing.py
@@ -0,0 +1,128 @@
+"""Which members may be fenced and when a fenced member can serve no more."""
+
+from collections.abc import Iterable, Mapping
+from collections.abc import Set as AbstractSet
+
+from attrs import frozen
+
+from ..errors import PlatformError
+from ..members import Membership
+from ..platform import Check, Table, VmList, Write
+from .quorums import is_outvoted
+from .records import (
+    EPOCH_KEY,
+    FENCED_PREFIX,
+    FencedRecord,
+    FleetState,
+    MemberRecord,
+    make_view_key,
+)
+from .registry import read_state
+
+# Old member sets are deleted in groups, to save one transaction for each change.
+STALE_VIEWS = 16
+MAX_DELETED = 100
+
+
+@frozen(kw_only=True)
+class Fencing:
+    """Decides for a coordinator; keeps no state of its own."""
+
+    table: Table
+    vm_list: VmList
+    membership: Membership
+
+    async def find_gone(
+        self, members: Mapping[str, MemberRecord | FencedRecord], wanted: Iterable[str]
+    ) -> set[str]:
+        """Return the members whose VM has ended by the VM list and that are not heard.
+
+        A list without the VM of this daemon is not believed.
+        """
+        try:
+            vms = await self.vm_list.read()
+        except PlatformError:
+            return set()
+        addresses = {vm.peers_address for vm in vms if vm.role == 'entry'}
+        if self.membership.info().peers_address not in addresses:
+            return set()
+        limit_s = self.membership.times.dead_after
+        return {
+            incarnation
+            for incarnation in wanted
+            if members[incarnation].peers_address not in addresses
+            and self.membership.silent_for(incarnation) > limit_s
+        }
+
+    async def choose(
+        self,
+        state: FleetState,
+        missing: AbstractSet[str],
+        confirmed: AbstractSet[str],
+        wait_s: float,
+    ) -> tuple[dict[str, FencedRecord | None], set[str]]:
+        """Return the missing members that may be fenced and those that must not be.
+
+        A record of None marks a member whose VM has ended.
+        """
+        if not missing:
+            return {}, set()
+        gone = await self.find_gone(state.members, missing)
+        fenced: dict[str, FencedRecord | None] = dict.fromkeys(gone)
+        for incarnation in missing.difference(gone):
+            record = self._make_record(state, incarnation, wait_s)
+            if is_outvoted(record, confirmed, state):
+                fenced[incarnation] = record
+        return fenced, set(missing.difference(fenced))
+
+    async def list_standing(self, state: FleetState) -> dict[str, FencedRecord]:
+        """Return the fenced members whose VM has not ended."""
+        if not state.fenced:
+            return {}
+        gone = await self.find_gone(state.fenced, state.fenced)
+        return {
+            incarnation: record
+            for incarnation, record in state.fenced.items()
+            if incarnation not in gone
+        }
+
+    async def clean_up(self, settled: Mapping[str, FencedRecord]) -> None:
+        """Delete the rows of fenced members that can serve no more, and unneeded member sets.
+
+        A failure only leaves the rows for the next change.
+        """
+        try:
+            state = await read_state(self.table)
+            writes = self._build_deletions(state, settled)
+            if writes:
+                await self.table.commit([Check(EPOCH_KEY, state.epoch_revision)], writes)
+        except PlatformError:
+            return
+
+    def _make_record(self, state: FleetState, incarnation: str, wait_s: float) -> FencedRecord:
+        member = state.members[incarnation]
+        known = self.membership.known().get(incarnation)
+        return FencedRecord(
+            name=member.name,
+            peers_address=member.peers_address,
+            oldest=max(member.epoch, known.view_epoch if known else 0),
+            newest=state.epoch.epoch,
+            wait_s=wait_s,
+        )
+
+    def _build_deletions(
+        self, state: FleetState, settled: Mapping[str, FencedRecord]
+    ) -> list[Write]:
+        writes = [
+            Write(FENCED_PREFIX + incarnation, None)
+            for incarnation in state.fenced
+            if incarnation in settled
+        ]
+        needed = [record.oldest for key, record in state.fenced.items() if key not in settled]
+        needed.extend(
+            self._make_record(state, incarnation, 0).oldest for incarnation in state.members
+        )
+        stale = sorted(epoch for epoch in state.views if epoch < min(needed, default=0))
+        if len(stale) >= STALE_VIEWS:
+            writes.extend(Write(make_view_key(epoch), None) for epoch in stale[:MAX_DELETED])
+        return writes
--- /dev/null
+++ b/camphorpath/versions/history.py
@@ -0,0 +1,84 @@
+"""The history of the configuration and what changed between versions."""
+
+import difflib
+
+from ..errors import CommandError
+from ..platform import Table
+from ..schema import camphorpath_pb2 as pb
+from .records import (
+    CURRENT_KEY,
+    VERSIONS_PREFIX,
+    CurrentRecord,
+    VersionRecord,
+    decode_record,
+    make_version_key,
+)
+
+# Versions are listed in blocks of keys that differ in their last two digits.
+BLOCK = 100
+MAX_DIFF_LINES = 40
+
+
+async def read_version(table: Table, version: int) -> VersionRecord | None:
+    """Return one version; None if it does not exist; raises TableDown."""
+    row = await table.read(make_version_key(version))
+    return decode_record(VersionRecord, row) if row else None
+
+
+async def show_version(table: Table, version: int) -> pb.ConfigVersion:
+    """Return one version, 0 for the newest; raises CommandError if it does not exist."""
+    number = version
+    if not number:
+        number = decode_record(CurrentRecord, await table.read(CURRENT_KEY)).version
+    record = await read_version(table, number)
+    if record is None:
+        raise CommandError(f'there is no version {number}' if number else 'there is no version yet')
+    return _make_message(number, record, record.text)
+
+
+async def list_versions(table: Table) -> pb.VersionList:
+    """Return the newest 100 to 200 versions, newest first and without their texts."""
+    newest = decode_record(CurrentRecord, await table.read(CURRENT_KEY)).version
+    versions: list[pb.ConfigVersion] = []
+    for block in range(max(0, newest // BLOCK - 1), newest // BLOCK + 1):
+        for row in await table.scan(f'{VERSIONS_PREFIX}{block:06d}'):
+            number = int(row.key.removeprefix(VERSIONS_PREFIX))
+            versions.append(_make_message(number, decode_record(VersionRecord, row), ''))
+    versions.sort(key=lambda version: version.version, reverse=True)
+    return pb.VersionList(versions=versions)
+
+
+async def describe_conflict(table: Table, base: int, newest: int) -> str:
+    """Say which version replaced the base version, by whom, why, and what it changed."""
+    if base > newest:
+        return f'there is no version {base}; the newest is {newest}'
+    record = await read_version(table, newest)
+    base_record = await read_version(table, base)
+    if record is None:
+        return f'version {newest} replaced version {base}'
+    difference = difflib.unified_diff(
+        base_record.text.splitlines() if base_record else [],
+        record.text.splitlines(),
+        f'version {base}',
+        f'version {newest}',
+        lineterm='',
+        n=1,
+    )
+    lines = [
+        f'version {newest} by {record.author} replaced version {base}: {record.reason}',
+        *difference,
+    ]
+    if len(lines) > MAX_DIFF_LINES:
+        lines = [*lines[:MAX_DIFF_LINES], f'... {len(lines) - MAX_DIFF_LINES} more lines']
+    return '\n'.join(lines)
+
+
+def _make_message(version: int, record: VersionRecord, text: str) -> pb.ConfigVersion:
+    return pb.ConfigVersion(
+        version=version,
+        text=text,
+        reason=record.reason,
+        author=record.author,
+        time=record.time,
+        token=record.token,
+    )
--- /dev/null
+++ b/camphorpath/versions/records.py
@@ -0,0 +1,127 @@
+"""Rows of the table that hold the configuration and the registered members."""
+
+import json
+from typing import Any
+
+from attrs import asdict, define, field, frozen
+
+from ..platform import Row
+from ..schema import camphorpath_pb2 as pb
+
+CURRENT_KEY = 'config/current'
+# Written in every transaction that changes the rows under MEMBERS_PREFIX.
+EPOCH_KEY = 'members-epoch'
+MEMBERS_PREFIX = 'members/'
+# The set of registered members at each epoch; keeps what a silent member may still believe.
+VIEWS_PREFIX = 'views/'
+# Members that were fenced and may still run; deleted when they provably serve no more.
+FENCED_PREFIX = 'fenced/'
+VERSIONS_PREFIX = 'config/v/'
+
+
+def make_version_key(version: int) -> str:
+    """Return the key of the row with the text of a version."""
+    return f'{VERSIONS_PREFIX}{version:08d}'
+
+
+def make_view_key(epoch: int) -> str:
+    """Return the key of the row with the members of an epoch."""
+    return f'{VIEWS_PREFIX}{epoch:08d}'
+
+
+@frozen
+class FleetVersion:
+    """One activated version; version 0 means that none was activated."""
+
+    version: int = 0
+    fleet: pb.Fleet = field(factory=pb.Fleet)
+    text: str = ''
+    token: str = ''
+
+
+@frozen
+class CurrentRecord:
+    """The row config/current; `time` is in seconds since 1970."""
+
+    version: int = 0
+    token: str = ''
+    time: float = 0
+
+
+@frozen
+class VersionRecord:
+    """The row of one version; `time` is in seconds since 1970."""
+
+    text: str
+    reason: str
+    author: str
+    time: float
+    token: str
+
+
+@frozen
+class MemberRecord:
+    """A registration; `epoch` is the epoch at which the incarnation was registered."""
+
+    name: str
+    peers_address: str
+    callers_address: str
+    started: float
+    epoch: int
+
+
+@frozen
+class EpochRecord:
+    """The registered incarnations and the number of their set."""
+
+    epoch: int = 0
+    members: tuple[str, ...] = ()
+
+
+@frozen
+class FencedRecord:
+    """A fenced member that may still run.
+
+    It may hold the member set of any epoch from `oldest` to `newest`. `wait_s` is the time in
+    seconds after which it serves no more without contact.
+    """
+
+    name: str
+    peers_address: str
+    oldest: int
+    newest: int
+    wait_s: float
+
+
+@define
+class FleetState:
+    """What the table holds, as read by a coordinator; rows by incarnation or by epoch."""
+
+    current: CurrentRecord
+    current_revision: int
+    epoch: EpochRecord
+    epoch_revision: int
+    members: dict[str, MemberRecord]
+    views: dict[int, frozenset[str]]
+    fenced: dict[str, FencedRecord]
+
+
+def encode_record(record: Any) -> bytes:
+    """Return the JSON form of a record."""
+    return json.dumps(asdict(record), separators=(',', ':')).encode()
+
+
+def decode_record(kind: type, row: Row | None) -> Any:
+    """Return the record in a row; the empty record where the row is absent."""
+    return kind(**json.loads(row.value)) if row else kind()
+
+
+def decode_epoch(row: Row | None) -> EpochRecord:
+    """Return the registered members; none where the row is absent."""
+    record = decode_record(EpochRecord, row)
+    return EpochRecord(record.epoch, tuple(record.members))
+
+
+def get_revision(row: Row | None) -> int:
+    """Return the revision for a check; 0 where the row is absent."""
+    return row.revision if row else 0
