--- a/tools/demo.py
+++ b/tools/demo.py
@@ -142,9 +142,16 @@
     return counts
 
 
-def find_faults(records: list[CallRecord], executions: collections.Counter) -> list[str]:
+def find_faults(
+    records: list[CallRecord], executions: collections.Counter, stopped_url: str
+) -> list[str]:
     """Return what the users were promised and did not get."""
     faults = [f'{key} ran {count} times' for key, count in executions.items() if count > 1]
+    faults.extend(
+        f'{record.kind} {record.request_id}: cut off by the graceful stop'
+        for record in records
+        if record.outcome == 'broken' and record.daemon == stopped_url
+    )
     for record in records:
         if record.outcome == 'wrong':
             faults.append(f'{record.kind} {record.request_id}: incomplete or wrong answer')
@@ -179,7 +186,9 @@
         await demo.run()
         code = await deployment.wait_stopped('liepaja-a-1')
         executions = await read_executions(deployment)
-    faults = find_faults(demo.records, executions)
+    faults = find_faults(
+        demo.records, executions, deployment.daemons['liepaja-a-1'].url
+    )
     if code:
         faults.append(f'the graceful stop ended with exit code {code}')
     _print_summary(demo.records, executions)
@@ -191,7 +200,7 @@
 
 def _print_summary(records: list[CallRecord], executions: collections.Counter) -> None:
     counts = collections.Counter(
-        (record.kind, record.outcome, record.reason if record.outcome != 'complete' else '')
+        (record.kind, record.outcome, record.reason)
         for record in records
     )
     for (kind, outcome, reason), count in sorted(counts.items()):
