--- a/camphorpath/upstreams/calls.py
+++ b/camphorpath/upstreams/calls.py
@@ -84,7 +84,7 @@
         return media_type.strip().lower() == 'text/event-stream'
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the raw bytes of the body as they arrive; raise Truncated unless it ends properly."""
+        """Yield the raw bytes of the body; raise Truncated unless it ends properly."""
         is_stream = self.is_stream
         tail = b''
         try:
--- a/camphorpath/upstreams/control.py
+++ b/camphorpath/upstreams/control.py
@@ -13,7 +13,7 @@
 
 CACHE_EVENT_KINDS = frozenset(('stored', 'removed'))
 SUCCESSES = frozenset((httpx.codes.OK, httpx.codes.ACCEPTED))
-MAX_BLOCK = (1 << 64) - 1
+BLOCK_BITS = 64
 
 
 @attrs.frozen
@@ -107,7 +107,7 @@
 
 
 def _ignore_sent() -> None:
-    """Reading a stream again has no effect that must be recorded before."""
+    """Do nothing: reading a stream again has no effect that must be recorded before."""
 
 
 def _make_stream_path(stream_id: str) -> str:
@@ -116,6 +116,6 @@
 
 def _read_cache_event(entry: dict[str, Any]) -> CacheEvent:
     event = CacheEvent(int(entry['number']), str(entry['kind']), int(entry['block']))
-    if event.kind not in CACHE_EVENT_KINDS or not 0 <= event.block <= MAX_BLOCK:
+    if event.kind not in CACHE_EVENT_KINDS or event.block >> BLOCK_BITS:
         raise ValueError(f'{entry!r} is not a cache event')
     return event
--- a/camphorpath/upstreams/exchange.py
+++ b/camphorpath/upstreams/exchange.py
@@ -10,7 +10,7 @@
 from .calls import Call, open_call, read_whole
 
 CONTROL_TIMEOUT_S = 1.0
-MAX_ANSWER_BYTES = 1 << 20
+MAX_ANSWER_BYTES = 1024 * 1024
 
 
 async def exchange_json(
@@ -33,10 +33,11 @@
         with anyio.fail_after(timeout_s):
             async with open_call(client, base_url, call, _ignore_sent) as answer:
                 text = await read_whole(answer, MAX_ANSWER_BYTES)
+                status = answer.status
     except TimeoutError as error:
         message = f'no answer within {timeout_s} s'
         raise UpstreamError(message, step=path, peer=base_url) from error
-    return answer.status, _parse_object(text, path, base_url)
+    return status, _parse_object(text, path, base_url)
 
 
 def refuse_answer(problem: str, step: str, peer: str) -> UpstreamError:
@@ -45,7 +46,7 @@
 
 
 def _ignore_sent() -> None:
-    """Control requests are idempotent or fenced; nothing is recorded before they are sent."""
+    """Do nothing: a control request is idempotent or fenced, so nothing is recorded before it."""
 
 
 def _parse_object(text: bytes, step: str, peer: str) -> dict[str, Any]:
--- a/camphorpath/upstreams/headers.py
+++ b/camphorpath/upstreams/headers.py
@@ -1,26 +1,30 @@
 """Which headers pass between callers and upstreams."""
 
 REQUEST_ID_HEADER = b'camphorpath-request-id'
-HOP_BY_HOP = frozenset((
-    b'connection',
-    b'keep-alive',
-    b'proxy-authenticate',
-    b'proxy-authorization',
-    b'proxy-connection',
-    b'te',
-    b'trailer',
-    b'transfer-encoding',
-    b'upgrade',
-))
+HOP_BY_HOP = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    )
+)
 # Set anew for each call. Without accept-encoding the answer is not compressed, so that the end of
 # a stream can be recognized in its raw bytes.
-SET_PER_CALL = frozenset((
-    b'accept-encoding',
-    b'content-length',
-    b'expect',
-    b'host',
-    REQUEST_ID_HEADER,
-))
+SET_PER_CALL = frozenset(
+    (
+        b'accept-encoding',
+        b'content-length',
+        b'expect',
+        b'host',
+        REQUEST_ID_HEADER,
+    )
+)
 
 
 def select_request_headers(headers: list[tuple[str, str]]) -> list[tuple[bytes, bytes]]:
--- a/camphorpath/upstreams/load.py
+++ b/camphorpath/upstreams/load.py
@@ -29,7 +29,7 @@
 ) -> LoadReport:
     """Return the present load report of an upstream; raise UpstreamError."""
     status, found = await exchange_json(client, base_url, 'GET', LOAD_PATH, timeout_s=timeout_s)
-    problem = f'status {status}' if status != httpx.codes.OK else _find_problem(found)
+    problem = _find_problem(found) if status == httpx.codes.OK else f'status {status}'
     if problem:
         raise refuse_answer(problem, LOAD_PATH, base_url)
     names = [field.name for field in attrs.fields(LoadReport)]
@@ -42,10 +42,12 @@
     if not isinstance(found.get('draining'), bool):
         return 'draining is not true or false'
     for name in COUNTS:
-        count = found.get(name)
-        if type(count) is not int or count < 0:
+        if not _is_number(found.get(name), int) or found[name] < 0:
             return f'{name} is not a count'
-    as_of = found.get('as_of')
-    if type(as_of) not in {int, float} or not math.isfinite(as_of):
+    if not _is_number(found.get('as_of'), int | float) or not math.isfinite(found['as_of']):
         return 'as_of is not a time'
     return ''
+
+
+def _is_number(candidate: Any, kinds: Any) -> bool:
+    return isinstance(candidate, kinds) and not isinstance(candidate, bool)
--- a/standins/batching.py
+++ b/standins/batching.py
@@ -6,6 +6,7 @@
 import random
 import time
 from collections import Counter, OrderedDict
+from collections.abc import AsyncIterator
 from typing import Any
 
 import anyio
@@ -17,6 +18,7 @@
 
 # Prefill is cut into parts of this size, between which all streams decode one token.
 PREFILL_CHUNK_TOKENS = 512
+MAX_CATCH_UP_S = 0.1
 MAX_CACHE_EVENTS = 100_000
 DONE_CHUNK = b'data: [DONE]\n\n'
 
@@ -30,9 +32,9 @@
     batch_slowdown: float = 0.02
     speed: float = 1.0
     cache_blocks: int = 4096
-    load_lag_s: float = 0.0
-    events_lag_s: float = 0.0
-    events_gap: float = 0.0
+    load_lag_s: float = 0
+    events_lag_s: float = 0
+    events_gap: float = 0
     resumable: bool = False
     keep_streams_s: float = 30.0
     models: str = ''
@@ -77,9 +79,28 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def wait_changed(self) -> None:
-        """Return after the next change."""
-        await self._changed.wait()
+    async def wait_over(self) -> None:
+        """Return when the engine has stopped working on the stream."""
+        while not self.is_over():
+            await self._changed.wait()
+
+    def is_cut(self, limit: int) -> bool:
+        """Return whether an answer limited to `limit` events (-1: not limited) ends here."""
+        return 0 <= limit <= len(self.ends)
+
+    async def read(self, position: int, limit: int) -> AsyncIterator[bytes]:
+        """Yield the body from byte `position`, at most up to the end of event `limit`."""
+        while True:
+            end = len(self.body)
+            if self.is_cut(limit):
+                end = self.ends[limit - 1] if limit else 0
+            if position < end:
+                yield bytes(self.body[position:end])
+                position = end
+                continue
+            if self.is_cut(limit) or self.is_over():
+                return
+            await self._changed.wait()
 
     def make_chunk(self, content: str, finish: str | None = None) -> bytes:
         """Return one server-sent event with part of the answer."""
@@ -137,9 +158,7 @@
     def read_events(self, after: int) -> list[dict[str, Any]]:
         """Return the events above `after` that are old enough to be published."""
         before = time.monotonic() - self.options.events_lag_s
-        return [
-            event for at, event in self._events if at <= before and event['number'] > after
-        ]
+        return [event for at, event in self._events if at <= before and event['number'] > after]
 
     def _record(self, kind: str, block: int) -> None:
         self._count += 1
@@ -207,13 +226,16 @@
     def record_load(self) -> None:
         """Keep the present load for the reports."""
         running = [stream for stream in self.active if stream.started]
-        self.loads.record({
-            'incarnation': self.incarnation,
-            'draining': self.faults.draining,
-            'running': len(running),
-            'waiting': len(self.active) - len(running),
-            'tokens': sum(stream.prompt_tokens + stream.max_tokens for stream in self.active),
-        })
+        self.loads.record(
+            {
+                'incarnation': self.incarnation,
+                'draining': self.faults.draining,
+                'running': len(running),
+                'waiting': len(self.active) - len(running),
+                'tokens': sum(stream.prompt_tokens + stream.max_tokens for stream in self.active),
+            },
+            stale=self.faults.load_stale,
+        )
 
     async def run(self) -> None:
         """Work on the batch in steps until cancelled."""
@@ -224,22 +246,29 @@
                 await self._arrived.wait()
                 due = time.monotonic()
             await self.faults.wait_until(lambda faults: not faults.hang)
-            due += self._start_step() * self.faults.slow / self.options.speed
+            # A process that was paused or hung does not make up for more than this time.
+            due = max(due, time.monotonic() - MAX_CATCH_UP_S)
+            prefilling = self._start_step()
+            due += self._time_step(prefilling) * self.faults.slow / self.options.speed
             await anyio.sleep(max(due - time.monotonic(), 0))
-            self._finish_step()
+            self._finish_step(prefilling)
 
-    def _start_step(self) -> float:
-        """Choose the prefill of this step; return its time at speed 1 in seconds."""
-        seconds = 0.0
+    def _start_step(self) -> Stream | None:
+        """Start all streams that wait; return the one to prefill in this step."""
         for stream in self.active:
             if not stream.started:
                 self._start(stream)
-        stream = self._find_prefill()
-        if stream is not None:
-            seconds += min(stream.to_prefill, PREFILL_CHUNK_TOKENS) / self.options.prefill_rate
-        decoding = sum(1 for other in self.active if not other.to_prefill)
+        return next((other for other in self.active if other.to_prefill), None)
+
+    def _time_step(self, prefilling: Stream | None) -> float:
+        """Return the time of a step at speed 1 in seconds."""
+        seconds: float = 0
+        if prefilling is not None:
+            tokens = min(prefilling.to_prefill, PREFILL_CHUNK_TOKENS)
+            seconds += tokens / self.options.prefill_rate
+        decoding = [other for other in self.active if not other.to_prefill]
         if decoding:
-            growth = 1 + self.options.batch_slowdown * (decoding - 1)
+            growth = 1 + self.options.batch_slowdown * (len(decoding) - 1)
             seconds += growth / self.options.decode_rate
         return seconds
 
@@ -251,21 +280,20 @@
         self.counts['tokens_cached'] += stream.prompt_tokens - stream.to_prefill
         self.record_load()
 
-    def _find_prefill(self) -> Stream | None:
-        return next((stream for stream in self.active if stream.to_prefill), None)
-
-    def _finish_step(self) -> None:
-        decoding = [stream for stream in self.active if stream.started and not stream.to_prefill]
-        stream = self._find_prefill()
-        if stream is not None:
-            done = min(stream.to_prefill, PREFILL_CHUNK_TOKENS)
-            stream.to_prefill -= done
-            stream.prefilled += done
-            self.counts['tokens_prefilled'] += done
-            if not stream.to_prefill:
-                self.cache.store(stream.blocks)
-        for other in decoding:
-            self._decode(other)
+    def _finish_step(self, prefilling: Stream | None) -> None:
+        decoding = [other for other in self.active if other.started and not other.to_prefill]
+        if prefilling is not None and not prefilling.is_over():
+            self._prefill(prefilling)
+        for stream in decoding:
+            self._decode(stream)
+
+    def _prefill(self, stream: Stream) -> None:
+        done = min(stream.to_prefill, PREFILL_CHUNK_TOKENS)
+        stream.to_prefill -= done
+        stream.prefilled += done
+        self.counts['tokens_prefilled'] += done
+        if not stream.to_prefill:
+            self.cache.store(stream.blocks)
 
     def _decode(self, stream: Stream) -> None:
         token = make_token(stream.digest, stream.produced)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -28,7 +28,7 @@
     batch: Batch
     faults: Faults
     in_process: bool = True
-    server: Server = Server('')
+    server: Server = attrs.field(factory=Server)
     models: set[str] = attrs.field(factory=set)
     orders: list[dict[str, Any]] = attrs.field(factory=list)
     _highest_fence: int = 0
@@ -85,25 +85,34 @@
         await exchange.reply(200, self.faults.read_all())
 
     async def _serve_control(self, exchange: Exchange) -> None:
-        batch = self.batch
-        if exchange.path == '/load':
-            await exchange.reply(200, batch.loads.read(stale=self.faults.load_stale))
-        elif exchange.path == '/stats':
-            await exchange.reply(200, self.read_stats())
-        elif exchange.path == '/v1/models':
-            models = [{'id': name, 'object': 'model'} for name in sorted(self.models)]
-            await exchange.reply(200, {'object': 'list', 'data': models})
-        elif exchange.path == '/cache_events':
-            events = batch.cache.read_events(int(exchange.query.get('after', '0')))
-            await exchange.reply(200, {'incarnation': batch.incarnation, 'events': events})
-        elif exchange.path == '/orders':
+        if exchange.path == '/orders':
             await self._take_order(exchange)
-        else:
+            return
+        read = {
+            '/load': self._read_load,
+            '/stats': self.read_stats,
+            '/v1/models': self._read_models,
+            '/cache_events': lambda: self._read_cache_events(exchange),
+        }.get(exchange.path)
+        if read is None:
             await exchange.reply(404, {'error': f'no path {exchange.path}'})
+            return
+        await exchange.reply(200, read())
+
+    def _read_load(self) -> dict[str, Any]:
+        return self.batch.loads.read(stale=self.faults.load_stale)
+
+    def _read_models(self) -> dict[str, Any]:
+        models = [{'id': name, 'object': 'model'} for name in sorted(self.models)]
+        return {'object': 'list', 'data': models}
+
+    def _read_cache_events(self, exchange: Exchange) -> dict[str, Any]:
+        events = self.batch.cache.read_events(int(exchange.query.get('after', '0')))
+        return {'incarnation': self.batch.incarnation, 'events': events}
 
     async def _take_order(self, exchange: Exchange) -> None:
         order = exchange.read_json()
-        if not isinstance(order, dict) or type(order.get('fence')) is not int:
+        if not isinstance(order, dict) or not is_count(order.get('fence')):
             await exchange.reply(400, {'error': 'an order needs a fence'})
             return
         if order['fence'] < self._highest_fence and not self.faults.ignore_fences:
@@ -150,7 +159,7 @@
         if not isinstance(found, dict):
             raise ValueError('the body is not a JSON object')
         max_tokens = found.get('max_tokens', DEFAULT_MAX_TOKENS)
-        if type(max_tokens) is not int or max_tokens < 1:
+        if not is_count(max_tokens) or not max_tokens:
             raise ValueError('max_tokens is not a positive number')
         self._count += 1
         request_id = exchange.headers.get('camphorpath-request-id', '')
@@ -171,14 +180,14 @@
         if stream.is_streamed:
             await self._relay(exchange, stream, 0, limit)
             return
-        while not stream.is_over():
-            await stream.wait_changed()
+        await stream.wait_over()
         if stream.cancelled:
             await exchange.reply(409, {'error': {'message': 'the stream was cancelled'}})
             return
         body = stream.make_whole()
         length = (b'content-length', str(len(body)).encode())
-        await exchange.start(200, [JSON_TYPE, length, (STREAM_ID_HEADER, stream.stream_id.encode())])
+        stream_id = (STREAM_ID_HEADER, stream.stream_id.encode())
+        await exchange.start(200, [JSON_TYPE, length, stream_id])
         if limit >= 0:
             await exchange.write(body[: len(body) // 2])
             return
@@ -191,19 +200,10 @@
         Leaving without `finish` makes the server close the connection without the end of the body.
         """
         await exchange.start(200, [STREAM_TYPE, (STREAM_ID_HEADER, stream.stream_id.encode())])
-        while True:
-            end = len(stream.body)
-            is_cut = 0 <= limit <= len(stream.ends)
-            if is_cut:
-                end = stream.ends[limit - 1] if limit else 0
-            if position < end:
-                await exchange.write(bytes(stream.body[position:end]))
-                position = end
-                continue
-            if is_cut or stream.is_over():
-                break
-            await stream.wait_changed()
-        if (is_cut and self.faults.truncate == 'clean') or (not is_cut and not stream.cancelled):
+        async for chunk in stream.read(position, limit):
+            await exchange.write(chunk)
+        is_ended = self.faults.truncate == 'clean' if stream.is_cut(limit) else not stream.cancelled
+        if is_ended:
             await exchange.finish()
 
     async def _serve_stream(self, exchange: Exchange) -> None:
@@ -235,11 +235,17 @@
     engine = Engine(Batch(options, faults), faults, in_process, models=models)
     async with anyio.create_task_group() as group:
         group.start_soon(engine.batch.run)
-        async with serve(engine.handle, port) as engine.server:
+        async with serve(engine.handle, port) as server:
+            engine.server = server
             yield engine
         group.cancel_scope.cancel()
 
 
+def is_count(candidate: Any) -> bool:
+    """Return whether a JSON value is a whole number from 0 up."""
+    return isinstance(candidate, int) and not isinstance(candidate, bool) and candidate >= 0
+
+
 def main() -> None:
     """Run the script."""
     parser = make_parser('Stand-in for an engine.')
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -18,18 +18,18 @@
     final event). `refuse`: answer 503.
     """
 
-    slow: float = 1.0
+    slow: float = 1
     hang: str = ''
     crash_marker: str = ''
     truncate_after: int = -1
     truncate: str = 'cut'
     cut_after_effect: bool = False
     refuse: bool = False
-    late_s: float = 0.0
+    late_s: float = 0
     draining: bool = False
     load_stale: bool = False
     ignore_fences: bool = False
-    share: float = 1.0
+    share: float = 1
     times: int = -1
     _random: random.Random = attrs.field(factory=random.Random, repr=False)
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event, repr=False)
@@ -43,13 +43,12 @@
 
     def set_all(self, found: dict[str, Any]) -> None:
         """Set the faults named in `found`; raise ValueError for an unknown name or a wrong type."""
-        defaults = list_faults()
+        kinds = {field.name: field.type for field in list_fields()}
         for name, setting in found.items():
-            if name not in defaults:
+            if name not in kinds:
                 raise ValueError(f'{name} is not a fault')
-            kind = type(defaults[name])
-            if type(setting) is not kind and not (kind is float and type(setting) is int):
-                raise ValueError(f'{name} is not of type {kind.__name__}')
+            if not _has_type(setting, kinds[name]):
+                raise ValueError(f'{name} is not of type {kinds[name].__name__}')
         for name, setting in found.items():
             setattr(self, name, setting)
         self._changed.set()
@@ -57,7 +56,7 @@
 
     def read_all(self) -> dict[str, Any]:
         """Return the faults in force."""
-        return {name: getattr(self, name) for name in list_faults()}
+        return {field.name: getattr(self, field.name) for field in list_fields()}
 
     async def wait_until(self, check: Callable[['Faults'], bool]) -> None:
         """Return when `check` holds."""
@@ -65,25 +64,30 @@
             await self._changed.wait()
 
 
-def list_faults() -> dict[str, Any]:
-    """Return the names of the faults with their defaults."""
-    fields = attrs.fields(Faults)
-    return {field.name: field.default for field in fields if not field.name.startswith('_')}
+def list_fields() -> list[attrs.Attribute]:
+    """Return the settable faults."""
+    return [field for field in attrs.fields(Faults) if not field.name.startswith('_')]
 
 
 def add_options(parser: argparse.ArgumentParser) -> None:
     """Add one option for each fault."""
-    for name, default in list_faults().items():
-        option = f'--{name.replace("_", "-")}'
-        if isinstance(default, bool):
+    for field in list_fields():
+        option = f'--{field.name.replace("_", "-")}'
+        if field.type is bool:
             parser.add_argument(option, action='store_true')
         else:
-            parser.add_argument(option, type=type(default), default=default)
+            parser.add_argument(option, type=field.type, default=field.default)
 
 
 def read_options(options: argparse.Namespace) -> Faults:
     """Return the faults that the options state."""
     faults = Faults(random=random.Random(options.seed))
-    for name in list_faults():
-        setattr(faults, name, getattr(options, name))
+    for field in list_fields():
+        setattr(faults, field.name, getattr(options, field.name))
     return faults
+
+
+def _has_type(setting: Any, kind: type) -> bool:
+    if isinstance(setting, bool):
+        return kind is bool
+    return isinstance(setting, (int, float) if kind is float else kind)
--- a/standins/loads.py
+++ b/standins/loads.py
@@ -14,13 +14,15 @@
     lag_s: float
     _reports: deque[tuple[float, dict[str, Any]]] = attrs.field(factory=deque)
 
-    def record(self, report: dict[str, Any]) -> None:
-        """Keep the report that holds from now on."""
+    def record(self, report: dict[str, Any], *, stale: bool) -> None:
+        """Keep the report that holds from now on; with `stale` the former one stays."""
+        if stale and self._reports:
+            return
         self._reports.append((time.time(), report))
         self._forget(time.time() - self.lag_s)
 
     def read(self, *, stale: bool) -> dict[str, Any]:
-        """Return the report of `lag_s` ago; `stale` freezes it at its present value and time."""
+        """Return the report of `lag_s` ago; `stale` freezes it and its time."""
         as_of = time.time() - self.lag_s
         if stale:
             as_of = self._reports[0][0]
--- a/standins/prompts.py
+++ b/standins/prompts.py
@@ -14,8 +14,9 @@
 
 def read_prompt(found: dict[str, Any]) -> bytes:
     """Return the prompt of a request: its text, or role and content of each message."""
-    if 'messages' in found:
-        lines = [f'{message["role"]}: {message["content"]}' for message in found['messages']]
+    messages = found.get('messages')
+    if messages is not None:
+        lines = [f'{message["role"]}: {message["content"]}' for message in messages]
         return '\n'.join(lines).encode()
     return str(found['prompt']).encode()
 
@@ -58,5 +59,8 @@
     events = stream.decode().split('\n\n')
     if events[-2:] != ['data: [DONE]', '']:
         raise ValueError('the stream has no final event')
-    choices = [json.loads(event.removeprefix('data: '))['choices'][0] for event in events[:-2]]
-    return ''.join(choice.get('text', choice.get('delta', {}).get('content', '')) for choice in choices)
+    content = ''
+    for event in events[:-2]:
+        choice = json.loads(event.removeprefix('data: '))['choices'][0]
+        content += choice['text'] if 'text' in choice else choice['delta']['content']
+    return content
--- a/standins/service.py
+++ b/standins/service.py
@@ -28,10 +28,10 @@
 
     name: str
     faults: Faults
-    work_s: float = 0.0
-    load_lag_s: float = 0.0
+    work_s: float = 0
+    load_lag_s: float = 0
     in_process: bool = True
-    server: Server = Server('')
+    server: Server = attrs.field(factory=Server)
     history: list[dict[str, Any]] = attrs.field(factory=list)
     loads: LoadHistory = attrs.field(init=False)
     _running: int = 0
@@ -75,13 +75,16 @@
 
     def record_load(self) -> None:
         """Keep the present load for the reports."""
-        self.loads.record({
-            'incarnation': self.incarnation,
-            'draining': self.faults.draining,
-            'running': self._running,
-            'waiting': 0,
-            'tokens': 0,
-        })
+        self.loads.record(
+            {
+                'incarnation': self.incarnation,
+                'draining': self.faults.draining,
+                'running': self._running,
+                'waiting': 0,
+                'tokens': 0,
+            },
+            stale=self.faults.load_stale,
+        )
 
     async def _set_faults(self, exchange: Exchange) -> None:
         try:
@@ -129,14 +132,16 @@
             booked = [entry for entry in self.history if item.decode() in entry['text']]
             return {'item': item.decode(), 'executions': len(booked)}
         number = len(self.history) + 1
-        self.history.append({
-            'number': number,
-            'path': exchange.path,
-            'request_id': exchange.headers.get('camphorpath-request-id', ''),
-            'key': exchange.headers.get('idempotency-key', ''),
-            'body': hashlib.sha256(exchange.body).hexdigest()[:DIGEST_CHARACTERS],
-            'text': exchange.body.decode(errors='replace'),
-        })
+        self.history.append(
+            {
+                'number': number,
+                'path': exchange.path,
+                'request_id': exchange.headers.get('camphorpath-request-id', ''),
+                'key': exchange.headers.get('idempotency-key', ''),
+                'body': hashlib.sha256(exchange.body).hexdigest()[:DIGEST_CHARACTERS],
+                'text': exchange.body.decode(errors='replace'),
+            }
+        )
         return {'number': number, 'reservation': f'{self.name}-{number}'}
 
     def _crash(self) -> None:
@@ -158,12 +163,13 @@
     *,
     port: int = 0,
     in_process: bool = True,
-    work_s: float = 0.0,
-    load_lag_s: float = 0.0,
+    work_s: float = 0,
+    load_lag_s: float = 0,
 ) -> AsyncIterator[Service]:
     """Serve a booking service on a loopback port until the context is left."""
     service = Service(name, faults or Faults(), work_s, load_lag_s, in_process)
-    async with serve(service.handle, port) as service.server:
+    async with serve(service.handle, port) as server:
+        service.server = server
         yield service
 
 
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -4,14 +4,15 @@
 import asyncio
 import json
 import signal
+import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any
 from urllib.parse import parse_qsl
 
 import anyio
-import anyio.lowlevel
 import attrs
+from anyio.lowlevel import checkpoint, checkpoint_if_cancelled
 from hypercorn.asyncio.tcp_server import TCPServer
 from hypercorn.asyncio.worker_context import WorkerContext
 from hypercorn.config import Config
@@ -28,15 +29,16 @@
 class Server:
     """A stand-in that accepts connections; `drop` cuts them all."""
 
-    url: str
+    url: str = ''
     _tasks: dict[tuple[str, int], tuple[asyncio.Task, asyncio.StreamWriter]] = attrs.field(
         factory=dict
     )
 
     def cut(self, client: tuple[str, int]) -> None:
         """Cut the connection of one client without an end of the answer."""
-        if client in self._tasks:
-            self._tasks[client][1].transport.abort()
+        found = self._tasks.get(client)
+        if found is not None:
+            found[1].transport.abort()
 
     def abort_all(self) -> None:
         """Cut all connections."""
@@ -76,6 +78,9 @@
 
     async def write(self, chunk: bytes) -> None:
         """Send a part of the body."""
+        # A cancellation is not delivered to a task whose next event is always there already, as
+        # for a stream that produces tokens without a pause.
+        await checkpoint_if_cancelled()
         await self._send({'type': 'http.response.body', 'body': chunk, 'more_body': True})
 
     async def finish(self) -> None:
@@ -96,7 +101,7 @@
     async def wait_disconnected(self) -> None:
         """Return when the client has closed the connection."""
         while (await self._receive())['type'] != 'http.disconnect':
-            await anyio.lowlevel.checkpoint()
+            await checkpoint()
 
     def read_json(self) -> Any:
         """Return the body parsed as JSON, or None if it is not JSON."""
@@ -116,7 +121,7 @@
     config.include_server_header = False
     config.errorlog = None
     context = WorkerContext(None)
-    server = Server('')
+    server = Server()
     app = wrap_app(_make_app(handle, server), config.wsgi_max_body_size, 'asgi')
     loop = asyncio.get_running_loop()
 
@@ -135,10 +140,14 @@
     try:
         yield server
     finally:
-        listener.close()
-        await context.terminated.set()
         with anyio.CancelScope(shield=True):
-            await server.drop()
+            await _stop(listener, server, context)
+
+
+async def _stop(listener: asyncio.Server, server: Server, context: WorkerContext) -> None:
+    listener.close()
+    await context.terminated.set()
+    await server.drop()
 
 
 def make_parser(description: str) -> argparse.ArgumentParser:
@@ -152,10 +161,11 @@
 async def run_script(opened: Any) -> None:
     """Enter a stand-in's context, print its port and serve until SIGTERM or SIGINT."""
     async with opened as standin:
-        print('ready', standin.server.url.rpartition(':')[2], flush=True)
+        port = standin.server.url.rpartition(':')[2]
+        sys.stdout.write(f'ready {port}\n')
+        sys.stdout.flush()
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                return
+            await anext(signals)
 
 
 def _make_app(handle: Handle, server: Server) -> Callable[..., Awaitable[None]]:
