--- a/standins/service.py
+++ b/standins/service.py
@@ -28,10 +28,10 @@
 
     name: str
     faults: Faults
-    work_s: float = 0.0
-    load_lag_s: float = 0.0
+    work_s: float = 0
+    load_lag_s: float = 0
     in_process: bool = True
-    server: Server = Server('')
+    server: Server = attrs.field(factory=Server)
     history: list[dict[str, Any]] = attrs.field(factory=list)
     loads: LoadHistory = attrs.field(init=False)
     _running: int = 0
@@ -82,7 +82,8 @@
                 'running': self._running,
                 'waiting': 0,
                 'tokens': 0,
-            }
+            },
+            stale=self.faults.load_stale,
         )
 
     async def _set_faults(self, exchange: Exchange) -> None:
@@ -162,12 +163,13 @@
     *,
     port: int = 0,
     in_process: bool = True,
-    work_s: float = 0.0,
-    load_lag_s: float = 0.0,
+    work_s: float = 0,
+    load_lag_s: float = 0,
 ) -> AsyncIterator[Service]:
     """Serve a booking service on a loopback port until the context is left."""
     service = Service(name, faults or Faults(), work_s, load_lag_s, in_process)
-    async with serve(service.handle, port) as service.server:
+    async with serve(service.handle, port) as server:
+        service.server = server
         yield service
 
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -186,9 +186,7 @@
         await demo.run()
         code = await deployment.wait_stopped('liepaja-a-1')
         executions = await read_executions(deployment)
-    faults = find_faults(
-        demo.records, executions, deployment.daemons['liepaja-a-1'].url
-    )
+    faults = find_faults(demo.records, executions, deployment.daemons['liepaja-a-1'].url)
     if code:
         faults.append(f'the graceful stop ended with exit code {code}')
     _print_summary(demo.records, executions)
@@ -199,10 +197,7 @@
 
 
 def _print_summary(records: list[CallRecord], executions: collections.Counter) -> None:
-    counts = collections.Counter(
-        (record.kind, record.outcome, record.reason)
-        for record in records
-    )
+    counts = collections.Counter((record.kind, record.outcome, record.reason) for record in records)
     for (kind, outcome, reason), count in sorted(counts.items()):
         _say(f'{kind:12} {outcome:20} {reason:24} {count}')
     _say(f'{"reservation":12} {"executions":20} {"":24} {sum(executions.values())}')
