--- /dev/null
+++ b/tests/admission/test_choice.py
@@ -0,0 +1,142 @@
+import pytest
+
+from camphorpath.admission.prefixes import PrefixMemory
+from camphorpath.schema import camphorpath_pb2 as pb
+
+from .fakes import Bench, FakeVm
+
+LONG = 40000
+
+
+def test_prefix_goes_where_it_is_cached():
+    """Guards against a long prompt that is processed again although an upstream has it cached."""
+    bench = Bench(vms=('u1', 'u2', 'u3'), pool={'slots': 4})
+    bench.enqueue()
+    warm = bench.enqueue(prompt_tokens=LONG, prefix_blocks=range(100))
+    bench.release(warm)
+    again = bench.enqueue(prompt_tokens=LONG, prefix_blocks=range(100))
+    assert bench.place(again) == bench.place(warm)
+
+
+def test_affinity_is_bounded_by_load():
+    """Guards against one upstream that collects all requests with a common prefix."""
+    bench = Bench(vms=('u1', 'u2', 'u3'), pool={'slots': 8})
+    ids = [bench.enqueue(prompt_tokens=2000, prefix_blocks=range(10)) for _ in range(24)]
+    assert {bench.place(request_id) for request_id in ids} == {'u1', 'u2', 'u3'}
+
+
+def test_waits_for_a_warm_upstream_only_if_cheaper():
+    """Guards against a cold prefill of seconds where a wait of a moment avoids it."""
+    bench = Bench(vms=('u1', 'u2'), pool={'slots': 1})
+    warm = bench.enqueue(prompt_tokens=LONG, prefix_blocks=range(100), output_tokens=4)
+    bench.release(warm)
+    short = bench.enqueue(prompt_tokens=LONG, prefix_blocks=range(100), output_tokens=20)
+    assert bench.place(short) == bench.place(warm)
+    held = bench.enqueue(prompt_tokens=LONG, prefix_blocks=range(100))
+    other = bench.enqueue(prompt_tokens=40)
+    assert bench.place(held) is None
+    assert bench.place(other) != bench.place(warm)
+    bench.release(short)
+    assert bench.place(held) == bench.place(warm)
+
+
+def test_wait_for_a_warm_upstream_ends():
+    """Guards against a request that keeps waiting for one upstream beside a free one."""
+    bench = Bench(vms=('u1', 'u2'), pool={'slots': 1})
+    warm = bench.enqueue(prompt_tokens=LONG, prefix_blocks=range(100), output_tokens=4)
+    bench.release(warm)
+    bench.enqueue(prompt_tokens=LONG, prefix_blocks=range(100), output_tokens=20)
+    held = bench.enqueue(prompt_tokens=LONG, prefix_blocks=range(100))
+    bench.advance(1.1)
+    assert bench.place(held) not in {None, bench.place(warm)}
+
+
+def test_near_upstream_is_preferred():
+    """Guards against bytes that are paid for between regions while a near upstream is free."""
+    bench = Bench(vms=(FakeVm('far', zone='c'), FakeVm('near', zone='b')), pool={'slots': 4})
+    assert bench.place(bench.enqueue(body_bytes=1 << 20)) == 'near'
+
+
+def test_faster_upstream_is_preferred():
+    """Guards against equal shares for engines of unequal speed."""
+    bench = Bench(vms=('u1', 'u2'), pool={'slots': 4})
+    for duration in (3, 1):
+        bench.release(bench.enqueue(), first_byte=0.1, duration=duration, output_tokens=40)
+        bench.enqueue(customer='small', output_tokens=1)
+    slow = max(bench.state.upstreams.values(), key=lambda upstream: upstream.speed.factor)
+    assert bench.place(bench.enqueue()) != slow.name
+
+
+@pytest.mark.parametrize('policy', ['random', 'round_robin', 'least_load', 'camphorpath'])
+def test_every_policy_fills_all_slots(policy):
+    """Guards against a policy that leaves slots free or exceeds them."""
+    bench = Bench(vms=('u1', 'u2', 'u3'), policy=policy)
+    for _ in range(10):
+        bench.enqueue()
+    assert len(bench.granted()) == 6
+
+
+def test_prefix_memory_is_bounded_and_forgets_ends_first():
+    """Guards against memory that grows with every prompt."""
+    memory = PrefixMemory(capacity=10)
+    memory.remember(range(8))
+    memory.remember(range(100, 106))
+    assert memory.count_leading(range(100, 106)) == 6
+    assert memory.count_leading(range(8)) == 4
+
+
+def run_pool(bench, names, slow, seconds):
+    """Run a steady load in which the upstream `slow` takes ten times its estimate."""
+    for _ in range(round(seconds / 0.25)):
+        while len(bench.state.running) < 2 * len(names):
+            before = len(bench.granted())
+            bench.enqueue(output_tokens=20)
+            if len(bench.granted()) == before:
+                break
+        bench.advance(0.25, step=0.25)
+        for running in list(bench.state.running.values()):
+            duration = 5.5 if running.upstream == slow else 0.5
+            if bench.now - running.granted_at >= duration:
+                bench.release(
+                    running.request_id, first_byte=0.1, duration=duration, output_tokens=20
+                )
+
+
+def test_straggler_is_set_aside_within_five_seconds_and_restored():
+    """Guards against an upstream that runs ten times slower and keeps its share of requests."""
+    names = [f'u{index}' for index in range(6)]
+    bench = Bench(vms=names, pool={'slots': 2})
+    run_pool(bench, names, slow='', seconds=5)
+    assert 'upstream_slow' not in bench.event_names()
+    run_pool(bench, names, slow='u3', seconds=5)
+    assert [one.name for one in bench.state.upstreams.values() if one.is_slow] == ['u3']
+    run_pool(bench, names, slow='', seconds=40)
+    assert not bench.state.upstreams['u3'].is_slow
+
+
+def test_at_most_a_third_is_set_aside():
+    """Guards against a pool that excludes most of its upstreams."""
+    bench = Bench(vms=[f'u{index}' for index in range(7)])
+    for index, upstream in enumerate(bench.state.upstreams.values()):
+        upstream.speed.samples = 1
+        upstream.speed.factor = 10 if index < 3 else 1
+    bench.advance(1)
+    assert sum(one.is_slow for one in bench.state.upstreams.values()) == 2
+
+
+def test_restart_forgets_the_prefixes():
+    """Guards against affinity to a cache that a restart has emptied."""
+    bench = Bench()
+    bench.enqueue(prefix_blocks=range(5))
+    bench.report('u1', incarnation='i2', running=0)
+    assert bench.state.upstreams['u1'].prefixes.count_leading(range(5)) == 0
+    assert not bench.state.running
+
+
+def test_interrupted_requests_show_a_straggler():
+    """Guards against a straggler that is never learned because all its requests time out."""
+    bench = Bench()
+    request_id = bench.enqueue()
+    bench.now += 20
+    bench.release(request_id, pb.Release.TIMED_OUT)
+    assert bench.state.upstreams['u1'].speed.factor > 3
--- /dev/null
+++ b/tests/admission/test_shedding.py
@@ -0,0 +1,212 @@
+import pytest
+
+from camphorpath.schema import camphorpath_pb2 as pb
+
+from .fakes import Bench, FakeVm
+
+
+def test_preemption_takes_the_lowest_tier_and_least_prefill():
+    """Guards against discarded prefill that a cheaper victim would have saved."""
+    bench = Bench(vms=('u1', 'u2'))
+    bench.enqueue(tier=1, prompt_tokens=4)
+    bench.enqueue(tier=2, prompt_tokens=900)
+    cheap = bench.enqueue(tier=2, prompt_tokens=300)
+    bench.enqueue(tier=2, prompt_tokens=10, cancellable=False)
+    top = bench.enqueue(tier=0)
+    assert not bench.preempted()
+    bench.advance(0.2, step=0.1)
+    assert bench.preempted() == [cheap]
+    bench.advance(1)
+    assert bench.preempted() == [cheap]
+    assert top not in bench.granted_ids()
+    bench.release(cheap, pb.Release.PREEMPTED)
+    assert top in bench.granted_ids()
+
+
+def test_preemption_frees_enough_tokens_and_no_more():
+    """Guards against a preempted request whose tokens are not enough for the waiting one."""
+    bench = Bench(pool={'slots': 8, 'max_tokens': 1000})
+    for _ in range(4):
+        bench.enqueue(tier=2, prompt_tokens=200, output_tokens=50)
+    top = bench.enqueue(tier=0, prompt_tokens=350, output_tokens=50)
+    bench.advance(0.3, step=0.1)
+    assert len(bench.preempted()) == 2
+    for request_id in bench.preempted():
+        bench.release(request_id, pb.Release.PREEMPTED)
+    assert bench.granted_ids()[-1] == top
+
+
+def test_one_preemption_for_each_waiting_request():
+    """Guards against more preempted requests than slots are needed."""
+    bench = Bench(vms=('u1', 'u2', 'u3'))
+    for _ in range(6):
+        bench.enqueue(tier=2)
+    for _ in range(2):
+        bench.enqueue(tier=0)
+    bench.advance(1, step=0.1)
+    assert len(bench.preempted()) == 2
+
+
+def test_full_queue_sheds_the_newest_of_the_lowest_tier():
+    """Guards against a higher tier that is refused while lower ones wait."""
+    bench = Bench(pool={'slots': 1}, max_waiting=3)
+    bench.enqueue(tier=0)
+    ids = [bench.enqueue(tier=tier) for tier in (2, 2, 1)]
+    bench.enqueue(tier=0)
+    assert bench.refusals() == {ids[1]: 'queue_full'}
+    newcomer = bench.enqueue(tier=2)
+    assert bench.refusals()[newcomer] == 'queue_full'
+    refused = next(one.refused for one in bench.received['home-1'] if one.HasField('refused'))
+    assert 1 <= refused.retry_after <= 30
+
+
+def test_full_queue_preempts_before_it_sheds():
+    """Guards against a refused higher tier while a lower one still runs (P2)."""
+    bench = Bench(pool={'slots': 1}, max_waiting=1)
+    spare = bench.enqueue(tier=2)
+    bench.enqueue(tier=1)
+    assert not bench.refusals()
+    second = bench.enqueue(tier=1)
+    assert bench.preempted() == [spare]
+    assert not bench.refusals()
+    third = bench.enqueue(tier=1)
+    assert set(bench.refusals()) == {second, third}
+
+
+def test_unconfirmed_full_queue_has_its_own_event():
+    """Guards against a breach of P2 that no event shows."""
+    bench = Bench(pool={'slots': 1}, max_waiting=1)
+    bench.membership.members.append(pb.MemberInfo(incarnation='silent'))
+    for _ in range(3):
+        bench.enqueue()
+    assert list(bench.refusals().values()) == ['queue_full']
+    assert 'shed_unconfirmed' in bench.event_names()
+    assert 'shed' not in bench.event_names()
+
+
+def test_unreachable_deadline_is_refused_at_once_when_confirmed():
+    """Guards against prefill for a request that cannot finish in time."""
+    bench = Bench(pool={'slots': 1})
+    bench.enqueue(output_tokens=400)
+    late = bench.enqueue(time_left=3, output_tokens=100)
+    assert bench.refusals() == {late: 'deadline_unreachable'}
+    bench.membership.members.append(pb.MemberInfo(incarnation='silent'))
+    kept = bench.enqueue(time_left=3, output_tokens=100)
+    assert kept not in bench.refusals()
+
+
+def test_unreachable_deadline_preempts_first():
+    """Guards against a refusal although a lower tier could give way."""
+    bench = Bench(pool={'slots': 1})
+    spare = bench.enqueue(tier=2, output_tokens=400)
+    bench.enqueue(tier=0, time_left=3, output_tokens=100)
+    assert not bench.refusals()
+    assert bench.preempted() == [spare]
+
+
+def test_lower_tier_in_another_pool_forbids_the_refusal():
+    """Guards against a failed assertion, and P2 over all upstreams of the service."""
+    bench = Bench(vms=('u1', FakeVm('o1', pool='old')), pool={'slots': 1})
+    bench.fleet.services[0].pools.add(name='old', slots=1, prefill_rate=4000, decode_rate=40)
+    bench.versions.current.fleet = pb.Fleet.FromString(bench.fleet.SerializeToString())
+    bench.owner.refresh()
+    bench.report_all()
+    bench.enqueue(tier=2, pool='old')
+    bench.enqueue(tier=1, output_tokens=400, cancellable=False)
+    waiting = bench.enqueue(tier=0, time_left=3, output_tokens=100)
+    bench.advance(2.9)
+    assert not bench.refusals()
+    bench.advance(0.2)
+    assert bench.refusals() == {waiting: 'deadline_exceeded'}
+
+
+def test_idle_service_takes_a_request_in_spite_of_its_learned_speed():
+    """Guards against a service that refuses everything for ever after one slow phase."""
+    bench = Bench()
+    bench.release(bench.enqueue(), first_byte=50, duration=100, output_tokens=40)
+    again = bench.enqueue(time_left=30)
+    assert again in bench.granted_ids()
+
+
+def crash(bench, *request_ids):
+    for request_id in request_ids:
+        bench.release(request_id, pb.Release.UPSTREAM_LOST)
+    bench.advance(2.5)
+
+
+def test_suspect_runs_alone_and_is_refused_after_a_crash_alone():
+    """Guards against one request that crashes one upstream after the other."""
+    bench = Bench(vms=('u1', 'u2'))
+    bad = bench.enqueue(digest='bad')
+    good = bench.enqueue(digest='good')
+    assert bench.place(bad) != bench.place(good)
+    good2 = bench.enqueue(digest='good2')
+    together = [one for one in (good, good2) if bench.place(one) == bench.place(bad)]
+    crash(bench, bad, *together)
+    bench.release(good), bench.release(good2)
+    again = bench.enqueue(digest='bad')
+    for _ in range(4):
+        bench.enqueue()
+    alone = bench.state.upstreams[bench.place(again)]
+    assert list(alone.running) == [again]
+    crash(bench, again)
+    third = bench.enqueue(digest='bad')
+    assert bench.refusals() == {third: 'crashes_upstreams'}
+    refused = bench.received['home-1'][-1].refused
+    assert not refused.retry_after
+
+
+def test_completed_suspect_is_cleared():
+    """Guards against an innocent request that runs alone for ever."""
+    bench = Bench()
+    crash(bench, bench.enqueue(digest='d'))
+    bench.release(bench.enqueue(digest='d'))
+    bench.enqueue(digest='d'), bench.enqueue()
+    assert len(bench.state.running) == 2
+
+
+def test_upstream_is_emptied_for_a_suspect():
+    """Guards against a suspect that never runs because no upstream is ever empty."""
+    bench = Bench()
+    crash(bench, bench.enqueue(digest='d'))
+    running = [bench.enqueue(), bench.enqueue()]
+    suspect = bench.enqueue(digest='d')
+    waiting = bench.enqueue()
+    bench.release(running[0])
+    assert waiting not in bench.granted_ids()
+    bench.release(running[1])
+    assert suspect in bench.granted_ids()
+    assert waiting not in bench.granted_ids()
+    bench.release(suspect)
+    assert waiting in bench.granted_ids()
+
+
+def test_restart_makes_suspects_of_all_that_ran_there():
+    """Guards against a crash that goes unnoticed because the upstream was back at once."""
+    bench = Bench()
+    bench.enqueue(digest='x'), bench.enqueue(digest='y')
+    bench.report('u1', incarnation='i2', running=0)
+    counts = [bench.owner._suspects.count('scribe', digest) for digest in 'xy']
+    assert counts == [1, 1]
+
+
+@pytest.mark.anyio
+async def test_suspects_survive_a_change_of_owner_and_an_outage(anyio_backend):
+    """Guards against crash counts lost with the owner, and against a table outage."""
+    bench = Bench()
+    crash(bench, bench.enqueue(digest='d'))
+    suspects = bench.owner._suspects
+    bench.table.is_up = False
+    with pytest.raises(Exception, match='down'):
+        await suspects._write_some()
+    bench.table.is_up = True
+    await suspects._write_some()
+    successor = Bench()
+    successor.owner._suspects.table = bench.table
+    await successor.owner._suspects.load('scribe')
+    assert successor.owner._suspects.count('scribe', 'd') == 1
+
+
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio'
