--- a/tests/admission/fakes.py
+++ b/tests/admission/fakes.py
@@ -31,6 +31,7 @@
     incarnation: str = 'home-1'
     members: list = attrs.field(factory=lambda: [pb.MemberInfo(incarnation='home-1')])
     fleet: pb.Fleet = None
+    peers: object = None
     owner: pb.MemberInfo = attrs.field(factory=lambda: pb.MemberInfo(incarnation='home-1'))
 
     def live(self):
@@ -206,5 +207,9 @@
     def preempted(self, home='home-1'):
         return [one.preempt for one in self.received[home] if one.HasField('preempt')]
 
+    def state_of(self, name):
+        _queues, upstreams = self.owner.status()
+        return next(one.state for one in upstreams if one.name == name)
+
     def event_names(self):
         return [record.name for record in self.events.select(pb.TimelineRequest())]
--- /dev/null
+++ b/tests/admission/test_client.py
@@ -0,0 +1,264 @@
+import contextlib
+
+import anyio
+import pytest
+
+from camphorpath.admission import AdmissionClient, Ticket
+from camphorpath.admission.client import _Entry
+from camphorpath.admission.link import Link, Mailbox
+from camphorpath.errors import PeerError, Refusal
+from camphorpath.events import EventLog
+from camphorpath.schema import camphorpath_pb2 as pb
+
+from .fakes import Bench, FakeMembership
+
+pytestmark = pytest.mark.anyio
+GRANTED = pb.AdmissionDown(granted=pb.Granted(request_id='r1', upstream='u1', valid_for=1))
+OWNERS = ('owner-1', 'owner-2')
+
+
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio'
+
+
+class FakePeers:
+    """Streams in memory to owners by address; `up` are the reachable ones."""
+
+    def __init__(self, benches):
+        self.benches = benches
+        self.up = set(benches)
+        self.inboxes = {}
+
+    @contextlib.asynccontextmanager
+    async def open_admission(self, address):
+        if address not in self.up:
+            raise PeerError('unreachable', peer=address)
+        inbox = self.inboxes[address] = Mailbox()
+        session = None
+
+        class Stream:
+            async def send_message(self, message):
+                nonlocal session
+                if message.HasField('hello'):
+                    session = bench.owner.open_home(message.hello, inbox.put)
+                else:
+                    session.handle(message)
+
+            async def recv_message(self):
+                message = await inbox.take()
+                if message is None:
+                    raise ConnectionResetError
+                return message
+
+        bench = self.benches[address]
+        try:
+            yield Stream()
+        finally:
+            if session is not None:
+                session.close()
+
+    def cut(self, address):
+        self.up.discard(address)
+        self.inboxes[address].put(None)
+
+
+class Home:
+    """A home daemon with a client and two remote owners, the first one chosen."""
+
+    def __init__(self, **fields):
+        self.benches = {name: Bench(homes=(), **fields) for name in OWNERS}
+        self.peers = FakePeers(self.benches)
+        fleet = self.benches['owner-1'].fleet
+        self.membership = FakeMembership('home-1', fleet=fleet)
+        self.membership.peers = self.peers
+        self.choose('owner-1')
+        self.client = AdmissionClient(self.membership, None, EventLog('home-1'))
+        self.preempted = []
+
+    def choose(self, name):
+        info = pb.MemberInfo(incarnation=name, peers_address=name)
+        self.membership.owner = info
+        self.membership.members = [pb.MemberInfo(incarnation='home-1'), info]
+
+    def ticket(self, request_id, tier=1, time_left=30, **fields):
+        enqueue = pb.Enqueue(
+            request_id=request_id,
+            service='scribe',
+            pool='main',
+            customer='big',
+            tier_rank=tier,
+            time_left=time_left,
+            prompt_tokens=400,
+            output_tokens=40,
+            cancellable=True,
+            **fields,
+        )
+        return Ticket(enqueue, lambda: self.preempted.append(request_id))
+
+    def state(self, name):
+        return self.benches[name].state
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.client.run)
+            with anyio.fail_after(20):
+                yield tasks
+            tasks.cancel_scope.cancel()
+
+
+async def until(check):
+    while True:
+        if check():
+            return
+        await anyio.sleep(0.005)
+
+
+async def test_acquire_and_release_with_the_own_daemon_as_owner():
+    """Guards against a daemon that cannot serve the services that it owns itself."""
+    bench = Bench(homes=())
+    client = AdmissionClient(bench.membership, bench.owner, EventLog('home-1'))
+    home = Home()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(client.run)
+        ticket = home.ticket('r1')
+        with anyio.fail_after(10):
+            grant = await client.acquire(ticket)
+        assert (grant.upstream, grant.upstream_url) == ('u1', 'http://127.0.0.1:1')
+        assert bench.owner.is_confirmed('scribe')
+        client.release(ticket, pb.Release(request_id='r1'))
+        assert not bench.state.running
+        tasks.cancel_scope.cancel()
+
+
+async def test_requests_move_to_the_next_owner():
+    """Guards against requests lost, or slots counted as free, when the owner dies."""
+    home = Home(pool={'slots': 1})
+    async with home.running() as tasks:
+        first = home.ticket('r1')
+        assert (await home.client.acquire(first)).upstream == 'u1'
+        tasks.start_soon(home.client.acquire, home.ticket('r2'))
+        await until(lambda: 'r2' in home.state('owner-1').queue.entries)
+        home.peers.cut('owner-1')
+        await until(lambda: not home.state('owner-1').queue.entries)
+        home.choose('owner-2')
+        await until(lambda: 'r2' in home.state('owner-2').queue.entries)
+        assert set(home.state('owner-2').running) == {'r1'}
+        home.client.release(first, pb.Release(request_id='r1'))
+        await until(lambda: set(home.state('owner-2').running) == {'r2'})
+
+
+async def test_not_owner_is_answered_by_registering_again():
+    """Guards against a request that is lost when the owner does not yet know that it is one."""
+    home = Home()
+    owner = home.benches['owner-1'].owner
+    home.benches['owner-1'].membership.owner = pb.MemberInfo(incarnation='other')
+    home.benches['owner-1'].membership.members.append(pb.MemberInfo(incarnation='other'))
+    owner.refresh()
+    assert not owner.services
+    async with home.running() as tasks:
+        tasks.start_soon(home.client.acquire, home.ticket('r1'))
+        await anyio.sleep(0.3)
+        home.benches['owner-1'].membership.owner = pb.MemberInfo(incarnation='home-1')
+        home.benches['owner-1'].membership.members.pop()
+        owner.refresh()
+        await until(lambda: 'r1' in owner.services['scribe'].queue.entries)
+
+
+async def test_grant_of_a_former_owner_is_returned():
+    """Guards against one request with two grants after its home chose another owner."""
+    home = Home()
+    async with home.running():
+        await until(lambda: home.client._links and home.client._links['owner-1'].is_open)
+        client = home.client
+        before = client._links['owner-1']
+        ticket = home.ticket('r1')
+        with anyio.move_on_after(0):
+            await client.acquire(ticket)
+        # As if the withdrawal had been lost: the owner grants what nobody here waits for.
+        session = home.benches['owner-1'].owner._sessions['home-1']
+        session.handle(pb.AdmissionUp(enqueue=ticket.enqueue))
+        await until(lambda: 'r1' not in home.state('owner-1').running)
+        client._entries['r1'] = entry = _Entry(ticket, deadline=1e9, link=Link(before.info))
+        client._receive(before, GRANTED)
+        assert entry.grant is None
+        client._receive(entry.link, GRANTED)
+        assert entry.grant.upstream == 'u1'
+        client._entries.clear()
+
+
+async def test_refusal_carries_reason_and_retry():
+    """Guards against a caller that is not told why and when to try again."""
+    home = Home(pool={'slots': 1}, max_waiting=1)
+    async with home.running() as tasks:
+        await home.client.acquire(home.ticket('r1'))
+        tasks.start_soon(home.client.acquire, home.ticket('r2'))
+        await until(lambda: home.state('owner-1').queue.entries)
+        with pytest.raises(Refusal) as caught:
+            await home.client.acquire(home.ticket('r3'))
+        assert (caught.value.reason, caught.value.status) == ('queue_full', 503)
+        assert caught.value.retry_after_s >= 1
+
+
+async def test_cancellation_withdraws():
+    """Guards against a queue full of requests whose callers have left."""
+    home = Home(pool={'slots': 1})
+    async with home.running() as tasks:
+        await home.client.acquire(home.ticket('r1'))
+        scope = anyio.CancelScope()
+
+        async def call():
+            with scope:
+                await home.client.acquire(home.ticket('r2'))
+
+        tasks.start_soon(call)
+        await until(lambda: home.state('owner-1').queue.entries)
+        scope.cancel()
+        await until(lambda: not home.state('owner-1').queue.entries)
+
+
+async def test_no_owner_until_the_deadline():
+    """Guards against a caller that waits for ever when no owner can be reached."""
+    home = Home()
+    home.peers.up.clear()
+    async with home.running():
+        with pytest.raises(Refusal) as caught:
+            await home.client.acquire(home.ticket('r1', time_left=0.2))
+    assert caught.value.reason == 'admission_unavailable'
+
+
+async def test_preemption_reaches_the_ticket():
+    """Guards against a preempted request that runs on."""
+    home = Home(pool={'slots': 1})
+    async with home.running() as tasks:
+        spare = home.ticket('r1', tier=2)
+        await home.client.acquire(spare)
+        tasks.start_soon(home.client.acquire, home.ticket('r2', tier=0))
+        await until(lambda: home.state('owner-1').queue.entries)
+        home.benches['owner-1'].advance(0.3)
+        await until(lambda: home.preempted == ['r1'])
+        release = pb.Release(request_id='r1', result=pb.Release.PREEMPTED)
+        home.client.release(spare, release)
+        await until(lambda: set(home.state('owner-1').running) == {'r2'})
+
+
+async def test_expired_grant_is_not_used():
+    """Guards against a send on a grant that expired while this daemon was paused."""
+    home = Home()
+    now = 0.0
+    home.client._clock = lambda: now
+    async with home.running():
+        await until(lambda: home.client._links and home.client._links['owner-1'].is_open)
+        take_grant = home.client._take_grant
+
+        def take_late(link, granted):
+            nonlocal now
+            take_grant(link, granted)
+            now += 2
+            home.client._take_grant = take_grant
+
+        home.client._take_grant = take_late
+        grant = await home.client.acquire(home.ticket('r1'))
+        assert grant.expires_at == 3
+        assert home.benches['owner-1'].event_names().count('granted') == 2
