Bound the recording of answers at a planned stop and print user errors of serve once

Cause: a stop in a platform outage waited for the table without limit; a port in use printed a traceback. Change: recording is given up after 60 s; a user error inside the daemon's task group is unwrapped.

--- a/camphorpath/daemon.py
+++ b/camphorpath/daemon.py
@@ -27,7 +27,9 @@
 from .versions import Versions
 
 VM_LIST_INTERVAL_S = 2
-STATUS_INTERVAL_S = 0.2
+# In a platform outage a stopping daemon gives up recording answers after this time; a repeated
+# key is then told that the outcome was not recorded.
+RECORD_LIMIT_S = 60
 # Connections of callers without a complete head are closed after this time.
 HEAD_TIMEOUT_S = 10
 BACKLOG = 512
@@ -107,13 +109,16 @@
         async with anyio.create_task_group() as group:
             context = _make_context(daemon, group)
             callers = CallersServer()
-            group.start_soon(_poll_vm_list, daemon)
-            group.start_soon(daemon.membership.run)
-            group.start_soon(daemon.versions.run)
-            group.start_soon(daemon.owner.run)
-            group.start_soon(daemon.admission.run)
-            group.start_soon(daemon.claims.run)
             await group.start(serve_peers, settings, _make_handlers(daemon))
+            for part in (
+                daemon.membership,
+                daemon.versions,
+                daemon.owner,
+                daemon.admission,
+                daemon.claims,
+            ):
+                group.start_soon(part.run)
+            group.start_soon(_poll_vm_list, daemon)
             group.start_soon(_serve_callers, context, callers)
             daemon.events.emit(Event.DAEMON_STARTED, name=settings.name, zone=settings.zone)
             try:
@@ -140,7 +145,9 @@
     daemon.events.emit(Event.DAEMON_STOPPING, in_progress=context.progress.count)
     await anyio.sleep(daemon.versions.current.fleet.keep_addresses)
     await context.progress.wait_idle()
-    await daemon.claims.drain()
+    with anyio.move_on_after(RECORD_LIMIT_S):
+        await daemon.claims.drain()
+    await daemon.versions.leave()
 
 
 def _make_context(daemon: Daemon, group: anyio.abc.TaskGroup) -> CallContext:
--- a/camphorpath/ui/serve.py
+++ b/camphorpath/ui/serve.py
@@ -30,7 +30,10 @@
     if not settings.HasField('daemon'):
         raise UserError(f'{args.settings}: no `daemon:` part')
     set_up_log(settings.daemon)
-    anyio.run(_run, settings.daemon)
+    try:
+        anyio.run(_run, settings.daemon)
+    except BaseExceptionGroup as group:
+        raise _find_user_error(group) from group
     return 0
 
 
@@ -54,6 +57,16 @@
     logger.add(write, level=settings.log_level)
 
 
+def _find_user_error(group: BaseExceptionGroup) -> BaseException:
+    """Return the user error that ended the daemon, or the group if it is a fault of the program."""
+    faults: BaseException = group
+    while isinstance(faults, BaseExceptionGroup):
+        if len(faults.exceptions) > 1:
+            return group
+        faults = faults.exceptions[0]
+    return faults if isinstance(faults, UserError) else group
+
+
 async def _run(settings: pb.Daemon) -> None:
     stop = anyio.Event()
     async with anyio.create_task_group() as group:
