Keep the customer's token from upstreams

Cause: a test of the passed-on headers failed: the bearer token went to the upstream. Change: authorization is a private header. Result: the test passes (it lands with the packages it imports).

--- a/camphorpath/calls/heads.py
+++ b/camphorpath/calls/heads.py
@@ -30,6 +30,8 @@
         'camphorpath-request-id',
         'host',
         'content-length',
+        # It proves the customer to camphorpath; upstreams must not learn it.
+        'authorization',
     )
 )
 
