--- a/camphorpath/versions/acceptance.py
+++ b/camphorpath/versions/acceptance.py
@@ -238,11 +238,7 @@
         is_unsure = False
         while self._clock() - started < COMMIT_LIMIT_S:
             try:
-                if await self._table.commit(checks, writes):
-                    return
-                if not is_unsure:
-                    raise _Changed('the rows changed')
-                await self._check_token(change)
+                await self._send_commit(change, checks, writes, is_unsure)
                 return
             except TableUnsure:
                 is_unsure = True
@@ -255,11 +251,20 @@
             f'{change.token}; look at the history when the table is back'
         )
 
-    async def _check_token(self, change: _Change) -> None:
-        """Raise _Changed if the version was committed by another coordinator or not at all."""
-        record = await read_version(self._table, change.version)
-        if record is None or record.token != change.token:
-            raise _Changed('the rows changed')
+    async def _send_commit(
+        self, change: _Change, checks: list[Check], writes: list[Write], is_unsure: bool
+    ) -> None:
+        """Commit once; after a failed check, look whether an earlier copy took effect.
+
+        Raises _Changed if the version was committed by another coordinator or not at all.
+        """
+        if await self._table.commit(checks, writes):
+            return
+        if is_unsure:
+            record = await read_version(self._table, change.version)
+            if record is not None and record.token == change.token:
+                return
+        raise _Changed('the rows changed')
 
     async def _settle(
         self, change: _Change, state: FleetState, fenced: dict[str, FencedRecord | None]
--- a/camphorpath/versions/fencing.py
+++ b/camphorpath/versions/fencing.py
@@ -101,11 +101,12 @@
 
     def _make_record(self, state: FleetState, incarnation: str, wait_s: float) -> FencedRecord:
         member = state.members[incarnation]
-        known = self.membership.known().get(incarnation)
+        known = {**self.membership.known(), self.membership.incarnation: self.membership.info()}
+        info = known.get(incarnation)
         return FencedRecord(
             name=member.name,
             peers_address=member.peers_address,
-            oldest=max(member.epoch, known.view_epoch if known else 0),
+            oldest=max(member.epoch, info.view_epoch if info else 0),
             newest=state.epoch.epoch,
             wait_s=wait_s,
         )
--- a/camphorpath/versions/versions.py
+++ b/camphorpath/versions/versions.py
@@ -37,6 +37,8 @@
 NEWER_DELAY_S = 0.1
 READ_ATTEMPTS = 3
 LEAVE_ATTEMPTS = 5
+# With these, a daemon is registered and in contact, and may take part in a change.
+CONTACT_REASONS = frozenset(('', 'no_config'))
 
 
 class Versions:
@@ -110,13 +112,13 @@
             incarnation=self._membership.incarnation, version=self.current.version
         )
         reason = self.refuse_reason()
-        if reason not in {'', 'no_config'}:
-            reply.problem = reason
-        elif request.version <= self.current.version:
+        if request.version <= self.current.version:
             reply.problem = f'version {self.current.version} is in force'
-        else:
+        elif reason in CONTACT_REASONS:
             reply.problem = self._find_problem(request)
             reply.invalid = bool(reply.problem)
+        else:
+            reply.problem = reason
         reply.ready = not reply.problem
         if reply.ready:
             self._prepared = request
@@ -149,7 +151,7 @@
         says why nothing was changed or that the outcome is unknown.
         """
         reason = self.refuse_reason()
-        if reason not in {'', 'no_config'}:
+        if reason not in CONTACT_REASONS:
             return pb.ProposeReply(problem=f'this daemon cannot coordinate a change: {reason}')
         if not request.author.strip() or not request.reason.strip():
             return pb.ProposeReply(problem='a change needs an author and a reason')
@@ -274,10 +276,9 @@
     async def _load(self, record: CurrentRecord) -> bool:
         """Activate the committed version; False if it is not in force here afterwards."""
         prepared = self._prepared
-        if prepared is not None and prepared.version <= record.version:
+        if prepared and prepared.version <= record.version and prepared.token != record.token:
             # Another version was committed under this number.
-            if prepared.token != record.token:
-                self._forget_prepared()
+            self._forget_prepared()
         if record.version > self.current.version:
             text = await self._read_text(record)
             if text is None:
