--- a/camphorpath/platform/table.py
+++ b/camphorpath/platform/table.py
@@ -42,7 +42,8 @@
     """Reads and compare-and-set transactions; at most one transaction is in flight.
 
     Each operation ends within `table_timeout` of being sent. Reads raise TableDown. Writes raise
-    TableDown if they provably had no effect and TableUnsure if they may have had one.
+    TableDown if they provably had no effect and TableUnsure if they may have had one;
+    a cancelled write may also have had one.
     """
 
     def __init__(
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -20,6 +20,8 @@
 MS_PER_S = 1000
 # The published interface accepts at most this many operations in one transaction.
 MAX_OPERATIONS = 128
+# A late write is applied before one of this many following writes.
+MOST_LATE_WRITES = 5
 
 
 @attrs.define
@@ -28,7 +30,9 @@
 
     `slow_ms` delays an operation before its effect, `slow_answer_ms` after it. `down` answers the
     table's operations with 503 and states that they had no effect. `lose_next` and `lose_share`
-    close the connection after the effect of a write, `drop_next` before it. `held` keeps table
+    close the connection after the effect of a write, `drop_next` before it. `next_writes` names
+    the fault of each of the next writes: `none`, `down`, `lose`, `drop`, or `late`, which closes
+    the connection and applies the write before one of the next few writes. `held` keeps table
     operations waiting before their effect until it is cleared. `vm_lag_s` is the age of the VM
     list.
     """
@@ -39,6 +43,7 @@
     lose_next: int = 0
     lose_share: float = 0
     drop_next: int = 0
+    next_writes: list[str] = attrs.field(factory=list)
     held: bool = False
     objects_down: bool = False
     vms_down: bool = False
@@ -174,6 +179,7 @@
         self._rng = random.Random(seed)
         self._clock = clock
         self._vms: list[tuple[float, list[Json]]] = [(float('-inf'), [])]
+        self._late: list[tuple[int, Json]] = []
         self._changed = anyio.Event()
 
     def change_faults(self, **changes: Any) -> None:
@@ -189,6 +195,13 @@
         """Set the VM list; readers see it after `vm_lag_s`."""
         self._vms.append((self._clock(), vms))
 
+    def apply_late(self, number: int | None = None) -> None:
+        """Apply the late writes that are due at the write of this number, or all of them."""
+        due = [late for late in self._late if number is None or late[0] <= number]
+        for late in due:
+            self._late.remove(late)
+            self.store.commit(late[1])
+
     async def __call__(self, scope, receive, send) -> None:
         """Serve one request."""
         if scope['type'] == 'lifespan':
@@ -236,18 +249,33 @@
 
     async def _commit(self, body: Json) -> Json:
         await self._wait_before_effect()
-        if self.faults.drop_next > 0:
-            self.faults.drop_next -= 1
+        self.apply_late(self.counters.writes)
+        fault = self._choose_fault()
+        if fault == 'down':
+            raise _build_unavailable()
+        if fault == 'late':
+            due = self.counters.writes + self._rng.randint(1, MOST_LATE_WRITES)
+            self._late.append((due, body))
+        if fault in {'drop', 'late'}:
             self._lose()
         answer = self.store.commit(body)
         await self._wait_before_answer()
-        if self.faults.lose_next > 0:
-            self.faults.lose_next -= 1
-            self._lose()
-        if self._rng.random() < self.faults.lose_share:
+        if fault == 'lose':
             self._lose()
         return answer
 
+    def _choose_fault(self) -> str:
+        faults = self.faults
+        if faults.next_writes:
+            return faults.next_writes.pop(0)
+        if faults.drop_next > 0:
+            faults.drop_next -= 1
+            return 'drop'
+        if faults.lose_next > 0:
+            faults.lose_next -= 1
+            return 'lose'
+        return 'lose' if self._rng.random() < faults.lose_share else 'none'
+
     def _lose(self) -> None:
         self.counters.lost += 1
         raise AnswerLost
--- /dev/null
+++ b/tests/claims/test_schedules.py
@@ -0,0 +1,94 @@
+import anyio
+import httpx
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from camphorpath.claims import ClaimKey, RecordedAnswer, backoff
+from camphorpath.errors import Refusal
+from standins.platform import Platform
+
+from .conftest import Fleet
+
+NAMES = ('a-1', 'b-1', 'c-1')
+ENDS = ('record', 'release', 'abandon', 'cancel')
+steps = st.tuples(st.integers(0, 2), st.integers(0, 1), st.sampled_from(ENDS), st.integers(0, 12))
+waves = st.lists(st.lists(steps, min_size=1, max_size=4), min_size=1, max_size=4)
+faults = st.lists(st.sampled_from(['none', 'lose', 'drop', 'late', 'down']), max_size=12)
+
+
+class Schedule:
+    """Runs claims and checks that no key has two calls that were or may be sent."""
+
+    def __init__(self, platform, tasks):
+        fleet = Fleet('http://platform', tasks, httpx.ASGITransport(platform))
+        self.daemons = [fleet.start(name) for name in NAMES]
+        self.sent = {}
+
+    async def run_step(self, step):
+        index, number, end, checkpoints = step
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.claim, self.daemons[index].claims, number, end)
+            if end == 'cancel':
+                for _ in range(checkpoints):
+                    await anyio.lowlevel.checkpoint()
+                tasks.cancel_scope.cancel()
+
+    async def claim(self, claims, number, end):
+        key = ClaimKey('ledger', 'parish', str(number))
+        try:
+            claim = await claims.claim(key, 'd', 3600)
+        except Refusal:
+            return False
+        if claim.answer:
+            assert self.sent[number] == claim.answer
+            return False
+        assert number not in self.sent, f'key {number} was won twice'
+        self.sent[number] = None
+        try:
+            await anyio.lowlevel.checkpoint()
+        finally:
+            self.end(claims, claim, number, end)
+        return True
+
+    def end(self, claims, claim, number, end):
+        if end == 'record':
+            self.sent[number] = RecordedAnswer(200, (), claim.token.encode())
+            claims.record(claim, self.sent[number])
+        elif end == 'abandon':
+            claims.abandon(claim)
+        else:
+            del self.sent[number]
+            claims.release(claim)
+
+
+async def run_schedule(schedule_waves, write_faults):
+    platform = Platform()
+    platform.change_faults(next_writes=list(write_faults))
+    with anyio.fail_after(60):
+        async with anyio.create_task_group() as tasks:
+            schedule = Schedule(platform, tasks)
+            for wave in schedule_waves:
+                async with anyio.create_task_group() as wave_tasks:
+                    for step in wave:
+                        wave_tasks.start_soon(schedule.run_step, step)
+            platform.change_faults(next_writes=[])
+            for daemon in schedule.daemons:
+                await daemon.claims.drain()
+            platform.apply_late()
+            for number in (0, 1):
+                is_free = number not in schedule.sent
+                for daemon in schedule.daemons:
+                    assert await schedule.claim(daemon.claims, number, 'release') == is_free
+                    await daemon.claims.drain()
+            tasks.cancel_scope.cancel()
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(waves, faults)
+def test_generated_schedules_have_one_winner_per_key(schedule_waves, write_faults):
+    """Guards against two sends of one key, and against a key that no schedule frees again."""
+    saved, backoff.FIRST_PAUSE_S = backoff.FIRST_PAUSE_S, 0.001
+    try:
+        anyio.run(run_schedule, schedule_waves, write_faults)
+    finally:
+        backoff.FIRST_PAUSE_S = saved
--- a/tests/platform/test_table.py
+++ b/tests/platform/test_table.py
@@ -74,15 +74,15 @@
 
 
 @pytest.mark.parametrize('fault', ['slow_ms', 'slow_answer_ms'])
-async def test_write_without_answer_in_time_is_unsure(platform, events, fault):
+async def test_write_without_answer_in_time_is_unsure(table, settings, platform, fault):
     """Guards against a timeout that is taken for a write without effect."""
-    table = Table(pb.Platform(table_url=platform.url, table_timeout=0.1), events)
+    await table.read('a')
+    settings.table_timeout = 0.1
     platform.change_faults(**{fault: 600_000})
     with pytest.raises(TableUnsure):
         await table.commit([], [Write('a', b'')])
     with pytest.raises(TableDown):
         await table.read('a')
-    await table.close()
 
 
 async def test_other_errors_of_the_service_are_unsure(table, platform):
