Install the signal handler of a stand-in before it prints ready

Cause: SIGTERM right after the ready line ended the service stand-in with status 143. Change: the handler is installed first; control calls carry no empty request id.

--- a/camphorpath/upstreams/calls.py
+++ b/camphorpath/upstreams/calls.py
@@ -30,7 +30,8 @@
 class Call:
     """One request to an upstream; `path` is the raw request target with its query.
 
-    `timeout_s` is the time to the complete answer, which the caller of `open_call` enforces.
+    `request_id` is empty for calls to the control side. `timeout_s` is the time to the complete
+    answer, which the caller of `open_call` enforces.
     """
 
     method: str
@@ -84,7 +85,10 @@
         return media_type.strip().lower() == 'text/event-stream'
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the raw bytes of the body; raise Truncated unless it ends properly."""
+        """Yield the raw bytes of the body; raise Truncated unless it ends properly.
+
+        Dropping the iterator before its end closes the connection.
+        """
         is_stream = self.is_stream
         tail = b''
         try:
@@ -186,7 +190,8 @@
         raise ValueError(f'{call.path!r} is not a request target')
     url = httpx.URL(base_url)
     headers = select_request_headers(call.headers)
-    headers.append((REQUEST_ID_HEADER, call.request_id.encode('ascii')))
+    if call.request_id:
+        headers.append((REQUEST_ID_HEADER, call.request_id.encode('ascii')))
     timeout = httpx.Timeout(None, connect=CONNECT_TIMEOUT_S, read=idle_timeout_s)
     return httpx.Request(
         call.method,
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -162,9 +162,10 @@
     """Enter a stand-in's context, print its port and serve until SIGTERM or SIGINT."""
     async with opened as standin:
         port = standin.server.url.rpartition(':')[2]
-        sys.stdout.write(f'ready {port}\n')
-        sys.stdout.flush()
+        # The starter may send SIGTERM as soon as it has read the line.
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            sys.stdout.write(f'ready {port}\n')
+            sys.stdout.flush()
             await anext(signals)
 
 
