Test that no byte leaves before on_sent

Cause: a trial that called on_sent after the request head had been written passed all tests. Change: a test with a server that records every byte it receives.

--- a/tests/upstreams/test_calls.py
+++ b/tests/upstreams/test_calls.py
@@ -1,3 +1,4 @@
+import asyncio
 import json
 import socket
 
@@ -92,6 +93,30 @@
     run(check)
 
 
+def test_no_byte_leaves_before_on_sent():
+    """Guards against a request that reaches the upstream before it is recorded as sent."""
+
+    async def check():
+        received = []
+
+        async def accept(reader, writer):
+            received.append(await reader.read())
+            writer.close()
+
+        def refuse():
+            raise ValueError('no')
+
+        server = await asyncio.start_server(accept, '127.0.0.1', 0)
+        async with server, make_client() as client:
+            url = f'http://127.0.0.1:{server.sockets[0].getsockname()[1]}'
+            with pytest.raises(ValueError, match='no'):
+                await ask(client, url, make_call(method='GET'), refuse)
+            await wait_for(lambda: received)
+        assert received == [b'']
+
+    run(check)
+
+
 def test_cut_after_the_effect_is_unknown():
     """Guards against a booking reported as not run although it took effect."""
 
