Test that the shared client keeps no cookie

Cause: a trial without the cookie policy passed all tests; the jar of a daemon would grow. Change: one assertion in the test of the headers.

--- a/tests/upstreams/test_calls.py
+++ b/tests/upstreams/test_calls.py
@@ -274,6 +274,7 @@
             call = make_call({}, path='/a/../b%2Fc?x=%20y', headers=sent)
             for _ in range(2):
                 answer, body = await ask(client, f'{url}/base/', call)
+            assert not len(client.cookies.jar)
         assert body == b'abc'
         names = ['set-cookie', 'x-b', 'content-encoding', 'content-length']
         assert [name for name, _ in answer.headers] == names
