Blame a restart only on what ran before it, repeat lost orders to stop

Cause: a request granted after an upstream restarted and before its next poll was counted as the cause of the crash; an order to stop that was lost with a stream was never repeated. Change: only requests granted before the last answered poll are lost with a restart; an adopted request may be preempted again; the VM list is read only while a service is owned.

--- a/camphorpath/admission/owner.py
+++ b/camphorpath/admission/owner.py
@@ -242,6 +242,9 @@
     async def _read_vm_list(self) -> None:
         is_stale = False
         while True:
+            if not self.services:
+                await anyio.sleep(REFRESH_INTERVAL_S)
+                continue
             try:
                 self.take_vms(await self._vm_list.read())
             except CamphorpathError as error:
--- a/camphorpath/admission/requests.py
+++ b/camphorpath/admission/requests.py
@@ -107,6 +107,8 @@
         return True
     if enqueue.running_on == running.upstream:
         running.session = session
+        # An order to stop may have been lost with the former stream.
+        running.is_preempted = False
         return True
     # The home did not accept the grant of its former stream, and never will.
     state.remove_running(running)
@@ -174,7 +176,8 @@
         upstream.refusing_until = state.context.clock() + REFUSING_S
         state.context.wake_at(upstream.refusing_until, state.name, '')
     if release.result == pb.Release.UPSTREAM_LOST:
-        refuse_digests(state, state.lose_upstream(upstream, 'connection lost'))
+        lost = upstream.running.values()
+        refuse_digests(state, state.lose_upstream(upstream, lost, 'connection lost'))
     elif release.result == pb.Release.COMPLETE:
         upstream.speed.learn(upstream.pool, running, release)
     elif release.result not in NOT_STARTED:
--- a/camphorpath/admission/service.py
+++ b/camphorpath/admission/service.py
@@ -1,7 +1,7 @@
 """The requests and upstreams of one service at its admission owner."""
 
 import collections
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from typing import Any
 
 import attrs
@@ -180,8 +180,15 @@
         before = upstream.report
         refused = []
         if before is not None and before.incarnation != report.incarnation:
-            refused = self.lose_upstream(upstream, 'restarted')
-            for running in list(upstream.running.values()):
+            # What was granted since the last poll may run on the new incarnation; where it does
+            # not, its home reports the loss.
+            lost = [
+                running
+                for running in upstream.running.values()
+                if running.granted_at <= upstream.answered_at
+            ]
+            refused = self.lose_upstream(upstream, lost, 'restarted')
+            for running in lost:
                 self.remove_running(running)
             upstream.prefixes.clear()
         upstream.take_report(report, self.context.clock())
@@ -189,14 +196,14 @@
             self.remove_running(orphan)
         return refused
 
-    def lose_upstream(self, upstream: Upstream, cause: str) -> list[str]:
-        """Record what runs on a crashed upstream as suspects; return the refused digests."""
+    def lose_upstream(self, upstream: Upstream, lost: Collection[Running], cause: str) -> list[str]:
+        """Record what ran on a crashed upstream as suspects; return the refused digests."""
         self.context.events.emit(
-            Event.UPSTREAM_LOST, '', upstream.name, cause=cause, running=len(upstream.running)
+            Event.UPSTREAM_LOST, '', upstream.name, cause=cause, running=len(lost)
         )
         limit = self.settings.crash_limit
         refused = []
-        for running in upstream.running.values():
+        for running in lost:
             digest = running.enqueue.digest
             count = self.context.suspects.record(
                 self.name, digest, limit, was_alone=running.is_alone
--- a/tests/admission/test_owner.py
+++ b/tests/admission/test_owner.py
@@ -146,6 +146,20 @@
     assert not bench.state.running
 
 
+def test_order_to_stop_is_repeated_on_a_new_stream():
+    """Guards against a higher tier that waits for a slot because the order to stop was lost."""
+    bench = Bench(pool={'slots': 1})
+    spare = bench.enqueue(tier=2)
+    bench.enqueue(tier=0, request_id='top')
+    bench.advance(0.5)
+    bench.open('home-1', is_registered=False)
+    bench.enqueue(request_id=spare, tier=2, running_on='u1')
+    bench.enqueue(request_id='top', tier=0)
+    bench.register('home-1')
+    bench.advance(0.5)
+    assert bench.preempted() == [spare, spare]
+
+
 def test_deadline_in_the_queue():
     """Guards against a caller that waits without an answer."""
     bench = Bench(pool={'slots': 1})
