--- a/camphorpath/admission/service.py
+++ b/camphorpath/admission/service.py
@@ -1,7 +1,7 @@
 """The requests and upstreams of one service at its admission owner."""
 
 import collections
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from typing import Any
 
 import attrs
@@ -42,6 +42,10 @@
     pools: dict[str, list[Upstream]] = attrs.field(factory=dict)
     reservations: dict[str, Upstream] = attrs.field(factory=dict)
     by_customer: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    # Running requests by pool and tier.
+    ranks: dict[str, collections.Counter[int]] = attrs.field(
+        factory=lambda: collections.defaultdict(collections.Counter)
+    )
     sequence: int = 0
     _compared_at: dict[str, float] = attrs.field(factory=dict)
 
@@ -127,6 +131,7 @@
         assert running.request_id not in self.running, running.request_id
         self.running[running.request_id] = running
         self.by_customer[running.enqueue.customer] += 1
+        self.ranks[running.enqueue.pool][running.rank] += 1
         upstream = self.upstreams.get(running.upstream)
         if upstream is not None:
             upstream.add(running)
@@ -134,9 +139,8 @@
     def remove_running(self, running: Running) -> None:
         """Stop counting a running request."""
         self.running.pop(running.request_id)
-        self.by_customer[running.enqueue.customer] -= 1
-        if not self.by_customer[running.enqueue.customer]:
-            self.by_customer.pop(running.enqueue.customer)
+        _decrease(self.by_customer, running.enqueue.customer)
+        _decrease(self.ranks[running.enqueue.pool], running.rank)
         upstream = self.upstreams.get(running.upstream)
         if upstream is not None:
             upstream.remove(running, self.context.wall())
@@ -176,8 +180,15 @@
         before = upstream.report
         refused = []
         if before is not None and before.incarnation != report.incarnation:
-            refused = self.lose_upstream(upstream, 'restarted')
-            for running in list(upstream.running.values()):
+            # What was granted since the last poll may run on the new incarnation; where it does
+            # not, its home reports the loss.
+            lost = [
+                running
+                for running in upstream.running.values()
+                if running.granted_at <= upstream.answered_at
+            ]
+            refused = self.lose_upstream(upstream, lost, 'restarted')
+            for running in lost:
                 self.remove_running(running)
             upstream.prefixes.clear()
         upstream.take_report(report, self.context.clock())
@@ -185,14 +196,14 @@
             self.remove_running(orphan)
         return refused
 
-    def lose_upstream(self, upstream: Upstream, cause: str) -> list[str]:
-        """Record what runs on a crashed upstream as suspects; return the refused digests."""
+    def lose_upstream(self, upstream: Upstream, lost: Collection[Running], cause: str) -> list[str]:
+        """Record what ran on a crashed upstream as suspects; return the refused digests."""
         self.context.events.emit(
-            Event.UPSTREAM_LOST, '', upstream.name, cause=cause, running=len(upstream.running)
+            Event.UPSTREAM_LOST, '', upstream.name, cause=cause, running=len(lost)
         )
         limit = self.settings.crash_limit
         refused = []
-        for running in upstream.running.values():
+        for running in lost:
             digest = running.enqueue.digest
             count = self.context.suspects.record(
                 self.name, digest, limit, was_alone=running.is_alone
@@ -250,3 +261,9 @@
         for running in self.running.values():
             if running.upstream == vm.name:
                 upstream.add(running)
+
+
+def _decrease(counter: collections.Counter[Any], key: Any) -> None:
+    counter[key] -= 1
+    if not counter[key]:
+        counter.pop(key)
