End the dispatch of a booking before it is refused as not run

Cause: serve_once waits until the deadline for a dispatch that goes on in a task of its own. When the deadline passed before the send, the caller was told "not run", but the task kept waiting for a slot and sent the call when a grant came.

Ruled out: the owner. It granted 50 ms after the home's answer; its deadline for the request starts when the request reaches it, so such a grant is always possible.

The added tests fail.

After: the home interrupts the dispatch and waits for its end before it answers, and an interrupted dispatch does not send even if its cancellation has not arrived. The added tests pass.

Conclusion: "not run" is said only when no task can send the call any more.

--- a/camphorpath/calls/dispatch.py
+++ b/camphorpath/calls/dispatch.py
@@ -90,7 +90,7 @@
         result=pb.Release.UPSTREAM_ERROR,
     )
     try:
-        await _send(context, exchange, relay, grant, release, timing)
+        await _send(context, exchange, relay, interruption, grant, release, timing)
     except NotSent:
         release.result = pb.Release.NOT_SENT
         raise
@@ -121,6 +121,7 @@
     context: CallContext,
     exchange: Exchange,
     relay: Callable[[UpstreamAnswer], Awaitable[int]],
+    interruption: Interruption,
     grant: Grant,
     release: pb.Release,
     timing: _Timing,
@@ -129,6 +130,9 @@
         # A daemon that was paused after the grant must not use it: the slot may be taken by now.
         if read_lease_clock() > grant.expires_at:
             raise NotSent('the grant has expired', step='send', peer=grant.upstream)
+        # The cancellation may not have reached this task yet.
+        if interruption.reason:
+            raise NotSent(interruption.reason, step='send', peer=grant.upstream)
         exchange.mark_sent()
         timing.sent = read_lease_clock()
         context.events.emit(
--- a/camphorpath/calls/serving.py
+++ b/camphorpath/calls/serving.py
@@ -11,7 +11,7 @@
 from ..upstreams import UpstreamAnswer, read_whole
 from .context import CallContext
 from .dispatch import Interruption, dispatch, refuse_interrupted
-from .exchange import Exchange
+from .exchange import Exchange, Phase
 from .reply import Reply
 
 # A call that must be recorded goes on after its caller was answered, but not for ever.
@@ -56,8 +56,9 @@
 
 @attrs.define
 class _Recorded:
-    """The result of a call that runs on its own."""
+    """The result of a call that runs on its own; `interruption` ends it while it is not sent."""
 
+    interruption: Interruption
     done: anyio.Event = attrs.Factory(anyio.Event)
     answer: RecordedAnswer | None = None
     refusal: Refusal | None = None
@@ -80,10 +81,15 @@
         context.events.emit(Event.CLAIM_REPEATED, exchange.request_id)
         await _send_recorded(reply, claim.answer)
         return
-    recorded = _Recorded()
+    limit = anyio.current_time() + RECORD_LIMIT_S
+    recorded = _Recorded(Interruption(anyio.CancelScope(deadline=limit)))
     context.task_group.start_soon(_run_once, context, exchange, claim, recorded)
     with anyio.move_on_after(exchange.time_left()):
         await recorded.done.wait()
+    if not recorded.done.is_set() and exchange.phase is Phase.ACCEPTED:
+        # "Not run" may be said only after the dispatch has ended; it could still be sent before.
+        recorded.interruption.interrupt('deadline_exceeded')
+        await recorded.done.wait()
     if recorded.answer is not None:
         await _send_recorded(reply, recorded.answer)
         return
@@ -98,16 +104,16 @@
         recorded.answer = RecordedAnswer(answer.status, answer.headers, body)
         return len(body)
 
-    with context.progress, anyio.move_on_after(RECORD_LIMIT_S) as scope:
+    with context.progress, recorded.interruption.scope:
         try:
-            await dispatch(context, exchange, relay, Interruption(scope))
+            await dispatch(context, exchange, relay, recorded.interruption)
         except Refusal as error:
             recorded.refusal = error
     if recorded.answer is not None:
         context.claims.record(claim, recorded.answer)
     elif recorded.refusal is None or recorded.refusal.outcome is Outcome.NOT_RUN:
         recorded.refusal = recorded.refusal or refuse_interrupted(exchange, 'deadline_exceeded')
-    if recorded.answer is None and exchange.phase.value == 'accepted':
+    if recorded.answer is None and exchange.phase is Phase.ACCEPTED:
         context.claims.release(claim)
     recorded.done.set()
 
--- /dev/null
+++ b/tests/calls/test_serving.py
@@ -0,0 +1,110 @@
+import types
+
+import anyio
+import pytest
+
+from camphorpath.admission import Grant
+from camphorpath.calls.context import CallContext
+from camphorpath.calls.dispatch import Interruption, dispatch
+from camphorpath.calls.identity import SeenIds
+from camphorpath.calls.reply import Reply
+from camphorpath.calls.serving import serve_once
+from camphorpath.clocks import read_lease_clock
+from camphorpath.errors import Outcome, Refusal
+from camphorpath.events import EventLog
+from camphorpath.metrics import Metrics
+from camphorpath.schema import camphorpath_pb2 as pb
+from camphorpath.upstreams import make_client
+from standins.service import run_service
+
+from .test_exchange import make_exchange
+
+pytestmark = pytest.mark.anyio
+
+
+class FakeAdmission:
+    """Grants a slot when `ready` is set."""
+
+    def __init__(self, url):
+        self.url = url
+        self.ready = anyio.Event()
+        self.releases = []
+
+    async def acquire(self, ticket):
+        await self.ready.wait()
+        return Grant(
+            request_id=ticket.enqueue.request_id,
+            upstream='ledger-0',
+            upstream_url=self.url,
+            zone='north-a',
+            expires_at=read_lease_clock() + 60,
+        )
+
+    def release(self, ticket, release):
+        self.releases.append(release.result)
+
+
+class FakeClaims:
+    """Lets every key be claimed."""
+
+    def __init__(self):
+        self.released = []
+        self.recorded = []
+
+    async def claim(self, key, digest, retention_s):
+        return types.SimpleNamespace(answer=None)
+
+    def record(self, claim, answer):
+        self.recorded.append(answer)
+
+    def release(self, claim):
+        self.released.append(claim)
+
+
+def make_context(client, group, url):
+    fleet = pb.Fleet(claim_retention=1000)
+    return CallContext(
+        settings=pb.Daemon(name='home', limits=pb.Limits(max_answer=1 << 20)),
+        membership=None,
+        versions=types.SimpleNamespace(current=types.SimpleNamespace(fleet=fleet)),
+        admission=FakeAdmission(url),
+        claims=FakeClaims(),
+        client=client,
+        events=EventLog(),
+        metrics=Metrics(),
+        seen=SeenIds(10),
+        task_group=group,
+    )
+
+
+async def send_nothing(message):
+    raise AssertionError(f'nothing is to be sent: {message}')
+
+
+async def test_a_call_refused_at_its_deadline_is_not_sent_by_a_later_grant():
+    """Guards against "not run" for a call whose dispatch goes on in the background."""
+    async with run_service() as service, make_client() as client:
+        async with anyio.create_task_group() as group:
+            context = make_context(client, group, service.url)
+            exchange = make_exchange(idempotency_key='k', deadline=read_lease_clock() - 1)
+            with pytest.raises(Refusal) as caught:
+                await serve_once(context, exchange, Reply(send_nothing, 'r'))
+            context.admission.ready.set()
+        assert caught.value.outcome is Outcome.NOT_RUN
+        assert caught.value.reason == 'deadline_exceeded'
+        assert not service.history
+        assert len(context.claims.released) == 1
+
+
+async def test_an_interrupted_dispatch_does_not_send():
+    """Guards against a send between the interruption and the cancellation of the task."""
+    async with run_service() as service, make_client() as client:
+        async with anyio.create_task_group() as group:
+            context = make_context(client, group, service.url)
+            context.admission.ready.set()
+            interruption = Interruption(anyio.CancelScope(), reason='preempted')
+            with pytest.raises(Refusal) as caught:
+                await dispatch(context, make_exchange(), None, interruption)
+        assert caught.value.outcome is Outcome.NOT_RUN
+        assert not service.history
+        assert set(context.admission.releases) == {pb.Release.NOT_SENT}
