End the session of a lost home without a traceback

Cause: grpclib lets StreamClosedError of h2 through when a message is sent just after the connection was lost; the writer of an admission stream expected StreamTerminatedError only.

Ruled out: lost state. serve_home closes the session in any case; only the log was wrong, and it made real tracebacks hard to see.

The added test fails for this error.

After: the added test passes.

Conclusion: all three ways in which a send reports a lost stream end the session quietly.

--- a/camphorpath/handlers.py
+++ b/camphorpath/handlers.py
@@ -4,6 +4,7 @@
 import math
 
 import anyio
+import h2.exceptions
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
@@ -15,6 +16,9 @@
 from .schema import camphorpath_pb2 as pb
 from .versions import Versions
 
+# grpclib passes on the error of h2 when it sends on a stream whose connection was just lost.
+STREAM_ERRORS = (StreamTerminatedError, ConnectionError, h2.exceptions.ProtocolError)
+
 
 def make_handlers(
     events: EventLog,
@@ -78,6 +82,6 @@
 
 
 async def _write(stream: object, inbox: anyio.abc.ObjectReceiveStream) -> None:
-    with contextlib.suppress(StreamTerminatedError, ConnectionError):
+    with contextlib.suppress(*STREAM_ERRORS):
         async for message in inbox:
             await stream.send_message(message)
--- /dev/null
+++ b/tests/test_handlers.py
@@ -0,0 +1,55 @@
+import anyio
+import h2.exceptions
+import pytest
+from grpclib.exceptions import StreamTerminatedError
+
+from camphorpath.handlers import serve_home
+from camphorpath.schema import camphorpath_pb2 as pb
+
+pytestmark = pytest.mark.anyio
+
+
+class FakeStream:
+    """A stream whose peer says hello; every send fails, and then the stream ends."""
+
+    def __init__(self, error):
+        self.error = error
+        self.failed = anyio.Event()
+
+    async def recv_message(self):
+        return pb.AdmissionUp(hello=pb.MemberInfo(incarnation='home-1'))
+
+    async def send_message(self, message):
+        self.failed.set()
+        raise self.error
+
+    async def __aiter__(self):
+        await self.failed.wait()
+        for message in ():
+            yield message
+
+
+class FakeOwner:
+    """Sends one message to a home as soon as its session is open."""
+
+    def __init__(self):
+        self.is_closed = False
+
+    def open_home(self, info, send):
+        send(pb.AdmissionDown(preempt='r'))
+        return self
+
+    def close(self):
+        self.is_closed = True
+
+
+@pytest.mark.parametrize(
+    'error',
+    [StreamTerminatedError('lost'), ConnectionResetError(), h2.exceptions.StreamClosedError(3)],
+)
+async def test_a_send_on_a_lost_stream_ends_the_session_quietly(error):
+    """Guards against a traceback in the log whenever a home is lost during a send."""
+    owner = FakeOwner()
+    with anyio.fail_after(30):
+        await serve_home(owner, FakeStream(error))
+    assert owner.is_closed
