Do not take the end of an answer for a caller that left

Cause: hypercorn says "http.disconnect" to the application inside the last send of an answer. The task that watches the caller then interrupted the dispatch, and a call that was answered completely ended as caller_left and request_failed, with a second answer attempted on its connection.

Ruled out: callers that really left. The owner's records show result=complete for the same requests and the callers recorded whole answers.

The added test fails.

After: the watch ignores a disconnect once the last part is being sent, and a deadline that passes after the last part is no failure. The added test passes.

Conclusion: events and metrics of complete calls are right, and their connections can be used again.

--- a/camphorpath/calls/reply.py
+++ b/camphorpath/calls/reply.py
@@ -15,13 +15,18 @@
 
 
 class Reply:
-    """One answer; it holds that exactly one head is sent."""
+    """One answer; it holds that exactly one head is sent.
+
+    `is_ending` is set before the last part is sent and `is_complete` after it.
+    """
 
     def __init__(self, send: Callable[[dict], Awaitable[None]], request_id: str) -> None:
         """Answer through the ASGI callable `send`."""
         self._send = send
         self.request_id = request_id
         self.started = False
+        self.is_ending = False
+        self.is_complete = False
         self.sent_bytes = 0
         self.parts = 0
 
@@ -39,7 +44,9 @@
         """Send a part of the body; `more` is False for the last one."""
         self.sent_bytes += len(part)
         self.parts += 1
+        self.is_ending = not more
         await self._send({'type': 'http.response.body', 'body': part, 'more_body': more})
+        self.is_complete = not more
 
     async def send_whole(
         self, status: int, headers: Sequence[tuple[str, str]], body: bytes
--- a/camphorpath/calls/serving.py
+++ b/camphorpath/calls/serving.py
@@ -38,7 +38,7 @@
     with anyio.move_on_after(exchange.time_left()) as scope:
         interruption = Interruption(scope)
         async with anyio.create_task_group() as group:
-            group.start_soon(_watch_caller, receive, interruption)
+            group.start_soon(_watch_caller, receive, reply, interruption)
             try:
                 await dispatch(context, exchange, relay, interruption)
             except Refusal as error:
@@ -46,7 +46,7 @@
             group.cancel_scope.cancel()
     if refusal:
         raise refusal
-    if not scope.cancelled_caught:
+    if reply.is_complete or not scope.cancelled_caught:
         return
     reason = interruption.reason or 'deadline_exceeded'
     if reason == 'caller_left':
@@ -122,9 +122,14 @@
     await reply.send_whole(answer.status, answer.headers, answer.body)
 
 
-async def _watch_caller(receive: Callable[[], Awaitable[dict]], interruption: Interruption) -> None:
+async def _watch_caller(
+    receive: Callable[[], Awaitable[dict]], reply: Reply, interruption: Interruption
+) -> None:
     while True:
         message = await receive()
-        if message['type'] == 'http.disconnect':
+        if message['type'] != 'http.disconnect':
+            continue
+        # The server also says "disconnect" at the end of an answer, inside the last send.
+        if not reply.is_ending:
             interruption.interrupt('caller_left')
-            return
+        return
--- a/tests/calls/test_serving.py
+++ b/tests/calls/test_serving.py
@@ -8,7 +8,7 @@
 from camphorpath.calls.dispatch import Interruption, dispatch
 from camphorpath.calls.identity import SeenIds
 from camphorpath.calls.reply import Reply
-from camphorpath.calls.serving import serve_once
+from camphorpath.calls.serving import serve_once, serve_repeatable
 from camphorpath.clocks import read_lease_clock
 from camphorpath.errors import Outcome, Refusal
 from camphorpath.events import EventLog
@@ -108,3 +108,39 @@
         assert caught.value.outcome is Outcome.NOT_RUN
         assert not service.history
         assert set(context.admission.releases) == {pb.Release.NOT_SENT}
+
+
+class Server:
+    """The server's side of ASGI: it says "disconnect" inside the last send, as hypercorn does."""
+
+    def __init__(self):
+        self.ended = anyio.Event()
+        self.parts = []
+
+    async def receive(self):
+        await self.ended.wait()
+        return {'type': 'http.disconnect'}
+
+    async def send(self, message):
+        self.parts.append(message)
+        if message['type'] == 'http.response.body' and not message['more_body']:
+            self.ended.set()
+            # Lets the task that waits for the caller run before the send returns.
+            await anyio.wait_all_tasks_blocked()
+
+
+async def test_the_end_of_an_answer_is_not_taken_for_a_caller_that_left():
+    """Guards against complete calls that are counted as failed and lose their connection."""
+    async with run_service() as service, make_client() as client:
+        async with anyio.create_task_group() as group:
+            context = make_context(client, group, service.url)
+            context.admission.ready.set()
+            server = Server()
+            exchange = make_exchange(method='GET', path='/lookup/cloth', idempotent=True)
+            await serve_repeatable(context, exchange, Reply(server.send, 'r'), server.receive)
+        assert [part['type'] for part in server.parts] == [
+            'http.response.start',
+            'http.response.body',
+        ]
+        assert server.parts[0]['status'] == 200
+        assert context.admission.releases == [pb.Release.COMPLETE]
