Count lower tiers on leaving upstreams before a request is shed

Cause: the search for running requests of lower tiers skipped upstreams that take no new work, so a higher tier was shed while a lower one ran on an upstream that was leaving.

Ruled out: a request that had ended already (the engine finished it 0.6 s after the shed), an unconfirmed owner (the event was shed, not shed_unconfirmed) and an order to stop on its way (no preempted event).

The added test fails.

After: all running requests of the service count. A request waits instead, or with a full queue a lower tier is preempted wherever it runs. The added test passes.

--- a/camphorpath/admission/service.py
+++ b/camphorpath/admission/service.py
@@ -84,14 +84,14 @@
         return self.context.suspects.count(self.name, entry.enqueue.digest) > 0
 
     def find_lower(self, rank: int) -> Iterator[Running]:
-        """Yield the running requests of lower tiers that may be preempted, on usable upstreams."""
-        now, limit = self.context.clock(), self.settings.load_limit
-        for upstream in self.upstreams.values():
-            if not upstream.is_usable(now, limit):
-                continue
-            for running in upstream.running.values():
-                if running.rank > rank and running.may_be_preempted:
-                    yield running
+        """Yield the running requests of lower tiers that may be preempted, on any upstream.
+
+        Also on one that leaves or is silent: "no shed while a lower tier runs" has no exception for
+        slots that are of no use to others.
+        """
+        for running in self.running.values():
+            if running.rank > rank and running.may_be_preempted:
+                yield running
 
     def add_waiting(self, session: Any, enqueue: pb.Enqueue) -> Waiting:
         """Put a request into the queue."""
--- a/tests/admission/test_shedding.py
+++ b/tests/admission/test_shedding.py
@@ -120,6 +120,19 @@
     assert bench.refusals() == {waiting: 'deadline_exceeded'}
 
 
+def test_lower_tier_on_a_draining_upstream_forbids_the_refusal():
+    """Guards against a shed while a lower tier runs where no new request may go (P2)."""
+    bench = Bench(vms=('u1', 'u2'), pool={'slots': 1}, max_waiting=1)
+    spare = bench.enqueue(tier=2, output_tokens=2000)
+    bench.enqueue(tier=1, output_tokens=2000, cancellable=False)
+    bench.report(bench.place(spare), draining=True)
+    bench.enqueue(tier=1, time_left=3, output_tokens=100)
+    assert not bench.refusals()
+    second = bench.enqueue(tier=1)
+    assert bench.preempted() == [spare]
+    assert second not in bench.refusals()
+
+
 def test_idle_service_takes_a_request_in_spite_of_its_learned_speed():
     """Guards against a service that refuses everything for ever after one slow phase."""
     bench = Bench()
