--- a/standins/engine.py
+++ b/standins/engine.py
@@ -12,6 +12,7 @@
 from . import faults as fault_settings
 from .batching import Batch, EngineOptions, Stream, make_stream
 from .faults import Faults
+from .journal import Journal
 from .prompts import DEFAULT_MAX_TOKENS, read_prompt
 from .serving import JSON_TYPE, Exchange, Server, make_parser, run_script, serve
 
@@ -31,6 +32,7 @@
     server: Server = attrs.field(factory=Server)
     models: set[str] = attrs.field(factory=set)
     orders: list[dict[str, Any]] = attrs.field(factory=list)
+    journal: Journal = attrs.field(factory=Journal)
     _highest_fence: int = 0
     _count: int = 0
 
@@ -143,6 +145,7 @@
             await exchange.reply(404, {'error': {'message': f'no model {stream.model}'}})
             return
         self.batch.add(stream)
+        self.journal.write(request_id=stream.request_id, digest=stream.digest)
         marker = self.faults.crash_marker.encode()
         if marker and marker in exchange.body:
             self.crash()
@@ -227,12 +230,15 @@
     *,
     port: int = 0,
     in_process: bool = True,
+    journal: str = '',
 ) -> AsyncIterator[Engine]:
     """Serve an engine on a loopback port until the context is left."""
     options = options or EngineOptions()
     faults = faults or Faults()
     models = {name for name in options.models.split(',') if name}
-    engine = Engine(Batch(options, faults), faults, in_process, models=models)
+    engine = Engine(
+        Batch(options, faults), faults, in_process, models=models, journal=Journal(journal)
+    )
     async with anyio.create_task_group() as group:
         group.start_soon(engine.batch.run)
         async with serve(engine.handle, port) as server:
@@ -269,6 +275,7 @@
         fault_settings.read_options(options),
         port=options.port,
         in_process=False,
+        journal=options.journal,
     )
 
 
--- /dev/null
+++ b/standins/journal.py
@@ -0,0 +1,21 @@
+"""A file to which a stand-in appends its executions, so that they outlive a crash."""
+
+import json
+import os
+import time
+
+
+class Journal:
+    """Appends one JSON object a line; without a path it does nothing."""
+
+    def __init__(self, path: str = '') -> None:
+        """Open the file for appending."""
+        flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+        self._file = os.open(path, flags, 0o600) if path else None
+
+    def write(self, **fields: object) -> None:
+        """Append the fields of one execution and its time; the line survives the process."""
+        if self._file is None:
+            return
+        line = json.dumps({'at': time.time(), **fields})
+        os.write(self._file, f'{line}\n'.encode())
--- a/standins/service.py
+++ b/standins/service.py
@@ -12,6 +12,7 @@
 
 from . import faults as fault_settings
 from .faults import Faults
+from .journal import Journal
 from .loads import LoadHistory
 from .serving import Exchange, Server, make_parser, run_script, serve
 
@@ -31,6 +32,7 @@
     work_s: float = 0
     load_lag_s: float = 0
     in_process: bool = True
+    journal: Journal = attrs.field(factory=Journal)
     server: Server = attrs.field(factory=Server)
     history: list[dict[str, Any]] = attrs.field(factory=list)
     loads: LoadHistory = attrs.field(init=False)
@@ -118,6 +120,11 @@
             await faults.wait_until(lambda current: current.hang != 'before')
         await anyio.sleep(self.work_s * faults.slow)
         found = self._execute(exchange)
+        self.journal.write(
+            request_id=exchange.headers.get('camphorpath-request-id', ''),
+            key=exchange.headers.get('idempotency-key', ''),
+            answer=found,
+        )
         if hit:
             await faults.wait_until(lambda current: current.hang != 'after')
             await anyio.sleep(faults.late_s)
@@ -165,9 +172,12 @@
     in_process: bool = True,
     work_s: float = 0,
     load_lag_s: float = 0,
+    journal: str = '',
 ) -> AsyncIterator[Service]:
     """Serve a booking service on a loopback port until the context is left."""
-    service = Service(name, faults or Faults(), work_s, load_lag_s, in_process)
+    service = Service(
+        name, faults or Faults(), work_s, load_lag_s, in_process, journal=Journal(journal)
+    )
     async with serve(service.handle, port) as server:
         service.server = server
         yield service
@@ -188,6 +198,7 @@
         in_process=False,
         work_s=options.work_s,
         load_lag_s=options.load_lag_s,
+        journal=options.journal,
     )
     anyio.run(run_script, opened)
 
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -159,6 +159,7 @@
     parser = argparse.ArgumentParser(description=description)
     parser.add_argument('--port', type=int, default=0)
     parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--journal', default='', help='file to which executions are appended')
     return parser
 
 
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -117,11 +117,13 @@
             'state': 'live',
         }
 
-    def start_daemon(self, plan: DaemonPlan) -> None:
-        """Start a daemon and put it on the VM list."""
+    def start_daemon(self, plan: DaemonPlan, former: Running | None = None) -> None:
+        """Start a daemon, at the addresses of `former` if given, and put it on the VM list."""
         assert self.platform is not None
         callers = f'127.0.0.1:{pick_port("127.0.0.1")}'
         peers = f'127.0.0.1:{pick_port("127.0.0.1")}'
+        if former is not None:
+            callers, peers = former.url.removeprefix('http://'), former.peers_address
         settings = {
             'daemon': {
                 'name': plan.name,
@@ -167,7 +169,7 @@
     async def set_vm_state(self, name: str, state: str) -> None:
         """Mark a VM `live` or `leaving`, or take it off the list with `gone`."""
         if state == 'gone':
-            self._vms.pop(name)
+            self._vms.pop(name, None)
         else:
             self._vms[name]['state'] = state
         await self.publish_vms()
--- /dev/null
+++ b/tools/load.py
@@ -0,0 +1,155 @@
+"""The callers of a soak run; every attempt is a record of its own."""
+
+import random
+import time
+from collections.abc import Sequence
+
+import anyio
+import attrs
+import httpx
+
+from .callers import AddressBook, CallRecord, call_model, call_service
+from .schedule import CRASH_MARKER, PlannedCall
+
+MODEL = 'scribe-agreements'
+MAX_TRIES = 5
+RETRY_PAUSE_S = 0.4
+CRASHER_PAUSE_S = 1
+CRASHER_LIMIT_S = 6
+MS_PER_S = 1000
+
+
+def make_chat(call: PlannedCall) -> dict:
+    """Return the body of a model call."""
+    words = f'agreement {call.number} ' * call.words
+    if call.kind == 'crasher':
+        words = f'{CRASH_MARKER} {call.number}'
+    return {
+        'model': MODEL,
+        'stream': call.streamed,
+        'max_tokens': call.tokens,
+        'messages': [{'role': 'user', 'content': words}],
+    }
+
+
+@attrs.define
+class Load:
+    """The planned calls and the records of their attempts."""
+
+    client: httpx.AsyncClient
+    books: dict[str, AddressBook]
+    known_urls: list[str]
+    records: list[CallRecord] = attrs.Factory(list)
+
+    async def run(self, calls: Sequence[PlannedCall]) -> None:
+        """Make the calls at their times and return when all are answered."""
+        began = time.monotonic()
+        async with anyio.create_task_group() as group:
+            for call in calls:
+                await anyio.sleep(max(0, began + call.at_s - time.monotonic()))
+                group.start_soon(getattr(self, f'_{call.kind}'), call)
+
+    async def repeat_bookings(self, limit: int) -> None:
+        """Repeat the keys of complete bookings, whose recorded answers must be the same."""
+        complete = {
+            one.key: one
+            for one in self.records
+            if one.kind == 'reservation' and one.outcome == 'complete'
+        }
+        async with anyio.create_task_group() as group:
+            for record in list(complete.values())[-limit:]:
+                book = self.books[record.zone]
+                group.start_soon(self._book_once, record.key, record.customer, book, 10)
+
+    async def _draft(self, call: PlannedCall) -> None:
+        await self._chat(call, make_chat(call))
+
+    async def _crasher(self, call: PlannedCall) -> None:
+        avoid: list[str] = []
+        call = attrs.evolve(call, timeout_s=CRASHER_LIMIT_S)
+        for _ in range(call.extra + 1):
+            record = await self._chat(call, make_chat(call), avoid)
+            avoid = [record.daemon]
+            await anyio.sleep(CRASHER_PAUSE_S)
+
+    async def _owned(self, call: PlannedCall) -> None:
+        """Send one request id, formed by the caller, several times and to several daemons."""
+        url = await self.books[call.zone].choose()
+        try:
+            reply = await self.client.get(f'{url}/camphorpath/addresses', timeout=2)
+            first = reply.json()['addresses'][0]
+        except (httpx.HTTPError, ValueError, IndexError):
+            return
+        headers = {'Camphorpath-Request-Id': f'{first["request_id_prefix"]}.own-{call.number}'}
+        urls = [first['url'], first['url'], random.choice(self.known_urls)]
+        async with anyio.create_task_group() as group:
+            for copy in range(call.extra + 1):
+                group.start_soon(self._chat_at, call, make_chat(call), urls[copy], headers)
+                await anyio.sleep(call.extra_after_s)
+
+    async def _chat(
+        self, call: PlannedCall, document: dict, avoid: Sequence[str] = ()
+    ) -> CallRecord:
+        book = self.books[call.zone]
+        for _ in range(MAX_TRIES):
+            url = await book.choose(avoid)
+            record = await self._chat_at(call, document, url, {})
+            if record.reason != 'ConnectError':
+                break
+            book.drop(url)
+        return record
+
+    async def _chat_at(
+        self, call: PlannedCall, document: dict, url: str, headers: dict[str, str]
+    ) -> CallRecord:
+        record = CallRecord(kind=call.kind, customer=call.customer, zone=call.zone)
+        self.records.append(record)
+        headers = {**headers, **make_headers(call.customer, call.timeout_s)}
+        await call_model(self.client, url, document, record, headers)
+        return record
+
+    async def _lookup(self, call: PlannedCall) -> None:
+        item = f'item-{call.number}'
+        record = CallRecord(kind='lookup', customer=call.customer, zone=call.zone, key=item)
+        self.records.append(record)
+        url = await self.books[call.zone].choose()
+        headers = make_headers(call.customer, call.timeout_s)
+        path = f'/services/ledger/lookup/{item}'
+        await call_service(self.client, url, 'GET', path, None, record, headers)
+
+    async def _reservation(self, call: PlannedCall) -> None:
+        async with anyio.create_task_group() as group:
+            for _ in range(call.extra + 1):
+                group.start_soon(self._book, call)
+                await anyio.sleep(call.extra_after_s)
+
+    async def _book(self, call: PlannedCall) -> None:
+        book = self.books[call.zone]
+        for _ in range(MAX_TRIES):
+            record = await self._book_once(
+                f'cloth-{call.number}', call.customer, book, call.timeout_s
+            )
+            if record.outcome == 'complete':
+                return
+            if record.outcome == 'broken':
+                book.drop(record.daemon)
+            await anyio.sleep(RETRY_PAUSE_S)
+
+    async def _book_once(
+        self, key: str, customer: str, book: AddressBook, timeout_s: float
+    ) -> CallRecord:
+        record = CallRecord(kind='reservation', customer=customer, zone=book.zone, key=key)
+        self.records.append(record)
+        url = await book.choose()
+        headers = {**make_headers(customer, timeout_s), 'Idempotency-Key': key}
+        path = '/services/ledger/reservations'
+        await call_service(self.client, url, 'POST', path, {'cloth': key}, record, headers)
+        return record
+
+
+def make_headers(customer: str, timeout_s: float) -> dict[str, str]:
+    """Return the headers of a call."""
+    return {
+        'Authorization': f'Bearer demo-{customer}',
+        'Camphorpath-Timeout': f'{int(timeout_s * MS_PER_S)}ms',
+    }
--- /dev/null
+++ b/tools/soak.py
@@ -0,0 +1,301 @@
+"""A randomized run of real processes with faults, and the check of everything it recorded."""
+
+import argparse
+import collections
+import datetime
+import json
+import os
+import pathlib
+import random
+import shutil
+import sys
+import time
+from collections.abc import Iterable, Iterator
+
+import anyio
+import attrs
+import httpx
+import yaml
+
+from camphorpath.schema import camphorpath_pb2 as pb
+from camphorpath.ui.operator import call_daemon
+from standins.prompts import make_digest, read_prompt
+
+from .callers import AddressBook
+from .demo import load_fleet
+from .deployment import DaemonPlan, Deployment, UpstreamPlan
+from .history import CHECKS, Execution, History, LogEvent, Violation, list_evidence
+from .injector import Injector
+from .load import Load, make_chat
+from .schedule import DAEMONS, ENGINES, SERVICES, ZONES, plan_calls, plan_faults
+
+KEEP_S = 3
+CALL_LIMIT_S = 45
+SETTLE_S = 6
+REPEATED_KEYS = 60
+STOP_LIMIT_S = 100
+RSS_INTERVAL_S = 2
+LAG_INTERVAL_S = 0.1
+RSS_LIMIT_MB = 256
+BYTES_PER_MB = 1 << 20
+SHOWN_VIOLATIONS = 12
+SHOWN_EVENTS = 30
+# What a daemon's log holds only after a fault of the program.
+BAD_WORDS = ('Traceback', 'AssertionError', 'never retrieved', 'Unhandled', 'never awaited')
+
+
+def make_fleet() -> dict:
+    """Return the example fleet with few slots, so that bursts overload it."""
+    fleet = load_fleet('vainags')
+    fleet['keep_addresses'] = f'{KEEP_S}s'
+    scribe, ledger = fleet['services']
+    scribe['max_waiting'] = 30
+    for pool in scribe['pools']:
+        pool.update(slots=4, prefill_rate=20000, decode_rate=150)
+    ledger['pools'][0]['slots'] = 6
+    ledger['pools'][1]['slots'] = 6
+    fleet['rollouts'][1] = {
+        'name': 'ledger-new', 'service': 'ledger', 'pool': 'new', 'share': '50%',
+    }  # fmt: skip
+    return fleet
+
+
+def render_fleet(detail: float) -> str:
+    """Return a changed configuration: other limits, and keys that move between the pools."""
+    fleet = make_fleet()
+    fleet['services'][0]['max_waiting'] = 20 + int(detail * 30)
+    for rollout in fleet['rollouts']:
+        rollout['share'] = f'{int(detail * 100)}%'
+    return yaml.safe_dump({'fleet': fleet}, sort_keys=False)
+
+
+def plan_upstreams() -> Iterator[UpstreamPlan]:
+    """Yield the engines and services."""
+    for index, name in enumerate(ENGINES):
+        options = ('--decode-rate', '200', '--prefill-rate', '20000', '--load-lag-s', '0.3')
+        pool = 'old' if index < 2 else 'new'
+        yield UpstreamPlan(name, 'scribe', pool, ZONES[index % len(ZONES)], 'engine', options)
+    for index, name in enumerate(SERVICES):
+        pool = ('old', 'new')[index]
+        yield UpstreamPlan(name, 'ledger', pool, ZONES[index], 'service', ('--work-s', '0.05'))
+
+
+@attrs.define
+class Soak:
+    """One run."""
+
+    seed: int
+    duration_s: float
+    deployment: Deployment
+    injector: Injector
+    most_rss_mb: collections.Counter = attrs.Factory(collections.Counter)
+    versions: dict[int, str] = attrs.Factory(dict)
+    most_lag_s: float = 0
+
+    async def start(self) -> None:
+        """Start all processes and the first configuration."""
+        self.deployment.start_platform()
+        for name in self.injector.plans:
+            self.injector.start_upstream(name)
+        for name in DAEMONS:
+            self.deployment.start_daemon(DaemonPlan(name, name.rpartition('-')[0]))
+            self.injector.note_daemon(name)
+        await self.deployment.publish_vms()
+        await self.deployment.propose_fleet()
+        await self.deployment.wait_serving()
+
+    async def run(self) -> Load:
+        """Run calls and faults, then end all faults, repeat bookings and stop all daemons."""
+        limits = httpx.Limits(max_connections=None, max_keepalive_connections=100)
+        timeout = httpx.Timeout(CALL_LIMIT_S, connect=2)
+        client = httpx.AsyncClient(trust_env=False, timeout=timeout, limits=limits)
+        known = self.injector.known_urls
+        began = time.monotonic()
+        async with client, anyio.create_task_group() as watchers:
+            load = Load(client, {zone: AddressBook(client, known, zone) for zone in ZONES}, known)
+            watchers.start_soon(self.injector.watch)
+            watchers.start_soon(self._watch_memory)
+            watchers.start_soon(self._watch_lag)
+            async with anyio.create_task_group() as group:
+                group.start_soon(load.run, plan_calls(self.seed, self.duration_s))
+                group.start_soon(self.injector.run, plan_faults(self.seed, self.duration_s))
+            say(f'calls and faults have ended after {time.monotonic() - began:.0f} s')
+            await self.injector.settle()
+            await anyio.sleep(SETTLE_S)
+            await load.repeat_bookings(REPEATED_KEYS)
+            await self._read_versions()
+            say(f'stopping all daemons after {time.monotonic() - began:.0f} s')
+            self.injector.is_ending = True
+            await self.injector.stop_all(STOP_LIMIT_S)
+            watchers.cancel_scope.cancel()
+        return load
+
+    def collect(self, load: Load) -> History:
+        """Return the history of the run; the times of calls become seconds since 1970."""
+        offset = time.time() - time.monotonic()
+        crashers = [one for one in plan_calls(self.seed, self.duration_s) if one.kind == 'crasher']
+        digests = (make_digest(read_prompt(make_chat(call))) for call in crashers)
+        events = sorted(self._read_events(), key=lambda event: event.at)
+        return History(
+            records=[
+                attrs.evolve(one, started=one.started + offset, ended=one.ended + offset)
+                for one in load.records
+            ],
+            executions=sorted(self._read_executions(), key=lambda execution: execution.at),
+            events=events,
+            leavings=self.injector.list_leavings(),
+            proposals=self.injector.proposals,
+            versions=self.versions,
+            lifetimes=self.injector.lifetimes,
+            ranks={tier['name']: tier['rank'] for tier in self.deployment.fleet['tiers']},
+            keep_s=KEEP_S,
+            crash_digests=frozenset(digests),
+        )
+
+    def check_processes(self) -> Iterator[Violation]:
+        """Yield the processes that ended, failed or grew."""
+        for problem in self.injector.problems:
+            yield Violation('process', problem)
+        for name in DAEMONS:
+            for line in (self.deployment.folder / f'{name}.log').read_text().splitlines():
+                if any(word in line for word in BAD_WORDS) or '"exception"' in line:
+                    yield Violation('log', f'{name}: {line[:500]}')
+            if self.most_rss_mb[name] > RSS_LIMIT_MB:
+                yield Violation('memory', f'{name} used {self.most_rss_mb[name]} MB')
+
+    async def _read_versions(self) -> None:
+        name = self.injector.list_serving()[0]
+        listed = await call_daemon(
+            self.deployment.daemons[name].peers_address,
+            self.deployment.operator_token,
+            lambda stub, metadata: stub.ListVersions(pb.ListVersionsRequest(), metadata=metadata),
+        )
+        self.versions = {one.version: one.reason for one in listed.versions}
+
+    async def _watch_memory(self) -> None:
+        while True:
+            for name, running in self.deployment.daemons.items():
+                if running.process.poll() is None:
+                    used_mb = read_rss_mb(running.process.pid)
+                    self.most_rss_mb[name] = max(self.most_rss_mb[name], used_mb)
+            await anyio.sleep(RSS_INTERVAL_S)
+
+    async def _watch_lag(self) -> None:
+        """Measure how late the tasks of the callers run, which their times include."""
+        while True:
+            due = time.monotonic() + LAG_INTERVAL_S
+            await anyio.sleep(LAG_INTERVAL_S)
+            self.most_lag_s = max(self.most_lag_s, time.monotonic() - due)
+
+    def _read_events(self) -> Iterator[LogEvent]:
+        for name in DAEMONS:
+            for line in self.deployment.read_log(name):
+                if 'event' not in line:
+                    continue
+                yield LogEvent(
+                    datetime.datetime.fromisoformat(line['time']).timestamp(),
+                    line['incarnation'],
+                    line['event'],
+                    line['request_id'],
+                    line['upstream'],
+                    line,
+                )
+
+    def _read_executions(self) -> Iterator[Execution]:
+        for name in self.injector.plans:
+            path = pathlib.Path(self.injector.journal(name))
+            for line in path.read_text().splitlines() if path.exists() else ():
+                yield Execution(upstream=name, **json.loads(line))
+
+
+def read_rss_mb(pid: int) -> int:
+    """Return the resident memory of a process in MB."""
+    pages = int(pathlib.Path(f'/proc/{pid}/statm').read_text().split()[1])
+    return pages * os.sysconf('SC_PAGE_SIZE') // BYTES_PER_MB
+
+
+def report(soak: Soak, history: History, checks: dict[str, int], found: list[Violation]) -> None:
+    """Print what was done and what was found."""
+    kinds = collections.Counter((one.kind, one.outcome, one.reason) for one in history.records)
+    for (kind, outcome, reason), count in sorted(kinds.items()):
+        say(f'{kind:12} {outcome:20} {reason:28} {count}')
+    say(f'attempts {len(history.records)}, executions {len(history.executions)}')
+    say(f'faults: {dict(sorted(soak.injector.done.items()))}')
+    say(f'faults without a target: {dict(sorted(soak.injector.skipped.items()))}')
+    numbers = collections.Counter(event.number for event in history.events)
+    say(f'events by number: {dict(sorted(numbers.items()))}')
+    say(f'proposals: {[(one.base, one.version, one.problem) for one in history.proposals]}')
+    say(f'checked by property: {checks}')
+    say(f'most resident memory in MB: {dict(sorted(soak.most_rss_mb.items()))}')
+    say(f'longest delay of the callers in s: {soak.most_lag_s:.2f}')
+    names = collections.Counter(violation.name for violation in found)
+    say(f'violations: {dict(names) or "none"}')
+    for name in names:
+        for violation in [one for one in found if one.name == name][:SHOWN_VIOLATIONS]:
+            say(f'VIOLATION {violation.name} {violation.request_id}: {violation.text}')
+            for event in list_evidence(history, violation)[:SHOWN_EVENTS]:
+                extra = {
+                    name: text
+                    for name, text in event.fields.items()
+                    if name not in {'time', 'level', 'daemon', 'event', 'request_id', 'incarnation'}
+                }
+                say(f'    {event.at:.3f} {event.incarnation} {event.number} {event.request_id} {extra}')
+
+
+def keep_history(folder: pathlib.Path, history: History) -> None:
+    """Write records, proposals and lifetimes beside the logs."""
+    parts: dict[str, Iterable] = {
+        'records': history.records,
+        'proposals': history.proposals,
+        'lifetimes': history.lifetimes,
+        'leavings': history.leavings,
+    }
+    for name, rows in parts.items():
+        lines = [json.dumps(attrs.asdict(row)) for row in rows]
+        (folder / f'{name}.jsonl').write_text('\n'.join(lines))
+
+
+async def run_soak(seed: int, duration_s: float) -> int:
+    """Run one soak; return the exit code."""
+    random.seed(seed)
+    fleet = make_fleet()
+    plans = {plan.name: plan for plan in plan_upstreams()}
+    with Deployment(fleet, seed) as deployment:
+        soak = Soak(seed, duration_s, deployment, Injector(deployment, plans, [], render_fleet))
+        say(f'seed {seed}, {duration_s:g} s, logs in {deployment.folder}')
+        await soak.start()
+        load = await soak.run()
+        history = soak.collect(load)
+    found = list(soak.check_processes())
+    checks = {}
+    for name, check in CHECKS:
+        count, violations = check(history)
+        checks[name] = count
+        found.extend(violations)
+    report(soak, history, checks, found)
+    if found:
+        keep_history(deployment.folder, history)
+        say(f'failed; logs, records and executions are kept in {deployment.folder}')
+        return 1
+    shutil.rmtree(deployment.folder)
+    say('no violation')
+    return 0
+
+
+def say(line: str) -> None:
+    """Print a line at once."""
+    sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
+
+
+def main() -> int:
+    """Run a soak from the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--duration-s', type=float, default=60)
+    options = parser.parse_args()
+    return anyio.run(run_soak, options.seed, options.duration_s)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
