--- a/tools/soak.py
+++ b/tools/soak.py
@@ -239,7 +239,8 @@
                     for name, text in event.fields.items()
                     if name not in {'time', 'level', 'daemon', 'event', 'request_id', 'incarnation'}
                 }
-                say(f'    {event.at:.3f} {event.incarnation} {event.number} {event.request_id} {extra}')
+                place = f'{event.at:.3f} {event.incarnation} {event.number}'
+                say(f'    {place} {event.request_id} {extra}')
 
 
 def keep_history(folder: pathlib.Path, history: History) -> None:
