--- a/camphorpath/admission/choice.py
+++ b/camphorpath/admission/choice.py
@@ -99,8 +99,10 @@
     """Return how long to wait for a full upstream with the prefix; 0 if that is not cheaper."""
     if not entry.blocks:
         return 0
-    limit = estimate_cost(entry, chosen, view)
     uncached = count_uncached(entry, chosen)
+    if not uncached:
+        return 0
+    limit = estimate_cost(entry, chosen, view)
     holds = [
         hold
         for upstream in full
--- a/tests/admission/fakes.py
+++ b/tests/admission/fakes.py
@@ -1,6 +1,7 @@
 """Stand-ins for the parts that admission uses, and an owner on a clock that tests drive."""
 
 import itertools
+from types import SimpleNamespace
 
 import attrs
 
@@ -64,24 +65,6 @@
         return True
 
 
-class FakeVmList:
-    def __init__(self, vms=()):
-        self.vms = list(vms)
-
-    async def read(self):
-        return self.vms
-
-
-@attrs.define
-class FakeVersion:
-    fleet: pb.Fleet
-
-
-@attrs.define
-class FakeVersions:
-    current: FakeVersion
-
-
 def make_fleet(**service_fields):
     fields = {
         'max_waiting': 100,
@@ -113,14 +96,14 @@
         self.membership = FakeMembership(
             members=[pb.MemberInfo(incarnation=home) for home in homes], fleet=self.fleet
         )
-        self.versions = FakeVersions(FakeVersion(self.fleet))
+        self.versions = SimpleNamespace(current=SimpleNamespace(fleet=self.fleet))
         self.table = FakeTable()
         self.events = EventLog('home-1')
         self.vms = [vm if isinstance(vm, FakeVm) else FakeVm(vm) for vm in vms]
         self.owner = AdmissionOwner(
             self.membership,
             self.versions,
-            FakeVmList(self.vms),
+            None,
             self.table,
             self.events,
             read_load=None,
--- a/tests/admission/test_choice.py
+++ b/tests/admission/test_choice.py
@@ -42,12 +42,14 @@
 
 def test_wait_for_a_warm_upstream_ends():
     """Guards against a request that keeps waiting for one upstream beside a free one."""
-    bench = Bench(vms=('u1', 'u2'), pool={'slots': 1})
+    bench = Bench(vms=('u1', 'u2'), pool={'slots': 2})
     warm = bench.enqueue(prompt_tokens=LONG, prefix_blocks=range(100), output_tokens=4)
     bench.release(warm)
-    bench.enqueue(prompt_tokens=LONG, prefix_blocks=range(100), output_tokens=20)
+    for output_tokens in (10, 30):
+        bench.enqueue(prompt_tokens=LONG, prefix_blocks=range(100), output_tokens=output_tokens)
     held = bench.enqueue(prompt_tokens=LONG, prefix_blocks=range(100))
-    bench.advance(1.1)
+    assert held not in bench.granted_ids()
+    bench.advance(0.3)
     assert bench.place(held) not in {None, bench.place(warm)}
 
 
--- a/tests/admission/test_shedding.py
+++ b/tests/admission/test_shedding.py
@@ -104,6 +104,17 @@
     assert bench.preempted() == [spare]
 
 
+def test_slot_of_a_preempted_request_is_promised_once():
+    """Guards against two waiting requests that count on the slot of one preempted request."""
+    bench = Bench()
+    first, second = (bench.enqueue(tier=2, output_tokens=400) for _ in range(2))
+    bench.enqueue(tier=0, output_tokens=400)
+    bench.advance(0.3, step=0.1)
+    assert bench.preempted() == [first]
+    bench.enqueue(tier=0, time_left=3, output_tokens=100)
+    assert bench.preempted() == [first, second]
+
+
 def test_lower_tier_in_another_pool_forbids_the_refusal():
     """Guards against a failed assertion, and P2 over all upstreams of the service."""
     bench = Bench(vms=('u1', FakeVm('o1', pool='old')), pool={'slots': 1})
