--- a/tests/admission/test_choice.py
+++ b/tests/admission/test_choice.py
@@ -42,12 +42,14 @@
 
 def test_wait_for_a_warm_upstream_ends():
     """Guards against a request that keeps waiting for one upstream beside a free one."""
-    bench = Bench(vms=('u1', 'u2'), pool={'slots': 1})
+    bench = Bench(vms=('u1', 'u2'), pool={'slots': 2})
     warm = bench.enqueue(prompt_tokens=LONG, prefix_blocks=range(100), output_tokens=4)
     bench.release(warm)
-    bench.enqueue(prompt_tokens=LONG, prefix_blocks=range(100), output_tokens=20)
+    for output_tokens in (10, 30):
+        bench.enqueue(prompt_tokens=LONG, prefix_blocks=range(100), output_tokens=output_tokens)
     held = bench.enqueue(prompt_tokens=LONG, prefix_blocks=range(100))
-    bench.advance(1.1)
+    assert held not in bench.granted_ids()
+    bench.advance(0.3)
     assert bench.place(held) not in {None, bench.place(warm)}
 
 
@@ -110,6 +112,11 @@
     assert 'upstream_slow' not in bench.event_names()
     run_pool(bench, names, slow='u3', seconds=5)
     assert [one.name for one in bench.state.upstreams.values() if one.is_slow] == ['u3']
+    run_pool(bench, names, slow='u3', seconds=15)
+    assert bench.state.upstreams['u3'].is_slow
+    before = [one.upstream for one in bench.granted()].count('u3')
+    run_pool(bench, names, slow='', seconds=4)
+    assert [one.upstream for one in bench.granted()].count('u3') <= before + 1
     run_pool(bench, names, slow='', seconds=40)
     assert not bench.state.upstreams['u3'].is_slow
 
