--- a/standins/batching.py
+++ b/standins/batching.py
@@ -180,6 +180,7 @@
     active: list[Stream] = attrs.field(factory=list)
     executions: Counter = attrs.field(factory=Counter)
     digests: Counter = attrs.field(factory=Counter)
+    prefills: Counter = attrs.field(factory=Counter)
     counts: Counter = attrs.field(factory=Counter)
     cache: PrefixCache = attrs.field(init=False)
     loads: LoadHistory = attrs.field(init=False)
@@ -292,6 +293,7 @@
         stream.to_prefill -= done
         stream.prefilled += done
         self.counts['tokens_prefilled'] += done
+        self.prefills[stream.request_id] += done
         if not stream.to_prefill:
             self.cache.store(stream.blocks)
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -72,6 +72,7 @@
             'running': len(batch.active),
             'executions': dict(batch.executions),
             'digests': dict(batch.digests),
+            'prefills': dict(batch.prefills),
             'orders': self.orders,
         }
 
--- a/tests/ui/test_cli.py
+++ b/tests/ui/test_cli.py
@@ -39,3 +39,10 @@
     assert main(argv) == code
     printed = capsys.readouterr()
     assert (printed.out == f'camphorpath {__version__}\n') == (code == 0)
+
+
+@pytest.mark.parametrize('command', ['serve', 'check', 'defaults', 'config', 'status', 'timeline'])
+def test_every_command_of_the_manual_is_registered(command, capsys):
+    """Guards against a command that the manual names and the parser does not know."""
+    assert main([command, '--help']) == 0
+    assert f'camphorpath {command}' in capsys.readouterr().out
--- a/tools/callers.py
+++ b/tools/callers.py
@@ -42,6 +42,8 @@
     request_id: str = ''
     body: str = ''
     daemon: str = ''
+    body_bytes: int = 0
+    answer_bytes: int = 0
     gaps: list[float] = attrs.Factory(list)
 
 
@@ -120,6 +122,7 @@
     except httpx.HTTPError as error:
         record.reason = type(error).__name__
     record.ended = time.monotonic()
+    record.answer_bytes = sum(map(len, parts))
     _judge_model(document, b''.join(parts), record)
 
 
--- /dev/null
+++ b/tools/overhead.py
@@ -0,0 +1,136 @@
+"""The cost of the scheduler itself: added first-token time, processor time, control traffic."""
+
+import time
+
+import anyio
+import httpx
+
+from .callers import CallRecord, call_model, make_client
+from .demo import load_fleet
+from .deployment import Deployment
+from .measured import make_percentiles
+from .procfs import Traffic, read_cpu_s, read_memory_bytes
+from .running import SETTLE_S, make_headers, start
+from .workload import ScaledDeployment, find_capacity, scale_fleet
+
+PROBES = 300
+WARM_UP = 20
+STREAMS = 24
+STREAM_TOKENS = 400
+MS_PER_S = 1000
+US_PER_S = 1_000_000
+
+
+async def measure_idle(plan: ScaledDeployment, seconds: float) -> dict:
+    """Return the overhead of an idle deployment; the control traffic is watched for `seconds`."""
+    _, share = find_capacity(plan, 0)
+    fleet = scale_fleet(load_fleet(plan.name), plan, share, {})
+    with Deployment(fleet) as deployment:
+        await start(deployment, plan, 0)
+        await anyio.sleep(SETTLE_S)
+        found = {
+            'control': await _measure_control(deployment, plan, seconds),
+            'first_token': await _measure_first_token(deployment, plan),
+            'streaming': await _measure_streaming(deployment, plan),
+        }
+        found['memory_after_mib'] = {
+            name: _read_memory_mib(one.process.pid) for name, one in deployment.daemons.items()
+        }
+    return found
+
+
+async def _measure_control(deployment: Deployment, plan: ScaledDeployment, seconds: float) -> dict:
+    """Return bytes of TCP payload, processor share and memory of each idle daemon.
+
+    `peers_sent` counts what a daemon sends to other daemons on connections of both directions.
+    """
+    groups = {deployment.platform.url.removeprefix('http://'): 'platform'}
+    groups.update((one.peers_address, 'peers') for one in deployment.daemons.values())
+    groups.update(
+        (one.url.removeprefix('http://'), 'upstreams') for one in deployment.upstreams.values()
+    )
+    meters = {name: Traffic(one.process.pid) for name, one in deployment.daemons.items()}
+    usage = {name: read_cpu_s(meter.pid) for name, meter in meters.items()}
+    began = time.monotonic()
+    async with anyio.create_task_group() as group:
+        for meter in meters.values():
+            group.start_soon(meter.watch, seconds)
+    elapsed = time.monotonic() - began
+    return {
+        name: {
+            'bytes_per_s': {
+                group: round(count / elapsed) for group, count in meter.sum_by(groups).items()
+            },
+            'sent_bytes_per_s': round(sum(meter.sent.values()) / elapsed),
+            'cpu_share': round((read_cpu_s(meter.pid) - usage[name]) / elapsed, 4),
+            'memory_mib': _read_memory_mib(meter.pid),
+        }
+        for name, meter in meters.items()
+    }
+
+
+async def _measure_first_token(deployment: Deployment, plan: ScaledDeployment) -> dict:
+    """Return first-token times of pairs of calls, direct and through each daemon in turn."""
+    engine = deployment.upstreams[f'{plan.service}-0'].url
+    daemons = {name: one.url for name, one in deployment.daemons.items()}
+    found: dict[str, list[float]] = {'direct': [], **{name: [] for name in daemons}}
+    async with make_client() as client:
+        for probe in range(PROBES + WARM_UP):
+            for name, url in (('direct', engine), *daemons.items()):
+                seconds = await _call(client, url, plan, f'probe {probe}', tokens=1)
+                if probe >= WARM_UP:
+                    found[name].append(seconds)
+    percentiles = {name: make_percentiles(one) for name, one in found.items()}
+    return {
+        'ms': percentiles,
+        'added_p95_ms': {
+            name: round(percentiles[name]['p95'] - percentiles['direct']['p95'], 2)
+            for name in daemons
+        },
+        'added_p50_ms': {
+            name: round(percentiles[name]['p50'] - percentiles['direct']['p50'], 2)
+            for name in daemons
+        },
+    }
+
+
+async def _measure_streaming(deployment: Deployment, plan: ScaledDeployment) -> dict:
+    """Return processor microseconds per streamed token at each daemon as the home of all calls."""
+    found = {}
+    async with make_client() as client:
+        for name, running in deployment.daemons.items():
+            before = {key: read_cpu_s(one.process.pid) for key, one in deployment.daemons.items()}
+            async with anyio.create_task_group() as group:
+                for number in range(STREAMS):
+                    text = f'{name} stream {number}'
+                    group.start_soon(_call, client, running.url, plan, text, STREAM_TOKENS)
+            used = {
+                key: read_cpu_s(one.process.pid) - before[key]
+                for key, one in deployment.daemons.items()
+            }
+            per_token = US_PER_S / (STREAMS * STREAM_TOKENS)
+            found[name] = {
+                'home_us_per_token': round(used[name] * per_token, 1),
+                'all_daemons_us_per_token': round(sum(used.values()) * per_token, 1),
+            }
+    return found
+
+
+async def _call(
+    client: httpx.AsyncClient, url: str, plan: ScaledDeployment, text: str, tokens: int
+) -> float:
+    record = CallRecord(kind='probe', customer=plan.customers[0].name)
+    document = {
+        'model': plan.model,
+        'stream': True,
+        'max_tokens': tokens,
+        'messages': [{'role': 'user', 'content': text}],
+    }
+    await call_model(client, url, document, record, make_headers(record.customer))
+    if record.outcome != 'complete':
+        raise RuntimeError(f'a call on an idle system was not served: {record}')
+    return record.first - record.started
+
+
+def _read_memory_mib(pid: int) -> float:
+    return round(read_memory_bytes(pid) / (1 << 20), 1)
