Decide by the next poll whether a lost connection was a crash

Cause: a cut link or a truncated stream made everything on that upstream a crash suspect; a truncated answer to a suspect that ran alone was refused as crashes_upstreams for good although nothing had crashed. Ruled out: ignoring lost connections (a crashing request that is sent again at once would cost a second upstream with neighbours). Change: what ran there is suspect until the verdict: a new incarnation or silence for load_limit is a crash, an answer of the same incarnation is not; a request that ran alone waits for the verdict; a leaving upstream does not crash. Rows are forgotten after 7 days.

--- a/camphorpath/admission/grants.py
+++ b/camphorpath/admission/grants.py
@@ -5,6 +5,7 @@
 from ..events import Event
 from ..schema import camphorpath_pb2 as pb
 from .choice import POLICIES, count_uncached, estimate_hold
+from .doubts import is_doubted
 from .preemption import choose_victims
 from .records import Running, Waiting
 from .service import GRANT_VALID_S, ServiceState
@@ -123,6 +124,8 @@
 
 
 def _find_empty(state: ServiceState, entry: Waiting, usable: list[Upstream]) -> Upstream | None:
+    if is_doubted(state, entry):
+        return None
     reserved = state.reservations.get(entry.request_id)
     if reserved is not None and reserved not in usable:
         state.unreserve(entry.request_id)
@@ -191,7 +194,7 @@
     now, after = state.context.clock(), state.settings.preempt_after
     claims = find_claims(state, pool)
     for entry in entries:
-        if entry.claim or state.is_limited(entry.enqueue.customer) or entry.hold_until > now:
+        if _is_held(state, entry, now):
             continue
         if now < entry.arrived + after:
             if not entry.has_timer:
@@ -203,6 +206,13 @@
         claims.append(entry)
 
 
+def _is_held(state: ServiceState, entry: Waiting, now: float) -> bool:
+    """Return whether a request needs no preemption now: it has one, or could not start."""
+    if entry.claim or state.is_limited(entry.enqueue.customer) or entry.hold_until > now:
+        return True
+    return state.is_suspect(entry) and is_doubted(state, entry)
+
+
 def _has_lower(state: ServiceState, pool: str, rank: int) -> bool:
     # The first test is cheap and answers most calls.
     if max(state.ranks[pool], default=0) <= rank:
--- a/camphorpath/admission/owner.py
+++ b/camphorpath/admission/owner.py
@@ -12,6 +12,7 @@
 from ..upstreams.load import LoadReport
 from .agenda import Agenda
 from .context import SYSTEM_CLOCKS, Clocks, Context
+from .doubts import settle_answered, settle_silent
 from .fleet import FleetView
 from .grants import dispatch
 from .ownership import Ownership
@@ -156,15 +157,27 @@
                 self._give_up(name)
         for name in self._context.view.services:
             self._find_state(name)
+        for state in self.services.values():
+            refuse_digests(state, settle_silent(state))
 
     def take_vms(self, vms: list[Any]) -> None:
         """Take in the VM list."""
         self._vms = [vm for vm in vms if vm.role == 'upstream']
         self._apply_vms()
 
-    def take_report(self, state: ServiceState, upstream: Upstream, report: LoadReport) -> None:
-        """Take in the answer of an upstream to a poll."""
-        refuse_digests(state, state.take_report(upstream, report))
+    def take_report(
+        self,
+        state: ServiceState,
+        upstream: Upstream,
+        report: LoadReport,
+        asked_at: float | None = None,
+    ) -> None:
+        """Take in the answer of an upstream to a poll asked at `asked_at` (default: now)."""
+        asked_at = self._context.clock() if asked_at is None else asked_at
+        restarted = upstream.is_restarted(report)
+        refused = state.take_report(upstream, report)
+        refused += settle_answered(state, upstream, asked_at, restarted=restarted)
+        refuse_digests(state, refused)
         state.compare_speeds(upstream.vm.pool)
         dispatch(state)
 
@@ -280,6 +293,7 @@
 
     async def _poll_once(self, state: ServiceState, upstream: Upstream) -> None:
         report = None
+        asked_at = self._context.clock()
         with anyio.move_on_after(state.settings.load_limit):
             try:
                 report = await self._read_load(upstream.url)
@@ -287,4 +301,4 @@
                 report = None
         # The service may have been given up during the poll.
         if report is not None and self.services.get(state.name) is state:
-            self.take_report(state, upstream, report)
+            self.take_report(state, upstream, report, asked_at)
--- a/camphorpath/admission/service.py
+++ b/camphorpath/admission/service.py
@@ -167,7 +167,7 @@
             if name in listed:
                 continue
             upstream.vm = attrs.evolve(upstream.vm, state='leaving')
-            if not upstream.running:
+            if not upstream.running and upstream.doubt is None:
                 self.upstreams.pop(name)
         for vm in vms:
             self._take_vm(vm)
@@ -177,9 +177,8 @@
 
     def take_report(self, upstream: Upstream, report: LoadReport) -> list[str]:
         """Take in the answer to a poll; return the digests that are refused from now on."""
-        before = upstream.report
         refused = []
-        if before is not None and before.incarnation != report.incarnation:
+        if upstream.is_restarted(report):
             # What was granted since the last poll may run on the new incarnation; where it does
             # not, its home reports the loss.
             lost = [
--- a/camphorpath/admission/suspects.py
+++ b/camphorpath/admission/suspects.py
@@ -1,7 +1,9 @@
 """Requests that were running on upstreams that crashed, by digest."""
 
 import collections
+import datetime
 import json
+import time
 from typing import Any
 
 import anyio
@@ -9,22 +11,17 @@
 
 from ..errors import PlatformError
 from ..events import Event, EventLog
+from ..platform import Write
 
 MAX_SUSPECTS = 10000
 WRITES_PER_COMMIT = 32
 RETRY_S = 1
+# A digest is forgotten this long after its last crash, at the next change of the owner.
+RETENTION_S = datetime.timedelta(days=7).total_seconds()
 
 SuspectKey = tuple[str, str]
 
 
-@attrs.frozen
-class Write:
-    """A write to the table, with the fields of `platform.Write`."""
-
-    key: str
-    value: bytes | None
-
-
 @attrs.define(eq=False)
 class Suspects:
     """Crash counts by service and digest, bounded, and copied to the table when it is up.
@@ -75,9 +72,14 @@
             break
         for row in rows[-MAX_SUSPECTS:]:
             key = service, row.key.removeprefix(prefix)
+            stored = json.loads(row.value)
+            if time.time() - stored['time'] > RETENTION_S:
+                self._pending.setdefault(key, 0)
+                self._wake.set()
+                continue
             # What happened here since this daemon became the owner is newer than the table.
             if key not in self._pending and key not in self._counts:
-                self._counts[key] = int(json.loads(row.value)['count'])
+                self._counts[key] = int(stored['count'])
         self._trim()
 
     async def run(self) -> None:
@@ -96,7 +98,7 @@
         writes = [
             Write(
                 f'suspects/{service}/{digest}',
-                json.dumps({'count': count}).encode() if count else None,
+                json.dumps({'count': count, 'time': time.time()}).encode() if count else None,
             )
             for (service, digest), count in batch.items()
         ]
--- a/camphorpath/admission/upstream.py
+++ b/camphorpath/admission/upstream.py
@@ -19,6 +19,19 @@
 MAX_RELEASES = 1000
 
 
+@attrs.frozen
+class Doubt:
+    """A lost connection whose cause is not known; `lost_at` is on the lease clock.
+
+    `ran_alone` tells for each digest that ran there whether it ran alone; the digests in
+    `was_clean` were no suspects before.
+    """
+
+    lost_at: float
+    ran_alone: dict[str, bool] = attrs.field(factory=dict)
+    was_clean: set[str] = attrs.field(factory=set)
+
+
 @attrs.define(eq=False)
 class Upstream:
     """A VM that runs requests: its report, the requests granted to it and its learned speed.
@@ -42,6 +55,7 @@
     probe_at: float = 0
     reserved_for: str = ''
     is_exclusive: bool = False
+    doubt: Doubt | None = None
     slots: int = attrs.field(init=False)
     max_tokens: int = attrs.field(init=False)
     prefill_rate: float = attrs.field(init=False)
@@ -69,6 +83,11 @@
         """Return the number of requests that run there, whoever sent them."""
         return len(self.running) + self.foreign
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the VM list or the report says that the upstream leaves."""
+        return self.vm.state != 'live' or (self.report is not None and self.report.draining)
+
     def take_pool(self, pool: pb.Pool) -> pb.Pool:
         """Copy the settings that every decision reads; protobuf access is slower."""
         self.slots = pool.slots
@@ -147,6 +166,10 @@
         )
         self.foreign = max(0, report.running + report.waiting - ours)
 
+    def is_restarted(self, report: LoadReport) -> bool:
+        """Return whether a new report is of another incarnation than the last one."""
+        return self.report is not None and self.report.incarnation != report.incarnation
+
     def find_gone(self, now: float) -> Iterator[Running]:
         """Yield the requests of lost homes that the newest report shows to have ended.
 
--- a/tests/admission/test_shedding.py
+++ b/tests/admission/test_shedding.py
@@ -139,10 +139,72 @@
     assert again in bench.granted_ids()
 
 
-def crash(bench, *request_ids):
+def lose(bench, *request_ids):
     for request_id in request_ids:
         bench.release(request_id, pb.Release.UPSTREAM_LOST)
+
+
+def crash(bench, *request_ids):
+    upstream = bench.place(request_ids[0])
+    lose(bench, *request_ids)
+    bench.now += 0.1
+    bench.report(upstream, incarnation=f'after {request_ids[0]}')
+    bench.advance(2.5)
+
+
+def test_lost_connection_without_a_crash_makes_no_suspect():
+    """Guards against a cut link after which every request would have to run alone."""
+    bench = Bench(pool={'slots': 4})
+    lost = [bench.enqueue(digest=f'd{number}') for number in range(3)]
+    lose(bench, *lost)
+    bench.advance(2.5)
+    again = [bench.enqueue(digest=f'd{number}') for number in range(3)]
+    assert set(again) <= set(bench.granted_ids())
+    assert len(bench.state.running) == 3
+
+
+def test_truncated_answer_to_a_suspect_does_not_refuse_it():
+    """Guards against "crashes_upstreams" for a request whose connection was merely cut."""
+    bench = Bench()
+    crash(bench, bench.enqueue(digest='d'))
+    lose(bench, bench.enqueue(digest='d'))
     bench.advance(2.5)
+    again = bench.enqueue(digest='d')
+    assert again in bench.granted_ids()
+    assert bench.owner._suspects.count('scribe', 'd') == 1
+
+
+def test_request_waits_for_the_verdict_on_its_last_upstream():
+    """Guards against a request that costs a third upstream while the second one's fate is open."""
+    bench = Bench(vms=('u1', 'u2', 'u3'))
+    crash(bench, bench.enqueue(digest='d'))
+    alone = bench.enqueue(digest='d')
+    died = bench.place(alone)
+    lose(bench, alone)
+    again = bench.enqueue(digest='d')
+    for _ in range(7):
+        bench.now += 0.5
+        for name in set(bench.state.upstreams) - {died}:
+            bench.report(name)
+        bench.owner.refresh()
+        bench.owner.run_due()
+    assert again not in bench.granted_ids()
+    assert bench.refusals() == {again: 'crashes_upstreams'}
+
+
+def test_end_of_a_leaving_upstream_is_no_crash():
+    """Guards against a planned stop of an upstream that is blamed on the last request there."""
+    bench = Bench(vms=('u1', 'u2'))
+    crash(bench, bench.enqueue(digest='d'))
+    alone = bench.enqueue(digest='d')
+    left = bench.place(alone)
+    bench.report(left, draining=True)
+    lose(bench, alone)
+    for _ in range(7):
+        bench.now += 0.5
+        bench.report('u1' if left == 'u2' else 'u2')
+        bench.owner.refresh()
+    assert bench.owner._suspects.count('scribe', 'd') == 1
 
 
 def test_suspect_runs_alone_and_is_refused_after_a_crash_alone():
