Compare an idle call with engines of one speed

Cause: the direct probe used one engine of speed 1 and the daemons chose among engines of speeds 0.7 to 1.2, so the difference was partly that between engines. Change: the idle mode starts all engines at speed 1.

--- a/tools/overhead.py
+++ b/tools/overhead.py
@@ -3,6 +3,7 @@
 import time
 
 import anyio
+import attrs
 import httpx
 
 from .callers import CallRecord, call_model, make_client
@@ -23,6 +24,7 @@
 
 async def measure_idle(plan: ScaledDeployment, seconds: float) -> dict:
     """Return the overhead of an idle deployment; the control traffic is watched for `seconds`."""
+    plan = _make_even(plan)
     _, share = find_capacity(plan, 0)
     fleet = scale_fleet(load_fleet(plan.name), plan, share, {})
     with Deployment(fleet) as deployment:
@@ -39,6 +41,15 @@
     return found
 
 
+def _make_even(plan: ScaledDeployment) -> ScaledDeployment:
+    """Return the deployment with engines of one speed.
+
+    Otherwise the difference between a call through a daemon and a direct one would be that between
+    the engines.
+    """
+    return attrs.evolve(plan, engines=[attrs.evolve(one, speed=1) for one in plan.engines])
+
+
 async def _measure_control(deployment: Deployment, plan: ScaledDeployment, seconds: float) -> dict:
     """Return bytes of TCP payload, processor share and memory of each idle daemon.
 
