--- a/camphorpath/calls/__init__.py
+++ b/camphorpath/calls/__init__.py
@@ -1,6 +1,6 @@
 """The HTTP side towards callers: heads, refusals, relay and addresses."""
 
-from .application import make_application
 from .context import CallContext, Progress
+from .server import open_listener, serve_callers
 
-__all__ = ('CallContext', 'Progress', 'make_application')
+__all__ = ('CallContext', 'Progress', 'open_listener', 'serve_callers')
--- /dev/null
+++ b/camphorpath/calls/server.py
@@ -0,0 +1,137 @@
+"""The HTTP server towards callers."""
+
+import asyncio
+import socket
+
+import anyio
+import anyio.abc
+from h11 import ERROR
+from hypercorn.asyncio.tcp_server import TCPServer
+from hypercorn.asyncio.worker_context import WorkerContext
+from hypercorn.config import Config
+from hypercorn.events import Closed
+from hypercorn.events import Event as ServerEvent
+from hypercorn.utils import wrap_app
+
+from ..errors import UserError
+from ..events import Event
+from .application import make_application
+from .context import CallContext
+
+BACKLOG = 512
+MS_PER_S = 1000
+# A caller that reads slowly still gets the end of its answer at a planned stop, within this time.
+FLUSH_LIMIT_S = 60.0
+CUT_LIMIT_S = 1.0
+
+
+def open_listener(address: str, stall_limit_s: float) -> socket.socket:
+    """Return a socket that listens for callers; raises UserError if the address cannot be used.
+
+    A caller that reads nothing for `stall_limit_s` seconds while data waits for it is cut off by
+    the kernel; otherwise it would hold its request, and a planned stop, for ever.
+    """
+    host, _, port = address.rpartition(':')
+    host = host.strip('[]')
+    listener = socket.socket(socket.AF_INET6 if ':' in host else socket.AF_INET)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    stall_limit_ms = round(stall_limit_s * MS_PER_S)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, stall_limit_ms)
+    try:
+        listener.bind((host, int(port)))
+    except OSError as error:
+        listener.close()
+        raise UserError(f'cannot listen on {address}: {error.strerror}', step='listen') from error
+    listener.listen(BACKLOG)
+    return listener
+
+
+async def serve_callers(
+    context: CallContext,
+    listener: socket.socket,
+    closing: anyio.Event,
+    *,
+    task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve callers until `closing` is set, then send what is left of the answers."""
+    config = _make_config(context)
+    worker = WorkerContext(None)
+    application = wrap_app(make_application(context), config.wsgi_max_body_size, 'asgi')
+    loop = asyncio.get_running_loop()
+    connections: dict[asyncio.Task, asyncio.StreamWriter] = {}
+
+    async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        connections[task] = writer
+        try:
+            await _Connection(context, application, loop, config, worker, {}, reader, writer)
+        except Exception as error:
+            context.events.emit(Event.BAD_REQUEST, problem=repr(error))
+        finally:
+            connections.pop(task)
+            writer.transport.abort()
+
+    server = await asyncio.start_server(accept, sock=listener, backlog=BACKLOG)
+    task_status.started()
+    try:
+        await closing.wait()
+        server.close()
+        await worker.terminated.set()
+        if connections:
+            await asyncio.wait(list(connections), timeout=FLUSH_LIMIT_S)
+    finally:
+        server.close()
+        with anyio.CancelScope(shield=True):
+            await _cut(connections)
+
+
+async def _cut(connections: dict[asyncio.Task, asyncio.StreamWriter]) -> None:
+    for task, writer in list(connections.items()):
+        writer.transport.abort()
+        task.cancel()
+    if connections:
+        await asyncio.wait(list(connections), timeout=CUT_LIMIT_S)
+
+
+def _make_config(context: CallContext) -> Config:
+    config = Config()
+    config.accesslog = None
+    config.errorlog = None
+    config.loglevel = 'CRITICAL'
+    # Also limits the time to the first complete head of a connection.
+    config.keep_alive_timeout = context.settings.limits.read_timeout
+    config.h11_max_incomplete_size = context.settings.limits.max_head
+    return config
+
+
+class _Connection(TCPServer):
+    """One connection; it reports bad input that the application never sees."""
+
+    def __init__(self, context: CallContext, application, *details: object) -> None:
+        super().__init__(self._count_request, *details)
+        self._context = context
+        self._application = application
+        self._requests = 0
+
+    async def run(self) -> None:
+        try:
+            await super().run()
+        finally:
+            if not self._requests:
+                self._report('no complete request')
+
+    async def protocol_send(self, event: ServerEvent) -> None:
+        if isinstance(event, Closed):
+            connection = getattr(self.protocol.protocol, 'connection', None)
+            if getattr(connection, 'their_state', None) is ERROR:
+                self._requests += 1
+                self._report('malformed request')
+        await super().protocol_send(event)
+
+    async def _count_request(self, scope, *details) -> None:
+        self._requests += 1
+        await self._application(scope, *details)
+
+    def _report(self, problem: str) -> None:
+        peer = self.writer.get_extra_info('peername') or ('',)
+        self._context.events.emit(Event.BAD_REQUEST, caller=peer[0], problem=problem)
--- a/camphorpath/daemon.py
+++ b/camphorpath/daemon.py
@@ -1,17 +1,16 @@
 """One daemon: its parts built from the settings, run, and stopped gracefully."""
 
 import signal
+import socket
 
 import anyio
 import anyio.abc
 import attrs
 import httpx
-from hypercorn.asyncio import serve
-from hypercorn.config import Config
 from loguru import logger
 
 from .admission import AdmissionClient, AdmissionOwner
-from .calls import CallContext, make_application
+from .calls import CallContext, open_listener, serve_callers
 from .calls.identity import SeenIds
 from .claims import Claims
 from .errors import PlatformError
@@ -30,9 +29,6 @@
 # In a platform outage a stopping daemon gives up recording answers after this time; a repeated
 # key is then told that the outcome was not recorded.
 RECORD_LIMIT_S = 60
-# Connections of callers without a complete head are closed after this time.
-HEAD_TIMEOUT_S = 10
-BACKLOG = 512
 
 
 @attrs.define(kw_only=True)
@@ -51,13 +47,11 @@
     claims: Claims
     client: httpx.AsyncClient
 
-
-@attrs.frozen
-class CallersServer:
-    """The end of the HTTP server towards callers: asked for, and reached."""
-
-    closing: anyio.Event = attrs.Factory(anyio.Event)
-    closed: anyio.Event = attrs.Factory(anyio.Event)
+    async def close(self) -> None:
+        """Close the connections to the platform and the peers."""
+        self.membership.peers.close()
+        for client in (self.table, self.objects, self.vm_list):
+            await client.close()
 
 
 def build_daemon(settings: pb.Daemon, client: httpx.AsyncClient) -> Daemon:
@@ -102,33 +96,28 @@
     )
 
 
-async def run_daemon(settings: pb.Daemon, stop: anyio.Event) -> None:
-    """Run a daemon until `stop` is set and every accepted request has been answered."""
+async def run_daemon(
+    settings: pb.Daemon,
+    stop: anyio.Event,
+    *,
+    task_status: anyio.abc.TaskStatus[Daemon] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run a daemon until `stop` is set and every accepted request has been answered.
+
+    Reports the daemon as started when it listens on both of its addresses. Port 0 stands for any
+    free port; the settings of the reported daemon have the ports in use.
+    """
+    used = pb.Daemon()
+    used.CopyFrom(settings)
+    listener = open_listener(used.callers_address, used.limits.read_timeout)
+    used.callers_address = _replace_port(used.callers_address, listener.getsockname()[1])
     async with make_client() as client:
-        daemon = build_daemon(settings, client)
-        async with anyio.create_task_group() as group:
-            context = _make_context(daemon, group)
-            callers = CallersServer()
-            await group.start(serve_peers, settings, _make_handlers(daemon))
-            for part in (
-                daemon.membership,
-                daemon.versions,
-                daemon.owner,
-                daemon.admission,
-                daemon.claims,
-            ):
-                group.start_soon(part.run)
-            group.start_soon(_poll_vm_list, daemon)
-            group.start_soon(_serve_callers, context, callers)
-            daemon.events.emit(Event.DAEMON_STARTED, name=settings.name, zone=settings.zone)
-            try:
-                await stop.wait()
-                await _drain(daemon, context)
-            finally:
-                callers.closing.set()
-            await callers.closed.wait()
-            group.cancel_scope.cancel()
-        await daemon.table.close()
+        daemon = build_daemon(used, client)
+        try:
+            await _run_parts(daemon, listener, stop, task_status)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await daemon.close()
     daemon.events.emit(Event.DAEMON_STOPPED, name=settings.name)
 
 
@@ -139,6 +128,42 @@
             stop.set()
 
 
+async def _run_parts(
+    daemon: Daemon,
+    listener: socket.socket,
+    stop: anyio.Event,
+    task_status: anyio.abc.TaskStatus[Daemon],
+) -> None:
+    closing = anyio.Event()
+    async with anyio.create_task_group() as group:
+        context = _make_context(daemon, group)
+        port = await group.start(serve_peers, daemon.settings, _make_handlers(daemon))
+        daemon.settings.peers_address = _replace_port(daemon.settings.peers_address, port)
+        for part in (
+            daemon.membership,
+            daemon.versions,
+            daemon.owner,
+            daemon.admission,
+            daemon.claims,
+        ):
+            group.start_soon(part.run)
+        group.start_soon(_poll_vm_list, daemon)
+        async with anyio.create_task_group() as callers:
+            await callers.start(serve_callers, context, listener, closing)
+            daemon.events.emit(
+                Event.DAEMON_STARTED, name=daemon.settings.name, zone=daemon.settings.zone
+            )
+            task_status.started(daemon)
+            await stop.wait()
+            await _drain(daemon, context)
+            closing.set()
+        group.cancel_scope.cancel()
+
+
+def _replace_port(address: str, port: int) -> str:
+    return f'{address.rpartition(":")[0]}:{port}'
+
+
 async def _drain(daemon: Daemon, context: CallContext) -> None:
     """Wait out the longest kept address answer and every accepted request, however long it runs."""
     daemon.membership.begin_stop()
@@ -176,28 +201,6 @@
         await anyio.sleep(VM_LIST_INTERVAL_S)
 
 
-async def _serve_callers(context: CallContext, callers: CallersServer) -> None:
-    config = Config()
-    config.bind = [context.settings.callers_address]
-    config.accesslog = None
-    config.errorlog = None
-    config.loglevel = 'CRITICAL'
-    config.backlog = BACKLOG
-    config.keep_alive_timeout = HEAD_TIMEOUT_S
-    config.h11_max_incomplete_size = context.settings.limits.max_head
-    # Requests are finished before the server is closed, so it has nothing left to wait for.
-    config.graceful_timeout = 1
-    # A cancelled hypercorn raises an error of its own, so it is asked to end instead.
-    with anyio.CancelScope(shield=True):
-        await serve(
-            make_application(context),
-            config,
-            shutdown_trigger=callers.closing.wait,
-            mode='asgi',
-        )
-    callers.closed.set()
-
-
 def _make_handlers(daemon: Daemon) -> Handlers:
     return make_handlers(
         daemon.events, daemon.membership, daemon.versions, daemon.owner, daemon.table
