End every won claim with a record, a release or an abandonment

Cause: a booking that was sent and whose outcome stayed unknown kept its claim open; other daemons answered in_progress as long as the home lived. A table that accepts connections and never answers held a booking until its deadline. Change: the claim is abandoned in that case; a claim waits for the table at most 3 s.

--- a/camphorpath/calls/serving.py
+++ b/camphorpath/calls/serving.py
@@ -6,7 +6,7 @@
 import attrs
 
 from ..claims import Claim, ClaimKey, RecordedAnswer
-from ..errors import Outcome, Refusal
+from ..errors import Refusal
 from ..events import Event
 from ..upstreams import UpstreamAnswer, read_whole
 from .context import CallContext
@@ -16,6 +16,8 @@
 
 # A call that must be recorded goes on after its caller was answered, but not for ever.
 RECORD_LIMIT_S = 900
+# A table that accepts connections and never answers must not hold a booking until its deadline.
+CLAIM_LIMIT_S = 3
 
 
 async def serve_repeatable(
@@ -72,11 +74,12 @@
     """
     key = ClaimKey(exchange.service.name, exchange.customer, exchange.idempotency_key)
     retention_s = context.versions.current.fleet.claim_retention
-    claim: Claim | None = None
-    with anyio.move_on_after(exchange.time_left()):
-        claim = await context.claims.claim(key, exchange.digest, retention_s)
-    if claim is None:
-        raise exchange.refuse_not_run('table_unavailable', 'the table did not answer in time', 5)
+    claim = await context.claims.claim(
+        key,
+        exchange.digest,
+        retention_s,
+        timeout_s=max(0, min(exchange.time_left(), CLAIM_LIMIT_S)),
+    )
     if claim.answer is not None:
         context.events.emit(Event.CLAIM_REPEATED, exchange.request_id)
         await _send_recorded(reply, claim.answer)
@@ -109,13 +112,19 @@
             await dispatch(context, exchange, relay, recorded.interruption)
         except Refusal as error:
             recorded.refusal = error
-    if recorded.answer is not None:
+    _end_claim(context, exchange, claim, recorded)
+    recorded.done.set()
+
+
+def _end_claim(context: CallContext, exchange: Exchange, claim: Claim, recorded: _Recorded) -> None:
+    if recorded.answer:
         context.claims.record(claim, recorded.answer)
-    elif recorded.refusal is None or recorded.refusal.outcome is Outcome.NOT_RUN:
-        recorded.refusal = recorded.refusal or refuse_interrupted(exchange, 'deadline_exceeded')
-    if recorded.answer is None and exchange.phase is Phase.ACCEPTED:
+        return
+    if exchange.phase is Phase.ACCEPTED:
         context.claims.release(claim)
-    recorded.done.set()
+    else:
+        context.claims.abandon(claim)
+    recorded.refusal = recorded.refusal or refuse_interrupted(exchange, 'deadline_exceeded')
 
 
 async def _send_recorded(reply: Reply, answer: RecordedAnswer) -> None:
--- a/tests/calls/test_serving.py
+++ b/tests/calls/test_serving.py
@@ -15,6 +15,7 @@
 from camphorpath.metrics import Metrics
 from camphorpath.schema import camphorpath_pb2 as pb
 from camphorpath.upstreams import make_client
+from standins.faults import Faults
 from standins.service import run_service
 
 from .test_exchange import make_exchange
@@ -50,8 +51,9 @@
     def __init__(self):
         self.released = []
         self.recorded = []
+        self.abandoned = []
 
-    async def claim(self, key, digest, retention_s):
+    async def claim(self, key, digest, retention_s, timeout_s):
         return types.SimpleNamespace(answer=None)
 
     def record(self, claim, answer):
@@ -60,6 +62,9 @@
     def release(self, claim):
         self.released.append(claim)
 
+    def abandon(self, claim):
+        self.abandoned.append(claim)
+
 
 def make_context(client, group, url):
     fleet = pb.Fleet(claim_retention=1000)
@@ -108,3 +113,21 @@
         assert caught.value.outcome is Outcome.NOT_RUN
         assert not service.history
         assert set(context.admission.releases) == {pb.Release.NOT_SENT}
+
+
+async def test_a_booking_with_an_unknown_outcome_is_abandoned():
+    """Guards against a claim that other daemons take for in progress as long as this one lives."""
+    async with (
+        run_service(faults=Faults(cut_after_effect=True)) as service,
+        make_client() as client,
+    ):
+        async with anyio.create_task_group() as group:
+            context = make_context(client, group, service.url)
+            context.admission.ready.set()
+            exchange = make_exchange(idempotency_key='k')
+            with pytest.raises(Refusal) as caught:
+                await serve_once(context, exchange, Reply(send_nothing, 'r'))
+        assert caught.value.outcome is Outcome.OUTCOME_UNKNOWN
+        assert len(service.history) == 1
+        claims = context.claims
+        assert (len(claims.abandoned), claims.released, claims.recorded) == (1, [], [])
