--- a/tests/admission/fakes.py
+++ b/tests/admission/fakes.py
@@ -1,6 +1,7 @@
 """Stand-ins for the parts that admission uses, and an owner on a clock that tests drive."""
 
 import itertools
+from types import SimpleNamespace
 
 import attrs
 
@@ -64,24 +65,6 @@
         return True
 
 
-class FakeVmList:
-    def __init__(self, vms=()):
-        self.vms = list(vms)
-
-    async def read(self):
-        return self.vms
-
-
-@attrs.define
-class FakeVersion:
-    fleet: pb.Fleet
-
-
-@attrs.define
-class FakeVersions:
-    current: FakeVersion
-
-
 def make_fleet(**service_fields):
     fields = {
         'max_waiting': 100,
@@ -104,6 +87,12 @@
     )
 
 
+def make_enqueue(request_id, tier=1, **fields):
+    names = {'customer': 'big', 'zone': 'a', 'pool': 'main', 'service': 'scribe'}
+    numbers = {'time_left': 60, 'prompt_tokens': 400, 'output_tokens': 40, 'cancellable': True}
+    return pb.Enqueue(request_id=request_id, tier_rank=tier, **(names | numbers | fields))
+
+
 class Bench:
     """An owner with registered homes; keeps every message that the homes receive."""
 
@@ -113,14 +102,14 @@
         self.membership = FakeMembership(
             members=[pb.MemberInfo(incarnation=home) for home in homes], fleet=self.fleet
         )
-        self.versions = FakeVersions(FakeVersion(self.fleet))
+        self.versions = SimpleNamespace(current=SimpleNamespace(fleet=self.fleet))
         self.table = FakeTable()
         self.events = EventLog('home-1')
         self.vms = [vm if isinstance(vm, FakeVm) else FakeVm(vm) for vm in vms]
         self.owner = AdmissionOwner(
             self.membership,
             self.versions,
-            FakeVmList(self.vms),
+            None,
             self.table,
             self.events,
             read_load=None,
@@ -129,6 +118,7 @@
         self.owner.refresh()
         self.owner.take_vms(self.vms)
         self.state = self.owner.services['scribe']
+        self.incarnations = {}
         self.numbers = itertools.count()
         self.received = {}
         self.sessions = {}
@@ -152,7 +142,9 @@
 
     def report(self, name, running=None, lag=0.0, **fields):
         upstream = self.state.upstreams[name]
-        fields = {'incarnation': 'i1', 'draining': False, 'waiting': 0, 'tokens': 0} | fields
+        fields.setdefault('incarnation', self.incarnations.get(name, 'i1'))
+        self.incarnations[name] = fields['incarnation']
+        fields = {'draining': False, 'waiting': 0, 'tokens': 0} | fields
         if running is None:
             running = len(upstream.running)
         as_of = WALL_START_S + self.now - lag
@@ -173,17 +165,7 @@
 
     def enqueue(self, tier=1, home='home-1', request_id='', **fields):
         request_id = request_id or f'r{next(self.numbers)}'
-        fields = {
-            'customer': 'big',
-            'time_left': 60,
-            'prompt_tokens': 400,
-            'output_tokens': 40,
-            'cancellable': True,
-            'zone': 'a',
-            'pool': 'main',
-            'service': 'scribe',
-        } | fields
-        enqueue = pb.Enqueue(request_id=request_id, tier_rank=tier, **fields)
+        enqueue = make_enqueue(request_id, tier, **fields)
         self.sessions[home].handle(pb.AdmissionUp(enqueue=enqueue))
         return request_id
 
