Log faults of the program that the HTTP server would hide

Cause: hypercorn runs without an error log, so an exception of the application, such as a failed assertion, ended the connection and left no line anywhere.

Ruled out: the error log of hypercorn, which would also report every answer that is broken off on purpose.

Before: a soak could see such a fault only as an answer with status 500.

Conclusion: assertions inside calls are visible to operators and to the soak.

--- a/camphorpath/calls/application.py
+++ b/camphorpath/calls/application.py
@@ -6,6 +6,8 @@
 from collections.abc import Awaitable, Callable
 from urllib.parse import parse_qs
 
+from loguru import logger
+
 from ..clocks import read_lease_clock
 from ..errors import Outcome, Refusal
 from ..events import Event
@@ -24,7 +26,7 @@
     read_headers,
 )
 from .identity import RequestId, parse_request_id
-from .reply import Reply
+from .reply import AnswerBroken, Reply
 from .rules import choose_pool, find_exceptions, find_model, find_service, is_idempotent
 from .serving import serve_once, serve_repeatable
 
@@ -56,12 +58,18 @@
             return
         if scope['type'] != 'http':
             return
-        path = scope['path']
-        page = PAGES.get(path)
+        handle = _handle_call
+        page = PAGES.get(scope['path'])
         if page is not None and scope['method'] == 'GET':
-            await page(context, scope, send)
-            return
-        await _handle_call(context, scope, receive, send)
+            handle = page
+        try:
+            await handle(context, scope, receive, send)
+        except AnswerBroken:
+            raise
+        except Exception:
+            # The HTTP server reports nothing, and a failed assertion must not pass unseen.
+            logger.exception('fault of the program in {} {}', scope['method'], scope['path'])
+            raise
 
     return application
 
@@ -237,7 +245,7 @@
     return digest.hexdigest()
 
 
-async def _show_addresses(context: CallContext, scope: dict, send: Send) -> None:
+async def _show_addresses(context: CallContext, scope: dict, receive: Receive, send: Send) -> None:
     query = parse_qs(scope['query_string'].decode('latin-1'))
     zone = query.get('zone', [''])[0]
     caller, _ = scope.get('client', ('', 0))
@@ -250,7 +258,7 @@
     )
 
 
-async def _show_models(context: CallContext, scope: dict, send: Send) -> None:
+async def _show_models(context: CallContext, scope: dict, receive: Receive, send: Send) -> None:
     fleet = context.versions.current.fleet
     models = [
         {'id': model, 'object': 'model', 'created': 0, 'owned_by': service.name}
@@ -260,7 +268,7 @@
     await _send_json(send, {'object': 'list', 'data': models})
 
 
-async def _show_health(context: CallContext, scope: dict, send: Send) -> None:
+async def _show_health(context: CallContext, scope: dict, receive: Receive, send: Send) -> None:
     info = context.membership.info()
     reason = context.versions.refuse_reason()
     if info.stopping:
@@ -277,7 +285,7 @@
     )
 
 
-async def _show_metrics(context: CallContext, scope: dict, send: Send) -> None:
+async def _show_metrics(context: CallContext, scope: dict, receive: Receive, send: Send) -> None:
     body, headers = context.metrics.render()
     encoded = [(name.lower().encode(), text.encode()) for name, text in headers.items()]
     await _send_page(send, STATUS_OK, encoded, body)
