--- a/tools/load.py
+++ b/tools/load.py
@@ -16,6 +16,7 @@
 RETRY_PAUSE_S = 0.4
 CRASHER_PAUSE_S = 1
 CRASHER_LIMIT_S = 6
+REPEAT_LIMIT_S = 10
 MS_PER_S = 1000
 
 
@@ -49,8 +50,9 @@
                 await anyio.sleep(max(0, began + call.at_s - time.monotonic()))
                 group.start_soon(getattr(self, f'_{call.kind}'), call)
 
-    async def repeat_bookings(self, limit: int) -> None:
+    async def repeat_bookings(self, limit: int) -> list[CallRecord]:
         """Repeat the keys of complete bookings, whose recorded answers must be the same."""
+        former = len(self.records)
         complete = {
             one.key: one
             for one in self.records
@@ -59,7 +61,8 @@
         async with anyio.create_task_group() as group:
             for record in list(complete.values())[-limit:]:
                 book = self.books[record.zone]
-                group.start_soon(self._book_once, record.key, record.customer, book, 10)
+                group.start_soon(self._book_once, record.key, record.customer, book, REPEAT_LIMIT_S)
+        return self.records[former:]
 
     async def _draft(self, call: PlannedCall) -> None:
         await self._chat(call, make_chat(call))
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -122,7 +122,9 @@
             say(f'calls and faults have ended after {time.monotonic() - began:.0f} s')
             await self.injector.settle()
             await anyio.sleep(SETTLE_S)
-            await load.repeat_bookings(REPEATED_KEYS)
+            repeats = await load.repeat_bookings(REPEATED_KEYS)
+            counts = collections.Counter((one.outcome, one.reason) for one in repeats)
+            say(f'repeated keys after the faults: {dict(counts)}')
             await self._read_versions()
             say(f'stopping all daemons after {time.monotonic() - began:.0f} s')
             self.injector.is_ending = True
