Keep cancellations by grpclib inside the call

Cause: grpclib cancels the task of a call when the connection is lost. That cancellation could leave the call: as CancelledError where grpclib does not turn it into an error, or as a count on the task that keeps the next cancel scope of anyio from ending when the link was given up at the same moment. A child of a task group of anyio that ends cancelled cancels the group without an error, so AdmissionClient.run returned silently and the daemon went on without admission.

Ruled out: membership and owner choice (all six daemons agreed and served, `status` showed both owners as not confirmed), a link that waits for its connection (also the link to the own process was not opened again), a paused process (its heartbeats and load polls went on).

The added tests fail.

After: such a cancellation becomes a PeerError, and one by a scope of anyio is delivered again. The added tests pass.

Conclusion: no cancellation that anyio did not make leaves a call between daemons. That a daemon outlives the end of one of its parts is a second fault.

--- a/camphorpath/peers/clients.py
+++ b/camphorpath/peers/clients.py
@@ -2,14 +2,15 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 
 import anyio
 import h2.exceptions
+from anyio.lowlevel import checkpoint_if_cancelled
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
-from ..errors import CamphorpathError, PeerError
+from ..errors import PeerError
 from ..events import EventLog
 from ..schema import camphorpath_pb2 as pb
 from ..schema.camphorpath_grpc import PeerStub
@@ -26,7 +27,6 @@
     h2.exceptions.H2Error,
     ConnectionError,
 )
-_RESTORING_FAULTS = (CamphorpathError, *_FAULTS)
 # grpclib raises AssertionError when the answer ends inside a message.
 _CALL_FAULTS = (*_FAULTS, OSError, AssertionError)
 
@@ -72,7 +72,7 @@
         stream; with an error the stream is reset.
         """
         try:
-            with _restore_cancellation():
+            async with _keep_cancellation_apart('Admission', address):
                 async with PeerStub(self._open(address)).Admission.open(
                     metadata=self._metadata
                 ) as stream:
@@ -109,29 +109,33 @@
 
     async def _call(self, step: str, address: str, message, timeout_s: float):
         method = getattr(PeerStub(self._open(address)), step)
-        with _restore_cancellation():
+        async with _keep_cancellation_apart(step, address):
             try:
                 return await method(message, timeout=timeout_s, metadata=self._metadata)
             except _CALL_FAULTS as error:
                 raise _make_error(step, address, error) from error
 
 
-@contextlib.contextmanager
-def _restore_cancellation() -> Iterator[None]:
-    """Undo the cancellations that grpclib leaves in the count of the current task.
+@contextlib.asynccontextmanager
+async def _keep_cancellation_apart(step: str, address: str) -> AsyncIterator[None]:
+    """Let no cancellation by grpclib leave a call; it becomes a PeerError.
 
-    grpclib cancels the task to interrupt a call and turns the cancellation into an error without
-    `Task.uncancel`; the next cancel scope of anyio in this task would then not end. A cancellation
-    by an outer scope of anyio is not lost, since anyio delivers it again.
+    grpclib cancels the task to interrupt a call, and not always turns the cancellation into an
+    error. It also leaves it in the count of the task, and the next cancel scope of anyio would then
+    not end. A task group of anyio ends without an error when a child ends cancelled, so either
+    would silently end the tasks beside it. A cancellation by a scope of anyio is delivered again.
     """
     task = asyncio.current_task()
     count = task.cancelling()
     try:
         yield
-    except _RESTORING_FAULTS:
+    except BaseException as error:
         while task.cancelling() > count:
             task.uncancel()
-        raise
+        if not isinstance(error, asyncio.CancelledError):
+            raise
+        await checkpoint_if_cancelled()
+        raise _make_error(step, address, ConnectionError('connection lost')) from error
 
 
 async def _start_stream(stream, address: str) -> None:
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -1,3 +1,4 @@
+import asyncio
 import contextlib
 import socket
 
@@ -224,3 +225,39 @@
     )
     with pytest.raises(UserError):
         anyio.run(serve_peers, settings, make_handlers(EventLog()))
+
+
+def test_a_cancellation_by_grpclib_ends_only_the_stream(tmp_path):
+    """Guards against a lost connection that silently ends the tasks beside the stream."""
+
+    async def main():
+        async with serve(tmp_path) as (address, _), anyio.create_task_group() as group:
+            with connect() as clients:
+                with pytest.raises(PeerError):
+                    async with clients.open_admission(address):
+                        asyncio.current_task().cancel()
+                        await anyio.sleep_forever()
+                assert not asyncio.current_task().cancelling()
+                assert not group.cancel_scope.cancel_called
+
+    anyio.run(main)
+
+
+@pytest.mark.parametrize('is_scope_first', [False, True])
+def test_a_cancelled_scope_ends_although_grpclib_cancels_too(tmp_path, is_scope_first):
+    """Guards against a cancellation that leaves its scope when the connection is lost as well."""
+
+    async def main():
+        async with serve(tmp_path) as (address, _):
+            with connect() as clients:
+                with anyio.CancelScope() as scope:
+                    async with clients.open_admission(address):
+                        if is_scope_first:
+                            scope.cancel()
+                        asyncio.current_task().cancel()
+                        scope.cancel()
+                        await anyio.sleep_forever()
+                assert scope.cancelled_caught
+                assert not asyncio.current_task().cancelling()
+
+    anyio.run(main)
