End the daemon when one of its parts ends

Cause: a task group of anyio takes the silent end of a child for success, so a daemon whose admission client had ended went on, answered its health check with "serving" and refused all calls.

Ruled out: catching it in the health check; nothing starts a part again, and a process that ends is replaced.

After: a part that returns while the daemon runs fails an assertion, which ends the process with a traceback.

Conclusion: a half daemon cannot remain in the fleet.

--- a/camphorpath/daemon.py
+++ b/camphorpath/daemon.py
@@ -146,7 +146,7 @@
             daemon.admission,
             daemon.claims,
         ):
-            group.start_soon(part.run)
+            group.start_soon(_run_for_ever, part)
         group.start_soon(_poll_vm_list, daemon)
         async with anyio.create_task_group() as callers:
             await callers.start(serve_callers, context, listener, closing)
@@ -160,6 +160,12 @@
         group.cancel_scope.cancel()
 
 
+async def _run_for_ever(part: object) -> None:
+    """Run a part until cancelled; a daemon must not go on without one of its parts."""
+    await part.run()
+    raise AssertionError(f'{type(part).__name__} has ended')
+
+
 def _replace_port(address: str, port: int) -> str:
     return f'{address.rpartition(":")[0]}:{port}'
 
