--- a/tests/tools/test_history.py
+++ b/tests/tools/test_history.py
@@ -244,6 +244,12 @@
     assert find('error', records=[record(reason='status_500')])
 
 
+def test_a_daemon_that_does_not_recover_is_found():
+    """Guards against a daemon that serves nothing when the faults are over."""
+    assert find('recovery', records=[record(kind='probe', outcome='not_run')])
+    assert not find('recovery', records=[record(kind='probe', outcome='complete')])
+
+
 def test_lifetimes_are_open_at_first():
     """Guards against a daemon that counts as killed or stopped by default."""
     life = Lifetime('home', 'u', 0)
--- a/tools/history.py
+++ b/tools/history.py
@@ -414,6 +414,20 @@
     ]
 
 
+def check_recovery(history: History) -> tuple[int, list[Violation]]:
+    """Check that every daemon serves a call of the highest tier when the faults have ended."""
+    probes = [one for one in history.records if one.kind == 'probe']
+    return len(probes), [
+        Violation(
+            'recovery',
+            f'a call at {one.daemon} after the faults ended as {one.outcome} {one.reason}',
+            one.request_id,
+        )
+        for one in probes
+        if one.outcome != 'complete'
+    ]
+
+
 CHECKS: tuple[tuple[str, Check], ...] = (
     ('P1', check_single_execution),
     ('P2', check_tiers),
@@ -425,6 +439,7 @@
     ('P8', check_versions),
     ('crash', check_crashers),
     ('error', check_unexpected),
+    ('recovery', check_recovery),
 )
 
 
--- a/tools/load.py
+++ b/tools/load.py
@@ -9,9 +9,10 @@
 import httpx
 
 from .callers import AddressBook, CallRecord, call_model, call_service
-from .schedule import CRASH_MARKER, PlannedCall
+from .schedule import CRASH_MARKER, CUSTOMERS, ZONES, PlannedCall
 
 MODEL = 'scribe-agreements'
+ID_HEADER = 'Camphorpath-Request-Id'
 MAX_TRIES = 5
 RETRY_PAUSE_S = 0.4
 CRASHER_PAUSE_S = 1
@@ -64,6 +65,13 @@
                 group.start_soon(self._book_once, record.key, record.customer, book, REPEAT_LIMIT_S)
         return self.records[former:]
 
+    async def probe(self, urls: Sequence[str]) -> None:
+        """Make one model call through each daemon, which must be served after the faults."""
+        async with anyio.create_task_group() as group:
+            for number, url in enumerate(urls):
+                call = make_probe(number)
+                group.start_soon(self._chat_at, call, make_chat(call), url, {})
+
     async def _draft(self, call: PlannedCall) -> None:
         await self._chat(call, make_chat(call))
 
@@ -83,7 +91,7 @@
             first = reply.json()['addresses'][0]
         except (httpx.HTTPError, ValueError, IndexError):
             return
-        headers = {'Camphorpath-Request-Id': f'{first["request_id_prefix"]}.own-{call.number}'}
+        headers = {ID_HEADER: f'{first["request_id_prefix"]}.own-{call.number}'}
         urls = [first['url'], first['url'], random.choice(self.known_urls)]
         async with anyio.create_task_group() as group:
             for copy in range(call.extra + 1):
@@ -106,6 +114,8 @@
         self, call: PlannedCall, document: dict, url: str, headers: dict[str, str]
     ) -> CallRecord:
         record = CallRecord(kind=call.kind, customer=call.customer, zone=call.zone)
+        # An id formed by the caller is known also when the answer never comes.
+        record.request_id = headers.get(ID_HEADER, '')
         self.records.append(record)
         headers = {**headers, **make_headers(call.customer, call.timeout_s)}
         await call_model(self.client, url, document, record, headers)
@@ -150,6 +160,11 @@
         return record
 
 
+def make_probe(number: int) -> PlannedCall:
+    """Return a short call of the highest tier with enough time."""
+    return PlannedCall(0, 'probe', ZONES[0], CUSTOMERS[0], number, 10, 10, True, 20, 0, 0)
+
+
 def make_headers(customer: str, timeout_s: float) -> dict[str, str]:
     """Return the headers of a call."""
     return {
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -122,6 +122,8 @@
             say(f'calls and faults have ended after {time.monotonic() - began:.0f} s')
             await self.injector.settle()
             await anyio.sleep(SETTLE_S)
+            serving = self.injector.list_serving()
+            await load.probe([self.deployment.daemons[name].url for name in serving])
             repeats = await load.repeat_bookings(REPEATED_KEYS)
             counts = collections.Counter((one.outcome, one.reason) for one in repeats)
             say(f'repeated keys after the faults: {dict(counts)}')
