Keep a home's streams alive after a stray cancellation; do not take the end of an answer for a caller that left

Cause: (1) after an owner died, every home and the new owner's own client stopped for good: the link to the dead owner was cancelled inside a grpclib call, the CancelledError left its scope, and the task group of the client ended without an error; waiting requests then expired at their deadline. (2) hypercorn reports a disconnection when an answer is complete; each lookup was counted as left by its caller. Ruled out: the choice of owner (all daemons agreed on the new one in the traces), stale caches of it. Change: each stream has a task and a group of its own; the writer to a closed stream ends quietly; a reply knows that it is complete. Both new tests fail on the code before.

--- a/camphorpath/admission/client.py
+++ b/camphorpath/admission/client.py
@@ -183,27 +183,31 @@
             link.services = services
             if not link.services:
                 self._links.pop(incarnation)
-                link.scope.cancel()
+                link.drop()
 
     async def _keep_link(self, link: Link) -> None:
+        while link.is_wanted:
+            # grpclib may cancel the task of a stream in a way that anyio cannot tell from its own
+            # cancellation; the stream has a task and a group of its own, so that nothing else ends.
+            async with anyio.create_task_group() as group:
+                link.scope = group.cancel_scope
+                group.start_soon(self._serve_link, link)
+            self._detach(link)
+            if link.is_wanted:
+                await anyio.sleep(RECONNECT_S)
+
+    async def _serve_link(self, link: Link) -> None:
         def on_open() -> None:
             self._register(link)
 
-        with link.scope:
-            while True:
-                try:
-                    if link.info.incarnation == self._membership.incarnation:
-                        await link.serve_local(
-                            self._membership, self._owner, on_open, self._receive
-                        )
-                    else:
-                        await link.serve_remote(self._membership, on_open, self._receive)
-                except* LINK_ERRORS:
-                    # The owner is gone or cut off; membership says who follows.
-                    link.is_open = False
-                finally:
-                    self._detach(link)
-                await anyio.sleep(RECONNECT_S)
+        try:
+            if link.info.incarnation == self._membership.incarnation:
+                await link.serve_local(self._membership, self._owner, on_open, self._receive)
+            else:
+                await link.serve_remote(self._membership, on_open, self._receive)
+        except* LINK_ERRORS:
+            # The owner is gone or cut off; membership says who follows.
+            link.is_open = False
 
     def _detach(self, link: Link) -> None:
         link.is_open = False
--- a/camphorpath/admission/link.py
+++ b/camphorpath/admission/link.py
@@ -45,9 +45,16 @@
     services: frozenset[str] = frozenset()
     registered: frozenset[str] = frozenset()
     is_open: bool = False
-    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+    is_wanted: bool = True
+    scope: anyio.CancelScope | None = None
     post: Callable[[pb.AdmissionUp], None] = attrs.field(init=False)
 
+    def drop(self) -> None:
+        """End the stream for good."""
+        self.is_wanted = False
+        if self.scope is not None:
+            self.scope.cancel()
+
     async def serve_remote(self, membership: Any, on_open: Callable[[], None], receive: Receive):
         """Exchange messages over gRPC until the stream breaks; raises one of LINK_ERRORS."""
         async with membership.peers.open_admission(self.info.peers_address) as stream:
--- a/camphorpath/calls/reply.py
+++ b/camphorpath/calls/reply.py
@@ -22,6 +22,8 @@
         self._send = send
         self.request_id = request_id
         self.started = False
+        # Set when the last part is handed to the server.
+        self.is_complete = False
         self.sent_bytes = 0
         self.parts = 0
 
@@ -39,6 +41,7 @@
         """Send a part of the body; `more` is False for the last one."""
         self.sent_bytes += len(part)
         self.parts += 1
+        self.is_complete = not more
         await self._send({'type': 'http.response.body', 'body': part, 'more_body': more})
 
     async def send_whole(
--- a/camphorpath/calls/serving.py
+++ b/camphorpath/calls/serving.py
@@ -40,7 +40,7 @@
     with anyio.move_on_after(exchange.time_left()) as scope:
         interruption = Interruption(scope)
         async with anyio.create_task_group() as group:
-            group.start_soon(_watch_caller, receive, interruption)
+            group.start_soon(_watch_caller, receive, reply, interruption)
             try:
                 await dispatch(context, exchange, relay, interruption)
             except Refusal as error:
@@ -48,7 +48,7 @@
             group.cancel_scope.cancel()
     if refusal:
         raise refusal
-    if not scope.cancelled_caught:
+    if reply.is_complete or not scope.cancelled_caught:
         return
     reason = interruption.reason or 'deadline_exceeded'
     if reason == 'caller_left':
@@ -131,9 +131,15 @@
     await reply.send_whole(answer.status, answer.headers, answer.body)
 
 
-async def _watch_caller(receive: Callable[[], Awaitable[dict]], interruption: Interruption) -> None:
-    while True:
+async def _watch_caller(
+    receive: Callable[[], Awaitable[dict]], reply: Reply, interruption: Interruption
+) -> None:
+    """Interrupt the dispatch when the caller leaves.
+
+    The server reports the end of a complete answer in the same way; that is no interruption.
+    """
+    message = await receive()
+    while message['type'] != 'http.disconnect':
         message = await receive()
-        if message['type'] == 'http.disconnect':
-            interruption.interrupt('caller_left')
-            return
+    if not reply.is_complete:
+        interruption.interrupt('caller_left')
--- a/camphorpath/handlers.py
+++ b/camphorpath/handlers.py
@@ -6,6 +6,7 @@
 import anyio
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
+from h2.exceptions import H2Error
 
 from .admission import AdmissionOwner
 from .events import EventLog
@@ -78,6 +79,7 @@
 
 
 async def _write(stream: object, inbox: anyio.abc.ObjectReceiveStream) -> None:
-    with contextlib.suppress(StreamTerminatedError, ConnectionError):
+    # The home has closed the stream; the reading side sees its end and closes the session.
+    with contextlib.suppress(StreamTerminatedError, ConnectionError, H2Error):
         async for message in inbox:
             await stream.send_message(message)
--- a/tests/admission/test_client.py
+++ b/tests/admission/test_client.py
@@ -1,3 +1,4 @@
+import asyncio
 import contextlib
 
 import anyio
@@ -251,3 +252,25 @@
         grant = await home.client.acquire(home.ticket('r1'))
         assert grant.expires_at == 3
         assert home.benches['owner-1'].event_names().count('granted') == 2
+
+
+async def test_cancelled_stream_ends_only_its_own_link():
+    """Guards against a client that stops for good without an error.
+
+    grpclib interrupts a stream by cancelling its task and does not undo the cancellation.
+    """
+    home = Home()
+    opened = home.peers.open_admission
+    left = iter(range(2))
+
+    @contextlib.asynccontextmanager
+    async def open_badly(address):
+        if next(left, None) is not None:
+            asyncio.current_task().cancel()
+            raise asyncio.CancelledError
+        async with opened(address) as stream:
+            yield stream
+
+    home.peers.open_admission = open_badly
+    async with home.running():
+        assert (await home.client.acquire(home.ticket('r1'))).upstream == 'u1'
--- a/tests/calls/test_serving.py
+++ b/tests/calls/test_serving.py
@@ -8,7 +8,7 @@
 from camphorpath.calls.dispatch import Interruption, dispatch
 from camphorpath.calls.identity import SeenIds
 from camphorpath.calls.reply import Reply
-from camphorpath.calls.serving import serve_once
+from camphorpath.calls.serving import serve_once, serve_repeatable
 from camphorpath.clocks import read_lease_clock
 from camphorpath.errors import Outcome, Refusal
 from camphorpath.events import EventLog
@@ -131,3 +131,26 @@
         assert len(service.history) == 1
         claims = context.claims
         assert (len(claims.abandoned), claims.released, claims.recorded) == (1, [], [])
+
+
+async def test_end_of_a_complete_answer_is_not_taken_for_a_caller_that_left():
+    """Guards against complete answers that are counted as failed and as unused work."""
+    answered = anyio.Event()
+
+    async def send(message):
+        if message['type'] == 'http.response.body' and not message['more_body']:
+            answered.set()
+            # The server reports the disconnection before this call returns.
+            await anyio.wait_all_tasks_blocked()
+
+    async def receive():
+        await answered.wait()
+        return {'type': 'http.disconnect'}
+
+    async with run_service() as service, make_client() as client:
+        async with anyio.create_task_group() as group:
+            context = make_context(client, group, service.url)
+            context.admission.ready.set()
+            exchange = make_exchange(idempotent=True, method='GET', path='/lookup/7')
+            await serve_repeatable(context, exchange, Reply(send, 'r'), receive)
+        assert context.admission.releases == [pb.Release.COMPLETE]
