Release complete streams as complete and choose owners again when serving changes

Cause 1: the server reports http.disconnect after every answer, and the watcher of the caller then cancelled the dispatch before its slot was released. Cause 2: the release counted bytes / 4 as tokens; an event has about 200 bytes, so each answer looked fifty times as long as it was. Cause 3: choose_member prefers members that serve, and Ownership kept its choice until the set of (incarnation, stopping) changed. A daemon that took in the members before one of them served kept another owner than the rest: one home registered 631 times in 60 s and all its 45 top-tier calls ended with deadline_exceeded. Ruled out for cause 3: a lost stream (no home_lost event during the run) and a change of members. Change: a disconnect after the end of the answer is ignored, events are counted on the relay path, and serving is part of what Ownership compares.

--- a/camphorpath/admission/ownership.py
+++ b/camphorpath/admission/ownership.py
@@ -12,12 +12,16 @@
     """The owners of services by rendezvous hashing over the members at the last refresh."""
 
     membership: Any
-    _members: frozenset[tuple[str, bool]] = frozenset()
+    # Everything that the choice depends on. Without `serving` daemons that start at different
+    # moments keep different owners for ever.
+    _members: frozenset[tuple[str, bool, bool]] = frozenset()
     _owners: dict[str, pb.MemberInfo] = attrs.field(factory=dict)
 
     def refresh(self) -> None:
         """Take in the present members."""
-        members = frozenset((info.incarnation, info.stopping) for info in self.membership.live())
+        members = frozenset(
+            (info.incarnation, info.stopping, info.serving) for info in self.membership.live()
+        )
         if members != self._members:
             self._members = members
             self._owners.clear()
--- a/camphorpath/calls/dispatch.py
+++ b/camphorpath/calls/dispatch.py
@@ -12,7 +12,6 @@
 from ..events import Event
 from ..schema import camphorpath_pb2 as pb
 from ..upstreams import Call, UpstreamAnswer, open_call
-from .bodies import BYTES_PER_TOKEN
 from .context import CallContext
 from .exchange import Exchange
 
@@ -30,6 +29,14 @@
 )
 
 
+@attrs.frozen
+class Relayed:
+    """What was passed on of an answer; `output_tokens` is an estimate."""
+
+    size: int
+    output_tokens: int
+
+
 @attrs.define
 class Interruption:
     """Ends a dispatch early; the first reason counts."""
@@ -47,12 +54,12 @@
 async def dispatch(
     context: CallContext,
     exchange: Exchange,
-    relay: Callable[[UpstreamAnswer], Awaitable[int]],
+    relay: Callable[[UpstreamAnswer], Awaitable[Relayed]],
     interruption: Interruption,
 ) -> None:
     """Send the request to one upstream and pass its answer to `relay`.
 
-    `relay` returns the bytes of the answer. Raises Refusal, the final answer to the caller.
+    Raises Refusal, the final answer to the caller.
     """
 
     def preempt() -> None:
@@ -78,7 +85,7 @@
 async def _use_grant(
     context: CallContext,
     exchange: Exchange,
-    relay: Callable[[UpstreamAnswer], Awaitable[int]],
+    relay: Callable[[UpstreamAnswer], Awaitable[Relayed]],
     interruption: Interruption,
     ticket: Ticket,
     grant: Grant,
@@ -120,7 +127,7 @@
 async def _send(
     context: CallContext,
     exchange: Exchange,
-    relay: Callable[[UpstreamAnswer], Awaitable[int]],
+    relay: Callable[[UpstreamAnswer], Awaitable[Relayed]],
     grant: Grant,
     release: pb.Release,
     timing: _Timing,
@@ -146,11 +153,11 @@
     )
     async with open_call(context.client, grant.upstream_url, call, mark_sent) as answer:
         timing.first_byte = timing.duration()
-        size = await relay(answer)
-        release.output_tokens = size // BYTES_PER_TOKEN
+        relayed = await relay(answer)
+        release.output_tokens = relayed.output_tokens
         release.result = _judge(answer.status)
     route = 'same_zone' if grant.zone == context.settings.zone else 'other_zone'
-    context.metrics.relayed.add({'service': exchange.service.name, 'route': route}, size)
+    context.metrics.relayed.add({'service': exchange.service.name, 'route': route}, relayed.size)
 
 
 def _judge(status: int) -> 'pb.Release.Result':
--- a/camphorpath/calls/reply.py
+++ b/camphorpath/calls/reply.py
@@ -6,6 +6,9 @@
 from ..upstreams import UpstreamAnswer
 from .refusals import render_error_event, render_refusal
 
+# Engines send one event for each token, and one that ends the stream.
+EVENT_MARK = b'data:'
+
 
 class AnswerBroken(Exception):
     """Raised out of the application so that the server closes the connection abnormally.
@@ -22,8 +25,10 @@
         self._send = send
         self.request_id = request_id
         self.started = False
+        self.is_complete = False
         self.sent_bytes = 0
         self.parts = 0
+        self.events = 0
 
     async def send_head(self, status: int, headers: Sequence[tuple[str, str]]) -> None:
         """Send the status and the headers, with the request id."""
@@ -39,6 +44,8 @@
         """Send a part of the body; `more` is False for the last one."""
         self.sent_bytes += len(part)
         self.parts += 1
+        # Set before the send: the server reports a disconnect as soon as the answer has ended.
+        self.is_complete = self.is_complete or not more
         await self._send({'type': 'http.response.body', 'body': part, 'more_body': more})
 
     async def send_whole(
@@ -53,6 +60,7 @@
         """Pass on a stream chunk by chunk; Truncated comes through before the end marker."""
         await self.send_head(answer.status, answer.headers)
         async for chunk in answer.chunks():
+            self.events += chunk.count(EVENT_MARK)
             await self.send_part(chunk)
         await self.send_part(b'', more=False)
 
--- a/camphorpath/calls/serving.py
+++ b/camphorpath/calls/serving.py
@@ -9,8 +9,9 @@
 from ..errors import Outcome, Refusal
 from ..events import Event
 from ..upstreams import UpstreamAnswer, read_whole
+from .bodies import BYTES_PER_TOKEN
 from .context import CallContext
-from .dispatch import Interruption, dispatch, refuse_interrupted
+from .dispatch import Interruption, Relayed, dispatch, refuse_interrupted
 from .exchange import Exchange
 from .reply import Reply
 
@@ -26,19 +27,20 @@
 ) -> None:
     """Serve a call that ends when its caller leaves, its deadline passes or it is preempted."""
 
-    async def relay(answer: UpstreamAnswer) -> int:
+    async def relay(answer: UpstreamAnswer) -> Relayed:
         if answer.is_stream:
             await reply.relay_stream(answer)
-            return reply.sent_bytes
+            # Bytes do not tell the tokens: an event has about fifty times the bytes of its token.
+            return Relayed(reply.sent_bytes, max(reply.events - 1, 0))
         body = await read_whole(answer, context.settings.limits.max_answer)
         await reply.send_whole(answer.status, answer.headers, body)
-        return len(body)
+        return Relayed(len(body), len(body) // BYTES_PER_TOKEN)
 
     refusal: Refusal | None = None
     with anyio.move_on_after(exchange.time_left()) as scope:
         interruption = Interruption(scope)
         async with anyio.create_task_group() as group:
-            group.start_soon(_watch_caller, receive, interruption)
+            group.start_soon(_watch_caller, receive, reply, interruption)
             try:
                 await dispatch(context, exchange, relay, interruption)
             except Refusal as error:
@@ -93,10 +95,10 @@
 async def _run_once(
     context: CallContext, exchange: Exchange, claim: Claim, recorded: _Recorded
 ) -> None:
-    async def relay(answer: UpstreamAnswer) -> int:
+    async def relay(answer: UpstreamAnswer) -> Relayed:
         body = await read_whole(answer, context.settings.limits.max_answer)
         recorded.answer = RecordedAnswer(answer.status, answer.headers, body)
-        return len(body)
+        return Relayed(len(body), len(body) // BYTES_PER_TOKEN)
 
     with context.progress, anyio.move_on_after(RECORD_LIMIT_S) as scope:
         try:
@@ -116,9 +118,14 @@
     await reply.send_whole(answer.status, answer.headers, answer.body)
 
 
-async def _watch_caller(receive: Callable[[], Awaitable[dict]], interruption: Interruption) -> None:
+async def _watch_caller(
+    receive: Callable[[], Awaitable[dict]], reply: Reply, interruption: Interruption
+) -> None:
     while True:
         message = await receive()
         if message['type'] == 'http.disconnect':
+            # The server reports one after every answer; the slot must then be released as complete.
+            if reply.is_complete:
+                return
             interruption.interrupt('caller_left')
             return
--- a/tests/admission/test_owner.py
+++ b/tests/admission/test_owner.py
@@ -3,11 +3,12 @@
 import anyio
 import pytest
 
+from camphorpath.admission.ownership import Ownership
 from camphorpath.errors import PlatformError, UpstreamError
 from camphorpath.schema import camphorpath_pb2 as pb
 from camphorpath.upstreams.load import LoadReport
 
-from .fakes import Bench, FakeVm
+from .fakes import Bench, FakeMembership, FakeVm
 
 
 def test_grants_stop_at_the_slots_and_resume():
@@ -254,3 +255,21 @@
     bench.enqueue(request_id=request_id)
     assert bench.granted_ids() == [request_id, request_id]
     assert len(bench.state.upstreams['u1'].running) == 1
+
+
+def test_owner_is_chosen_again_when_a_member_begins_to_serve():
+    """Guards against daemons that keep different owners for ever because `serving` of a member
+    changed at different moments: one home then registers again and again and is never granted.
+    """
+    membership = FakeMembership(members=[pb.MemberInfo(incarnation='home-1')])
+    ownership = Ownership(membership)
+    ownership.refresh()
+    assert ownership.is_own('scribe')
+    other = pb.MemberInfo(incarnation='home-2')
+    membership.members.append(other)
+    ownership.refresh()
+    assert ownership.is_own('scribe')
+    other.serving = True
+    membership.owner = other
+    ownership.refresh()
+    assert not ownership.is_own('scribe')
