--- a/camphorpath/admission/ownership.py
+++ b/camphorpath/admission/ownership.py
@@ -12,12 +12,13 @@
     """The owners of services by rendezvous hashing over the members at the last refresh."""
 
     membership: Any
+    # Everything that the choice depends on. Without `serving` daemons that start at different
+    # moments keep different owners for ever.
     _members: frozenset[tuple[str, bool, bool]] = frozenset()
     _owners: dict[str, pb.MemberInfo] = attrs.field(factory=dict)
 
     def refresh(self) -> None:
         """Take in the present members."""
-        # All that the choice of a member depends on; a member may begin to serve after it joined.
         members = frozenset(
             (info.incarnation, info.stopping, info.serving) for info in self.membership.live()
         )
