--- a/camphorpath/calls/serving.py
+++ b/camphorpath/calls/serving.py
@@ -136,11 +136,12 @@
 async def _watch_caller(
     receive: Callable[[], Awaitable[dict]], reply: Reply, interruption: Interruption
 ) -> None:
-    while True:
+    """Interrupt the dispatch when the caller leaves.
+
+    The server reports the end of a complete answer in the same way; that is no interruption.
+    """
+    message = await receive()
+    while message['type'] != 'http.disconnect':
         message = await receive()
-        if message['type'] != 'http.disconnect':
-            continue
-        # The server also says "disconnect" at the end of an answer, inside the last send.
-        if not reply.is_ending:
-            interruption.interrupt('caller_left')
-        return
+    if not reply.is_complete:
+        interruption.interrupt('caller_left')
