Write log lines with orjson and without loguru's own formatting

Cause: each event of a call cost 114 to 146 us of processor time, of which about 16 us were the JSON, and about 12 us the text that loguru formats and the sink never uses; three to four events a call. Ruled out: a buffered sink (write and flush are 4 us, and the lines of a killed daemon would be lost), lazy records (a record is 16 us of the cost). After: 72 to 74 us (micro measurement, 3000 events, both trees in turn twice, load average 6). What orjson cannot write (invalid Unicode, integers above 64 bits) is written by json as before.

--- a/camphorpath/ui/serve.py
+++ b/camphorpath/ui/serve.py
@@ -5,6 +5,7 @@
 import sys
 
 import anyio
+import orjson
 from loguru import logger
 
 from ..daemon import run_daemon, watch_signals
@@ -51,10 +52,19 @@
         }
         if record['exception'] is not None:
             line['exception'] = repr(record['exception'].value)
-        sys.stderr.write(f'{json.dumps(line, default=str)}\n')
+        sys.stderr.write(f'{_render(line)}\n')
 
     logger.remove()
-    logger.add(write, level=settings.log_level)
+    # The sink formats the line itself and wants no text or variables of loguru.
+    logger.add(write, level=settings.log_level, format='', backtrace=False, diagnose=False)
+
+
+def _render(line: dict[str, object]) -> str:
+    try:
+        return orjson.dumps(line, default=str).decode()
+    except orjson.JSONEncodeError:
+        # Text that is not valid Unicode, and integers above 64 bits.
+        return json.dumps(line, default=str)
 
 
 def _find_user_error(group: BaseExceptionGroup) -> BaseException:
