Test bad input over real connections and fix what hung or went unseen

* A body that was refused before it was read, in many small chunks, hung its request.
Cause: the HTTP server puts parts into a queue of 10 and the sender of the refusal then waits to put the disconnect into the same full queue.
Ruled out: a body in few large parts (answered in time).
Before: no end within 5 s, and the progress counter, on which a planned stop waits, stayed up.
After: answered.
Conclusion: read on while an answer is sent that does not need the body.
* A booking that was sent and got no answer never ended its claim, so repeats were told in_progress for good.
The claim is now abandoned and a repeat gets outcome_not_recorded.
* A caller that reads nothing held its request after the deadline, because the error event could not be sent.
* Dot segments in a path could reach an operation that is not the one checked: refused.
* A connection refused by an upstream did not set it aside, so all three tries could go to it.
* No event: malformed requests, silent connections on both ports, callers that leave a booking.

--- a/camphorpath/calls/application.py
+++ b/camphorpath/calls/application.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import json
+import re
 import types
 from collections.abc import Awaitable, Callable
 from urllib.parse import parse_qs
@@ -12,7 +13,14 @@
 from ..metrics import CallLabels
 from ..schema import camphorpath_pb2 as pb
 from .addresses import list_addresses
-from .bodies import BYTES_PER_TOKEN, CallerLeft, ModelCall, read_body, read_model_call
+from .bodies import (
+    BYTES_PER_TOKEN,
+    CallerLeft,
+    ModelCall,
+    discard_body,
+    read_body,
+    read_model_call,
+)
 from .context import CallContext
 from .exchange import Exchange
 from .heads import (
@@ -24,6 +32,7 @@
     read_headers,
 )
 from .identity import RequestId, parse_request_id
+from .refusals import render_refusal
 from .reply import Reply
 from .rules import choose_pool, find_exceptions, find_model, find_service, is_idempotent
 from .serving import serve_once, serve_repeatable
@@ -39,6 +48,12 @@
 STATUS_NOT_FOUND = 404
 STATUS_METHOD = 405
 STATUS_UNAVAILABLE = 503
+STATUS_HEAD_TOO_LARGE = 431
+STATUS_HTTP_VERSION = 505
+# The end-of-body marker of HTTP/1.1 is how callers recognize a whole answer.
+HTTP_VERSIONS = frozenset(('1.0', '1.1'))
+# Upstreams may resolve these, and the operation that runs is then not the one that was checked.
+DOT_SEGMENT = re.compile(r'/(?:\.|%2e){1,2}(?:[/?]|\Z)', re.IGNORECASE)
 RETRY_AFTER_S = 2
 # A plain call counts as this much work besides its body.
 PLAIN_TOKENS = 16
@@ -54,12 +69,13 @@
         if scope['type'] == 'lifespan':
             await _run_lifespan(receive, send)
             return
-        if scope['type'] != 'http':
+        if scope['type'] == 'websocket':
+            await _refuse_websocket(context, send)
             return
-        path = scope['path']
-        page = PAGES.get(path)
+        page = PAGES.get(scope['path'])
         if page is not None and scope['method'] == 'GET':
-            await page(context, scope, send)
+            async with discard_body(receive):
+                await page(context, scope, send)
             return
         await _handle_call(context, scope, receive, send)
 
@@ -74,6 +90,24 @@
             return
 
 
+async def _refuse_websocket(context: CallContext, send: Send) -> None:
+    refusal = Refusal(
+        'websocket_unsupported', 'calls use plain HTTP/1.1', status=STATUS_BAD_REQUEST
+    )
+    context.events.emit(
+        Event.BAD_REQUEST, reason=refusal.reason, outcome=refusal.outcome.value
+    )
+    rendered = render_refusal(refusal, '')
+    await send(
+        {
+            'type': 'websocket.http.response.start',
+            'status': rendered.status,
+            'headers': rendered.headers,
+        }
+    )
+    await send({'type': 'websocket.http.response.body', 'body': rendered.body})
+
+
 async def _handle_call(context: CallContext, scope: dict, receive: Receive, send: Send) -> None:
     arrived = read_lease_clock()
     request_id = context.seen.issue(context.membership.incarnation)
@@ -84,7 +118,7 @@
         try:
             labels = await _serve(context, scope, receive, reply, request_id)
         except Refusal as refusal:
-            labels = await _answer_refusal(context, reply, refusal)
+            labels = await _answer_refusal(context, receive, reply, refusal)
         except CallerLeft:
             context.events.emit(Event.CALLER_LEFT, reply.request_id)
     context.metrics.in_progress.set({}, context.progress.count)
@@ -92,7 +126,9 @@
     context.metrics.first_byte.add({'service': labels.service}, read_lease_clock() - arrived)
 
 
-async def _answer_refusal(context: CallContext, reply: Reply, refusal: Refusal) -> CallLabels:
+async def _answer_refusal(
+    context: CallContext, receive: Receive, reply: Reply, refusal: Refusal
+) -> CallLabels:
     context.events.emit(
         _choose_event(refusal),
         reply.request_id,
@@ -103,7 +139,11 @@
     others = []
     if refusal.reason == 'daemon_stopping':
         others = list_addresses(context, '', reply.request_id)
-    await reply.refuse(refusal, others)
+    if reply.started:
+        await reply.refuse(refusal)
+    else:
+        async with discard_body(receive):
+            await reply.refuse(refusal, others)
     return CallLabels('', '', refusal.outcome.value)
 
 
@@ -139,7 +179,7 @@
         if exchange.idempotent:
             await serve_repeatable(context, exchange, reply, receive)
         else:
-            await serve_once(context, exchange, reply)
+            await serve_once(context, exchange, reply, receive)
     except Refusal as refusal:
         if refusal.outcome is Outcome.NOT_RUN:
             context.seen.forget(request_id)
@@ -155,6 +195,13 @@
     headers: CallerHeaders,
     request_id: RequestId,
 ) -> Exchange:
+    if scope['http_version'] not in HTTP_VERSIONS:
+        raise Refusal(
+            'http_version_unsupported', 'calls use HTTP/1.1', status=STATUS_HTTP_VERSION
+        )
+    head_bytes = sum(len(name) + len(text) for name, text in scope['headers'])
+    if head_bytes > context.settings.limits.max_head:
+        raise Refusal('head_too_large', 'the head is too large', status=STATUS_HEAD_TOO_LARGE)
     _check_serving(context)
     fleet = context.versions.current.fleet
     customer = find_customer(fleet, headers)
@@ -170,6 +217,10 @@
     elif path.startswith(SERVICE_PREFIX):
         name, _, rest = _raw_path(scope)[len(SERVICE_PREFIX) :].partition('/')
         service = find_service(fleet, name)
+        if DOT_SEGMENT.search(f'/{rest}'):
+            raise Refusal(
+                'bad_path', 'the path has "." or ".." segments', status=STATUS_BAD_REQUEST
+            )
         inner_path = _keep_query(f'/{rest}', scope)
         body = await read_body(receive, context.settings.limits)
         model_call = ModelCall('', False, len(body) // BYTES_PER_TOKEN + 1, PLAIN_TOKENS, [])
--- a/camphorpath/calls/bodies.py
+++ b/camphorpath/calls/bodies.py
@@ -1,10 +1,12 @@
 """Request bodies: bounded reading, and what admission must know of a model call."""
 
+import contextlib
 import hashlib
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import anyio
+import anyio.lowlevel
 import attrs
 
 from ..errors import Refusal
@@ -19,6 +21,8 @@
 DEFAULT_OUTPUT_TOKENS = 256
 BLOCK_BYTES = 1024
 MAX_BLOCKS = 64
+# Bytes per second; a slow mobile line carries several times as much.
+MIN_BODY_RATE = 4096
 # Token counts travel in 32 bits.
 MAX_TOKENS = 0xFFFFFFFF
 MAX_SHOWN = 80
@@ -41,33 +45,56 @@
 
 
 async def read_body(receive: Callable[[], Awaitable[dict]], limits: pb.Limits) -> bytes:
-    """Return the whole body; raise Refusal if it is too large or too slow, CallerLeft if cut."""
-    parts: list[bytes] = []
-    size = 0
+    """Return the whole body; raise Refusal if it is too large or too slow, CallerLeft if cut.
+
+    Each part may take `read_timeout`, and the whole body as long again as it takes at
+    MIN_BODY_RATE: single bytes sent now and then would otherwise hold a request for days.
+    """
+    body = bytearray()
     more = True
+    began = anyio.current_time()
     while more:
+        due = began + limits.read_timeout + len(body) / MIN_BODY_RATE
         message: dict | None = None
-        with anyio.move_on_after(limits.read_timeout):
+        with anyio.move_on_at(min(due, anyio.current_time() + limits.read_timeout)):
             message = await receive()
         if message is None:
             raise Refusal(
                 'body_too_slow',
-                f'no part of the body came for {limits.read_timeout:g} s',
+                f'the body stopped for {limits.read_timeout:g} s or came below '
+                f'{MIN_BODY_RATE} bytes/s',
                 status=STATUS_TIMEOUT,
             )
         if message['type'] == 'http.disconnect':
             raise CallerLeft
-        part = message.get('body', b'')
-        size += len(part)
-        if size > limits.max_body:
+        body += message.get('body', b'')
+        if len(body) > limits.max_body:
             raise Refusal(
                 'body_too_large',
                 f'the body has more than {limits.max_body} bytes',
                 status=STATUS_TOO_LARGE,
             )
-        parts.append(part)
         more = message.get('more_body', False)
-    return b''.join(parts)
+    return bytes(body)
+
+
+@contextlib.asynccontextmanager
+async def discard_body(receive: Callable[[], Awaitable[dict]]) -> AsyncIterator[None]:
+    """Read on while an answer is sent that does not need the rest of the body.
+
+    The server hands the parts over through a short queue; when nobody reads it, both the server
+    and the sender of the answer wait for ever.
+    """
+
+    async def discard() -> None:
+        while (await receive())['type'] != 'http.disconnect':
+            # A queue that is never empty does not let other tasks run.
+            await anyio.lowlevel.checkpoint()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(discard)
+        yield
+        group.cancel_scope.cancel()
 
 
 def read_model_call(content_type: str, body: bytes) -> ModelCall:
--- a/camphorpath/calls/dispatch.py
+++ b/camphorpath/calls/dispatch.py
@@ -91,8 +91,11 @@
     )
     try:
         await _send(context, exchange, relay, grant, release, timing)
-    except NotSent:
-        release.result = pb.Release.NOT_SENT
+    except NotSent as error:
+        # An upstream that refuses connections gets no more grants for a while; an expired grant
+        # says nothing of its upstream.
+        refused = error.step == 'connect'
+        release.result = pb.Release.UPSTREAM_REFUSED if refused else pb.Release.NOT_SENT
         raise
     except (SentUnknown, Truncated) as error:
         release.result = pb.Release.UPSTREAM_LOST
--- a/camphorpath/calls/reply.py
+++ b/camphorpath/calls/reply.py
@@ -1,5 +1,6 @@
 """The answer to one caller over ASGI."""
 
+import contextlib
 from collections.abc import Awaitable, Callable, Sequence
 
 from ..errors import Refusal
@@ -19,7 +20,13 @@
 
     def __init__(self, send: Callable[[dict], Awaitable[None]], request_id: str) -> None:
         """Answer through the ASGI callable `send`."""
-        self._send = send
+
+        async def send_if_open(message: dict) -> None:
+            # The server reports a lost caller as `http.disconnect`, which ends the call.
+            with contextlib.suppress(OSError):
+                await send(message)
+
+        self._send = send_if_open
         self.request_id = request_id
         self.started = False
         self.sent_bytes = 0
--- a/camphorpath/calls/server.py
+++ b/camphorpath/calls/server.py
@@ -65,7 +65,11 @@
         connections[task] = writer
         try:
             await _Connection(context, application, loop, config, worker, {}, reader, writer)
+        except asyncio.CancelledError:
+            # asyncio would log the cancelled task of a connection as a fault.
+            return
         except Exception as error:
+            # A fault of one connection must not end the daemon.
             context.events.emit(Event.BAD_REQUEST, problem=repr(error))
         finally:
             connections.pop(task)
@@ -105,33 +109,34 @@
 
 
 class _Connection(TCPServer):
-    """One connection; it reports bad input that the application never sees."""
+    """One connection; it reports input of which the application never learns."""
 
     def __init__(self, context: CallContext, application, *details: object) -> None:
         super().__init__(self._count_request, *details)
         self._context = context
         self._application = application
         self._requests = 0
+        self._is_closed = False
 
     async def run(self) -> None:
         try:
             await super().run()
         finally:
-            if not self._requests:
-                self._report('no complete request')
+            self._close_once(is_bad=not self._requests)
 
     async def protocol_send(self, event: ServerEvent) -> None:
         if isinstance(event, Closed):
             connection = getattr(self.protocol.protocol, 'connection', None)
-            if getattr(connection, 'their_state', None) is ERROR:
-                self._requests += 1
-                self._report('malformed request')
+            self._close_once(is_bad=getattr(connection, 'their_state', None) is ERROR)
         await super().protocol_send(event)
 
-    async def _count_request(self, scope, *details) -> None:
+    async def _count_request(self, *details) -> None:
         self._requests += 1
-        await self._application(scope, *details)
-
-    def _report(self, problem: str) -> None:
-        peer = self.writer.get_extra_info('peername') or ('',)
-        self._context.events.emit(Event.BAD_REQUEST, caller=peer[0], problem=problem)
+        await self._application(*details)
+
+    def _close_once(self, *, is_bad: bool) -> None:
+        if is_bad and not self._is_closed:
+            caller = (self.writer.get_extra_info('peername') or ('',))[0]
+            problem = 'malformed or incomplete request'
+            self._context.events.emit(Event.BAD_REQUEST, caller=caller, problem=problem)
+        self._is_closed = True
--- a/camphorpath/calls/serving.py
+++ b/camphorpath/calls/serving.py
@@ -9,9 +9,10 @@
 from ..errors import Outcome, Refusal
 from ..events import Event
 from ..upstreams import UpstreamAnswer, read_whole
+from .bodies import CallerLeft
 from .context import CallContext
 from .dispatch import Interruption, dispatch, refuse_interrupted
-from .exchange import Exchange
+from .exchange import Exchange, Phase
 from .reply import Reply
 
 # A call that must be recorded goes on after its caller was answered, but not for ever.
@@ -63,8 +64,13 @@
     refusal: Refusal | None = None
 
 
-async def serve_once(context: CallContext, exchange: Exchange, reply: Reply) -> None:
-    """Serve a call that must run at most once.
+async def serve_once(
+    context: CallContext,
+    exchange: Exchange,
+    reply: Reply,
+    receive: Callable[[], Awaitable[dict]],
+) -> None:
+    """Serve a call that must run at most once; raise CallerLeft if its caller leaves.
 
     The idempotency key is claimed in the table before the send. The call goes on and its answer is
     recorded when the caller leaves or its time is over.
@@ -82,14 +88,26 @@
         return
     recorded = _Recorded()
     context.task_group.start_soon(_run_once, context, exchange, claim, recorded)
-    with anyio.move_on_after(exchange.time_left()):
-        await recorded.done.wait()
+    await _wait_done(recorded, exchange, receive)
     if recorded.answer is not None:
         await _send_recorded(reply, recorded.answer)
         return
     raise recorded.refusal or refuse_interrupted(exchange, 'deadline_exceeded')
 
 
+async def _wait_done(
+    recorded: _Recorded, exchange: Exchange, receive: Callable[[], Awaitable[dict]]
+) -> None:
+    with anyio.move_on_after(exchange.time_left()) as scope:
+        interruption = Interruption(scope)
+        async with anyio.create_task_group() as group:
+            group.start_soon(_watch_caller, receive, interruption)
+            await recorded.done.wait()
+            group.cancel_scope.cancel()
+    if interruption.reason:
+        raise CallerLeft
+
+
 async def _run_once(
     context: CallContext, exchange: Exchange, claim: Claim, recorded: _Recorded
 ) -> None:
@@ -107,8 +125,11 @@
         context.claims.record(claim, recorded.answer)
     elif recorded.refusal is None or recorded.refusal.outcome is Outcome.NOT_RUN:
         recorded.refusal = recorded.refusal or refuse_interrupted(exchange, 'deadline_exceeded')
-    if recorded.answer is None and exchange.phase.value == 'accepted':
-        context.claims.release(claim)
+    if recorded.answer is None:
+        if exchange.phase is Phase.ACCEPTED:
+            context.claims.release(claim)
+        else:
+            context.claims.abandon(claim)
     recorded.done.set()
 
 
--- a/camphorpath/daemon.py
+++ b/camphorpath/daemon.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from .admission import AdmissionClient, AdmissionOwner
-from .calls import CallContext, open_listener, serve_callers
+from .calls import CallContext, Progress, open_listener, serve_callers
 from .calls.identity import SeenIds
 from .claims import Claims
 from .errors import PlatformError
@@ -46,6 +46,7 @@
     admission: AdmissionClient
     claims: Claims
     client: httpx.AsyncClient
+    progress: Progress = attrs.Factory(Progress)
 
     async def close(self) -> None:
         """Close the connections to the platform and the peers."""
@@ -155,7 +156,7 @@
             )
             task_status.started(daemon)
             await stop.wait()
-            await _drain(daemon, context)
+            await _drain(daemon)
             closing.set()
         group.cancel_scope.cancel()
 
@@ -164,12 +165,12 @@
     return f'{address.rpartition(":")[0]}:{port}'
 
 
-async def _drain(daemon: Daemon, context: CallContext) -> None:
+async def _drain(daemon: Daemon) -> None:
     """Wait out the longest kept address answer and every accepted request, however long it runs."""
     daemon.membership.begin_stop()
-    daemon.events.emit(Event.DAEMON_STOPPING, in_progress=context.progress.count)
+    daemon.events.emit(Event.DAEMON_STOPPING, in_progress=daemon.progress.count)
     await anyio.sleep(daemon.versions.current.fleet.keep_addresses)
-    await context.progress.wait_idle()
+    await daemon.progress.wait_idle()
     with anyio.move_on_after(RECORD_LIMIT_S):
         await daemon.claims.drain()
     await daemon.versions.leave()
@@ -187,6 +188,7 @@
         metrics=Metrics(),
         seen=SeenIds(daemon.settings.limits.max_seen_ids),
         task_group=group,
+        progress=daemon.progress,
     )
 
 
--- a/camphorpath/peers/server.py
+++ b/camphorpath/peers/server.py
@@ -62,7 +62,7 @@
     operator_token = read_token(settings.operator_token_file)
     if peer_token == operator_token:
         raise UserError('the tokens of peers and operators must differ', step='token')
-    server = _Server([_PeerService(handlers), _OperatorService(handlers)])
+    server = _Server(handlers)
 
     async def check_token(event: RecvRequest) -> None:
         token = peer_token if event.method_name.startswith(PEER_PREFIX) else operator_token
@@ -96,14 +96,27 @@
 class _Server(Server):
     """A server that closes connections on which no request arrives."""
 
+    def __init__(self, handlers: Handlers) -> None:
+        super().__init__([_PeerService(handlers), _OperatorService(handlers)])
+        self._events = handlers.events
+
     def _protocol_factory(self) -> H2Protocol:
         protocol = super()._protocol_factory()
+        lose_connection = protocol.connection_lost
 
         def close_if_unused() -> None:
             if not protocol.connection.streams_started:
                 protocol.connection.close()
 
-        asyncio.get_running_loop().call_later(FIRST_REQUEST_LIMIT_S, close_if_unused)
+        def report_loss(error: Exception | None) -> None:
+            timer.cancel()
+            if not protocol.connection.streams_started:
+                problem = 'the connection ended without a request'
+                self._events.emit(Event.BAD_PEER, problem=problem)
+            lose_connection(error)
+
+        timer = asyncio.get_running_loop().call_later(FIRST_REQUEST_LIMIT_S, close_if_unused)
+        protocol.connection_lost = report_loss
         return protocol
 
 
--- a/tests/daemon/support.py
+++ b/tests/daemon/support.py
@@ -19,6 +19,7 @@
 from standins.faults import Faults
 from standins.platform import Platform, serve_platform
 from standins.service import run_service
+from standins.serving import serve
 
 LIMIT_S = 8
 MODEL = 'scribe-1'
@@ -184,6 +185,18 @@
         service = await self.stack.enter_async_context(run_service(name, Faults(**faults)))
         return self._add(name, 'ledger', service)
 
+    async def start_script(self, name, service, script):
+        """Start an upstream that answers each call with `script(exchange)`."""
+
+        async def handle(exchange):
+            if exchange.path != '/load':
+                await script(exchange)
+                return
+            report = {'incarnation': name, 'draining': False, 'as_of': time.time()}
+            await exchange.reply(200, {**report, 'running': 0, 'waiting': 0, 'tokens': 0})
+
+        return self._add(name, service, await self.stack.enter_async_context(serve(handle)))
+
     def _add(self, name, service, upstream):
         self.upstreams[name] = upstream
         self.list_vm(name, address=upstream.url.removeprefix('http://'), service=service)
@@ -272,7 +285,7 @@
 
 def make_call(path, document, *lines):
     """Return the bytes of a POST."""
-    body = document if isinstance(document, bytes) else json.dumps(document).encode()
+    body = document if isinstance(document, bytes) else json.dumps(document, separators=(',', ':')).encode()
     head = make_head(
         'POST', path, 'content-type: application/json', f'content-length: {len(body)}', *lines
     )
