--- a/camphorpath/calls/application.py
+++ b/camphorpath/calls/application.py
@@ -94,9 +94,7 @@
     refusal = Refusal(
         'websocket_unsupported', 'calls use plain HTTP/1.1', status=STATUS_BAD_REQUEST
     )
-    context.events.emit(
-        Event.BAD_REQUEST, reason=refusal.reason, outcome=refusal.outcome.value
-    )
+    context.events.emit(Event.BAD_REQUEST, reason=refusal.reason, outcome=refusal.outcome.value)
     rendered = render_refusal(refusal, '')
     await send(
         {
@@ -196,9 +194,7 @@
     request_id: RequestId,
 ) -> Exchange:
     if scope['http_version'] not in HTTP_VERSIONS:
-        raise Refusal(
-            'http_version_unsupported', 'calls use HTTP/1.1', status=STATUS_HTTP_VERSION
-        )
+        raise Refusal('http_version_unsupported', 'calls use HTTP/1.1', status=STATUS_HTTP_VERSION)
     head_bytes = sum(len(name) + len(text) for name, text in scope['headers'])
     if head_bytes > context.settings.limits.max_head:
         raise Refusal('head_too_large', 'the head is too large', status=STATUS_HEAD_TOO_LARGE)
--- a/camphorpath/peers/server.py
+++ b/camphorpath/peers/server.py
@@ -99,6 +99,16 @@
     def __init__(self, handlers: Handlers) -> None:
         super().__init__([_PeerService(handlers), _OperatorService(handlers)])
         self._events = handlers.events
+        self._protocols: set[H2Protocol] = set()
+
+    def close(self) -> None:
+        """Stop listening and close all connections.
+
+        grpclib leaves open connections alone, and a daemon that has stopped would answer beats.
+        """
+        super().close()
+        for protocol in list(self._protocols):
+            protocol.connection.close()
 
     def _protocol_factory(self) -> H2Protocol:
         protocol = super()._protocol_factory()
@@ -110,6 +120,7 @@
 
         def report_loss(error: Exception | None) -> None:
             timer.cancel()
+            self._protocols.discard(protocol)
             if not protocol.connection.streams_started:
                 problem = 'the connection ended without a request'
                 self._events.emit(Event.BAD_PEER, problem=problem)
@@ -117,6 +128,7 @@
 
         timer = asyncio.get_running_loop().call_later(FIRST_REQUEST_LIMIT_S, close_if_unused)
         protocol.connection_lost = report_loss
+        self._protocols.add(protocol)
         return protocol
 
 
--- a/tests/daemon/support.py
+++ b/tests/daemon/support.py
@@ -285,7 +285,9 @@
 
 def make_call(path, document, *lines):
     """Return the bytes of a POST."""
-    body = document if isinstance(document, bytes) else json.dumps(document, separators=(',', ':')).encode()
+    body = document
+    if not isinstance(document, bytes):
+        body = json.dumps(document, separators=(',', ':')).encode()
     head = make_head(
         'POST', path, 'content-type: application/json', f'content-length: {len(body)}', *lines
     )
--- a/tests/daemon/test_bad_input.py
+++ b/tests/daemon/test_bad_input.py
@@ -69,7 +69,9 @@
         make_call(CHAT, make_chat(), 'camphorpath-request-id: entry-9-00000000.1.a'),
         409, 'other_home',
     ),
-    'malformed id': (make_call(CHAT, make_chat(), 'camphorpath-request-id: x'), 400, 'bad_request_id'),
+    'malformed id': (
+        make_call(CHAT, make_chat(), 'camphorpath-request-id: x'), 400, 'bad_request_id',
+    ),
     'body too large': (make_call(CHAT, BIG), 413, 'body_too_large'),
     'large body for an unknown service': (make_call('/services/x/y', BIG), 404, 'unknown_service'),
     'many pieces for an unknown service': (
@@ -142,7 +144,7 @@
     for index, (name, (content, expected)) in enumerate(GARBAGE.items()):
         answer = await exchange(running, content)
         assert answer.startswith(expected), (name, answer[:100])
-        await wait_for(lambda: len(running.events(Event.BAD_REQUEST)) > index)
+        await wait_for(lambda count=index: len(running.events(Event.BAD_REQUEST)) > count)
     assert len(running.events(Event.BAD_REQUEST)) == len(GARBAGE)
 
 
--- a/tests/daemon/test_whole_answers.py
+++ b/tests/daemon/test_whole_answers.py
@@ -34,7 +34,8 @@
 }
 PLAIN = {
     'cut short': (
-        _make_script([JSON_TYPE, (b'content-length', b'9')], [b'{}'], 'cut'), 'upstream_lost',
+        _make_script([JSON_TYPE, (b'content-length', b'9')], [b'{}'], 'cut'),
+        'upstream_lost',
     ),
     'cut between chunks': (_make_script([JSON_TYPE], [b'{}'], 'cut'), 'upstream_lost'),
     'too large': (_make_script([JSON_TYPE], [b'x' * 70000], 'finish'), 'upstream_error'),
