--- a/camphorpath/calls/application.py
+++ b/camphorpath/calls/application.py
@@ -193,11 +193,7 @@
     headers: CallerHeaders,
     request_id: RequestId,
 ) -> Exchange:
-    if scope['http_version'] not in HTTP_VERSIONS:
-        raise Refusal('http_version_unsupported', 'calls use HTTP/1.1', status=STATUS_HTTP_VERSION)
-    head_bytes = sum(len(name) + len(text) for name, text in scope['headers'])
-    if head_bytes > context.settings.limits.max_head:
-        raise Refusal('head_too_large', 'the head is too large', status=STATUS_HEAD_TOO_LARGE)
+    _check_head(context, scope)
     _check_serving(context)
     fleet = context.versions.current.fleet
     customer = find_customer(fleet, headers)
@@ -211,12 +207,7 @@
         service = find_model(fleet, model_call.model)
         inner_path = _keep_query(path, scope)
     elif path.startswith(SERVICE_PREFIX):
-        name, _, rest = _raw_path(scope)[len(SERVICE_PREFIX) :].partition('/')
-        service = find_service(fleet, name)
-        if DOT_SEGMENT.search(f'/{rest}'):
-            raise Refusal(
-                'bad_path', 'the path has "." or ".." segments', status=STATUS_BAD_REQUEST
-            )
+        service, rest = _find_operation(fleet, scope)
         inner_path = _keep_query(f'/{rest}', scope)
         body = await read_body(receive, context.settings.limits)
         model_call = ModelCall('', False, len(body) // BYTES_PER_TOKEN + 1, PLAIN_TOKENS, [])
@@ -254,6 +245,22 @@
     )
 
 
+def _find_operation(fleet: pb.Fleet, scope: dict) -> tuple[pb.Service, str]:
+    name, _, rest = _raw_path(scope)[len(SERVICE_PREFIX) :].partition('/')
+    service = find_service(fleet, name)
+    if DOT_SEGMENT.search(f'/{rest}'):
+        raise Refusal('bad_path', 'the path has "." or ".." segments', status=STATUS_BAD_REQUEST)
+    return service, rest
+
+
+def _check_head(context: CallContext, scope: dict) -> None:
+    if scope['http_version'] not in HTTP_VERSIONS:
+        raise Refusal('http_version_unsupported', 'calls use HTTP/1.1', status=STATUS_HTTP_VERSION)
+    head_bytes = sum(len(name) + len(text) for name, text in scope['headers'])
+    if head_bytes > context.settings.limits.max_head:
+        raise Refusal('head_too_large', 'the head is too large', status=STATUS_HEAD_TOO_LARGE)
+
+
 def _check_serving(context: CallContext) -> None:
     if context.membership.info().stopping:
         raise Refusal(
--- a/tests/daemon/test_changes.py
+++ b/tests/daemon/test_changes.py
@@ -46,7 +46,7 @@
     ones, or keeps being named as an address."""
     first, second = await world.start(2, engines=['e0'])
     engine = world.upstreams['e0']
-    engine.faults.set_all({'slow': 50.0})
+    engine.faults.set_all({'slow': 400.0})
     answers = {}
 
     async def call(name):
