Add orders to engines under a lease and a fencing number

Cause: engines had to be loaded by hand; the design named fencing numbers and a budget of the weight store without code.

Change: camphorpath/orders compares the reported state of each engine with the artifacts and role of its pool and gives one order at a time, under a lease on fences/{service} and a share of budgets/weight-store. The engine stand-in reports its state at GET /orders.

--- a/camphorpath/daemon.py
+++ b/camphorpath/daemon.py
@@ -18,11 +18,13 @@
 from .handlers import make_handlers
 from .members import Membership
 from .metrics import Metrics
+from .orders import Orders
+from .orders.service import EngineControl
 from .peers import Handlers, serve_peers
 from .platform import ObjectStore, Table, VmList
 from .schema import camphorpath_pb2 as pb
 from .settings import parse_fleet
-from .upstreams import make_client, read_load
+from .upstreams import EngineState, Order, give_order, make_client, read_engine_state, read_load
 from .versions import Versions
 
 VM_LIST_INTERVAL_S = 2
@@ -45,6 +47,7 @@
     owner: AdmissionOwner
     admission: AdmissionClient
     claims: Claims
+    orders: Orders
     client: httpx.AsyncClient
 
     async def close(self) -> None:
@@ -92,10 +95,30 @@
         owner=owner,
         admission=AdmissionClient(membership=membership, owner=owner, events=events),
         claims=Claims(table=table, objects=objects, membership=membership, events=events),
+        orders=Orders(
+            membership=membership,
+            versions=versions,
+            owner=owner,
+            table=table,
+            events=events,
+            control=make_control(client),
+        ),
         client=client,
     )
 
 
+def make_control(client: httpx.AsyncClient) -> EngineControl:
+    """Return the control side of engines through an HTTP client."""
+
+    async def read_state(base_url: str) -> EngineState:
+        return await read_engine_state(client, base_url)
+
+    async def give(base_url: str, order: Order) -> bool:
+        return await give_order(client, base_url, order)
+
+    return EngineControl(read_state, give)
+
+
 async def run_daemon(
     settings: pb.Daemon,
     stop: anyio.Event,
@@ -203,5 +226,10 @@
 
 def _make_handlers(daemon: Daemon) -> Handlers:
     return make_handlers(
-        daemon.events, daemon.membership, daemon.versions, daemon.owner, daemon.table
+        daemon.events,
+        daemon.membership,
+        daemon.versions,
+        daemon.owner,
+        daemon.orders,
+        daemon.table,
     )
--- a/camphorpath/events/catalogue.py
+++ b/camphorpath/events/catalogue.py
@@ -8,7 +8,7 @@
     """An event and its number.
 
     1xx process, 2xx members, 3xx requests, 4xx admission, 5xx upstreams, 6xx platform,
-    7xx configuration, 8xx bad input.
+    7xx configuration, 8xx bad input, 9xx orders to engines.
     """
 
     DAEMON_STARTED = 101
@@ -56,3 +56,10 @@
     MEMBER_FENCED = 705
     BAD_REQUEST = 801
     BAD_PEER = 802
+    ORDER_GIVEN = 901
+    ORDER_STALE = 902
+    ENGINE_RECONCILED = 903
+    ORDER_LEASE_TAKEN = 904
+    ORDER_LEASE_LOST = 905
+    WEIGHT_BUDGET_EXHAUSTED = 906
+    ORDER_UNSURE = 907
--- a/camphorpath/handlers.py
+++ b/camphorpath/handlers.py
@@ -10,6 +10,7 @@
 from .admission import AdmissionOwner
 from .events import EventLog
 from .members import Membership
+from .orders import Orders
 from .peers import Handlers
 from .platform import Table
 from .schema import camphorpath_pb2 as pb
@@ -21,12 +22,14 @@
     membership: Membership,
     versions: Versions,
     owner: AdmissionOwner,
+    orders: Orders,
     table: Table,
 ) -> Handlers:
     """Return the handlers of one daemon."""
 
     async def show_status(request: pb.StatusRequest) -> pb.StatusReply:
         queues, upstreams = owner.status()
+        orders.complete_status(upstreams)
         return pb.StatusReply(
             self=membership.info(),
             members=membership.live(),
--- a/camphorpath/settings/checks.py
+++ b/camphorpath/settings/checks.py
@@ -27,6 +27,7 @@
     _check_unique(_list_zones(fleet), document)
     _check_unique(_list_models(fleet), document)
     _check_customers(fleet, document)
+    _check_weight_store(fleet, document)
     pools = {
         service.name: {pool.name for pool in service.pools}
         for index, service in enumerate(fleet.services)
@@ -139,6 +140,32 @@
     elif service.kind == 'plain' and service.models:
         document.report(f'{path}.models', 'has no effect on a service of kind plain')
     _check_operations(service, path, document)
+    _check_orders(service, path, document)
+
+
+def _check_orders(service: pb.Service, path: str, document: Document) -> None:
+    if service.kind != 'plain':
+        return
+    for pool_path, _ in _list_paths(f'{path}.pools', service.pools, 'name'):
+        for field in ('artifacts', 'role'):
+            field_path = f'{pool_path.removesuffix(".name")}.{field}'
+            if field_path in document.nodes:
+                document.report(field_path, 'has no effect on a service of kind plain')
+
+
+def _check_weight_store(fleet: pb.Fleet, document: Document) -> None:
+    # A load takes its whole size from the budget at once, so the budget must be able to hold it.
+    if not fleet.weight_store_rate or not document.is_sound('fleet.weight_store_burst'):
+        return
+    if not fleet.weight_store_burst:
+        document.report('fleet.weight_store_burst', 'must be above 0 with a weight_store_rate')
+        return
+    for index, service in enumerate(fleet.services):
+        for place, pool in enumerate(service.pools):
+            path = f'fleet.services[{index}].pools[{place}].artifacts'
+            for size_path, size in _list_paths(path, pool.artifacts, 'size'):
+                if size > fleet.weight_store_burst and document.is_sound(size_path):
+                    document.report(size_path, 'is above fleet.weight_store_burst')
 
 
 def _check_operations(service: pb.Service, path: str, document: Document) -> None:
--- a/camphorpath/ui/status.py
+++ b/camphorpath/ui/status.py
@@ -97,6 +97,23 @@
             ],
         ),
     )
+    yield (
+        'Engines',
+        format_table(
+            ('NAME', 'ROLE', 'ARTIFACTS', 'MISSING', 'ORDER'),
+            [
+                (
+                    upstream.name,
+                    upstream.role,
+                    ' '.join(upstream.artifacts) or '-',
+                    ' '.join(upstream.missing) or '-',
+                    upstream.order or '-',
+                )
+                for upstream in reply.upstreams
+                if upstream.role
+            ],
+        ),
+    )
     yield (
         'Queues',
         format_table(
--- a/camphorpath/upstreams/__init__.py
+++ b/camphorpath/upstreams/__init__.py
@@ -11,11 +11,13 @@
     resume_stream,
 )
 from .load import LoadReport, read_load
+from .state import EngineState, read_engine_state
 
 __all__ = (
     'CacheEvent',
     'CacheEvents',
     'Call',
+    'EngineState',
     'LoadReport',
     'Order',
     'UpstreamAnswer',
@@ -24,6 +26,7 @@
     'make_client',
     'open_call',
     'read_cache_events',
+    'read_engine_state',
     'read_load',
     'read_whole',
     'resume_stream',
--- a/camphorpath/upstreams/control.py
+++ b/camphorpath/upstreams/control.py
@@ -36,11 +36,15 @@
 
 @attrs.frozen
 class Order:
-    """An order to an engine, such as `load_model`, under the fencing number of its giver."""
+    """An order to an engine, such as `load_model`, under the fencing number of its giver.
+
+    An engine that has carried out an order, or is about to, does nothing when it is repeated.
+    """
 
     kind: str
     details: dict[str, str]
     fence: int
+    order_id: str = ''
 
 
 async def cancel_stream(client: httpx.AsyncClient, base_url: str, stream_id: str) -> bool:
--- a/standins/batching.py
+++ b/standins/batching.py
@@ -38,6 +38,8 @@
     resumable: bool = False
     keep_streams_s: float = 30.0
     models: str = ''
+    load_s: float = 0
+    orders_lag_s: float = 0
     seed: int = 1
 
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -10,6 +10,7 @@
 import attrs
 
 from . import faults as fault_settings
+from .artifacts import Artifacts
 from .batching import Batch, EngineOptions, Stream, make_stream
 from .faults import Faults
 from .prompts import DEFAULT_MAX_TOKENS, read_prompt
@@ -31,9 +32,13 @@
     server: Server = attrs.field(factory=Server)
     models: set[str] = attrs.field(factory=set)
     orders: list[dict[str, Any]] = attrs.field(factory=list)
+    artifacts: Artifacts = attrs.field(init=False)
     _highest_fence: int = 0
     _count: int = 0
 
+    def __attrs_post_init__(self) -> None:
+        self.artifacts = self._make_artifacts()
+
     @property
     def url(self) -> str:
         """The base URL."""
@@ -57,6 +62,7 @@
         if not self.in_process:
             os._exit(CRASH_STATUS)
         self.batch.restart()
+        self.artifacts = self._make_artifacts()
         self.server.abort_all()
 
     def read_stats(self) -> dict[str, Any]:
@@ -76,6 +82,10 @@
             'orders': self.orders,
         }
 
+    def _make_artifacts(self) -> Artifacts:
+        options = self.batch.options
+        return Artifacts(self.batch.incarnation, load_s=options.load_s, lag_s=options.orders_lag_s)
+
     async def _set_faults(self, exchange: Exchange) -> None:
         try:
             self.faults.set_all(exchange.read_json() or {})
@@ -86,11 +96,12 @@
         await exchange.reply(200, self.faults.read_all())
 
     async def _serve_control(self, exchange: Exchange) -> None:
-        if exchange.path == '/orders':
+        if exchange.path == '/orders' and exchange.method == 'POST':
             await self._take_order(exchange)
             return
         read = {
             '/load': self._read_load,
+            '/orders': lambda: self.artifacts.read(stale=self.faults.orders_stale),
             '/stats': self.read_stats,
             '/v1/models': self._read_models,
             '/cache_events': lambda: self._read_cache_events(exchange),
@@ -119,14 +130,25 @@
         if order['fence'] < self._highest_fence and not self.faults.ignore_fences:
             await exchange.reply(409, {'error': 'old fence', 'highest': self._highest_fence})
             return
+        if self.faults.lose_orders == 'before':
+            exchange.cut()
+            return
         self._highest_fence = max(self._highest_fence, order['fence'])
         self.orders.append(order)
-        model = order.get('details', {}).get('model')
+        self._carry_out(order)
+        if self.faults.lose_orders == 'after':
+            exchange.cut()
+            return
+        await exchange.reply(202, {'accepted': True})
+
+    def _carry_out(self, order: dict[str, Any]) -> None:
+        details = order.get('details', {})
+        self.artifacts.apply(order.get('kind', ''), details, stale=self.faults.orders_stale)
+        model = details.get('model')
         if order.get('kind') == 'load_model' and model:
             self.models.add(model)
         if order.get('kind') == 'unload_model':
             self.models.discard(model)
-        await exchange.reply(202, {'accepted': True})
 
     async def _serve_call(self, exchange: Exchange) -> None:
         hit = self.faults.hits()
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -15,7 +15,9 @@
 
     `hang`: '' | 'before' | 'after' the work | 'all' (also /load). `crash_marker`: a call whose body
     contains it ends the process. `truncate`: 'cut' | 'clean' (a proper end of the body without the
-    final event). `refuse`: answer 503.
+    final event). `refuse`: answer 503. `orders_stale`: the report on loads does not change.
+    `lose_orders`: '' | 'before' | 'after', the connection of an order is cut before or after its
+    effect.
     """
 
     slow: float = 1
@@ -29,6 +31,8 @@
     draining: bool = False
     load_stale: bool = False
     ignore_fences: bool = False
+    orders_stale: bool = False
+    lose_orders: str = ''
     share: float = 1
     times: int = -1
     _random: random.Random = attrs.field(factory=random.Random, repr=False)
