--- a/standins/artifacts.py
+++ b/standins/artifacts.py
@@ -39,7 +39,8 @@
     def read(self, *, stale: bool) -> dict[str, Any]:
         """Return the report; `stale` freezes it."""
         self._finish_loads(stale=stale)
-        return {**self._reports.read(stale=stale), 'now': time.time()}
+        now = time.time()
+        return {**self._reports.read(stale=stale), 'now': now}
 
     def _start(self, kind: str, name: str, version: str) -> None:
         key = kind, name
