--- a/tests/orders/test_budget.py
+++ b/tests/orders/test_budget.py
@@ -100,7 +100,7 @@
 
 
 def test_small_loads_share_a_write():
-    """Guards against one write to the table for each small load."""
+    """Guards against a write for each small load, and shares that are kept for later."""
 
     async def check(world):
         daemon = world.start('a')
@@ -109,6 +109,11 @@
         for left in range(10, 0, -1):
             assert await spend(budget, 100, 100 * left, fleet)
         assert world.platform.counters.writes == 1
+        # What is left of a share is lost after 60 s.
+        assert await spend(budget, 100, 8000, fleet)
+        world.now += 61
+        assert await spend(budget, 100, 8000, fleet)
+        assert world.platform.counters.writes == 3
 
     run_orders(check, engines=0)
 
