--- a/camphorpath/admission/service.py
+++ b/camphorpath/admission/service.py
@@ -84,14 +84,14 @@
         return self.context.suspects.count(self.name, entry.enqueue.digest) > 0
 
     def find_lower(self, rank: int) -> Iterator[Running]:
-        """Yield the running requests of lower tiers that may be preempted, on usable upstreams."""
-        now, limit = self.context.clock(), self.settings.load_limit
-        for upstream in self.upstreams.values():
-            if not upstream.is_usable(now, limit):
-                continue
-            for running in upstream.running.values():
-                if running.rank > rank and running.may_be_preempted:
-                    yield running
+        """Yield the running requests of lower tiers that may be preempted, on any upstream.
+
+        Also on one that leaves or is silent: "no shed while a lower tier runs" has no exception for
+        slots that are of no use to others.
+        """
+        for running in self.running.values():
+            if running.rank > rank and running.may_be_preempted:
+                yield running
 
     def add_waiting(self, session: Any, enqueue: pb.Enqueue) -> Waiting:
         """Put a request into the queue."""
@@ -167,7 +167,7 @@
             if name in listed:
                 continue
             upstream.vm = attrs.evolve(upstream.vm, state='leaving')
-            if not upstream.running:
+            if not upstream.running and upstream.doubt is None:
                 self.upstreams.pop(name)
         for vm in vms:
             self._take_vm(vm)
@@ -177,9 +177,8 @@
 
     def take_report(self, upstream: Upstream, report: LoadReport) -> list[str]:
         """Take in the answer to a poll; return the digests that are refused from now on."""
-        before = upstream.report
         refused = []
-        if before is not None and before.incarnation != report.incarnation:
+        if upstream.is_restarted(report):
             # What was granted since the last poll may run on the new incarnation; where it does
             # not, its home reports the loss.
             lost = [
--- a/camphorpath/calls/bodies.py
+++ b/camphorpath/calls/bodies.py
@@ -91,10 +91,17 @@
             # A queue that is never empty does not let other tasks run.
             await anyio.lowlevel.checkpoint()
 
+    fault: Exception | None = None
     async with anyio.create_task_group() as group:
         group.start_soon(discard)
-        yield
+        try:
+            yield
+        except Exception as error:
+            # Raised outside of the group, which would wrap it.
+            fault = error
         group.cancel_scope.cancel()
+    if fault is not None:
+        raise fault
 
 
 def read_model_call(content_type: str, body: bytes) -> ModelCall:
--- a/camphorpath/handlers.py
+++ b/camphorpath/handlers.py
@@ -4,29 +4,36 @@
 import math
 
 import anyio
+import h2.exceptions
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from .admission import AdmissionOwner
 from .events import EventLog
 from .members import Membership
+from .orders import Orders
 from .peers import Handlers
 from .platform import Table
 from .schema import camphorpath_pb2 as pb
 from .versions import Versions
 
+# grpclib passes on the error of h2 when it sends on a stream whose connection was just lost.
+STREAM_ERRORS = (StreamTerminatedError, ConnectionError, h2.exceptions.ProtocolError)
+
 
 def make_handlers(
     events: EventLog,
     membership: Membership,
     versions: Versions,
     owner: AdmissionOwner,
+    orders: Orders,
     table: Table,
 ) -> Handlers:
     """Return the handlers of one daemon."""
 
     async def show_status(request: pb.StatusRequest) -> pb.StatusReply:
         queues, upstreams = owner.status()
+        orders.complete_status(upstreams)
         return pb.StatusReply(
             self=membership.info(),
             members=membership.live(),
@@ -78,6 +85,6 @@
 
 
 async def _write(stream: object, inbox: anyio.abc.ObjectReceiveStream) -> None:
-    with contextlib.suppress(StreamTerminatedError, ConnectionError):
+    with contextlib.suppress(*STREAM_ERRORS):
         async for message in inbox:
             await stream.send_message(message)
--- a/standins/batching.py
+++ b/standins/batching.py
@@ -38,6 +38,8 @@
     resumable: bool = False
     keep_streams_s: float = 30.0
     models: str = ''
+    load_s: float = 0
+    orders_lag_s: float = 0
     seed: int = 1
 
 
@@ -180,6 +182,7 @@
     active: list[Stream] = attrs.field(factory=list)
     executions: Counter = attrs.field(factory=Counter)
     digests: Counter = attrs.field(factory=Counter)
+    prefills: Counter = attrs.field(factory=Counter)
     counts: Counter = attrs.field(factory=Counter)
     cache: PrefixCache = attrs.field(init=False)
     loads: LoadHistory = attrs.field(init=False)
@@ -292,6 +295,7 @@
         stream.to_prefill -= done
         stream.prefilled += done
         self.counts['tokens_prefilled'] += done
+        self.prefills[stream.request_id] += done
         if not stream.to_prefill:
             self.cache.store(stream.blocks)
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -10,8 +10,10 @@
 import attrs
 
 from . import faults as fault_settings
+from .artifacts import Artifacts
 from .batching import Batch, EngineOptions, Stream, make_stream
 from .faults import Faults
+from .journal import Journal
 from .prompts import DEFAULT_MAX_TOKENS, read_prompt
 from .serving import JSON_TYPE, Exchange, Server, make_parser, run_script, serve
 
@@ -31,9 +33,14 @@
     server: Server = attrs.field(factory=Server)
     models: set[str] = attrs.field(factory=set)
     orders: list[dict[str, Any]] = attrs.field(factory=list)
+    artifacts: Artifacts = attrs.field(init=False)
+    journal: Journal = attrs.field(factory=Journal)
     _highest_fence: int = 0
     _count: int = 0
 
+    def __attrs_post_init__(self) -> None:
+        self.artifacts = self._make_artifacts()
+
     @property
     def url(self) -> str:
         """The base URL."""
@@ -57,6 +64,7 @@
         if not self.in_process:
             os._exit(CRASH_STATUS)
         self.batch.restart()
+        self.artifacts = self._make_artifacts()
         self.server.abort_all()
 
     def read_stats(self) -> dict[str, Any]:
@@ -72,9 +80,14 @@
             'running': len(batch.active),
             'executions': dict(batch.executions),
             'digests': dict(batch.digests),
+            'prefills': dict(batch.prefills),
             'orders': self.orders,
         }
 
+    def _make_artifacts(self) -> Artifacts:
+        options = self.batch.options
+        return Artifacts(self.batch.incarnation, load_s=options.load_s, lag_s=options.orders_lag_s)
+
     async def _set_faults(self, exchange: Exchange) -> None:
         try:
             self.faults.set_all(exchange.read_json() or {})
@@ -85,11 +98,12 @@
         await exchange.reply(200, self.faults.read_all())
 
     async def _serve_control(self, exchange: Exchange) -> None:
-        if exchange.path == '/orders':
+        if exchange.path == '/orders' and exchange.method == 'POST':
             await self._take_order(exchange)
             return
         read = {
             '/load': self._read_load,
+            '/orders': lambda: self.artifacts.read(stale=self.faults.orders_stale),
             '/stats': self.read_stats,
             '/v1/models': self._read_models,
             '/cache_events': lambda: self._read_cache_events(exchange),
@@ -118,14 +132,25 @@
         if order['fence'] < self._highest_fence and not self.faults.ignore_fences:
             await exchange.reply(409, {'error': 'old fence', 'highest': self._highest_fence})
             return
+        if self.faults.lose_orders == 'before':
+            exchange.cut()
+            return
         self._highest_fence = max(self._highest_fence, order['fence'])
         self.orders.append(order)
-        model = order.get('details', {}).get('model')
+        self._carry_out(order)
+        if self.faults.lose_orders == 'after':
+            exchange.cut()
+            return
+        await exchange.reply(202, {'accepted': True})
+
+    def _carry_out(self, order: dict[str, Any]) -> None:
+        details = order.get('details', {})
+        self.artifacts.apply(order.get('kind', ''), details, stale=self.faults.orders_stale)
+        model = details.get('model')
         if order.get('kind') == 'load_model' and model:
             self.models.add(model)
         if order.get('kind') == 'unload_model':
             self.models.discard(model)
-        await exchange.reply(202, {'accepted': True})
 
     async def _serve_call(self, exchange: Exchange) -> None:
         hit = self.faults.hits()
@@ -143,6 +168,7 @@
             await exchange.reply(404, {'error': {'message': f'no model {stream.model}'}})
             return
         self.batch.add(stream)
+        self.journal.write(request_id=stream.request_id, digest=stream.digest)
         marker = self.faults.crash_marker.encode()
         if marker and marker in exchange.body:
             self.crash()
@@ -227,12 +253,15 @@
     *,
     port: int = 0,
     in_process: bool = True,
+    journal: str = '',
 ) -> AsyncIterator[Engine]:
     """Serve an engine on a loopback port until the context is left."""
     options = options or EngineOptions()
     faults = faults or Faults()
     models = {name for name in options.models.split(',') if name}
-    engine = Engine(Batch(options, faults), faults, in_process, models=models)
+    engine = Engine(
+        Batch(options, faults), faults, in_process, models=models, journal=Journal(journal)
+    )
     async with anyio.create_task_group() as group:
         group.start_soon(engine.batch.run)
         async with serve(engine.handle, port) as server:
@@ -269,6 +298,7 @@
         fault_settings.read_options(options),
         port=options.port,
         in_process=False,
+        journal=options.journal,
     )
 
 
--- a/tests/admission/test_client.py
+++ b/tests/admission/test_client.py
@@ -1,3 +1,4 @@
+import asyncio
 import contextlib
 
 import anyio
@@ -10,7 +11,7 @@
 from camphorpath.events import EventLog
 from camphorpath.schema import camphorpath_pb2 as pb
 
-from .fakes import Bench, FakeMembership
+from .fakes import Bench, FakeMembership, make_enqueue
 
 pytestmark = pytest.mark.anyio
 GRANTED = pb.AdmissionDown(granted=pb.Granted(request_id='r1', upstream='u1', valid_for=1))
@@ -82,18 +83,7 @@
         self.membership.members = [pb.MemberInfo(incarnation='home-1'), info]
 
     def ticket(self, request_id, tier=1, time_left=30, **fields):
-        enqueue = pb.Enqueue(
-            request_id=request_id,
-            service='scribe',
-            pool='main',
-            customer='big',
-            tier_rank=tier,
-            time_left=time_left,
-            prompt_tokens=400,
-            output_tokens=40,
-            cancellable=True,
-            **fields,
-        )
+        enqueue = make_enqueue(request_id, tier, time_left=time_left, **fields)
         return Ticket(enqueue, lambda: self.preempted.append(request_id))
 
     def state(self, name):
@@ -262,3 +252,25 @@
         grant = await home.client.acquire(home.ticket('r1'))
         assert grant.expires_at == 3
         assert home.benches['owner-1'].event_names().count('granted') == 2
+
+
+async def test_cancelled_stream_ends_only_its_own_link():
+    """Guards against a client that stops for good without an error.
+
+    grpclib interrupts a stream by cancelling its task and does not undo the cancellation.
+    """
+    home = Home()
+    opened = home.peers.open_admission
+    left = iter(range(2))
+
+    @contextlib.asynccontextmanager
+    async def open_badly(address):
+        if next(left, None) is not None:
+            asyncio.current_task().cancel()
+            raise asyncio.CancelledError
+        async with opened(address) as stream:
+            yield stream
+
+    home.peers.open_admission = open_badly
+    async with home.running():
+        assert (await home.client.acquire(home.ticket('r1'))).upstream == 'u1'
--- a/tests/admission/test_owner.py
+++ b/tests/admission/test_owner.py
@@ -1,8 +1,14 @@
+from types import SimpleNamespace
+
+import anyio
 import pytest
 
+from camphorpath.admission.ownership import Ownership
+from camphorpath.errors import PlatformError, UpstreamError
 from camphorpath.schema import camphorpath_pb2 as pb
+from camphorpath.upstreams.load import LoadReport
 
-from .fakes import Bench, FakeVm
+from .fakes import Bench, FakeMembership, FakeVm
 
 
 def test_grants_stop_at_the_slots_and_resume():
@@ -209,3 +215,61 @@
     bench = Bench()
     first, second = bench.enqueue(service='none'), bench.enqueue(pool='none')
     assert bench.refusals() == {first: 'unknown_service', second: 'unknown_pool'}
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize('anyio_backend', ['asyncio'])
+async def test_run_polls_what_the_vm_list_names(anyio_backend):
+    """Guards against an owner that stops at the first failed poll or reading of the VM list."""
+    bench = Bench(vms=())
+    answers = {'vms': [PlatformError('down'), [FakeVm('u1')]], 'load': [UpstreamError('down')]}
+
+    async def read_vms():
+        answer = answers['vms'].pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    async def read_load(url):
+        if answers['load']:
+            raise answers['load'].pop()
+        return LoadReport('i1', draining=False, running=0, waiting=0, tokens=0, as_of=0)
+
+    bench.owner._vm_list = SimpleNamespace(read=read_vms)
+    bench.owner._read_load = read_load
+    bench.enqueue()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(bench.owner.run)
+        with anyio.fail_after(20):
+            while not bench.granted():  # noqa: ASYNC110 - the owner offers no event to wait for
+                await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+    assert bench.event_names().count('vm_list_stale') == 1
+
+
+def test_grant_lost_with_its_stream_is_void():
+    """Guards against a slot, or a request, lost when the stream broke with a grant on its way."""
+    bench = Bench()
+    request_id = bench.enqueue()
+    bench.open('home-1', is_registered=False)
+    bench.enqueue(request_id=request_id)
+    assert bench.granted_ids() == [request_id, request_id]
+    assert len(bench.state.upstreams['u1'].running) == 1
+
+
+def test_owner_is_chosen_again_when_a_member_begins_to_serve():
+    """Guards against daemons that keep different owners for ever because `serving` of a member
+    changed at different moments: one home then registers again and again and is never granted.
+    """
+    membership = FakeMembership(members=[pb.MemberInfo(incarnation='home-1')])
+    ownership = Ownership(membership)
+    ownership.refresh()
+    assert ownership.is_own('scribe')
+    other = pb.MemberInfo(incarnation='home-2')
+    membership.members.append(other)
+    ownership.refresh()
+    assert ownership.is_own('scribe')
+    other.serving = True
+    membership.owner = other
+    ownership.refresh()
+    assert not ownership.is_own('scribe')
--- a/tests/admission/test_shedding.py
+++ b/tests/admission/test_shedding.py
@@ -104,6 +104,17 @@
     assert bench.preempted() == [spare]
 
 
+def test_slot_of_a_preempted_request_is_promised_once():
+    """Guards against two waiting requests that count on the slot of one preempted request."""
+    bench = Bench()
+    first, second = (bench.enqueue(tier=2, output_tokens=400) for _ in range(2))
+    bench.enqueue(tier=0, output_tokens=400)
+    bench.advance(0.3, step=0.1)
+    assert bench.preempted() == [first]
+    bench.enqueue(tier=0, time_left=3, output_tokens=100)
+    assert bench.preempted() == [first, second]
+
+
 def test_lower_tier_in_another_pool_forbids_the_refusal():
     """Guards against a failed assertion, and P2 over all upstreams of the service."""
     bench = Bench(vms=('u1', FakeVm('o1', pool='old')), pool={'slots': 1})
@@ -120,6 +131,19 @@
     assert bench.refusals() == {waiting: 'deadline_exceeded'}
 
 
+def test_lower_tier_on_a_draining_upstream_forbids_the_refusal():
+    """Guards against a shed while a lower tier runs where no new request may go (P2)."""
+    bench = Bench(vms=('u1', 'u2'), pool={'slots': 1}, max_waiting=1)
+    spare = bench.enqueue(tier=2, output_tokens=2000)
+    bench.enqueue(tier=1, output_tokens=2000, cancellable=False)
+    bench.report(bench.place(spare), draining=True)
+    bench.enqueue(tier=1, time_left=3, output_tokens=100)
+    assert not bench.refusals()
+    second = bench.enqueue(tier=1)
+    assert bench.preempted() == [spare]
+    assert second not in bench.refusals()
+
+
 def test_idle_service_takes_a_request_in_spite_of_its_learned_speed():
     """Guards against a service that refuses everything for ever after one slow phase."""
     bench = Bench()
@@ -128,12 +152,74 @@
     assert again in bench.granted_ids()
 
 
-def crash(bench, *request_ids):
+def lose(bench, *request_ids):
     for request_id in request_ids:
         bench.release(request_id, pb.Release.UPSTREAM_LOST)
+
+
+def crash(bench, *request_ids):
+    upstream = bench.place(request_ids[0])
+    lose(bench, *request_ids)
+    bench.now += 0.1
+    bench.report(upstream, incarnation=f'after {request_ids[0]}')
     bench.advance(2.5)
 
 
+def test_lost_connection_without_a_crash_makes_no_suspect():
+    """Guards against a cut link after which every request would have to run alone."""
+    bench = Bench(pool={'slots': 4})
+    lost = [bench.enqueue(digest=f'd{number}') for number in range(3)]
+    lose(bench, *lost)
+    bench.advance(2.5)
+    again = [bench.enqueue(digest=f'd{number}') for number in range(3)]
+    assert set(again) <= set(bench.granted_ids())
+    assert len(bench.state.running) == 3
+
+
+def test_truncated_answer_to_a_suspect_does_not_refuse_it():
+    """Guards against "crashes_upstreams" for a request whose connection was merely cut."""
+    bench = Bench()
+    crash(bench, bench.enqueue(digest='d'))
+    lose(bench, bench.enqueue(digest='d'))
+    bench.advance(2.5)
+    again = bench.enqueue(digest='d')
+    assert again in bench.granted_ids()
+    assert bench.owner._suspects.count('scribe', 'd') == 1
+
+
+def test_request_waits_for_the_verdict_on_its_last_upstream():
+    """Guards against a request that costs a third upstream while the second one's fate is open."""
+    bench = Bench(vms=('u1', 'u2', 'u3'))
+    crash(bench, bench.enqueue(digest='d'))
+    alone = bench.enqueue(digest='d')
+    died = bench.place(alone)
+    lose(bench, alone)
+    again = bench.enqueue(digest='d')
+    for _ in range(7):
+        bench.now += 0.5
+        for name in set(bench.state.upstreams) - {died}:
+            bench.report(name)
+        bench.owner.refresh()
+        bench.owner.run_due()
+    assert again not in bench.granted_ids()
+    assert bench.refusals() == {again: 'crashes_upstreams'}
+
+
+def test_end_of_a_leaving_upstream_is_no_crash():
+    """Guards against a planned stop of an upstream that is blamed on the last request there."""
+    bench = Bench(vms=('u1', 'u2'))
+    crash(bench, bench.enqueue(digest='d'))
+    alone = bench.enqueue(digest='d')
+    left = bench.place(alone)
+    bench.report(left, draining=True)
+    lose(bench, alone)
+    for _ in range(7):
+        bench.now += 0.5
+        bench.report('u1' if left == 'u2' else 'u2')
+        bench.owner.refresh()
+    assert bench.owner._suspects.count('scribe', 'd') == 1
+
+
 def test_suspect_runs_alone_and_is_refused_after_a_crash_alone():
     """Guards against one request that crashes one upstream after the other."""
     bench = Bench(vms=('u1', 'u2'))
