End a refusal after the body of its request; keep crash counts over a change of the owner

Change: the refusal is sent at once and its answer ended when the body has, within 2 s; open losses of requests that ran alone count as crashes when the service is given up; the larger count of memory and table is used.

--- a/camphorpath/admission/doubts.py
+++ b/camphorpath/admission/doubts.py
@@ -74,6 +74,18 @@
     return refused
 
 
+def settle_open(state: ServiceState) -> None:
+    """Decide on open losses when the service is given up, since the next owner will not.
+
+    A request that ran alone was a suspect already; the loss then counts as its crash, or one that
+    crashes each owner's upstreams in turn would never reach the limit.
+    """
+    for upstream in state.upstreams.values():
+        if upstream.doubt is not None:
+            alone = {digest: True for digest, was in upstream.doubt.ran_alone.items() if was}
+            _convict(state, upstream, attrs.evolve(upstream.doubt, ran_alone=alone))
+
+
 def _convict(state: ServiceState, upstream: Upstream, doubt: Doubt) -> list[str]:
     upstream.doubt = None
     state.context.events.emit(
--- a/camphorpath/admission/owner.py
+++ b/camphorpath/admission/owner.py
@@ -12,7 +12,7 @@
 from ..upstreams.load import LoadReport
 from .agenda import Agenda
 from .context import SYSTEM_CLOCKS, Clocks, Context
-from .doubts import settle_answered, settle_silent
+from .doubts import settle_answered, settle_open, settle_silent
 from .fleet import FleetView
 from .grants import dispatch
 from .ownership import Ownership
@@ -229,7 +229,7 @@
         return state
 
     def _give_up(self, name: str) -> None:
-        self.services.pop(name)
+        settle_open(self.services.pop(name))
         gone = [key for key in self._pollers if key[0] == name]
         for key in gone:
             self._pollers.pop(key).cancel()
--- a/camphorpath/admission/suspects.py
+++ b/camphorpath/admission/suspects.py
@@ -77,9 +77,10 @@
                 self._pending.setdefault(key, 0)
                 self._wake.set()
                 continue
-            # What happened here since this daemon became the owner is newer than the table.
-            if key not in self._pending and key not in self._counts:
-                self._counts[key] = int(stored['count'])
+            # A change that is not written yet is newer; otherwise another owner may have counted a
+            # crash since this daemon owned the service before.
+            if key not in self._pending:
+                self._counts[key] = max(int(stored['count']), self._counts.get(key, 0))
         self._trim()
 
     async def run(self) -> None:
--- a/camphorpath/calls/application.py
+++ b/camphorpath/calls/application.py
@@ -10,7 +10,7 @@
 from ..metrics import CallLabels
 from .acceptance import accept
 from .addresses import list_addresses
-from .bodies import CallerLeft, discard_body
+from .bodies import CallerLeft, Incoming, discard_body
 from .context import CallContext
 from .heads import read_headers
 from .identity import RequestId, parse_request_id
@@ -83,15 +83,16 @@
 
 async def _handle_call(context: CallContext, scope: dict, receive: Receive, send: Send) -> None:
     arrived = read_lease_clock()
+    incoming = Incoming(receive)
     request_id = context.seen.issue(context.membership.incarnation)
     reply = Reply(send, str(request_id))
     labels = CallLabels('', '', 'answered')
     with context.progress:
         context.metrics.in_progress.set({}, context.progress.count)
         try:
-            labels = await _serve(context, scope, receive, reply, request_id)
+            labels = await _serve(context, scope, incoming, reply, request_id)
         except Refusal as refusal:
-            labels = await _answer_refusal(context, receive, reply, refusal)
+            labels = await _answer_refusal(context, incoming, reply, refusal)
         except CallerLeft:
             context.events.emit(Event.CALLER_LEFT, reply.request_id)
     context.metrics.in_progress.set({}, context.progress.count)
@@ -100,7 +101,7 @@
 
 
 async def _answer_refusal(
-    context: CallContext, receive: Receive, reply: Reply, refusal: Refusal
+    context: CallContext, incoming: Incoming, reply: Reply, refusal: Refusal
 ) -> CallLabels:
     context.events.emit(
         _choose_event(refusal),
@@ -115,8 +116,8 @@
     if reply.started:
         await reply.refuse(refusal)
     else:
-        async with discard_body(receive):
-            await reply.refuse(refusal, others)
+        async with discard_body(incoming):
+            await reply.refuse(refusal, others, incoming.ended)
     return CallLabels('', '', refusal.outcome.value)
 
 
--- a/camphorpath/calls/bodies.py
+++ b/camphorpath/calls/bodies.py
@@ -78,6 +78,22 @@
     return bytes(body)
 
 
+class Incoming:
+    """The ASGI callable `receive` of one request, which knows whether the body has ended."""
+
+    def __init__(self, receive: Callable[[], Awaitable[dict]]) -> None:
+        """Receive through `receive`."""
+        self._receive = receive
+        self.ended = anyio.Event()
+
+    async def __call__(self) -> dict:
+        """Return the next message."""
+        message = await self._receive()
+        if message['type'] == 'http.disconnect' or not message.get('more_body', False):
+            self.ended.set()
+        return message
+
+
 @contextlib.asynccontextmanager
 async def discard_body(receive: Callable[[], Awaitable[dict]]) -> AsyncIterator[None]:
     """Read on while an answer is sent that does not need the rest of the body.
--- a/camphorpath/calls/reply.py
+++ b/camphorpath/calls/reply.py
@@ -3,6 +3,8 @@
 import contextlib
 from collections.abc import Awaitable, Callable, Sequence
 
+import anyio
+
 from ..errors import Refusal
 from ..upstreams import UpstreamAnswer
 from .refusals import render_error_event, render_refusal
@@ -10,6 +12,9 @@
 # Engines send one event for each token, and one that ends the stream.
 EVENT_MARK = b'data:'
 
+# A caller that is refused may send the rest of its body for this time.
+DRAIN_LIMIT_S = 2
+
 
 class AnswerBroken(Exception):
     """Raised out of the application so that the server closes the connection abnormally.
@@ -72,8 +77,18 @@
             await self.send_part(chunk)
         await self.send_part(b'', more=False)
 
-    async def refuse(self, refusal: Refusal, addresses: Sequence[dict[str, str]] = ()) -> None:
-        """Send a refusal; after the head, end the stream so that it cannot look complete."""
+    async def refuse(
+        self,
+        refusal: Refusal,
+        addresses: Sequence[dict[str, str]] = (),
+        body_ended: anyio.Event | None = None,
+    ) -> None:
+        """Send a refusal; after the head, end the stream so that it cannot look complete.
+
+        The answer is not ended before the body of the request has: the server then closes the
+        connection, and the kernel resets one that is closed with unread data, which can cost the
+        caller the refusal.
+        """
         if self.started:
             await self.send_part(render_error_event(refusal, self.request_id))
             raise AnswerBroken
@@ -86,4 +101,8 @@
                 'headers': rendered.headers,
             }
         )
-        await self.send_part(rendered.body, more=False)
+        await self.send_part(rendered.body)
+        if body_ended is not None:
+            with anyio.move_on_after(DRAIN_LIMIT_S):
+                await body_ended.wait()
+        await self.send_part(b'', more=False)
--- a/tests/admission/test_shedding.py
+++ b/tests/admission/test_shedding.py
@@ -205,6 +205,34 @@
     assert bench.refusals() == {again: 'crashes_upstreams'}
 
 
+def test_open_loss_counts_when_the_owner_changes():
+    """Guards against a request that costs one upstream for each owner that gives up in time."""
+    bench = Bench(vms=('u1', 'u2'))
+    crash(bench, bench.enqueue(digest='d'))
+    lose(bench, bench.enqueue(digest='d'))
+    bench.membership.owner = pb.MemberInfo(incarnation='other', peers_address='other')
+    bench.membership.members = [*bench.membership.members, bench.membership.owner]
+    bench.owner.refresh()
+    assert 'scribe' not in bench.owner.services
+    assert bench.owner._suspects.count('scribe', 'd') == 2
+
+
+@pytest.mark.anyio
+async def test_counts_of_another_owner_are_taken_over(anyio_backend):
+    """Guards against a former owner that goes on with an older count after a pause."""
+    bench = Bench()
+    crash(bench, bench.enqueue(digest='d'))
+    suspects = bench.owner._suspects
+    await suspects._write_some()
+    successor = Bench()
+    successor.owner._suspects.table = bench.table
+    await successor.owner._suspects.load('scribe')
+    successor.owner._suspects.record('scribe', 'd', 2, was_alone=True)
+    await successor.owner._suspects._write_some()
+    await suspects.load('scribe')
+    assert suspects.count('scribe', 'd') == 2
+
+
 def test_end_of_a_leaving_upstream_is_no_crash():
     """Guards against a planned stop of an upstream that is blamed on the last request there."""
     bench = Bench(vms=('u1', 'u2'))
