--- a/camphorpath/calls/reply.py
+++ b/camphorpath/calls/reply.py
@@ -1,7 +1,10 @@
 """The answer to one caller over ASGI."""
 
+import contextlib
 from collections.abc import Awaitable, Callable, Sequence
 
+import anyio
+
 from ..errors import Refusal
 from ..upstreams import UpstreamAnswer
 from .refusals import render_error_event, render_refusal
@@ -9,6 +12,9 @@
 # Engines send one event for each token, and one that ends the stream.
 EVENT_MARK = b'data:'
 
+# A caller that is refused may send the rest of its body for this time.
+DRAIN_LIMIT_S = 2
+
 
 class AnswerBroken(Exception):
     """Raised out of the application so that the server closes the connection abnormally.
@@ -22,7 +28,13 @@
 
     def __init__(self, send: Callable[[dict], Awaitable[None]], request_id: str) -> None:
         """Answer through the ASGI callable `send`."""
-        self._send = send
+
+        async def send_if_open(message: dict) -> None:
+            # The server reports a lost caller as `http.disconnect`, which ends the call.
+            with contextlib.suppress(OSError):
+                await send(message)
+
+        self._send = send_if_open
         self.request_id = request_id
         self.started = False
         # Set when the last part is handed to the server.
@@ -65,8 +77,18 @@
             await self.send_part(chunk)
         await self.send_part(b'', more=False)
 
-    async def refuse(self, refusal: Refusal, addresses: Sequence[dict[str, str]] = ()) -> None:
-        """Send a refusal; after the head, end the stream so that it cannot look complete."""
+    async def refuse(
+        self,
+        refusal: Refusal,
+        addresses: Sequence[dict[str, str]] = (),
+        body_ended: anyio.Event | None = None,
+    ) -> None:
+        """Send a refusal; after the head, end the stream so that it cannot look complete.
+
+        The answer is not ended before the body of the request has: the server then closes the
+        connection, and the kernel resets one that is closed with unread data, which can cost the
+        caller the refusal.
+        """
         if self.started:
             await self.send_part(render_error_event(refusal, self.request_id))
             raise AnswerBroken
@@ -79,4 +101,8 @@
                 'headers': rendered.headers,
             }
         )
-        await self.send_part(rendered.body, more=False)
+        await self.send_part(rendered.body)
+        if body_ended is not None:
+            with anyio.move_on_after(DRAIN_LIMIT_S):
+                await body_ended.wait()
+        await self.send_part(b'', more=False)
--- a/camphorpath/calls/serving.py
+++ b/camphorpath/calls/serving.py
@@ -9,7 +9,7 @@
 from ..errors import Refusal
 from ..events import Event
 from ..upstreams import UpstreamAnswer, read_whole
-from .bodies import BYTES_PER_TOKEN
+from .bodies import BYTES_PER_TOKEN, CallerLeft
 from .context import CallContext
 from .dispatch import Interruption, Relayed, dispatch, refuse_interrupted
 from .exchange import Exchange, Phase
@@ -68,8 +68,13 @@
     refusal: Refusal | None = None
 
 
-async def serve_once(context: CallContext, exchange: Exchange, reply: Reply) -> None:
-    """Serve a call that must run at most once.
+async def serve_once(
+    context: CallContext,
+    exchange: Exchange,
+    reply: Reply,
+    receive: Callable[[], Awaitable[dict]],
+) -> None:
+    """Serve a call that must run at most once; raise CallerLeft if its caller leaves.
 
     The idempotency key is claimed in the table before the send. The call goes on and its answer is
     recorded when the caller leaves or its time is over.
@@ -89,18 +94,34 @@
     limit = anyio.current_time() + RECORD_LIMIT_S
     recorded = _Recorded(Interruption(anyio.CancelScope(deadline=limit)))
     context.task_group.start_soon(_run_once, context, exchange, claim, recorded)
-    with anyio.move_on_after(exchange.time_left()):
-        await recorded.done.wait()
-    if not recorded.done.is_set() and exchange.phase is Phase.ACCEPTED:
-        # "Not run" may be said only after the dispatch has ended; it could still be sent before.
-        recorded.interruption.interrupt('deadline_exceeded')
-        await recorded.done.wait()
+    await _wait_done(recorded, exchange, reply, receive)
     if recorded.answer is not None:
         await _send_recorded(reply, recorded.answer)
         return
     raise recorded.refusal or refuse_interrupted(exchange, 'deadline_exceeded')
 
 
+async def _wait_done(
+    recorded: _Recorded,
+    exchange: Exchange,
+    reply: Reply,
+    receive: Callable[[], Awaitable[dict]],
+) -> None:
+    """Wait for the result until the deadline; raise CallerLeft if the caller leaves before."""
+    with anyio.move_on_after(exchange.time_left()) as scope:
+        interruption = Interruption(scope)
+        async with anyio.create_task_group() as group:
+            group.start_soon(_watch_caller, receive, reply, interruption)
+            await recorded.done.wait()
+            group.cancel_scope.cancel()
+    if interruption.reason:
+        raise CallerLeft
+    if not recorded.done.is_set() and exchange.phase is Phase.ACCEPTED:
+        # "Not run" may be said only after the dispatch has ended; it could still be sent before.
+        recorded.interruption.interrupt('deadline_exceeded')
+        await recorded.done.wait()
+
+
 async def _run_once(
     context: CallContext, exchange: Exchange, claim: Claim, recorded: _Recorded
 ) -> None:
