Name the tier in the calls of a measurement

Cause: find_tier gives a call without Camphorpath-Tier the lower of the tier of its customer and the default tier of the service. Not changed: find_tier itself.

--- a/tools/running.py
+++ b/tools/running.py
@@ -210,7 +210,8 @@
             url = await book.choose()
             record.tries = attempt + 1
             record.reason = ''
-            await call_model(client, url, document, record, make_headers(call.customer))
+            headers = make_headers(call.customer, call.tier)
+            await call_model(client, url, document, record, headers)
             if record.reason not in {'ConnectError', 'ConnectTimeout'}:
                 return
             book.drop(url)
@@ -274,6 +275,13 @@
                 self.deployment.kill(name)
 
 
-def make_headers(customer: str) -> dict[str, str]:
-    """Return the headers of a customer of the examples."""
-    return {'Authorization': f'Bearer demo-{customer}'}
+def make_headers(customer: str, tier: str = '') -> dict[str, str]:
+    """Return the headers of a customer of the examples.
+
+    A call that names no tier runs in the default tier of the service if that is the lower one, so
+    calls that are judged by the limits of their customer's tier have to name it.
+    """
+    headers = {'Authorization': f'Bearer demo-{customer}'}
+    if tier:
+        headers['Camphorpath-Tier'] = tier
+    return headers
