Count fair shares within a pool and tier, from the moment of waiting

Cause: the served tokens of a customer counted over all pools and tiers of a service, and a customer that became active started at the highest level granted anywhere. A customer that had been idle for a moment started at the level of the busiest tier and waited behind those that always ran something.

--- a/camphorpath/admission/grants.py
+++ b/camphorpath/admission/grants.py
@@ -152,7 +152,8 @@
     now = context.clock()
     is_alone = state.is_suspect(entry)
     uncached = count_uncached(entry, upstream)
-    state.queue.shares.raise_floor(enqueue.customer)
+    shares = state.queue.shares(enqueue.pool, entry.rank)
+    shares.raise_floor(enqueue.customer)
     state.drop_waiting(entry.request_id)
     running = Running(
         enqueue,
@@ -173,7 +174,7 @@
     state.add_running(running)
     upstream.prefixes.remember(entry.blocks)
     weight = context.view.weights.get(enqueue.customer, 1)
-    state.queue.shares.charge(enqueue.customer, max(entry.tokens, 1), weight)
+    shares.charge(enqueue.customer, max(entry.tokens, 1), weight)
     context.events.emit(Event.GRANTED, entry.request_id, upstream.name, tier=enqueue.tier)
     entry.session.grant(
         pb.Granted(
--- a/camphorpath/admission/queue.py
+++ b/camphorpath/admission/queue.py
@@ -21,9 +21,9 @@
 class WaitingQueue:
     """Waiting requests by pool and tier, then by customer, then by deadline."""
 
-    shares: Shares
     entries: dict[str, Waiting] = attrs.field(factory=dict)
     _groups: dict[GroupKey, dict[str, list[Waiting]]] = attrs.field(factory=dict)
+    _shares: dict[GroupKey, Shares] = attrs.field(factory=dict)
     _work_s: dict[GroupKey, float] = attrs.field(factory=dict)
     # By tier in the order of arrival, with requests that have left; find_least needs the newest.
     _newest: dict[int, list[Waiting]] = attrs.field(factory=dict)
@@ -38,6 +38,8 @@
         key = entry.enqueue.pool, entry.rank
         self.entries[entry.request_id] = entry
         customers = self._groups.setdefault(key, {})
+        if entry.enqueue.customer not in customers:
+            self.shares(*key).activate(entry.enqueue.customer)
         bisect.insort(customers.setdefault(entry.enqueue.customer, []), entry, key=_sort_key)
         self._work_s[key] = self._work_s.get(key, 0) + entry.work_s
         self._append_newest(entry)
@@ -59,9 +61,9 @@
             self._work_s.pop(key)
         return entry
 
-    def has_customer(self, customer: str) -> bool:
-        """Return whether a request of the customer waits."""
-        return any(customer in customers for customers in self._groups.values())
+    def shares(self, pool: str, rank: int) -> Shares:
+        """Return the shares of the customers in a pool and tier."""
+        return self._shares.setdefault((pool, rank), Shares())
 
     def pools(self) -> list[str]:
         """Return the pools for which requests wait."""
@@ -77,7 +79,7 @@
         """Return the next request of a pool that is neither skipped nor of a limited customer."""
         for rank in self._ranks(pool):
             customers = self._groups[pool, rank]
-            for customer in sorted(customers, key=self.shares.level):
+            for customer in sorted(customers, key=self.shares(pool, rank).level):
                 if is_limited(customer):
                     continue
                 for entry in customers[customer]:
@@ -89,7 +91,7 @@
         """Yield the requests of a pool by tier, then share as it stands now, then deadline."""
         for rank in self._ranks(pool):
             customers = self._groups[pool, rank]
-            for customer in sorted(customers, key=self.shares.level):
+            for customer in sorted(customers, key=self.shares(pool, rank).level):
                 yield from customers[customer]
 
     def find_least(self) -> Waiting | None:
--- a/camphorpath/admission/requests.py
+++ b/camphorpath/admission/requests.py
@@ -164,13 +164,14 @@
 def _apply_result(state: ServiceState, running: Running, release: pb.Release) -> None:
     upstream = state.upstreams.get(running.upstream)
     enqueue = running.enqueue
+    shares = state.queue.shares(enqueue.pool, running.rank)
     weight = state.context.view.weights.get(enqueue.customer, 1)
     if release.result == pb.Release.COMPLETE:
         state.context.suspects.clear(state.name, enqueue.digest)
         unexpected = release.output_tokens - enqueue.output_tokens if release.output_tokens else 0
-        state.queue.shares.charge(enqueue.customer, unexpected, weight)
+        shares.charge(enqueue.customer, unexpected, weight)
     elif release.result in NOT_STARTED:
-        state.queue.shares.charge(enqueue.customer, -max(running.tokens, 1), weight)
+        shares.charge(enqueue.customer, -max(running.tokens, 1), weight)
     if upstream is None:
         return
     if release.result in {pb.Release.UPSTREAM_REFUSED, pb.Release.UPSTREAM_LOST}:
--- a/camphorpath/admission/service.py
+++ b/camphorpath/admission/service.py
@@ -13,7 +13,6 @@
 from .context import Context
 from .queue import WaitingQueue
 from .records import Running, Waiting
-from .shares import Shares
 from .speed import estimate_work
 from .stragglers import PROBE_INTERVAL_S, find_changes
 from .upstream import Upstream
@@ -51,7 +50,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Begin with an empty queue."""
-        self.queue = WaitingQueue(Shares())
+        self.queue = WaitingQueue()
         self.choice = ChoiceState(self.context.view)
 
     @property
@@ -96,9 +95,6 @@
     def add_waiting(self, session: Any, enqueue: pb.Enqueue) -> Waiting:
         """Put a request into the queue."""
         now = self.context.clock()
-        customer = enqueue.customer
-        if not self.by_customer[customer] and not self.queue.has_customer(customer):
-            self.queue.shares.activate(customer)
         pool = self.context.view.pool(self.name, enqueue.pool)
         work_s = estimate_work(pool, enqueue.prompt_tokens, enqueue.output_tokens)
         self.sequence += 1
--- a/camphorpath/admission/shares.py
+++ b/camphorpath/admission/shares.py
@@ -1,4 +1,4 @@
-"""Weighted fair share of served tokens among customers."""
+"""Weighted fair share of served tokens among the customers of one pool and tier."""
 
 import attrs
 
@@ -7,13 +7,17 @@
 
 @attrs.define
 class Shares:
-    """Served tokens over weight of each customer of one service."""
+    """Served tokens over weight of each customer.
+
+    Requests compete for slots only within their pool and tier. If service elsewhere counted, a
+    customer that starts to wait would start at the level of the busiest pool or tier and starve.
+    """
 
     _served: dict[str, float] = attrs.field(factory=dict)
     _floor: float = 0
 
     def activate(self, customer: str) -> None:
-        """Start a customer that had no requests at the level of the others.
+        """Start a customer that had no waiting requests at the level of the others.
 
         Without it a customer that was idle for an hour would exclude the others until it had
         caught up on the whole hour.
--- a/tests/admission/test_owner.py
+++ b/tests/admission/test_owner.py
@@ -273,3 +273,36 @@
     membership.owner = other
     ownership.refresh()
     assert not ownership.is_own('scribe')
+
+
+def test_share_does_not_depend_on_service_in_other_tiers():
+    """Guards against a customer that starves for what a lower tier was served meanwhile."""
+    bench = Bench(pool={'slots': 2})
+    steady = bench.enqueue(tier=0, customer='small', prompt_tokens=100)
+    # The lower tier is served much more than the upper one.
+    for _ in range(20):
+        bench.release(bench.enqueue(tier=2, customer='supervisors', prompt_tokens=4000))
+    bench.enqueue(tier=0, customer='small', prompt_tokens=100)
+    waiting = bench.enqueue(tier=0, customer='big', prompt_tokens=100)
+    for _ in range(6):
+        bench.enqueue(tier=0, customer='small', prompt_tokens=100)
+    bench.release(steady)
+    for _ in range(3):
+        bench.release(bench.granted_ids()[-1])
+    assert waiting in bench.granted_ids()
+
+
+def test_share_counts_from_the_moment_of_waiting():
+    """Guards against credit for the time in which a customer ran requests without waiting."""
+    bench = Bench(pool={'slots': 2})
+    steady = bench.enqueue(tier=0, customer='small', prompt_tokens=100)
+    for _ in range(20):
+        bench.release(bench.enqueue(tier=0, customer='big', prompt_tokens=4000))
+    bench.enqueue(tier=0, customer='big', prompt_tokens=100)
+    for _ in range(6):
+        bench.enqueue(tier=0, customer='small', prompt_tokens=100)
+    waiting = bench.enqueue(tier=0, customer='big', prompt_tokens=100)
+    bench.release(steady)
+    for _ in range(3):
+        bench.release(bench.granted_ids()[-1])
+    assert waiting in bench.granted_ids()
