Refuse requests whose first token would come too late, before prefill

Cause: the owner never read first_token_left, so requests ran whose first token was useless. The tier's refuse_late_first_token (times first_token, default 1) says when that is; the conditions are those of the refusal by the deadline. Ruled out: estimate_start for the first token (it waits for half of all running work to end, about 1 s too long with many slots), and the learned prefill factor (short prompts raise it tenfold).

--- a/camphorpath/admission/fleet.py
+++ b/camphorpath/admission/fleet.py
@@ -1,5 +1,7 @@
 """Lookups into the fleet configuration that admission needs for every request."""
 
+import math
+
 import attrs
 
 from ..schema import camphorpath_pb2 as pb
@@ -14,6 +16,7 @@
     fleet: pb.Fleet
     services: dict[str, pb.Service] = attrs.field(init=False)
     weights: dict[str, float] = attrs.field(init=False)
+    tiers: dict[str, pb.Tier] = attrs.field(init=False)
     _regions: dict[str, str] = attrs.field(init=False)
     _limits: dict[tuple[str, str], int] = attrs.field(init=False)
     _routes: dict[tuple[str, str], tuple[float, float]] = attrs.field(factory=dict)
@@ -23,6 +26,7 @@
         fleet = self.fleet
         self.services = {service.name: service for service in fleet.services}
         self.weights = {customer.name: customer.weight for customer in fleet.customers}
+        self.tiers = {tier.name: tier for tier in fleet.tiers}
         self._regions = {zone: region.name for region in fleet.regions for zone in region.zones}
         self._limits = {
             ('', customer.name): customer.max_running
@@ -40,6 +44,13 @@
         pools = () if found is None else found.pools
         return next((pool for pool in pools if pool.name == name), None)
 
+    def allowed_delay(self, tier_name: str) -> float:
+        """Return how long after its target the first token of a tier may still come, in seconds."""
+        tier = self.tiers.get(tier_name)
+        if tier is None or not tier.refuse_late_first_token:
+            return math.inf
+        return (tier.refuse_late_first_token - 1) * tier.first_token
+
     def customer_limit(self, service: str, customer: str) -> int:
         """Return how many requests of a customer may run in a service; 0 sets no limit."""
         own = self._limits.get((service, customer), 0)
--- a/camphorpath/admission/records.py
+++ b/camphorpath/admission/records.py
@@ -1,5 +1,6 @@
 """Records of requests in admission."""
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -31,8 +32,10 @@
 class Waiting:
     """A request in the queue; times are seconds on the lease clock.
 
-    `work_s` is its work at the rates of its pool, `claim` the upstream on which requests were
-    preempted for it, `hold_until` the end of its wait for an upstream with its prefix.
+    `first_by` is the last moment at which its first token is worth the prefill, `work_s` its work
+    and `prefill_s` its prefill without a cached prefix at the rates of its pool, `claim`
+    the upstream on which requests were preempted for it, `hold_until` the end of its wait for a
+    full upstream that is cheaper than a free one.
     """
 
     enqueue: pb.Enqueue
@@ -41,6 +44,8 @@
     deadline: float
     sequence: int
     work_s: float = 0
+    prefill_s: float = 0
+    first_by: float = math.inf
     claim: str = ''
     hold_until: float = 0
     has_timer: bool = False
--- a/camphorpath/admission/requests.py
+++ b/camphorpath/admission/requests.py
@@ -1,5 +1,6 @@
 """What the messages of home daemons do to the requests of one service."""
 
+import math
 from typing import Any
 
 from ..events import Event
@@ -33,6 +34,9 @@
     state.context.wake_at(entry.deadline, state.name, request_id)
     # The last moment at which a start still makes sense.
     state.context.wake_at(entry.deadline - entry.work_s, state.name, request_id)
+    if entry.first_by < math.inf:
+        state.context.wake_at(entry.first_by - entry.prefill_s, state.name, request_id)
+        state.context.wake_at(entry.first_by, state.name, request_id)
     dispatch(state)
     if request_id in state.queue.entries:
         shed_excess(state)
--- a/camphorpath/admission/service.py
+++ b/camphorpath/admission/service.py
@@ -98,7 +98,16 @@
         pool = self.context.view.pool(self.name, enqueue.pool)
         work_s = estimate_work(pool, enqueue.prompt_tokens, enqueue.output_tokens)
         self.sequence += 1
-        entry = Waiting(enqueue, session, now, now + enqueue.time_left, self.sequence, work_s)
+        entry = Waiting(
+            enqueue,
+            session,
+            now,
+            now + enqueue.time_left,
+            self.sequence,
+            work_s,
+            prefill_s=estimate_work(pool, enqueue.prompt_tokens, 0),
+            first_by=now + enqueue.first_token_left + self.context.view.allowed_delay(enqueue.tier),
+        )
         self.queue.add(entry)
         return entry
 
@@ -233,6 +242,24 @@
         factor = min(upstream.speed.factor for upstream in upstreams)
         return factor * max(ahead_s + running_s, 0) / slots
 
+    def estimate_next_slot(self, entry: Waiting) -> float | None:
+        """Return the seconds until a waiting request gets a slot; None without upstreams.
+
+        Slots that are all taken become free one after the other, so the requests ahead have only to
+        start. `estimate_start` is the time until they have ended, too long for a first token.
+        """
+        upstreams = self.usable(entry.enqueue.pool)
+        if not upstreams:
+            return None
+        slots = sum(upstream.slots for upstream in upstreams)
+        running = sum(len(upstream.running) for upstream in upstreams)
+        if running < slots:
+            return 0
+        mean_s = sum(upstream.work_s for upstream in upstreams) / running
+        ahead_s = self.queue.work_ahead(entry.enqueue.pool, entry.rank) - entry.work_s
+        factor = min(upstream.speed.factor for upstream in upstreams)
+        return factor * max(ahead_s + mean_s, 0) / slots
+
     def estimate_retry(self, entry: Waiting) -> float:
         """Return after how many seconds a refused caller should try again."""
         start = self.estimate_start(entry)
--- a/camphorpath/admission/shedding.py
+++ b/camphorpath/admission/shedding.py
@@ -1,5 +1,6 @@
 """Refusals because of load, and the check that no lower tier still runs."""
 
+import math
 import types
 
 from ..events import Event
@@ -52,26 +53,46 @@
 def is_hopeless(state: ServiceState, entry: Waiting, upstream: Upstream) -> bool:
     """Return whether a request should be refused instead of started on a free upstream.
 
+    The prefill counts at the configured rate: the learned factor of short prompts is mostly the
+    time of one step of the engine and would refuse long ones that are in time.
+
     A service that runs nothing accepts it in any case: a wrong speed is corrected only by running
     requests.
     """
     uncached = count_uncached(entry, upstream)
     work_s = estimate_work(upstream.pool, uncached, entry.enqueue.output_tokens)
     work_s *= upstream.speed.factor
-    if state.context.clock() + work_s <= entry.deadline or not state.running:
+    now = state.context.clock()
+    is_late = now + work_s > entry.deadline
+    if entry.first_by < math.inf:
+        is_late = is_late or now + uncached / max(upstream.prefill_rate, 1) > entry.first_by
+    if not is_late or not state.running:
         return False
     return may_shed_late(state, entry.rank)
 
 
 def is_unreachable(state: ServiceState, entry: Waiting) -> bool:
-    """Return whether a request that has to wait is expected to end after its deadline."""
+    """Return whether a request that has to wait is expected to start or end too late."""
     if not state.running or state.is_suspect(entry) or state.is_limited(entry.enqueue.customer):
         return False
     start_s = state.estimate_start(entry)
     if start_s is None:
         return False
     factor = min(one.speed.factor for one in state.usable(entry.enqueue.pool))
-    return state.context.clock() + start_s + factor * entry.work_s > entry.deadline
+    now = state.context.clock()
+    if now + start_s + factor * entry.work_s > entry.deadline:
+        return True
+    if entry.first_by == math.inf:
+        return False
+    return (
+        now + (state.estimate_next_slot(entry) or 0) + _shortest_prefill(state, entry)
+        > entry.first_by
+    )
+
+
+def _shortest_prefill(state: ServiceState, entry: Waiting) -> float:
+    usable = state.usable(entry.enqueue.pool)
+    return min(count_uncached(entry, one) / max(one.prefill_rate, 1) for one in usable)
 
 
 def _choose_any(state: ServiceState, entry: Waiting) -> Running | None:
--- a/tests/admission/fakes.py
+++ b/tests/admission/fakes.py
@@ -76,9 +76,10 @@
     }
     pool_fields = {'slots': 2, 'prefill_rate': 4000, 'decode_rate': 40}
     pool_fields.update(service_fields.pop('pool', {}))
+    tier_fields = service_fields.pop('tiers', {})
     fields.update(service_fields)
     return pb.Fleet(
-        tiers=[pb.Tier(name=name, rank=rank) for rank, name in enumerate(TIERS)],
+        tiers=[pb.Tier(name=name, rank=rank, **tier_fields) for rank, name in enumerate(TIERS)],
         customers=[pb.Customer(name=name, weight=1) for name in ('big', 'small')],
         regions=[pb.Region(name='one', zones=['a', 'b']), pb.Region(name='two', zones=['c'])],
         links=pb.Links(same_zone=0.0001, between_zones=0.001, between_regions=0.008),
@@ -88,7 +89,13 @@
 
 
 def make_enqueue(request_id, tier=1, **fields):
-    names = {'customer': 'big', 'zone': 'a', 'pool': 'main', 'service': 'scribe'}
+    names = {
+        'tier': TIERS[tier],
+        'customer': 'big',
+        'zone': 'a',
+        'pool': 'main',
+        'service': 'scribe',
+    }
     numbers = {'time_left': 60, 'prompt_tokens': 400, 'output_tokens': 40, 'cancellable': True}
     return pb.Enqueue(request_id=request_id, tier_rank=tier, **(names | numbers | fields))
 
--- a/tests/admission/test_rules.py
+++ b/tests/admission/test_rules.py
@@ -34,7 +34,12 @@
     def __init__(self):
         super().__init__()
         self.bench = Bench(
-            vms=UPSTREAMS, homes=(), pool={'slots': SLOTS}, max_waiting=4, preempt_after=0.1
+            vms=UPSTREAMS,
+            homes=(),
+            pool={'slots': SLOTS},
+            max_waiting=4,
+            preempt_after=0.1,
+            tiers={'first_token': 1, 'refuse_late_first_token': 1},
         )
         self.bench.membership.members = [pb.MemberInfo(incarnation=home) for home in HOMES]
         self.requests = {}
@@ -130,11 +135,12 @@
         home=strategies.sampled_from(HOMES),
         tier=strategies.integers(0, 2),
         time_left=strategies.sampled_from([0.5, 2, 60]),
+        first_token_left=strategies.sampled_from([0.3, 60]),
         cancellable=strategies.booleans(),
         customer=strategies.sampled_from(['big', 'small']),
         digest=strategies.sampled_from(['', '', 'd1', 'd2']),
     )
-    def enqueue(self, home, tier, time_left, cancellable, customer, digest):
+    def enqueue(self, home, tier, time_left, first_token_left, cancellable, customer, digest):
         if home not in self.open:
             return
         request_id = f'r{len(self.requests)}'
@@ -143,6 +149,7 @@
             tier,
             customer=customer,
             time_left=time_left,
+            first_token_left=min(first_token_left, time_left),
             prompt_tokens=400 * (tier + 1),
             cancellable=cancellable,
             digest=digest,
--- a/tests/admission/test_shedding.py
+++ b/tests/admission/test_shedding.py
@@ -302,3 +302,35 @@
 @pytest.fixture
 def anyio_backend():
     return 'asyncio'
+
+
+def test_late_first_token_is_refused_before_prefill():
+    """Guards against prefill for a request whose first token comes too late to be useful."""
+    bench = Bench(pool={'slots': 1}, tiers={'first_token': 1, 'refuse_late_first_token': 2})
+    times = {'tier': 1, 'time_left': 60, 'first_token_left': 1}
+    bench.enqueue(**times, output_tokens=40, cancellable=False)
+    kept = bench.enqueue(**times, output_tokens=4)
+    late = bench.enqueue(**times, output_tokens=4, prompt_tokens=6000)
+    assert bench.refusals() == {late: 'deadline_unreachable'}
+    bench.advance(1.5)
+    assert kept not in bench.refusals()
+    bench.advance(0.5)
+    assert bench.refusals()[kept] == 'deadline_unreachable'
+
+
+def test_late_first_token_preempts_lower_tiers_first():
+    """Guards against a refusal for a late first token while a lower tier runs (P2)."""
+    bench = Bench(pool={'slots': 1}, tiers={'first_token': 1, 'refuse_late_first_token': 1})
+    spare = bench.enqueue(tier=2, output_tokens=4000)
+    bench.enqueue(tier=0, first_token_left=1, prompt_tokens=3960)
+    assert bench.preempted() == [spare]
+    assert not bench.refusals()
+
+
+def test_first_token_is_no_deadline_where_the_tier_has_no_limit():
+    """Guards against a refusal by a target that operators did not make a limit."""
+    bench = Bench(pool={'slots': 1}, tiers={'first_token': 1, 'refuse_late_first_token': 0})
+    bench.enqueue(output_tokens=400)
+    bench.enqueue(first_token_left=1)
+    bench.advance(5)
+    assert not bench.refusals()
