--- a/camphorpath/daemon.py
+++ b/camphorpath/daemon.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from .admission import AdmissionClient, AdmissionOwner
-from .calls import CallContext, open_listener, serve_callers
+from .calls import CallContext, Progress, open_listener, serve_callers
 from .calls.identity import SeenIds
 from .claims import Claims
 from .errors import PlatformError
@@ -18,11 +18,13 @@
 from .handlers import make_handlers
 from .members import Membership
 from .metrics import Metrics
+from .orders import Orders
+from .orders.service import EngineControl
 from .peers import Handlers, serve_peers
 from .platform import ObjectStore, Table, VmList
 from .schema import camphorpath_pb2 as pb
 from .settings import parse_fleet
-from .upstreams import make_client, read_load
+from .upstreams import EngineState, Order, give_order, make_client, read_engine_state, read_load
 from .versions import Versions
 
 VM_LIST_INTERVAL_S = 2
@@ -45,7 +47,9 @@
     owner: AdmissionOwner
     admission: AdmissionClient
     claims: Claims
+    orders: Orders
     client: httpx.AsyncClient
+    progress: Progress = attrs.Factory(Progress)
 
     async def close(self) -> None:
         """Close the connections to the platform and the peers."""
@@ -92,10 +96,30 @@
         owner=owner,
         admission=AdmissionClient(membership=membership, owner=owner, events=events),
         claims=Claims(table=table, objects=objects, membership=membership, events=events),
+        orders=Orders(
+            membership=membership,
+            versions=versions,
+            owner=owner,
+            table=table,
+            events=events,
+            control=make_control(client),
+        ),
         client=client,
     )
 
 
+def make_control(client: httpx.AsyncClient) -> EngineControl:
+    """Return the control side of engines through an HTTP client."""
+
+    async def read_state(base_url: str) -> EngineState:
+        return await read_engine_state(client, base_url)
+
+    async def give(base_url: str, order: Order) -> bool:
+        return await give_order(client, base_url, order)
+
+    return EngineControl(read_state, give)
+
+
 async def run_daemon(
     settings: pb.Daemon,
     stop: anyio.Event,
@@ -146,7 +170,7 @@
             daemon.admission,
             daemon.claims,
         ):
-            group.start_soon(part.run)
+            group.start_soon(_run_for_ever, part)
         group.start_soon(_poll_vm_list, daemon)
         async with anyio.create_task_group() as callers:
             await callers.start(serve_callers, context, listener, closing)
@@ -155,21 +179,27 @@
             )
             task_status.started(daemon)
             await stop.wait()
-            await _drain(daemon, context)
+            await _drain(daemon)
             closing.set()
         group.cancel_scope.cancel()
 
 
+async def _run_for_ever(part: object) -> None:
+    """Run a part until cancelled; a daemon must not go on without one of its parts."""
+    await part.run()
+    raise AssertionError(f'{type(part).__name__} has ended')
+
+
 def _replace_port(address: str, port: int) -> str:
     return f'{address.rpartition(":")[0]}:{port}'
 
 
-async def _drain(daemon: Daemon, context: CallContext) -> None:
+async def _drain(daemon: Daemon) -> None:
     """Wait out the longest kept address answer and every accepted request, however long it runs."""
     daemon.membership.begin_stop()
-    daemon.events.emit(Event.DAEMON_STOPPING, in_progress=context.progress.count)
+    daemon.events.emit(Event.DAEMON_STOPPING, in_progress=daemon.progress.count)
     await anyio.sleep(daemon.versions.current.fleet.keep_addresses)
-    await context.progress.wait_idle()
+    await daemon.progress.wait_idle()
     with anyio.move_on_after(RECORD_LIMIT_S):
         await daemon.claims.drain()
     await daemon.versions.leave()
@@ -187,6 +217,7 @@
         metrics=Metrics(),
         seen=SeenIds(daemon.settings.limits.max_seen_ids),
         task_group=group,
+        progress=daemon.progress,
     )
 
 
@@ -203,5 +234,10 @@
 
 def _make_handlers(daemon: Daemon) -> Handlers:
     return make_handlers(
-        daemon.events, daemon.membership, daemon.versions, daemon.owner, daemon.table
+        daemon.events,
+        daemon.membership,
+        daemon.versions,
+        daemon.owner,
+        daemon.orders,
+        daemon.table,
     )
