Count the answer in the price of bytes between regions

Cause: estimate_cost priced the body only; a streamed answer has about 200 bytes for each token and is the larger part. A request may now also wait for a full upstream in its region, as for a prefix, where the price of its bytes makes that cheaper and its first token stays in time.

--- a/camphorpath/admission/choice.py
+++ b/camphorpath/admission/choice.py
@@ -11,8 +11,10 @@
 from .records import Waiting
 from .upstream import Upstream
 
-# The longest wait for an upstream that has the prefix of the request.
+# The longest wait for an upstream that has the prefix of the request or is in its region.
 MAX_HOLD_S = 1
+# A streamed token arrives as one event of about this size.
+ANSWER_BYTES_PER_TOKEN = 200
 
 
 @attrs.define
@@ -89,28 +91,36 @@
         + speed.prefill_factor * prefill_s
         + speed.decode_factor * decode_s
         + round_trip_s
-        + price * entry.body_bytes
+        + price * (entry.body_bytes + ANSWER_BYTES_PER_TOKEN * entry.output_tokens)
     )
 
 
 def estimate_hold(
     entry: Waiting, chosen: Upstream, full: Sequence[Upstream], view: FleetView, now: float
 ) -> float:
-    """Return how long to wait for a full upstream with the prefix; 0 if that is not cheaper."""
-    if not entry.blocks:
-        return 0
-    uncached = count_uncached(entry, chosen)
-    if not uncached:
+    """Return how long to wait for a full upstream; 0 if that is not cheaper.
+
+    Only one that has more of the prefix, or to which the bytes cost less, is worth a wait: whether
+    another one is less busy is known better when it has a free slot.
+    """
+    uncached = count_uncached(entry, chosen) if entry.blocks else 0
+    price = view.find_route(entry.zone, chosen.vm.zone)[1]
+    if not uncached and not price:
         return 0
     limit = estimate_cost(entry, chosen, view)
     holds = [
         hold
         for upstream in full
-        if count_uncached(entry, upstream) < uncached
+        if (
+            count_uncached(entry, upstream) < uncached
+            or view.find_route(entry.zone, upstream.vm.zone)[1] < price
+        )
         and (hold := _estimate_free(upstream, now)) + estimate_cost(entry, upstream, view) < limit
     ]
     shortest = min(holds, default=math.inf)
-    return shortest if shortest <= MAX_HOLD_S else 0
+    # No wait is worth a late first token.
+    limit_s = min(MAX_HOLD_S, entry.first_by - entry.prefill_s - now)
+    return shortest if shortest <= limit_s else 0
 
 
 def _estimate_free(upstream: Upstream, now: float) -> float:
--- a/tests/admission/test_choice.py
+++ b/tests/admission/test_choice.py
@@ -147,3 +147,26 @@
     bench.now += 20
     bench.release(request_id, pb.Release.TIMED_OUT)
     assert bench.state.upstreams['u1'].speed.factor > 3
+
+
+def test_bytes_of_the_answer_have_their_price():
+    """Guards against a streamed answer that crosses regions while a near upstream is free."""
+    bench = Bench(vms=(FakeVm('far', zone='c'), FakeVm('near', zone='a')), pool={'slots': 8})
+    bench.enqueue(body_bytes=1 << 20, output_tokens=40)
+    # The near upstream has more work, by less than the price of the bytes of the answer.
+    far = bench.enqueue(zone='c', output_tokens=4)
+    assert bench.place(far) == 'far'
+    assert bench.place(bench.enqueue(body_bytes=100, output_tokens=2000)) == 'near'
+
+
+def test_waits_a_moment_for_an_upstream_in_its_region():
+    """Guards against bytes between regions where a near slot is about to be free."""
+    bench = Bench(vms=(FakeVm('far', zone='c'), FakeVm('near', zone='a')), pool={'slots': 1})
+    first = bench.enqueue(output_tokens=10, body_bytes=1 << 20)
+    assert bench.place(first) == 'near'
+    held = bench.enqueue(output_tokens=10, body_bytes=2 << 20)
+    other = bench.enqueue(output_tokens=10, zone='c')
+    assert bench.place(held) is None
+    assert bench.place(other) == 'far'
+    bench.release(first)
+    assert bench.place(held) == 'near'
