--- a/camphorpath/admission/queue.py
+++ b/camphorpath/admission/queue.py
@@ -13,8 +13,12 @@
 GroupKey = tuple[str, int]
 
 
-def _sort_key(entry: Waiting) -> tuple[float, int]:
-    return entry.deadline, entry.sequence
+def _sort_key(entry: Waiting) -> tuple[bool, float, int]:
+    return entry.is_late, entry.deadline, entry.sequence
+
+
+def _take_out(line: list[Waiting], entry: Waiting) -> None:
+    line.pop(bisect.bisect_left(line, _sort_key(entry), key=_sort_key))
 
 
 @attrs.define
@@ -52,7 +56,7 @@
         key = entry.enqueue.pool, entry.rank
         customers = self._groups[key]
         line = customers[entry.enqueue.customer]
-        line.pop(bisect.bisect_left(line, _sort_key(entry), key=_sort_key))
+        _take_out(line, entry)
         self._work_s[key] -= entry.work_s
         if not line:
             customers.pop(entry.enqueue.customer)
@@ -61,6 +65,17 @@
             self._work_s.pop(key)
         return entry
 
+    def postpone(self, entry: Waiting) -> None:
+        """Put a request whose first token will be late behind those that can still be in time.
+
+        In the order of deadlines alone, every request of an overloaded tier would wait until it is
+        late as well.
+        """
+        line = self._groups[entry.enqueue.pool, entry.rank][entry.enqueue.customer]
+        _take_out(line, entry)
+        entry.is_late = True
+        bisect.insort(line, entry, key=_sort_key)
+
     def shares(self, pool: str, rank: int) -> Shares:
         """Return the shares of the customers in a pool and tier."""
         return self._shares.setdefault((pool, rank), Shares())
--- a/camphorpath/admission/records.py
+++ b/camphorpath/admission/records.py
@@ -35,7 +35,8 @@
     `first_by` is the last moment at which its first token is worth the prefill, `work_s` its work
     and `prefill_s` its prefill without a cached prefix at the rates of its pool, `claim`
     the upstream on which requests were preempted for it, `hold_until` the end of its wait for a
-    full upstream that is cheaper than a free one.
+    full upstream that is cheaper than a free one. `is_late` is set when its first token cannot come
+    by `first_by` any more.
     """
 
     enqueue: pb.Enqueue
@@ -49,6 +50,7 @@
     claim: str = ''
     hold_until: float = 0
     has_timer: bool = False
+    is_late: bool = False
     request_id: str = attrs.field(init=False)
     rank: int = attrs.field(init=False)
     prompt_tokens: int = attrs.field(init=False)
--- a/camphorpath/admission/requests.py
+++ b/camphorpath/admission/requests.py
@@ -90,6 +90,8 @@
     if entry is not None and entry.deadline <= now:
         _expire(state, entry)
         entry = None
+    if entry is not None and not entry.is_late and entry.first_by - entry.prefill_s <= now:
+        state.queue.postpone(entry)
     dispatch(state)
     if entry is not None and request_id in state.queue.entries:
         check_late(state, entry)
--- a/tests/admission/test_shedding.py
+++ b/tests/admission/test_shedding.py
@@ -334,3 +334,28 @@
     bench.enqueue(first_token_left=1)
     bench.advance(5)
     assert not bench.refusals()
+
+
+def test_late_requests_follow_those_that_can_be_in_time():
+    """Guards against a tier in which every request waits until its first token is late."""
+    bench = Bench(
+        vms=('u1', FakeVm('o1', pool='old')),
+        pool={'slots': 1},
+        tiers={'first_token': 1, 'refuse_late_first_token': 1},
+    )
+    bench.fleet.services[0].pools.add(name='old', slots=1, prefill_rate=4000, decode_rate=40)
+    bench.versions.current.fleet = pb.Fleet.FromString(bench.fleet.SerializeToString())
+    bench.owner.refresh()
+    bench.report_all()
+    # A lower tier in another pool forbids the refusal.
+    bench.enqueue(tier=2, pool='old', first_token_left=60)
+    running = bench.enqueue(tier=0, first_token_left=1)
+    late = bench.enqueue(tier=0, first_token_left=1)
+    bench.advance(1.5)
+    fresh = bench.enqueue(tier=0, first_token_left=1)
+    bench.release(running)
+    assert fresh in bench.granted_ids()
+    assert late not in bench.granted_ids()
+    assert not bench.refusals()
+    bench.release(fresh)
+    assert late in bench.granted_ids()
