Choose victims by the prefill that was done

Cause: victims were ordered by the size of the prompt, although cached prompts cost nothing and a request that was granted a moment ago has not done its prefill.

--- a/camphorpath/admission/grants.py
+++ b/camphorpath/admission/grants.py
@@ -35,6 +35,7 @@
         claims,
         is_suspect=state.is_suspect(entry),
         is_at_limit=state.is_at_limit(),
+        now=state.context.clock(),
     )
     if found is None:
         return False
--- a/camphorpath/admission/preemption.py
+++ b/camphorpath/admission/preemption.py
@@ -16,6 +16,7 @@
     *,
     is_suspect: bool = False,
     is_at_limit: bool = False,
+    now: float = math.inf,
 ) -> tuple[Upstream, list[Running]] | None:
     """Return an upstream and the requests to preempt there, or None if that frees no slot.
 
@@ -27,12 +28,14 @@
     best = None
     for upstream in upstreams:
         claimed = [other for other in claims if other.claim == upstream.name]
-        victims = _choose_on(entry, upstream, claimed, _is_empty if is_suspect else upstream.fits)
+        victims = _choose_on(
+            entry, upstream, claimed, _is_empty if is_suspect else upstream.fits, now
+        )
         if victims is None or (is_at_limit and not victims):
             continue
         key = (
             -min((victim.rank for victim in victims), default=math.inf),
-            sum(victim.enqueue.prompt_tokens for victim in victims),
+            sum(_estimate_discarded(victim, upstream, now) for victim in victims),
             len(victims),
         )
         if best is None or key < best[0]:
@@ -41,7 +44,7 @@
 
 
 def _choose_on(
-    entry: Waiting, upstream: Upstream, claimed: Sequence[Waiting], fits: Fits
+    entry: Waiting, upstream: Upstream, claimed: Sequence[Waiting], fits: Fits, now: float
 ) -> list[Running] | None:
     if upstream.is_exclusive or upstream.reserved_for not in {'', entry.request_id}:
         return None
@@ -50,7 +53,9 @@
         for running in upstream.running.values()
         if running.rank > entry.rank and running.may_be_preempted
     ]
-    candidates.sort(key=lambda running: (-running.rank, running.enqueue.prompt_tokens))
+    candidates.sort(
+        key=lambda running: (-running.rank, _estimate_discarded(running, upstream, now))
+    )
     leaving = [running for running in upstream.running.values() if running.is_preempted]
     occupied = upstream.occupied - len(leaving) + len(claimed)
     tokens = upstream.tokens + sum(other.tokens for other in claimed)
@@ -65,5 +70,11 @@
     return victims if fits(entry, occupied, tokens) else None
 
 
+def _estimate_discarded(running: Running, upstream: Upstream, now: float) -> float:
+    """Return the prefill tokens done so far; cached ones cost nothing."""
+    done = (now - running.granted_at) * max(upstream.prefill_rate, 1)
+    return min(running.uncached_tokens, max(done, 0))
+
+
 def _is_empty(entry: Waiting, occupied: int, tokens: int) -> bool:
     return not occupied
--- a/tests/admission/test_shedding.py
+++ b/tests/admission/test_shedding.py
@@ -359,3 +359,28 @@
     assert not bench.refusals()
     bench.release(fresh)
     assert late in bench.granted_ids()
+
+
+def test_preemption_counts_only_prefill_that_was_done():
+    """Guards against discarded prefill where another victim had its prompt cached or not started."""
+    bench = Bench(vms=('u1',), pool={'slots': 3})
+    warm = bench.enqueue(tier=2, prompt_tokens=2000, prefix_blocks=range(10))
+    bench.release(warm)
+    bench.enqueue(tier=2, prompt_tokens=900)
+    cached = bench.enqueue(tier=2, prompt_tokens=2000, prefix_blocks=range(10))
+    bench.enqueue(tier=2, prompt_tokens=600)
+    bench.enqueue(tier=0)
+    bench.advance(0.3, step=0.1)
+    assert bench.preempted() == [cached]
+
+
+def test_preemption_takes_what_has_just_started():
+    """Guards against discarded prefill where another victim was granted a moment ago."""
+    bench = Bench(pool={'slots': 2})
+    bench.enqueue(tier=2, prompt_tokens=1000)
+    bench.advance(1)
+    # At 4,000 tokens a second it has done 800 when the higher tier has waited for 0.2 s.
+    fresh = bench.enqueue(tier=2, prompt_tokens=2000)
+    bench.enqueue(tier=0)
+    bench.advance(0.2, step=0.2)
+    assert bench.preempted() == [fresh]
