--- a/tests/admission/test_shedding.py
+++ b/tests/admission/test_shedding.py
@@ -362,7 +362,7 @@
 
 
 def test_preemption_counts_only_prefill_that_was_done():
-    """Guards against discarded prefill where another victim had its prompt cached or not started."""
+    """Guards against discarded prefill where the prompt of another victim was cached."""
     bench = Bench(vms=('u1',), pool={'slots': 3})
     warm = bench.enqueue(tier=2, prompt_tokens=2000, prefix_blocks=range(10))
     bench.release(warm)
