--- a/camphorpath/admission/requests.py
+++ b/camphorpath/admission/requests.py
@@ -1,5 +1,6 @@
 """What the messages of home daemons do to the requests of one service."""
 
+import math
 from typing import Any
 
 from ..events import Event
@@ -33,6 +34,9 @@
     state.context.wake_at(entry.deadline, state.name, request_id)
     # The last moment at which a start still makes sense.
     state.context.wake_at(entry.deadline - entry.work_s, state.name, request_id)
+    if entry.first_by < math.inf:
+        state.context.wake_at(entry.first_by - entry.prefill_s, state.name, request_id)
+        state.context.wake_at(entry.first_by, state.name, request_id)
     dispatch(state)
     if request_id in state.queue.entries:
         shed_excess(state)
@@ -86,6 +90,8 @@
     if entry is not None and entry.deadline <= now:
         _expire(state, entry)
         entry = None
+    if entry is not None and not entry.is_late and entry.first_by - entry.prefill_s <= now:
+        state.queue.postpone(entry)
     dispatch(state)
     if entry is not None and request_id in state.queue.entries:
         check_late(state, entry)
@@ -164,13 +170,14 @@
 def _apply_result(state: ServiceState, running: Running, release: pb.Release) -> None:
     upstream = state.upstreams.get(running.upstream)
     enqueue = running.enqueue
+    shares = state.queue.shares(enqueue.pool, running.rank)
     weight = state.context.view.weights.get(enqueue.customer, 1)
     if release.result == pb.Release.COMPLETE:
         state.context.suspects.clear(state.name, enqueue.digest)
         unexpected = release.output_tokens - enqueue.output_tokens if release.output_tokens else 0
-        state.queue.shares.charge(enqueue.customer, unexpected, weight)
+        shares.charge(enqueue.customer, unexpected, weight)
     elif release.result in NOT_STARTED:
-        state.queue.shares.charge(enqueue.customer, -max(running.tokens, 1), weight)
+        shares.charge(enqueue.customer, -max(running.tokens, 1), weight)
     if upstream is None:
         return
     if release.result in {pb.Release.UPSTREAM_REFUSED, pb.Release.UPSTREAM_LOST}:
--- a/tests/admission/test_shedding.py
+++ b/tests/admission/test_shedding.py
@@ -330,3 +330,85 @@
 @pytest.fixture
 def anyio_backend():
     return 'asyncio'
+
+
+def test_late_first_token_is_refused_before_prefill():
+    """Guards against prefill for a request whose first token comes too late to be useful."""
+    bench = Bench(pool={'slots': 1}, tiers={'first_token': 1, 'refuse_late_first_token': 2})
+    times = {'tier': 1, 'time_left': 60, 'first_token_left': 1}
+    bench.enqueue(**times, output_tokens=40, cancellable=False)
+    kept = bench.enqueue(**times, output_tokens=4)
+    late = bench.enqueue(**times, output_tokens=4, prompt_tokens=6000)
+    assert bench.refusals() == {late: 'deadline_unreachable'}
+    bench.advance(1.5)
+    assert kept not in bench.refusals()
+    bench.advance(0.5)
+    assert bench.refusals()[kept] == 'deadline_unreachable'
+
+
+def test_late_first_token_preempts_lower_tiers_first():
+    """Guards against a refusal for a late first token while a lower tier runs (P2)."""
+    bench = Bench(pool={'slots': 1}, tiers={'first_token': 1, 'refuse_late_first_token': 1})
+    spare = bench.enqueue(tier=2, output_tokens=4000)
+    bench.enqueue(tier=0, first_token_left=1, prompt_tokens=3960)
+    assert bench.preempted() == [spare]
+    assert not bench.refusals()
+
+
+def test_first_token_is_no_deadline_where_the_tier_has_no_limit():
+    """Guards against a refusal by a target that operators did not make a limit."""
+    bench = Bench(pool={'slots': 1}, tiers={'first_token': 1, 'refuse_late_first_token': 0})
+    bench.enqueue(output_tokens=400)
+    bench.enqueue(first_token_left=1)
+    bench.advance(5)
+    assert not bench.refusals()
+
+
+def test_late_requests_follow_those_that_can_be_in_time():
+    """Guards against a tier in which every request waits until its first token is late."""
+    bench = Bench(
+        vms=('u1', FakeVm('o1', pool='old')),
+        pool={'slots': 1},
+        tiers={'first_token': 1, 'refuse_late_first_token': 1},
+    )
+    bench.fleet.services[0].pools.add(name='old', slots=1, prefill_rate=4000, decode_rate=40)
+    bench.versions.current.fleet = pb.Fleet.FromString(bench.fleet.SerializeToString())
+    bench.owner.refresh()
+    bench.report_all()
+    # A lower tier in another pool forbids the refusal.
+    bench.enqueue(tier=2, pool='old', first_token_left=60)
+    running = bench.enqueue(tier=0, first_token_left=1)
+    late = bench.enqueue(tier=0, first_token_left=1)
+    bench.advance(1.5)
+    fresh = bench.enqueue(tier=0, first_token_left=1)
+    bench.release(running)
+    assert fresh in bench.granted_ids()
+    assert late not in bench.granted_ids()
+    assert not bench.refusals()
+    bench.release(fresh)
+    assert late in bench.granted_ids()
+
+
+def test_preemption_counts_only_prefill_that_was_done():
+    """Guards against discarded prefill where the prompt of another victim was cached."""
+    bench = Bench(vms=('u1',), pool={'slots': 3})
+    warm = bench.enqueue(tier=2, prompt_tokens=2000, prefix_blocks=range(10))
+    bench.release(warm)
+    bench.enqueue(tier=2, prompt_tokens=900)
+    cached = bench.enqueue(tier=2, prompt_tokens=2000, prefix_blocks=range(10))
+    bench.enqueue(tier=2, prompt_tokens=600)
+    bench.enqueue(tier=0)
+    bench.advance(0.3, step=0.1)
+    assert bench.preempted() == [cached]
+
+
+def test_preemption_takes_what_has_just_started():
+    """Guards against discarded prefill where another victim was granted a moment ago."""
+    bench = Bench(pool={'slots': 2})
+    bench.enqueue(tier=2, prompt_tokens=1000)
+    bench.advance(1)
+    # At 4,000 tokens a second it has done 800 when the higher tier has waited for 0.2 s.
+    fresh = bench.enqueue(tier=2, prompt_tokens=2000)
+    bench.enqueue(tier=0)
+    bench.advance(0.2, step=0.2)
+    assert bench.preempted() == [fresh]
