--- a/camphorpath/upstreams/calls.py
+++ b/camphorpath/upstreams/calls.py
@@ -1,9 +1,7 @@
 """One call to one upstream, with exact knowledge of whether any of it was sent."""
 
 import http.cookiejar
-import importlib.util
 import re
-import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any
@@ -22,12 +20,6 @@
 TAIL_BYTES = 64
 DONE_EVENT = re.compile(rb'(?:\A|[\r\n])data: ?\[DONE\](?:\r\n|\n|\r){2,4}\Z')
 
-# httpcore tries to import sniffio for each lock and event that it creates, several times in a call.
-# Without the package each try searches the whole import path; an entry of None makes it fail at
-# once.
-if importlib.util.find_spec('sniffio') is None:
-    sys.modules['sniffio'] = None
-
 Trace = Callable[[str, dict[str, Any]], Awaitable[None]]
 
 
