Let a new daemon serve only when the other members know it

Change: refuse reason joining until every registered member has answered a beat, or dead_after has passed, after the registration and after a pause; the addresses of registered members are beaten too.

--- a/camphorpath/members/membership.py
+++ b/camphorpath/members/membership.py
@@ -1,8 +1,9 @@
 """Membership by heartbeat between the daemons."""
 
+import math
 import random
 import uuid
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import anyio
 from anyio.abc import TaskGroup
@@ -61,6 +62,8 @@
         self._clock = clock
         self._book = ContactBook()
         self._candidates: frozenset[str] = frozenset()
+        self._registered_addresses: frozenset[str] = frozenset()
+        self._view_since = -math.inf
         self._tasks: set[str] = set()
         self._stopping = False
         self._turned_at: float | None = None
@@ -154,6 +157,33 @@
             vm.peers_address for vm in vms if vm.role == 'entry' and vm.peers_address
         )
 
+    def beat_registered(self, addresses: Iterable[str]) -> None:
+        """Beat these addresses too: the VM list lags, and may be unreadable at the start."""
+        self._registered_addresses = frozenset(addresses)
+
+    def begin_view(self) -> None:
+        """Take note that this daemon has just registered and may not know the others yet."""
+        self._view_since = self._clock()
+
+    def is_view_complete(self, registered: Collection[str]) -> bool:
+        """Tell whether every registered member that lives knows of this daemon.
+
+        A daemon that serves before that would own the services in its own view while another one
+        does, and neither would count the other's requests before it sheds. Each member has to
+        answer a beat after the registration or after a pause; one that is silent for `dead_after`
+        is not waited for.
+        """
+        self._notice_pause()
+        since = max(self._view_since, self._resumed_at)
+        if self._clock() - since > self.times.dead_after:
+            return True
+        answered = {
+            contact.info.incarnation
+            for contact in self._book.contacts.values()
+            if contact.answered_at >= since
+        }
+        return answered.issuperset(set(registered).difference((self.incarnation,)))
+
     def begin_stop(self) -> None:
         """Announce the planned stop at once; it cannot be withdrawn."""
         self._stopping = True
@@ -243,7 +273,7 @@
         self._events.emit(event, member=info.incarnation, peer=info.peers_address, **fields)
 
     def _is_wanted(self, address: str) -> bool:
-        if address in self._candidates:
+        if address in self._candidates or address in self._registered_addresses:
             return True
         contact = self._book.contacts.get(address)
         if contact is None:
@@ -252,7 +282,7 @@
         return self._clock() - heard_at <= FORGET_FACTOR * self.times.dead_after
 
     def _start_tasks(self, group: TaskGroup) -> None:
-        wanted = self._candidates.union(self._book.contacts)
+        wanted = self._candidates.union(self._registered_addresses, self._book.contacts)
         for address in wanted.difference(self._tasks, {self._settings.peers_address}):
             self._tasks.add(address)
             group.start_soon(self._beat_peer, address)
--- a/camphorpath/versions/versions.py
+++ b/camphorpath/versions/versions.py
@@ -23,6 +23,7 @@
     CurrentRecord,
     EpochRecord,
     FleetVersion,
+    MemberRecord,
     decode_epoch,
     decode_record,
     get_revision,
@@ -40,7 +41,7 @@
 READ_ATTEMPTS = 3
 LEAVE_ATTEMPTS = 5
 # With these, a daemon is registered and in contact, and may take part in a change.
-CONTACT_REASONS = frozenset(('', 'no_config'))
+CONTACT_REASONS = frozenset(('', 'no_config', 'joining'))
 
 
 class Versions:
@@ -96,13 +97,15 @@
 
         `not_registered`: this incarnation has no registration or lost it. `config_stale`: neither
         the table nor a majority confirms that the version is the newest. `no_config`: there is no
-        version yet.
+        version yet. `joining`: not every registered member knows of this daemon yet.
         """
         if self._has_left or not self.registered:
             return 'not_registered'
         if not self._has_contact():
             return 'config_stale'
-        return '' if self.current.version else 'no_config'
+        if not self.current.version:
+            return 'no_config'
+        return '' if self._membership.is_view_complete(self.registered) else 'joining'
 
     async def prepare(self, request: pb.PrepareRequest) -> pb.PrepareReply:
         """Keep a proposed version for a later activation.
@@ -253,6 +256,7 @@
         self._was_registered = True
         epoch = await self._table.read(EPOCH_KEY)
         current = await self._table.read(CURRENT_KEY)
+        members = await self._table.scan(MEMBERS_PREFIX)
         if not await self._load(decode_record(CurrentRecord, current)):
             return False
         checks = [
@@ -263,11 +267,16 @@
         if not await self._confirm(checks):
             return False
         self._checks = checks
+        self._membership.beat_registered(
+            decode_record(MemberRecord, row).peers_address for row in members
+        )
         self._adopt(decode_epoch(epoch))
         return True
 
     def _adopt(self, epoch: EpochRecord) -> None:
         """Use a set of members whose rows and the current version are known to belong together."""
+        if not self.registered:
+            self._membership.begin_view()
         self.registered = frozenset(epoch.members)
         self._membership.registered = len(epoch.members)
         self._membership.view_epoch = epoch.epoch
