Run the orders in the daemon

Cause: the orders were built and never started; the read-through found it. Change: daemon.orders is one of the parts that run; a test over whole daemons. Result: the test passes, and fails without the line.

--- a/camphorpath/daemon.py
+++ b/camphorpath/daemon.py
@@ -168,6 +168,7 @@
             daemon.owner,
             daemon.admission,
             daemon.claims,
+            daemon.orders,
         ):
             group.start_soon(_run_for_ever, part)
         group.start_soon(_poll_vm_list, daemon)
--- a/tests/daemon/test_changes.py
+++ b/tests/daemon/test_changes.py
@@ -150,3 +150,14 @@
     assert (await world.client.get(f'{again.url}/camphorpath/addresses')).status_code == 200
     world.platform.change_faults(down=False)
     await wait_for(lambda: not again.daemon.versions.refuse_reason())
+
+
+async def test_a_running_daemon_gives_orders(world):
+    """Guards against orders that only tests carry out: engines that are never loaded."""
+    artifact = {'name': 'care', 'kind': 'adapter', 'version': '2', 'size': '1MiB'}
+    world.fleet['services'][0]['pools'][0]['artifacts'] = [artifact]
+    await world.start(2, engines=['e0'])
+    engine = world.upstreams['e0']
+    await wait_for(lambda: engine.orders)
+    assert engine.orders[0]['kind'] == 'load_adapter'
+    assert engine.orders[0]['fence'] > 0
