--- a/tests/orders/world.py
+++ b/tests/orders/world.py
@@ -51,7 +51,7 @@
         transport = httpx.ASGITransport(world.platform)
         self.table = Table(settings, self.events, transport=transport)
         self.owner = AdmissionOwner(
-            self.membership, self.versions, None, FakeTable(), self.events,
+            self.membership, self.versions, FakeTable(), self.events,
             read_load=None, clocks=Clocks(self.clock, self.clock),
         )  # fmt: skip
         control = make_control(world.client)
