Name what is known of lost connections in plain terms and mend a metric

Cause: the read-through found figurative names, a metric that claimed the first byte and measured the whole call, and a default operator address that differed from the packaged defaults.

--- a/camphorpath/admission/grants.py
+++ b/camphorpath/admission/grants.py
@@ -5,7 +5,7 @@
 from ..events import Event
 from ..schema import camphorpath_pb2 as pb
 from .choice import POLICIES, count_uncached, estimate_hold
-from .doubts import is_doubted
+from .losses import has_open_loss
 from .preemption import choose_victims
 from .records import Running, Waiting
 from .service import GRANT_VALID_S, ServiceState
@@ -125,7 +125,7 @@
 
 
 def _find_empty(state: ServiceState, entry: Waiting, usable: list[Upstream]) -> Upstream | None:
-    if is_doubted(state, entry):
+    if has_open_loss(state, entry):
         return None
     reserved = state.reservations.get(entry.request_id)
     if reserved is not None and reserved not in usable:
@@ -212,7 +212,7 @@
     """Return whether a request needs no preemption now: it has one, or could not start."""
     if entry.claim or state.is_limited(entry.enqueue.customer) or entry.hold_until > now:
         return True
-    return state.is_suspect(entry) and is_doubted(state, entry)
+    return state.is_suspect(entry) and has_open_loss(state, entry)
 
 
 def _has_lower(state: ServiceState, pool: str, rank: int) -> bool:
--- a/camphorpath/admission/doubts.py
+++ b/camphorpath/admission/losses.py
@@ -1,6 +1,6 @@
 """Lost connections to upstreams, until a poll tells whether the upstream crashed.
 
-A connection can be lost without a crash: a link fails, a stream is truncated. Until the verdict
+A connection can be lost without a crash: a link fails, a stream is truncated. Until that poll
 everything that ran on the upstream is treated as a crash suspect, so that a crashing request that
 is sent again cannot cost another upstream together with its neighbours.
 """
@@ -10,35 +10,35 @@
 from ..events import Event
 from .records import Waiting
 from .service import ServiceState
-from .upstream import Doubt, Upstream
+from .upstream import Loss, Upstream
 
 
-def doubt_upstream(state: ServiceState, upstream: Upstream) -> None:
+def note_loss(state: ServiceState, upstream: Upstream) -> None:
     """Take note that a home lost its connection to an upstream."""
     context, now = state.context, state.context.clock()
-    doubt = upstream.doubt or Doubt(now)
-    upstream.doubt = attrs.evolve(doubt, lost_at=now)
+    loss = upstream.loss or Loss(now)
+    upstream.loss = attrs.evolve(loss, lost_at=now)
     context.wake_at(now + state.settings.load_limit, state.name, '')
     for running in upstream.running.values():
         digest = running.enqueue.digest
-        if not digest or digest in doubt.ran_alone:
+        if not digest or digest in loss.ran_alone:
             continue
-        doubt.ran_alone[digest] = running.is_alone
+        loss.ran_alone[digest] = running.is_alone
         if not context.suspects.count(state.name, digest):
-            doubt.was_clean.add(digest)
+            loss.was_clean.add(digest)
             context.suspects.record(state.name, digest, state.settings.crash_limit, was_alone=False)
 
 
-def is_doubted(state: ServiceState, entry: Waiting) -> bool:
-    """Return whether a request ran alone on an upstream whose fate is not known yet.
+def has_open_loss(state: ServiceState, entry: Waiting) -> bool:
+    """Return whether a request ran alone on an upstream that may have crashed.
 
-    It must not start again before the verdict, or it could cost one upstream more than the limit.
+    It must not start again before that is known, or it could cost one upstream more than the limit.
     """
     digest = entry.enqueue.digest
     return any(
-        upstream.doubt.ran_alone.get(digest, False)
+        upstream.loss.ran_alone.get(digest, False)
         for upstream in state.upstreams.values()
-        if upstream.doubt is not None
+        if upstream.loss is not None
     )
 
 
@@ -46,13 +46,13 @@
     state: ServiceState, upstream: Upstream, asked_at: float, *, restarted: bool
 ) -> list[str]:
     """Decide after the answer to a poll asked at `asked_at`; return the refused digests."""
-    doubt = upstream.doubt
-    if doubt is None:
+    loss = upstream.loss
+    if loss is None:
         return []
     if restarted:
-        return _convict(state, upstream, doubt)
-    if asked_at >= doubt.lost_at:
-        _acquit(state, upstream, doubt)
+        return _record_crash(state, upstream, loss)
+    if asked_at >= loss.lost_at:
+        _dismiss(state, upstream, loss)
     return []
 
 
@@ -64,13 +64,13 @@
     now, limit = state.context.clock(), state.settings.load_limit
     refused: list[str] = []
     for upstream in state.upstreams.values():
-        doubt = upstream.doubt
-        if doubt is None or now - doubt.lost_at < limit:
+        loss = upstream.loss
+        if loss is None or now - loss.lost_at < limit:
             continue
         if upstream.is_leaving:
-            _acquit(state, upstream, doubt)
+            _dismiss(state, upstream, loss)
         else:
-            refused.extend(_convict(state, upstream, doubt))
+            refused.extend(_record_crash(state, upstream, loss))
     return refused
 
 
@@ -81,26 +81,26 @@
     crashes each owner's upstreams in turn would never reach the limit.
     """
     for upstream in state.upstreams.values():
-        if upstream.doubt is not None:
-            alone = {digest: True for digest, was in upstream.doubt.ran_alone.items() if was}
-            _convict(state, upstream, attrs.evolve(upstream.doubt, ran_alone=alone))
+        if upstream.loss is not None:
+            alone = {digest: True for digest, was in upstream.loss.ran_alone.items() if was}
+            _record_crash(state, upstream, attrs.evolve(upstream.loss, ran_alone=alone))
 
 
-def _convict(state: ServiceState, upstream: Upstream, doubt: Doubt) -> list[str]:
-    upstream.doubt = None
+def _record_crash(state: ServiceState, upstream: Upstream, loss: Loss) -> list[str]:
+    upstream.loss = None
     state.context.events.emit(
-        Event.UPSTREAM_LOST, '', upstream.name, cause='crashed', running=len(doubt.ran_alone)
+        Event.UPSTREAM_LOST, '', upstream.name, cause='crashed', running=len(loss.ran_alone)
     )
     limit = state.settings.crash_limit
     refused = []
-    for digest, ran_alone in doubt.ran_alone.items():
+    for digest, ran_alone in loss.ran_alone.items():
         count = state.context.suspects.record(state.name, digest, limit, was_alone=ran_alone)
         if count >= limit:
             refused.append(digest)
     return refused
 
 
-def _acquit(state: ServiceState, upstream: Upstream, doubt: Doubt) -> None:
-    upstream.doubt = None
-    for digest in doubt.was_clean:
+def _dismiss(state: ServiceState, upstream: Upstream, loss: Loss) -> None:
+    upstream.loss = None
+    for digest in loss.was_clean:
         state.context.suspects.clear(state.name, digest)
--- a/camphorpath/admission/owner.py
+++ b/camphorpath/admission/owner.py
@@ -12,9 +12,9 @@
 from ..upstreams.load import LoadReport
 from .agenda import Agenda
 from .context import SYSTEM_CLOCKS, Clocks, Context
-from .doubts import settle_answered, settle_open, settle_silent
 from .fleet import FleetView
 from .grants import dispatch
+from .losses import settle_answered, settle_open, settle_silent
 from .ownership import Ownership
 from .requests import (
     check_request,
--- a/camphorpath/admission/requests.py
+++ b/camphorpath/admission/requests.py
@@ -5,8 +5,8 @@
 
 from ..events import Event
 from ..schema import camphorpath_pb2 as pb
-from .doubts import doubt_upstream
 from .grants import check_late, dispatch
+from .losses import note_loss
 from .records import Running, Waiting
 from .service import REFUSING_S, ServiceState
 from .shedding import shed_excess
@@ -184,7 +184,7 @@
         upstream.refusing_until = state.context.clock() + REFUSING_S
         state.context.wake_at(upstream.refusing_until, state.name, '')
     if release.result == pb.Release.UPSTREAM_LOST:
-        doubt_upstream(state, upstream)
+        note_loss(state, upstream)
     elif release.result == pb.Release.COMPLETE:
         upstream.speed.learn(upstream.pool, running, release)
     elif release.result not in NOT_STARTED:
--- a/camphorpath/admission/service.py
+++ b/camphorpath/admission/service.py
@@ -172,7 +172,7 @@
             if name in listed:
                 continue
             upstream.vm = attrs.evolve(upstream.vm, state='leaving')
-            if not upstream.running and upstream.doubt is None:
+            if not upstream.running and upstream.loss is None:
                 self.upstreams.pop(name)
         for vm in vms:
             self._take_vm(vm)
--- a/camphorpath/admission/upstream.py
+++ b/camphorpath/admission/upstream.py
@@ -20,7 +20,7 @@
 
 
 @attrs.frozen
-class Doubt:
+class Loss:
     """A lost connection whose cause is not known; `lost_at` is on the lease clock.
 
     `ran_alone` tells for each digest that ran there whether it ran alone; the digests in
@@ -55,7 +55,7 @@
     probe_at: float = 0
     reserved_for: str = ''
     is_exclusive: bool = False
-    doubt: Doubt | None = None
+    loss: Loss | None = None
     slots: int = attrs.field(init=False)
     max_tokens: int = attrs.field(init=False)
     prefill_rate: float = attrs.field(init=False)
--- a/camphorpath/calls/application.py
+++ b/camphorpath/calls/application.py
@@ -97,7 +97,7 @@
             context.events.emit(Event.CALLER_LEFT, reply.request_id)
     context.metrics.in_progress.set({}, context.progress.count)
     context.metrics.requests.inc(labels.as_dict())
-    context.metrics.first_byte.add({'service': labels.service}, read_lease_clock() - arrived)
+    context.metrics.duration.add({'service': labels.service}, read_lease_clock() - arrived)
 
 
 async def _answer_refusal(
--- a/camphorpath/metrics.py
+++ b/camphorpath/metrics.py
@@ -28,8 +28,8 @@
         self.in_progress = Gauge(
             'camphorpath_in_progress_requests', 'Accepted, unanswered requests.', registry=registry
         )
-        self.first_byte = Summary(
-            'camphorpath_first_byte_seconds', 'Arrival to first answer byte.', registry=registry
+        self.duration = Summary(
+            'camphorpath_call_seconds', 'Arrival to the end of the answer.', registry=registry
         )
 
     def render(self) -> tuple[bytes, dict[str, str]]:
--- a/camphorpath/ui/operator.py
+++ b/camphorpath/ui/operator.py
@@ -13,7 +13,7 @@
 from ..schema.camphorpath_grpc import OperatorStub
 
 CALL_TIMEOUT_S = 30
-DEFAULT_DAEMON = '127.0.0.1:7081'
+DEFAULT_DAEMON = '127.0.0.1:9080'
 
 Reply = TypeVar('Reply')
 
--- a/tests/admission/test_shedding.py
+++ b/tests/admission/test_shedding.py
@@ -187,7 +187,7 @@
     assert bench.owner._suspects.count('scribe', 'd') == 1
 
 
-def test_request_waits_for_the_verdict_on_its_last_upstream():
+def test_request_waits_until_it_is_known_whether_its_last_upstream_crashed():
     """Guards against a request that costs a third upstream while the second one's fate is open."""
     bench = Bench(vms=('u1', 'u2', 'u3'))
     crash(bench, bench.enqueue(digest='d'))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,8 +4,8 @@
 
 from standins.platform import Platform, serve_platform
 
-# CI gives the same verdict on every run: the examples follow from the test, not from chance, and no
-# verdict depends on how long an example takes on a busy machine.
+# CI gives the same result on every run: the examples follow from the test, not from chance, and no
+# result depends on how long an example takes on a busy machine.
 hypothesis.settings.register_profile(
     'ci',
     derandomize=True,
