--- a/tools/demo.py
+++ b/tools/demo.py
@@ -4,6 +4,7 @@
 import collections
 import pathlib
 import random
+import shutil
 import sys
 import time
 from collections.abc import Iterable
@@ -192,6 +193,10 @@
     _print_summary(demo.records, executions)
     for fault in faults:
         _say(f'FAULT: {fault}')
+    if faults:
+        _say(f'logs and settings are kept in {deployment.folder}')
+    else:
+        shutil.rmtree(deployment.folder)
     _say(f'{"failed" if faults else "all as promised"} after {time.monotonic() - began:.1f} s')
     return int(bool(faults))
 
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -114,7 +114,8 @@
             'service': plan.service,
             'pool': plan.pool,
             'zone': plan.zone,
-            'state': 'live',
+            # A restarted upstream on a leaving VM stays on it.
+            'state': self._vms.get(plan.name, {}).get('state', 'live'),
         }
 
     def start_daemon(self, plan: DaemonPlan, former: Running | None = None) -> None:
