--- /dev/null
+++ b/camphorpath/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""What edge daemons tell each other."""
--- /dev/null
+++ b/camphorpath/cluster/heartbeats.py
@@ -0,0 +1,58 @@
+"""Heartbeats by UDP."""
+
+import contextlib
+import socket
+from collections.abc import Callable, Iterable
+
+import anyio
+from google.protobuf.message import DecodeError
+
+from ..schema import camphorpath_pb2 as pb
+
+MAX_DATAGRAM_BYTES = 60000
+# Datagrams that are read before other tasks run.
+BATCH = 64
+
+
+class HeartbeatSocket:
+    """Sends heartbeats to hosts and hands over those that arrive."""
+
+    def __init__(self, host: str, port: int) -> None:
+        """Bind the socket; all daemons use the same port."""
+        self._port = port
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.bind((host, port))
+
+    def send(self, beat: pb.EdgeHeartbeat, hosts: Iterable[str]) -> None:
+        """Send a heartbeat; a host that cannot be reached now is told by the next one."""
+        datagram = beat.SerializeToString()
+        for host in hosts:
+            # The next heartbeat follows soon, and silence is what others act on.
+            with contextlib.suppress(OSError):
+                self._socket.sendto(datagram[:MAX_DATAGRAM_BYTES], (host, self._port))
+
+    async def receive(self, handle: Callable[[pb.EdgeHeartbeat], None]) -> None:
+        """Hand over heartbeats until cancelled; datagrams that are none are dropped."""
+        while True:
+            await anyio.wait_readable(self._socket)
+            for _ in range(BATCH):
+                try:
+                    datagram = self._socket.recv(MAX_DATAGRAM_BYTES)
+                except OSError:
+                    break
+                beat = _decode(datagram)
+                if beat is not None:
+                    handle(beat)
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._socket.close()
+
+
+def _decode(datagram: bytes) -> pb.EdgeHeartbeat | None:
+    try:
+        beat = pb.EdgeHeartbeat.FromString(datagram)
+    except DecodeError:
+        return None
+    return beat if beat.name and beat.incarnation and beat.host else None
--- /dev/null
+++ b/camphorpath/cluster/shared.py
@@ -0,0 +1,85 @@
+"""The rows of the metadata store that a daemon holds and passes on to its peers."""
+
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from ..schema import camphorpath_pb2 as pb
+
+# Removals are passed on for this time, in seconds; a daemon that was away longer reads all rows.
+REMOVAL_KEPT_S = 120.0
+
+
+@attrs.define
+class SharedRows:
+    """The newest manifest and the entries of upstreams; `on_*` are called with each news."""
+
+    on_manifest: Callable[[bytes, int], None]
+    on_upstream: Callable[[str, bytes | None, int], None]
+    manifest: pb.SharedRow = attrs.field(factory=pb.SharedRow)
+    # By key; removed rows are kept for a while.
+    upstreams: dict[str, pb.SharedRow] = attrs.field(factory=dict)
+    upstreams_revision: int = 0
+    # The entries were read at least once.
+    is_listed: bool = False
+    _removed_at: dict[str, float] = attrs.field(factory=dict)
+
+    def take_manifest(self, content: bytes, revision: int) -> bool:
+        """Take in a manifest; return whether it is newer."""
+        if revision <= self.manifest.revision:
+            return False
+        self.manifest = pb.SharedRow(content=content, revision=revision)
+        self.on_manifest(content, revision)
+        return True
+
+    def take_upstream(self, row: pb.SharedRow, now: float) -> bool:
+        """Take in the row of an upstream; return whether it is newer."""
+        known = self.upstreams.get(row.key)
+        self.upstreams_revision = max(self.upstreams_revision, row.revision)
+        if known is not None and known.revision >= row.revision:
+            return False
+        self.upstreams[row.key] = row
+        if row.removed:
+            self._removed_at[row.key] = now
+        else:
+            self._removed_at.pop(row.key, None)
+        if not row.removed or (known is not None and not known.removed):
+            self.on_upstream(row.key, None if row.removed else row.content, row.revision)
+        return True
+
+    def take_listing(self, rows: Iterable[pb.SharedRow], revision: int, now: float) -> None:
+        """Take in all rows as of a revision; those that are missing were removed."""
+        listed = set()
+        for row in rows:
+            listed.add(row.key)
+            self.take_upstream(row, now)
+        for key, known in list(self.upstreams.items()):
+            if key not in listed and not known.removed and known.revision <= revision:
+                self.take_upstream(pb.SharedRow(key=key, revision=revision, removed=True), now)
+        self.is_listed = True
+
+    def collect_since(self, manifest_revision: int, upstreams_revision: int) -> pb.SharedState:
+        """Return what a peer that holds these revisions lacks."""
+        state = pb.SharedState(upstreams_revision=self.upstreams_revision)
+        if self.manifest.revision > manifest_revision:
+            state.manifest.CopyFrom(self.manifest)
+        for row in self.upstreams.values():
+            if row.revision > upstreams_revision:
+                state.upstreams.append(row)
+        return state
+
+    def take_state(self, state: pb.SharedState, now: float) -> None:
+        """Take in what a peer passed on."""
+        if state.manifest.revision:
+            self.take_manifest(state.manifest.content, state.manifest.revision)
+        for row in state.upstreams:
+            self.take_upstream(row, now)
+        self.upstreams_revision = max(self.upstreams_revision, state.upstreams_revision)
+        self.is_listed = True
+
+    def expire(self, now: float) -> None:
+        """Forget old removals."""
+        for key, removed_at in list(self._removed_at.items()):
+            if removed_at < now - REMOVAL_KEPT_S:
+                self._removed_at.pop(key)
+                self.upstreams.pop(key, None)
--- /dev/null
+++ b/camphorpath/edge/beliefs.py
@@ -0,0 +1,207 @@
+"""What one daemon believes of the manifest, the upstreams and the other daemons."""
+
+import zlib
+
+import attrs
+
+from ..clocks import read_lease_clock
+from ..cluster.members import Member, Members
+from ..cluster.shared import SharedRows
+from ..errors import PlatformError
+from ..events import Event
+from ..placement.ownership import Assignment, Candidate, assign, hash_pair
+from ..platform.entries import decode_upstream
+from ..platform.manifest import decode_manifest
+from ..relay.context import RelayContext
+from ..routing import UpstreamView
+from ..schema import camphorpath_pb2 as pb
+from .settings import EdgeSettings
+
+# Daemons that follow the store; the others hear of changes from them. One may be cut off.
+WATCHERS = 2
+
+
+def _no_assignment() -> Assignment:
+    return Assignment({}, {})
+
+
+@attrs.define(kw_only=True)
+class Beliefs:
+    """The state of a daemon that its heartbeats tell and those of others change."""
+
+    settings: EdgeSettings
+    incarnation: str
+    relay: RelayContext
+    members: Members
+    view: UpstreamView = attrs.field(factory=UpstreamView)
+    rows: SharedRows = attrs.field(init=False)
+    assignment: Assignment = attrs.field(factory=_no_assignment)
+    # Whether the last call of the store was answered.
+    is_store_up: bool = True
+    _sequence: int = 0
+    _watchers: tuple[str, ...] = ()
+    _invalid: dict[str, int] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Take in each news of the manifest and the upstreams."""
+        self.rows = SharedRows(self._take_manifest, self._take_upstream)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether this daemon should get calls."""
+        return self.relay.table is not None and self.rows.is_listed and not self.relay.is_stopping
+
+    # --- heartbeats
+
+    def make_beat(self) -> pb.EdgeHeartbeat:
+        """Return the next heartbeat of this daemon."""
+        self._sequence += 1
+        settings = self.settings
+        beat = pb.EdgeHeartbeat(
+            name=settings.name,
+            incarnation=self.incarnation,
+            sequence=self._sequence,
+            host=settings.host,
+            zone=settings.zone,
+            callers_address=settings.callers_address,
+            cores=settings.cores,
+            ready=self.is_ready,
+            stopping=self.relay.is_stopping,
+            store_up=self.is_store_up,
+            manifest_revision=self.rows.manifest.revision,
+            upstreams_revision=self.rows.upstreams_revision,
+            used=self.relay.quota.used,
+        )
+        borrowers = max(sum(len(names) for names in self.assignment.actives.values()) - 1, 1)
+        loads = self.relay.scheduler.report_loads(borrowers, read_lease_clock())
+        for upstream_id, (in_flight, lent) in loads.items():
+            beat.loads.append(pb.UpstreamLoad(upstream=upstream_id, in_flight=in_flight, lent=lent))
+        return beat
+
+    def take_beat(self, beat: pb.EdgeHeartbeat) -> None:
+        """Take in the heartbeat of another daemon."""
+        if beat.name == self.settings.name:
+            return
+        now = read_lease_clock()
+        is_new = beat.name not in self.members.known
+        replaced = self.members.observe(beat, now)
+        if replaced is not None:
+            self._forget(replaced)
+        if is_new or replaced is not None:
+            self.relay.events.emit(
+                Event.MEMBER_JOINED, member=beat.incarnation, address=beat.callers_address
+            )
+        if not beat.store_up:
+            self.view.note_disturbance(now)
+        self.relay.quota.take_report(beat.incarnation, dict(beat.used))
+        loads = {load.upstream: (load.in_flight, load.lent) for load in beat.loads}
+        self.relay.scheduler.take_loads(beat.incarnation, loads)
+        self.reassign()
+
+    def expire(self) -> None:
+        """Drop members that are silent and upstreams whose grace has ended."""
+        now = read_lease_clock()
+        for member in self.members.expire(now):
+            self._forget(member)
+            silent_s = round(now - member.heard_at, 2)
+            self.relay.events.emit(
+                Event.MEMBER_LOST, member=member.beat.incarnation, silent_s=silent_s
+            )
+        for upstream_id in self.view.expire(now):
+            self.relay.events.emit(Event.UPSTREAM_GONE, '', upstream_id, reason='not back')
+        self.rows.expire(now)
+        self.reassign()
+
+    # --- decisions that follow
+
+    def reassign(self) -> None:
+        """Work out the active daemons and the owners of upstreams."""
+        candidates = self.members.list_candidates()
+        settings = self.settings
+        if self.is_ready:
+            candidates.append(Candidate(settings.name, settings.zone, settings.cores))
+        usable = [upstream for upstream in self.view.all() if not upstream.is_leaving]
+        assignment = assign(candidates, usable)
+        if assignment.actives != self.assignment.actives:
+            self.relay.events.emit(
+                Event.ACTIVES_CHANGED,
+                actives=sorted(name for names in assignment.actives.values() for name in names),
+                members=len(candidates),
+            )
+        self.assignment = assignment
+        self.relay.scheduler.set_upstreams(self.view.all(), assignment)
+
+    def is_watcher(self) -> bool:
+        """Return whether this daemon follows the store."""
+        names = [member.beat.name for member in self.members.known.values() if member.beat.store_up]
+        if self.is_store_up or not names:
+            names.append(self.settings.name)
+        ranked = sorted(names, key=lambda name: hash_pair('watcher', name))
+        return self.settings.name in ranked[:WATCHERS]
+
+    def list_addresses(self, zone: str, region: str) -> list[str]:
+        """Return the addresses that a caller in a zone should use."""
+        actives = self.assignment.actives
+        names: list[str] = list(actives.get(zone, ()))
+        if not names:
+            near = [one for one in actives if self.settings.regions.get(one) == region]
+            names = [name for one in near or actives for name in actives[one]]
+        known = {name: member.beat.callers_address for name, member in self.members.known.items()}
+        known[self.settings.name] = self.settings.callers_address
+        return [known[name] for name in names if name in known]
+
+    # --- news
+
+    def _take_manifest(self, content: bytes, revision: int) -> None:
+        relay = self.relay
+        current = relay.table.version if relay.table else 0
+        try:
+            table = decode_manifest(content)
+        except PlatformError as error:
+            relay.events.emit(Event.MANIFEST_REJECTED, revision=revision, problem=str(error))
+            return
+        if table.version < current:
+            relay.events.emit(Event.MANIFEST_REJECTED, revision=revision, problem='older version')
+            return
+        relay.table = table
+        relay.events.emit(
+            Event.MANIFEST_TAKEN, version=table.version, revision=revision, before=current
+        )
+
+    def _take_upstream(self, key: str, content: bytes | None, revision: int) -> None:
+        now = read_lease_clock()
+        events = self.relay.events
+        if content is None:
+            if self.view.remove(key, now):
+                events.emit(Event.UPSTREAM_GONE, '', key, reason='removed', revision=revision)
+        else:
+            self._put_upstream(key, content, revision)
+        self.reassign()
+
+    def _put_upstream(self, key: str, content: bytes, revision: int) -> None:
+        events = self.relay.events
+        try:
+            upstream = decode_upstream(key, content)
+        except PlatformError as error:
+            self.view.remove(key, read_lease_clock())
+            checksum = zlib.crc32(content)
+            if self._invalid.get(key) != checksum:
+                self._invalid[key] = checksum
+                events.emit(
+                    Event.UPSTREAM_ENTRY_INVALID, '', key, problem=str(error), revision=revision
+                )
+            return
+        self._invalid.pop(key, None)
+        if self.view.put(upstream):
+            events.emit(
+                Event.UPSTREAM_LEAVING if upstream.is_leaving else Event.UPSTREAM_FOUND,
+                '',
+                key,
+                address=upstream.address,
+                service=upstream.service,
+                revision=revision,
+            )
+
+    def _forget(self, member: Member) -> None:
+        self.relay.quota.forget(member.beat.incarnation)
+        self.relay.scheduler.forget_daemon(member.beat.incarnation)
--- /dev/null
+++ b/camphorpath/edge/output.py
@@ -0,0 +1,85 @@
+"""Writes the log to standard output without ever waiting for its reader."""
+
+import collections
+import os
+import sys
+
+import anyio
+import orjson
+from loguru import logger
+
+# Lines that wait for the reader; further ones are dropped and counted.
+MAX_WAITING = 4000
+# Lines a second, on average and at once; above, lines of requests are dropped first.
+MAX_LINES_PER_S = 400
+FLUSH_INTERVAL_S = 0.2
+DROPPED_FIRST = frozenset(('INFO', 'DEBUG'))
+
+
+class LogOutput:
+    """A bounded queue of lines before standard output."""
+
+    def __init__(self, name: str) -> None:
+        """Write the lines of the daemon `name`."""
+        self.dropped = 0
+        self._name = name
+        self._lines: collections.deque[bytes] = collections.deque()
+        self._rest = b''
+        self._allowed: float = MAX_LINES_PER_S
+
+    def write(self, message: object) -> None:
+        """Queue one record of the logger, or drop it."""
+        record = message.record
+        is_minor = record['level'].name in DROPPED_FIRST
+        if len(self._lines) >= MAX_WAITING or (is_minor and self._allowed < 1):
+            self.dropped += 1
+            return
+        self._allowed -= 1
+        line = {
+            'time': record['time'].isoformat(),
+            'level': record['level'].name,
+            'daemon': self._name,
+            'message': record['message'],
+            **record['extra'],
+        }
+        if record['exception'] is not None:
+            line['exception'] = repr(record['exception'].value)
+        self._lines.append(orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE))
+
+    def flush(self) -> None:
+        """Write what the reader takes now."""
+        while self._rest or self._lines:
+            if not self._rest:
+                self._rest = self._lines.popleft()
+            try:
+                written = os.write(sys.stdout.fileno(), self._rest)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads the log any more; there is no other place to say so.
+                self.dropped += len(self._lines) + 1
+                self._lines.clear()
+                self._rest = b''
+                return
+            self._rest = self._rest[written:]
+
+    async def run(self) -> None:
+        """Flush the lines in short intervals until cancelled."""
+        reported = 0
+        while True:
+            await anyio.sleep(FLUSH_INTERVAL_S)
+            grown = self._allowed + MAX_LINES_PER_S * FLUSH_INTERVAL_S
+            self._allowed = min(grown, MAX_LINES_PER_S)
+            if self.dropped > reported:
+                logger.warning('{} log lines were dropped', self.dropped - reported)
+                reported = self.dropped
+            self.flush()
+
+
+def open_output(name: str, level: str) -> LogOutput:
+    """Send the log of this process to standard output, one JSON object a line."""
+    os.set_blocking(sys.stdout.fileno(), False)
+    output = LogOutput(name)
+    logger.remove()
+    logger.add(output.write, level=level, format='', backtrace=False, diagnose=False)
+    return output
--- a/camphorpath/errors.py
+++ b/camphorpath/errors.py
@@ -42,6 +42,10 @@
     """The table could not be used and the operation provably had no effect."""
 
 
+class HistoryGone(TableDown):
+    """The table no longer has the changes after a revision; it must be read as a whole."""
+
+
 class TableUnsure(PlatformError):
     """The answer of the table was lost; a write may have taken effect."""
 
@@ -86,6 +90,14 @@
     """The answer of the upstream began and did not end properly."""
 
 
+class NotExecuted(UpstreamError):
+    """The upstream stated that it did not run the request."""
+
+
+class CallerGone(CamphorpathError):
+    """The caller closed its connection."""
+
+
 class AnswerTooLarge(UpstreamError):
     """The answer of the upstream is longer than the caller of `read_whole` allows."""
 
--- /dev/null
+++ b/camphorpath/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which daemon, queue position and upstream a call gets, without input or output."""
--- /dev/null
+++ b/camphorpath/placement/budget.py
@@ -0,0 +1,53 @@
+"""The budget for sending a call to a second upstream.
+
+Answers failures that hit most calls of a service at once, when repeats would add to the load that
+causes them. Each daemon uses only its own part, so the budget holds without contact.
+"""
+
+import collections
+import math
+
+import attrs
+
+BIN_S = 0.5
+# The window of the budget slides and its edges lag behind those of the deployment.
+SAFETY = 0.7
+
+
+@attrs.define
+class RetryBudget:
+    """Calls and repeats of the last window, by service."""
+
+    ratio: float
+    window_s: float
+    # Repeats in a window beside the ratio, over all daemons.
+    allowance: float
+    _calls: dict[str, collections.Counter] = attrs.field(factory=dict)
+    _repeats: dict[str, collections.Counter] = attrs.field(factory=dict)
+
+    def note_call(self, service: str, now: float) -> None:
+        """Count the first send of a call."""
+        self._add(self._calls, service, now)
+
+    def take(self, service: str, now: float, daemons: int) -> bool:
+        """Return whether a call may be sent once more, and count it if so."""
+        share = math.floor(self.allowance * SAFETY / max(daemons, 1))
+        calls = self._count(self._calls, service, now)
+        limit = self.ratio * SAFETY * calls + share
+        if self._count(self._repeats, service, now) + 1 > limit:
+            return False
+        self._add(self._repeats, service, now)
+        return True
+
+    def _add(self, bins: dict[str, collections.Counter], service: str, now: float) -> None:
+        bins.setdefault(service, collections.Counter())[math.floor(now / BIN_S)] += 1
+
+    def _count(self, bins: dict[str, collections.Counter], service: str, now: float) -> int:
+        counter = bins.get(service)
+        if counter is None:
+            return 0
+        oldest = math.floor((now - self.window_s) / BIN_S)
+        for index in list(counter):
+            if index < oldest:
+                counter.pop(index)
+        return counter.total()
--- /dev/null
+++ b/camphorpath/placement/records.py
@@ -0,0 +1,47 @@
+"""Calls that wait for a slot, and what is decided of them."""
+
+from collections.abc import Callable
+
+import attrs
+
+from ..routing import Upstream
+
+
+@attrs.frozen
+class Placed:
+    """A slot at an upstream."""
+
+    upstream: Upstream
+
+
+@attrs.frozen
+class TurnedAway:
+    """The call is not run; the caller may come back after `retry_after_s` seconds."""
+
+    reason: str
+    retry_after_s: float
+
+
+Decision = Placed | TurnedAway
+
+
+@attrs.define(kw_only=True, eq=False)
+class WaitingCall:
+    """A call without a slot; times are instants in seconds on the lease clock."""
+
+    call_id: str
+    service: str
+    customer: str
+    # The lower, the more urgent.
+    rank: tuple[int, int]
+    arrived_at: float
+    # The first byte is due.
+    objective_at: float
+    # After this instant the call is not worth a slot.
+    wait_until: float
+    deadline: float
+    prompt_tokens: float
+    output_tokens: float
+    on_decision: Callable[[Decision], None]
+    # Upstreams that have had this call.
+    excluded: set[str] = attrs.field(factory=set)
--- /dev/null
+++ b/camphorpath/platform/manifest.py
@@ -0,0 +1,93 @@
+"""Decodes the manifest of the lending platform."""
+
+import orjson
+
+from ..errors import PlatformError
+from ..routing import CallerLimits, CallKind, Customer, Route, RoutingTable, Service
+from .fields import Fields
+from .wire import CALL_KINDS
+
+MS_PER_S = 1000
+UNIT_TOKENS = 'tokens'
+
+
+def decode_manifest(text: bytes) -> RoutingTable:
+    """Return the routing table of a manifest; raise PlatformError with the field at fault."""
+    try:
+        document = orjson.loads(text)
+    except orjson.JSONDecodeError as error:
+        raise PlatformError(f'the manifest is not JSON: {error}', step='decode') from error
+    fields = Fields(document, '')
+    services = [_decode_service(entry) for entry in fields.tables('services')]
+    return RoutingTable(
+        version=int(fields.number('version')),
+        routes=tuple(_decode_route(entry) for entry in fields.tables('routes')),
+        services={service.name: service for service in services},
+        limits=_decode_limits(fields.part('limits')),
+        customers=_decode_customers(fields) if fields.has('tenants') else None,
+    )
+
+
+def _decode_route(fields: Fields) -> Route:
+    kind = CALL_KINDS.get(fields.text('route_type'))
+    if kind is None:
+        raise PlatformError(f'unknown route type of {fields.text("name")}', step='decode')
+    timeout_s = fields.number('timeout_ms') / MS_PER_S
+    return Route(
+        name=fields.text('name'),
+        host=fields.text('hostname').lower(),
+        prefix=fields.text('prefix'),
+        kind=kind,
+        timeout_s=timeout_s,
+        objective_s=fields.number('target_latency_ms', timeout_s * MS_PER_S) / MS_PER_S,
+        priority=int(fields.number('priority', 0)),
+        max_attempts=max(1, int(fields.number('max_attempts', 1))),
+        needs_key=not fields.flag('auth_exempt'),
+        is_resumable=kind is CallKind.STREAM and fields.flag('stream_resume'),
+        targets=_decode_targets(fields),
+    )
+
+
+def _decode_targets(fields: Fields) -> tuple[tuple[str, float], ...]:
+    if fields.has('traffic_split'):
+        return tuple(
+            (entry.text('service'), entry.number('weight'))
+            for entry in fields.tables('traffic_split')
+        )
+    return ((fields.text('service'), 1.0),)
+
+
+def _decode_service(fields: Fields) -> Service:
+    return Service(
+        name=fields.text('name'),
+        max_connections=int(fields.number('max_connections', 0)),
+        is_engine=fields.has('inference_engine'),
+    )
+
+
+def _decode_limits(fields: Fields) -> CallerLimits:
+    usual = CallerLimits()
+    return CallerLimits(
+        max_head_bytes=int(fields.number('max_header_bytes', usual.max_head_bytes)),
+        max_body_bytes=int(fields.number('max_body_bytes', usual.max_body_bytes)),
+        head_timeout_s=fields.number('header_timeout_ms', usual.head_timeout_s * MS_PER_S)
+        / MS_PER_S,
+        idle_timeout_s=fields.number('idle_timeout_ms', usual.idle_timeout_s * MS_PER_S) / MS_PER_S,
+    )
+
+
+def _decode_customers(fields: Fields) -> dict[str, Customer]:
+    customers = {}
+    for entry in fields.tables('tenants'):
+        customer = Customer(
+            name=entry.text('name'),
+            priority=int(entry.number('priority', 0)),
+            rate=entry.number('rate_per_s', 0),
+            burst=entry.number('burst_size', 0),
+            counts_tokens=entry.has('unit') and entry.text('unit') == UNIT_TOKENS,
+            # Named after cached prompts, but it counts for every request without a token header.
+            default_units=entry.number('uncached_tokens', 0),
+        )
+        for key in entry.texts('api_keys'):
+            customers[key] = customer
+    return customers
--- /dev/null
+++ b/camphorpath/platform/settings.py
@@ -0,0 +1,72 @@
+"""Decodes the settings file that the lending platform writes for each process."""
+
+import os
+import pathlib
+
+import yaml
+
+from ..edge.settings import Bounds, EdgeSettings
+from ..errors import PlatformError, UserError
+from .fields import Fields
+from .manifest import MS_PER_S
+
+SETTINGS_VARIABLE = 'CAMPHORPATH_CONFIG'
+
+
+def load_edge_settings(path: str = '') -> EdgeSettings:
+    """Return the settings of the file, or of the one that the environment names."""
+    path = path or os.environ.get(SETTINGS_VARIABLE, '')
+    if not path:
+        raise UserError(f'no settings file: give one, or set {SETTINGS_VARIABLE}', step='settings')
+    try:
+        document = yaml.safe_load(pathlib.Path(path).read_text(encoding='utf-8'))
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+        raise UserError(f'{path}: {error}', step='settings') from error
+    try:
+        return decode_settings(document)
+    except PlatformError as error:
+        raise UserError(f'{path}: {error.message}', step='settings') from error
+
+
+def decode_settings(document: object) -> EdgeSettings:
+    """Return the settings of a decoded file; raise PlatformError with the field at fault."""
+    fields = Fields(document, '')
+    listen = fields.part('listen_addresses')
+    machine = fields.part('limits')
+    ports = fields.items('internal_port_range')
+    if not ports or not isinstance(ports[0], int):
+        raise PlatformError('internal_port_range is not a range of ports', step='decode')
+    return EdgeSettings(
+        name=fields.text('node_name'),
+        zone=fields.text('zone'),
+        region=fields.text('region'),
+        regions=fields.mapping('zones'),
+        host=fields.text('ip_address'),
+        callers_address=listen.text('frontend'),
+        ready_address=listen.text('ready'),
+        directory_address=listen.text('directory_service'),
+        control_address=listen.text('control_plane'),
+        heartbeat_port=ports[0],
+        seeds=tuple(fields.texts('seed_nodes')),
+        is_first_start=fields.flag('is_bootstrap'),
+        # The quota is a share of a core that is `core_count` times as fast as the usual one.
+        cores=machine.number('cpu_quota') * machine.number('core_count', 1),
+        max_descriptors=int(machine.number('max_fds')),
+        store_url=f'http://{fields.part("platform").text("address")}',
+        bounds=_decode_bounds(fields.part('bounds')),
+    )
+
+
+def _decode_bounds(fields: Fields) -> Bounds:
+    return Bounds(
+        contact_timeout_s=fields.number('contact_timeout_ms') / MS_PER_S,
+        drain_timeout_s=fields.number('drain_timeout_ms') / MS_PER_S,
+        stop_limit_s=fields.number('grace_period_s'),
+        max_keep_s=fields.number('ttl_max_s'),
+        retry_ratio=fields.number('retry_budget_ratio'),
+        retry_window_s=fields.number('retry_window_s'),
+        retry_allowance=fields.number('retry_allowance'),
+        quota_window_s=fields.number('quota_window_s'),
+        quota_overshoot=fields.number('quota_overshoot'),
+        quota_allowance=fields.number('quota_allowance'),
+    )
--- /dev/null
+++ b/camphorpath/platform/store.py
@@ -0,0 +1,154 @@
+"""The client of the lending platform's metadata store."""
+
+import base64
+import binascii
+from typing import Any
+
+import anyio
+import attrs
+import httpx
+import orjson
+
+from ..errors import HistoryGone, TableDown, TableUnsure
+from .wire import ROWS_FEED, ROWS_GET, ROWS_WRITE
+
+# Longer than a store call takes while the store is healthy (a few ms), shorter than the time in
+# which a manifest must be in force.
+CALL_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.5
+# A slow store answers a read late instead of never.
+SLOW_TIMEOUT_S = 2.0
+PAGE_ROWS = 500
+MS_PER_S = 1000
+NEVER_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
+
+@attrs.frozen
+class StoreRow:
+    """One row of a table; `value` is None if the row was removed."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@attrs.frozen
+class Rows:
+    """Rows as of one revision of the store."""
+
+    rows: list[StoreRow]
+    revision: int
+
+
+class MetadataStore:
+    """Reads, change feeds and writes; all calls use one connection pool.
+
+    Reads raise TableDown, writes TableDown if they provably had no effect and TableUnsure if they
+    may have had one.
+    """
+
+    def __init__(self, url: str, transport: httpx.AsyncBaseTransport | None = None) -> None:
+        """Keep the address; the first call connects."""
+        self._url = url
+        self._client = httpx.AsyncClient(base_url=url, transport=transport, trust_env=False)
+
+    async def read_table(self, table: str) -> Rows:
+        """Return all rows of a table; raise TableDown."""
+        rows: list[StoreRow] = []
+        start = ''
+        while True:
+            query = {'table_name': table, 'part': '', 'max_results': str(PAGE_ROWS)}
+            if start:
+                query['range_start'] = start
+            found = await self._get(ROWS_GET, query, SLOW_TIMEOUT_S)
+            page = _decode_rows(found, self._url)
+            rows += page.rows
+            if not found.get('has_more') or not page.rows:
+                return Rows(rows, page.revision)
+            # The smallest key after the last one of the page.
+            start = f'{page.rows[-1].key}\0'
+
+    async def read_changes(self, table: str, after: int, wait_s: float) -> Rows:
+        """Return the changes of a table after a revision, when there are any or `wait_s` is over.
+
+        Raises HistoryGone if the store has dropped them, TableDown otherwise.
+        """
+        query = {
+            'table_name': table,
+            'after_revision': str(after),
+            'wait_ms': str(round(wait_s * MS_PER_S)),
+        }
+        found = await self._get(ROWS_FEED, query, wait_s + CALL_TIMEOUT_S)
+        return _decode_rows(found, self._url)
+
+    async def write_row(self, table: str, key: str, content: bytes | None) -> None:
+        """Write a row, or remove it if the content is None; raise TableDown or TableUnsure."""
+        row: dict[str, Any] = {'table_name': table, 'part': '', 'key': key}
+        body: dict[str, Any] = {'expected_revision': [], 'write': [], 'remove': []}
+        if content is None:
+            body['remove'].append(row)
+        else:
+            row['value'] = base64.b64encode(content).decode()
+            body['write'].append(row)
+        try:
+            with anyio.fail_after(CALL_TIMEOUT_S):
+                response = await self._client.post(
+                    ROWS_WRITE,
+                    content=orjson.dumps(body),
+                    headers={'content-type': 'application/json'},
+                    timeout=CALL_TIMEOUT_S,
+                )
+        except NEVER_SENT as error:
+            raise TableDown(repr(error), step='write', peer=self._url) from error
+        except (httpx.HTTPError, OSError, TimeoutError) as error:
+            raise TableUnsure(repr(error), step='write', peer=self._url) from error
+        if response.status_code != httpx.codes.OK:
+            message = f'the store answered {response.status_code}'
+            raise TableDown(message, step='write', peer=self._url)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+    async def _get(self, path: str, query: dict[str, str], limit_s: float) -> dict[str, Any]:
+        timeout = httpx.Timeout(limit_s, connect=CONNECT_TIMEOUT_S)
+        try:
+            with anyio.fail_after(limit_s):
+                response = await self._client.get(path, params=query, timeout=timeout)
+        except (httpx.HTTPError, OSError, TimeoutError) as error:
+            raise TableDown(repr(error), step=path, peer=self._url) from error
+        if response.status_code == httpx.codes.GONE:
+            raise HistoryGone('the history was dropped', step=path, peer=self._url)
+        if response.status_code != httpx.codes.OK:
+            message = f'the store answered {response.status_code}'
+            raise TableDown(message, step=path, peer=self._url)
+        return _decode_object(response.content, path, self._url)
+
+
+def _decode_object(body: bytes, step: str, peer: str) -> dict[str, Any]:
+    try:
+        found = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise TableDown('the answer is not JSON', step=step, peer=peer) from error
+    if not isinstance(found, dict):
+        raise TableDown('the answer is not an object', step=step, peer=peer)
+    return found
+
+
+def _decode_rows(found: dict[str, Any], peer: str) -> Rows:
+    try:
+        rows = [_decode_row(row) for row in found['rows']]
+        return Rows(rows, int(found['row_version']))
+    except (KeyError, TypeError, ValueError) as error:
+        raise TableDown(f'unreadable rows: {error!r}', step='read', peer=peer) from error
+
+
+def _decode_row(row: dict[str, Any]) -> StoreRow:
+    if row.get('is_deleted'):
+        return StoreRow(row['key'], None, int(row['row_version']))
+    try:
+        content = base64.b64decode(row['value'])
+    except binascii.Error:
+        # One row that cannot be read must not hide the others; nobody can decode an empty one.
+        content = b''
+    return StoreRow(row['key'], content, int(row['row_version']))
--- /dev/null
+++ b/camphorpath/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Calls between the connections of callers and those of upstreams."""
--- /dev/null
+++ b/camphorpath/relay/call.py
@@ -0,0 +1,335 @@
+"""One call: slots, sends to upstreams, and its final answer."""
+
+import math
+from collections.abc import Callable
+
+import anyio
+import attrs
+import h11
+
+from ..clocks import read_lease_clock
+from ..errors import (
+    NotExecuted,
+    NotSent,
+    Refusal,
+    SentUnknown,
+    Truncated,
+    UpstreamError,
+)
+from ..events import Event
+from ..placement.records import Decision, Placed, WaitingCall
+from ..routing import CallKind, Upstream
+from .caller import CallerConnection
+from .context import RelayContext
+from .events import EventSplitter
+from .headers import Headers, find_header, select_answer_headers, select_request_headers
+from .intake import MS_PER_S, Call
+from .upstream import UpstreamAnswer, UpstreamConnection, read_answer
+
+FAILED = 'failed_at_upstream'
+STATUS_OK = 200
+STATUS_REDIRECT = 300
+STATUS_MISDIRECTED = 421
+STATUS_SERVER_ERROR = 500
+STATUS_BAD_GATEWAY = 502
+STATUS_UNAVAILABLE = 503
+STATUS_GATEWAY_TIMEOUT = 504
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+# Connections that may fail for one call before it is turned away; nothing was sent on them.
+MAX_UNSENT = 4
+# The caller comes back this long after an upstream did not run its call, in seconds.
+NOT_EXECUTED_RETRY_S = 0.2
+# A load that an upstream stated while it was full counts for this time, in seconds.
+FULL_HOLD_S = 0.4
+# A stream without an event for this long goes on at another upstream, in seconds; callers abandon
+# one after two seconds or more.
+STREAM_GAP_S = 1.0
+# The number of tokens in an event is not stated; only relative speeds matter here.
+TOKENS_PER_EVENT = 4
+
+
+class HeadTimeout(SentUnknown):
+    """No byte of an answer came in the time after which another upstream should be tried."""
+
+
+@attrs.define(eq=False)
+class CallRun:
+    """The state of a call while it is served."""
+
+    context: RelayContext
+    call: Call
+    caller: CallerConnection
+    splitter: EventSplitter = attrs.field(factory=EventSplitter)
+    tried: set[str] = attrs.field(factory=set)
+    has_started: bool = False
+    unsent: int = 0
+
+    async def serve(self) -> str:
+        """Serve the call and return its outcome for the log; raise Refusal or CallerGone."""
+        failure: UpstreamError | None = None
+        while True:
+            waiting = await self._place(failure)
+            upstream, call = waiting
+            try:
+                return await self._attempt(upstream, call)
+            except UpstreamError as error:
+                failure = error
+                self._note_failure(upstream, error)
+                if not self._may_repeat(error):
+                    raise self._give_up(error) from error
+            finally:
+                self._release(upstream, call)
+
+    async def _place(self, failure: UpstreamError | None) -> tuple[Upstream, WaitingCall]:
+        """Wait for a slot and return its upstream; raise Refusal."""
+        decisions: list[Decision] = []
+        decided = anyio.Event()
+
+        def decide(decision: Decision) -> None:
+            decisions.append(decision)
+            decided.set()
+
+        waiting = self._make_waiting(decide, is_repeat=failure is not None)
+        self.context.scheduler.submit(waiting, read_lease_clock())
+        try:
+            await decided.wait()
+        except BaseException:
+            self.context.scheduler.withdraw(waiting)
+            if decisions and isinstance(decisions[0], Placed):
+                self._release(decisions[0].upstream, waiting)
+            raise
+        decision = decisions[0]
+        if isinstance(decision, Placed):
+            waited_s = read_lease_clock() - self.call.arrived_at
+            self.context.metrics.waits.observe({}, waited_s)
+            return decision.upstream, waiting
+        if failure is not None and self.call.may_have_run:
+            raise self._give_up(failure)
+        raise Refusal(decision.reason, 'no slot in time', retry_after_s=decision.retry_after_s)
+
+    def _make_waiting(self, decide: Callable[[Decision], None], *, is_repeat: bool) -> WaitingCall:
+        call = self.call
+        wait_until = call.wait_until()
+        if is_repeat:
+            # A call that was interrupted is worth a slot as long as its caller waits.
+            wait_until = max(wait_until, read_lease_clock() + call.route.objective_s)
+        return WaitingCall(
+            call_id=call.text_id,
+            service=call.service,
+            customer=call.customer.name if call.customer else '',
+            rank=(call.customer.priority if call.customer else 0, call.route.priority),
+            arrived_at=call.arrived_at,
+            objective_at=call.arrived_at + call.route.objective_s,
+            wait_until=min(wait_until, call.deadline),
+            deadline=call.deadline,
+            prompt_tokens=call.prompt_tokens,
+            output_tokens=call.output_tokens,
+            on_decision=decide,
+            excluded=self.tried,
+        )
+
+    async def _attempt(self, upstream: Upstream, waiting: WaitingCall) -> str:
+        context = self.context
+        carrier = await context.pool.acquire(upstream, is_fresh=not self.call.route.is_repeatable)
+        is_complete = False
+        try:
+            outcome = await self._exchange(carrier, upstream, waiting)
+            is_complete = True
+        except (OSError, h11.LocalProtocolError) as error:
+            raise SentUnknown(repr(error), step='send', peer=upstream.address) from error
+        finally:
+            context.pool.release(carrier, is_complete=is_complete)
+        health = context.scheduler.slots[upstream.upstream_id].health
+        if outcome == FAILED:
+            health.fail(read_lease_clock())
+        else:
+            health.succeed()
+        return outcome
+
+    async def _exchange(
+        self, carrier: UpstreamConnection, upstream: Upstream, waiting: WaitingCall
+    ) -> str:
+        carrier.send(self._build_request(upstream), self.call.request.body)
+        ran_before = self.call.may_have_run
+        self._note_send(upstream)
+        answer = await self._read_head(carrier, upstream)
+        self._check_executed(upstream, answer, ran_before=ran_before)
+        scheduler = self.context.scheduler
+        scheduler.note_first_byte(upstream.upstream_id, waiting, read_lease_clock())
+        if self.has_started and answer.status != STATUS_OK:
+            message = f'status {answer.status} instead of the rest of a stream'
+            raise Truncated(message, step='receive_head', peer=upstream.address)
+        if self.call.route.kind is CallKind.STREAM and answer.status == STATUS_OK:
+            return await self._relay_stream(upstream, answer)
+        return await self._relay_whole(answer)
+
+    def _build_request(self, upstream: Upstream) -> h11.Request:
+        call = self.call
+        dialect = self.context.dialect
+        headers = select_request_headers(call.request.headers, dialect)
+        if self.splitter.last_id:
+            headers = [pair for pair in headers if pair[0] != dialect.last_event_id]
+            headers.append((dialect.last_event_id, self.splitter.last_id))
+        left_ms = max(math.floor(call.time_left() * MS_PER_S), 1)
+        headers.append((dialect.deadline_ms, str(left_ms).encode()))
+        headers.append((dialect.expected_upstream, upstream.upstream_id.encode()))
+        if call.customer is not None:
+            headers.append((dialect.customer, call.customer.name.encode()))
+        if call.request.body or call.request.method not in {b'GET', b'HEAD'}:
+            headers.append((b'content-length', str(len(call.request.body)).encode()))
+        return h11.Request(method=call.request.method, target=call.request.target, headers=headers)
+
+    def _note_send(self, upstream: Upstream) -> None:
+        call = self.call
+        if not call.sends:
+            self.context.budget.note_call(call.service, read_lease_clock())
+        call.sends += 1
+        call.may_have_run = True
+        slots = self.context.scheduler.slots[upstream.upstream_id]
+        self.context.events.emit(
+            Event.REQUEST_SENT,
+            call.text_id,
+            upstream.upstream_id,
+            attempt=call.sends,
+            waited_ms=round((read_lease_clock() - call.arrived_at) * MS_PER_S),
+            left_ms=round(call.time_left() * MS_PER_S),
+            running=len(slots.running),
+            is_owner=slots.is_owner,
+            manifest=self.context.table.version if self.context.table else 0,
+        )
+
+    async def _read_head(self, carrier: UpstreamConnection, upstream: Upstream) -> UpstreamAnswer:
+        call = self.call
+        limit_s = None
+        slots = self.context.scheduler.slots[upstream.upstream_id]
+        running = slots.running.get(call.text_id)
+        if running is not None and self._has_attempts_left() and call.route.is_repeatable:
+            limit_s = max(running.first_due - read_lease_clock(), 0)
+        with anyio.move_on_after(limit_s):
+            return await read_answer(carrier, call.attempt_id, self.context.dialect.attempt_id)
+        raise HeadTimeout('no byte of an answer', step='receive_head', peer=upstream.address)
+
+    def _check_executed(
+        self, upstream: Upstream, answer: UpstreamAnswer, *, ran_before: bool
+    ) -> None:
+        dialect = self.context.dialect
+        is_stated = bool(find_header(answer.headers, dialect.not_run))
+        if is_stated or answer.status == STATUS_MISDIRECTED:
+            self.call.may_have_run = ran_before
+            self._note_load(upstream, find_header(answer.headers, dialect.load))
+            message = f'the upstream answered {answer.status} and did not run the call'
+            raise NotExecuted(message, step='receive_head', peer=upstream.address)
+        if answer.status < STATUS_REDIRECT and not find_header(answer.headers, dialect.signature):
+            raise SentUnknown('an answer without signature', step='receive_head', peer=answer.peer)
+
+    def _note_load(self, upstream: Upstream, text: bytes) -> None:
+        counts = text.split(b',')
+        if len(counts) < 2 or not (counts[0].isdigit() and counts[1].isdigit()):
+            return
+        now = read_lease_clock()
+        total = int(counts[0]) + int(counts[1])
+        self.context.scheduler.slots[upstream.upstream_id].note_load(total, now, FULL_HOLD_S)
+
+    async def _relay_whole(self, answer: UpstreamAnswer) -> str:
+        body = await answer.read_all(MAX_ANSWER_BYTES)
+        is_failure = answer.status >= STATUS_SERVER_ERROR
+        if is_failure and self.call.route.is_repeatable and self._may_send_again():
+            raise Truncated(f'status {answer.status}', step='receive_head', peer=answer.peer)
+        self._note_first_answer()
+        await self.caller.send_answer(answer.status, select_answer_headers(answer.headers), body)
+        return FAILED if is_failure else 'served'
+
+    async def _relay_stream(self, upstream: Upstream, answer: UpstreamAnswer) -> str:
+        began_at = read_lease_clock()
+        splitter = self.splitter
+        splitter.rest = b''
+        before = splitter.events
+        limit_s = STREAM_GAP_S if self._can_resume() else math.inf
+        with anyio.move_on_after(limit_s) as scope:
+            async for chunk in answer.chunks():
+                whole = splitter.feed(chunk)
+                if whole:
+                    await self._pass_on(answer, whole)
+                scope.deadline = anyio.current_time() + limit_s
+        if not answer.is_complete:
+            raise Truncated('no event for too long', step='receive_body', peer=answer.peer)
+        if not self.has_started or splitter.rest:
+            await self._pass_on(answer, splitter.rest)
+        await self.caller.end_stream()
+        slots = self.context.scheduler.slots.get(upstream.upstream_id)
+        events = splitter.events - before
+        if slots is not None and events:
+            slots.speed.learn_answer(read_lease_clock() - began_at, events * TOKENS_PER_EVENT)
+        return 'served'
+
+    async def _pass_on(self, answer: UpstreamAnswer, part: bytes) -> None:
+        if self.has_started:
+            await self.caller.send_part(part)
+            return
+        self.has_started = True
+        self._note_first_answer()
+        await self.caller.start_stream(answer.status, select_answer_headers(answer.headers), part)
+
+    def _note_first_answer(self) -> None:
+        waited_s = read_lease_clock() - self.call.arrived_at
+        self.context.metrics.first_byte.observe({'route': self.call.route.name}, waited_s)
+
+    # --- after a failure
+
+    def _note_failure(self, upstream: Upstream, error: UpstreamError) -> None:
+        slots = self.context.scheduler.slots.get(upstream.upstream_id)
+        if slots is not None:
+            is_certain = isinstance(error, NotSent) and not isinstance(
+                error.__cause__, TimeoutError
+            )
+            slots.health.fail(read_lease_clock(), is_certain=is_certain)
+        self.context.metrics.attempts.inc({'result': type(error).__name__})
+        self.context.events.emit(
+            Event.ATTEMPT_FAILED,
+            self.call.text_id,
+            upstream.upstream_id,
+            error=str(error),
+            attempt=self.call.sends,
+            may_have_run=self.call.may_have_run,
+        )
+
+    def _may_repeat(self, error: UpstreamError) -> bool:
+        """Return whether the call may be sent to another upstream; takes it from the budget."""
+        call = self.call
+        if isinstance(error, NotSent):
+            self.unsent += 1
+            return self.unsent < MAX_UNSENT
+        if not self._may_send_again():
+            return False
+        if not isinstance(error, NotExecuted) and not call.route.is_repeatable:
+            return False
+        daemons = self.context.count_daemons()
+        return self.context.budget.take(call.service, read_lease_clock(), daemons)
+
+    def _can_resume(self) -> bool:
+        return self.call.route.is_resumable and self._has_attempts_left()
+
+    def _has_attempts_left(self) -> bool:
+        return self.call.sends < self.call.route.max_attempts
+
+    def _may_send_again(self) -> bool:
+        return self._has_attempts_left() and self.call.time_left() > 0
+
+    def _give_up(self, error: UpstreamError) -> Refusal:
+        """Return the final answer after a failure; "not run" only where that is certain."""
+        if not self.call.may_have_run:
+            return Refusal(
+                'not_executed', error.message, retry_after_s=NOT_EXECUTED_RETRY_S, peer=error.peer
+            )
+        return Refusal('upstream_failed', error.message, status=STATUS_BAD_GATEWAY, peer=error.peer)
+
+    def _release(self, upstream: Upstream, waiting: WaitingCall) -> None:
+        self.context.scheduler.release(upstream.upstream_id, waiting, read_lease_clock())
+
+
+def render_refusal(refusal: Refusal) -> tuple[int, Headers, bytes]:
+    """Return status, headers and body of a refusal."""
+    headers: Headers = [(b'content-type', b'text/plain; charset=utf-8')]
+    if refusal.retry_after_s is not None:
+        headers.append((b'retry-after', f'{refusal.retry_after_s:.3f}'.encode()))
+    return refusal.status, headers, f'{refusal.reason}\n'.encode()
--- /dev/null
+++ b/camphorpath/relay/caller.py
@@ -0,0 +1,221 @@
+"""One connection of a caller: requests in, answers out."""
+
+import anyio
+import attrs
+import h11
+
+from ..errors import CallerGone, Refusal
+from ..routing import CallerLimits
+from .headers import Headers, find_header
+from .sockets import Connection
+
+STATUS_BAD_REQUEST = 400
+STATUS_TIMEOUT = 408
+STATUS_TOO_LARGE = 413
+STATUS_HEAD_TOO_LARGE = 431
+# Bytes of later requests that are read while one is answered; beyond, the caller has to wait.
+MAX_AHEAD_BYTES = 65536
+# After an answer that ends a connection the caller gets this time to read it and close, in seconds.
+LINGER_S = 1.0
+
+
+@attrs.frozen
+class CallerRequest:
+    """A whole request; header names in lower case."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    # Instant at which its first byte was read, on the clock of anyio.
+    began_at: float = 0
+
+    @property
+    def path(self) -> str:
+        """Return the path of the target, without the query."""
+        return self.target.partition(b'?')[0].decode('latin-1')
+
+    @property
+    def host(self) -> str:
+        """Return the host without its port, in lower case."""
+        return find_header(self.headers, b'host').partition(b':')[0].decode('latin-1').lower()
+
+
+@attrs.define(eq=False)
+class CallerConnection:
+    """The HTTP side of a caller's connection."""
+
+    connection: Connection
+    limits: CallerLimits
+    http: h11.Connection = attrs.field(init=False)
+    # Set when the daemon stops: the next answer is the last one.
+    is_last: bool = False
+    is_waiting: bool = False
+
+    @http.default
+    def _make_http(self) -> h11.Connection:
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.max_head_bytes)
+
+    async def read_request(self) -> CallerRequest | None:
+        """Return the next request, or None if the caller closed or stayed idle.
+
+        Raises Refusal for one that is malformed, too large or too slow, CallerGone if it broke off.
+        """
+        if not self.http.trailing_data[0] and not await self._wait_first():
+            return None
+        began_at = anyio.current_time()
+        try:
+            with anyio.fail_after(self.limits.head_timeout_s):
+                head = await self._read_event()
+        except TimeoutError:
+            raise _refuse('the head came too slowly', STATUS_TIMEOUT) from None
+        if isinstance(head, h11.ConnectionClosed):
+            return None
+        headers = list(head.headers)
+        names = [name for name, _text in headers]
+        if b'content-length' in names and b'transfer-encoding' in names:
+            # Two lengths are a way to hide a request within another one.
+            raise _refuse('both a length and a transfer encoding', STATUS_BAD_REQUEST)
+        body = await self._read_body(headers)
+        return CallerRequest(head.method, head.target, headers, body, began_at)
+
+    async def watch(self) -> None:
+        """Return when the caller has closed its connection; keep what it sends meanwhile."""
+        ahead = 0
+        while ahead < MAX_AHEAD_BYTES:
+            try:
+                chunk = await self.connection.receive()
+            except OSError:
+                return
+            if not chunk:
+                return
+            ahead += len(chunk)
+            self.http.receive_data(chunk)
+        await anyio.sleep_forever()
+
+    async def send_answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer; raise CallerGone."""
+        framed = [*headers, (b'content-length', str(len(body)).encode())]
+        payload = self._render_head(status, framed)
+        payload += self.http.send(h11.Data(data=body)) or b''
+        payload += self.http.send(h11.EndOfMessage()) or b''
+        await self._send(payload)
+
+    async def start_stream(self, status: int, headers: Headers, first: bytes) -> None:
+        """Send the head of an answer without a length, and its first part; raise CallerGone."""
+        payload = self._render_head(status, [*headers, (b'transfer-encoding', b'chunked')])
+        await self._send(payload + (self.http.send(h11.Data(data=first)) or b''))
+
+    async def send_part(self, part: bytes) -> None:
+        """Send a part of an answer; raise CallerGone."""
+        await self._send(self.http.send(h11.Data(data=part)) or b'')
+
+    async def end_stream(self) -> None:
+        """Send the end of an answer; raise CallerGone."""
+        await self._send(self.http.send(h11.EndOfMessage()) or b'')
+
+    @property
+    def can_answer(self) -> bool:
+        """Whether the head of an answer can still be sent."""
+        return self.http.our_state in {h11.IDLE, h11.SEND_RESPONSE}
+
+    def start_next(self) -> bool:
+        """Prepare for the next request; return whether the connection can carry one."""
+        if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
+            return False
+        if self.is_last:
+            return False
+        self.http.start_next_cycle()
+        return True
+
+    async def close(self) -> None:
+        """End the connection so that the caller can read what was sent to it.
+
+        A socket that is closed with unread bytes is reset, which can cost the caller the answer.
+        """
+        if self.http.our_state in {h11.SEND_BODY, h11.SEND_RESPONSE}:
+            self.connection.close(reset=True)
+            return
+        self.connection.finish_sending()
+        with anyio.move_on_after(LINGER_S):
+            unread = await self._drain()
+            while unread:
+                unread = await self._drain()
+        self.connection.close()
+
+    async def _drain(self) -> bytes:
+        try:
+            return await self.connection.receive()
+        except OSError:
+            return b''
+
+    async def _wait_first(self) -> bool:
+        """Wait for the first byte of a request; return whether one came."""
+        self.is_waiting = True
+        try:
+            with anyio.move_on_after(self.limits.idle_timeout_s):
+                chunk = await self.connection.receive()
+                self.http.receive_data(chunk)
+                return bool(chunk)
+        except OSError:
+            return False
+        finally:
+            self.is_waiting = False
+        return False
+
+    async def _read_event(self) -> object:
+        while True:
+            try:
+                event = self.http.next_event()
+            except h11.RemoteProtocolError as error:
+                raise _refuse(str(error), _read_status(error)) from error
+            if event is not h11.NEED_DATA:
+                return event
+            if self.http.they_are_waiting_for_100_continue:
+                await self._send(
+                    self.http.send(h11.InformationalResponse(status_code=100, headers=[]))
+                )
+            try:
+                chunk = await self.connection.receive()
+            except OSError as error:
+                raise CallerGone(repr(error), step='read_request') from error
+            self.http.receive_data(chunk)
+
+    async def _read_body(self, headers: Headers) -> bytes:
+        stated = find_header(headers, b'content-length')
+        if stated and int(stated) > self.limits.max_body_bytes:
+            raise _refuse('the body is too large', STATUS_TOO_LARGE)
+        body = bytearray()
+        while True:
+            event: object = None
+            with anyio.move_on_after(self.limits.idle_timeout_s):
+                event = await self._read_event()
+            if event is None:
+                raise _refuse('the body came too slowly', STATUS_TIMEOUT)
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            if not isinstance(event, h11.Data):
+                raise CallerGone('the request broke off', step='read_request')
+            body += event.data
+            if len(body) > self.limits.max_body_bytes:
+                raise _refuse('the body is too large', STATUS_TOO_LARGE)
+
+    def _render_head(self, status: int, headers: Headers) -> bytes:
+        if self.is_last:
+            headers = [*headers, (b'connection', b'close')]
+        return self.http.send(h11.Response(status_code=status, headers=headers))
+
+    async def _send(self, payload: bytes) -> None:
+        try:
+            await self.connection.send_all(payload)
+        except OSError as error:
+            raise CallerGone(repr(error), step='send_answer') from error
+
+
+def _refuse(message: str, status: int) -> Refusal:
+    return Refusal('bad_request', message, status=status, step='read_request')
+
+
+def _read_status(error: h11.RemoteProtocolError) -> int:
+    hint = error.error_status_hint
+    return hint if hint in {STATUS_HEAD_TOO_LARGE, STATUS_TOO_LARGE} else STATUS_BAD_REQUEST
--- /dev/null
+++ b/camphorpath/relay/context.py
@@ -0,0 +1,60 @@
+"""What the calls of a daemon share."""
+
+from collections.abc import Callable
+
+import anyio
+import attrs
+
+from ..events import EventLog
+from ..placement.budget import RetryBudget
+from ..placement.quota import QuotaLedger
+from ..placement.scheduler import Scheduler
+from ..routing import CallerLimits, RoutingTable
+from .caller import CallerConnection
+from .dialect import Dialect
+from .metrics import RelayMetrics
+from .upstream import UpstreamPool
+
+
+@attrs.define(kw_only=True)
+class RelayContext:
+    """The parts that a call needs, and the calls in progress."""
+
+    dialect: Dialect
+    scheduler: Scheduler
+    quota: QuotaLedger
+    budget: RetryBudget
+    pool: UpstreamPool
+    events: EventLog
+    metrics: RelayMetrics
+    # Number of daemons that share the retry budget.
+    count_daemons: Callable[[], int]
+    # None before the first manifest.
+    table: RoutingTable | None = None
+    is_stopping: bool = False
+    # Instant after which a stopping daemon takes no further calls.
+    refuse_from: float | None = None
+    in_progress: int = 0
+    connections: set[CallerConnection] = attrs.field(factory=set)
+    _idle: anyio.Event = attrs.field(factory=anyio.Event)
+
+    @property
+    def limits(self) -> CallerLimits:
+        """The limits on callers that are in force."""
+        return self.table.limits if self.table else CallerLimits()
+
+    def enter_call(self) -> None:
+        """Count one more call."""
+        self.in_progress += 1
+
+    def leave_call(self) -> None:
+        """Count one call less."""
+        self.in_progress -= 1
+        if not self.in_progress:
+            self._idle.set()
+            self._idle = anyio.Event()
+
+    async def wait_idle(self) -> None:
+        """Return when no call is in progress."""
+        while self.in_progress:
+            await self._idle.wait()
--- /dev/null
+++ b/camphorpath/relay/metrics.py
@@ -0,0 +1,43 @@
+"""Counters and histograms of the relay; units stand in the names."""
+
+import attrs
+from aioprometheus import Counter, Gauge, Histogram, Registry
+
+LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+
+
+@attrs.define
+class RelayMetrics:
+    """The metrics of one daemon, in a registry of their own."""
+
+    registry: Registry = attrs.field(factory=Registry)
+    answers: Counter = attrs.field(init=False)
+    attempts: Counter = attrs.field(init=False)
+    first_byte: Histogram = attrs.field(init=False)
+    waits: Histogram = attrs.field(init=False)
+    in_progress: Gauge = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Register the metrics."""
+        registry = self.registry
+        self.answers = Counter(
+            'camphorpath_answers_total', 'Final answers by route and outcome.', registry=registry
+        )
+        self.attempts = Counter(
+            'camphorpath_attempts_total', 'Sends to upstreams by result.', registry=registry
+        )
+        self.first_byte = Histogram(
+            'camphorpath_first_byte_seconds',
+            'Arrival to the first byte of the answer.',
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.waits = Histogram(
+            'camphorpath_wait_seconds',
+            'Arrival to the slot.',
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.in_progress = Gauge(
+            'camphorpath_in_progress_calls', 'Calls without a final answer.', registry=registry
+        )
--- /dev/null
+++ b/camphorpath/relay/sockets.py
@@ -0,0 +1,161 @@
+"""Non-blocking TCP sockets whose state is known exactly.
+
+A relay must know whether a byte has left, whether an idle connection has unread bytes, and must be
+able to end a connection at once; streams with buffers of their own hide this.
+"""
+
+import contextlib
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+import anyio
+import anyio.abc
+
+from ..errors import UserError
+
+READ_BYTES = 65536
+BACKLOG = 512
+# An unanswered peer ends a connection after about this time, in seconds; the deployment gives 3 s
+# to notice a lost contact.
+SILENCE_LIMIT_S = 3
+KEEPALIVE_INTERVAL_S = 1
+MS_PER_S = 1000
+# A reset instead of an orderly end.
+LINGER_RESET = struct.pack('ii', 1, 0)
+ACCEPT_PAUSE_S = 0.05
+
+
+class Connection:
+    """One TCP connection."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        """Take over a connected socket."""
+        self._sock = sock
+        self.is_closed = False
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, SILENCE_LIMIT_S - 1)
+
+    async def receive(self) -> bytes:
+        """Return the next bytes, none at the end; raise OSError if the connection was lost."""
+        while True:
+            with contextlib.suppress(BlockingIOError):
+                return self._sock.recv(READ_BYTES)
+            await anyio.wait_readable(self._sock)
+
+    def try_send(self, payload: bytes | memoryview) -> int:
+        """Send what fits now and return the number of bytes."""
+        try:
+            return self._sock.send(payload)
+        except BlockingIOError:
+            return 0
+
+    async def send_all(self, payload: bytes) -> None:
+        """Send all bytes; raise OSError if the connection was lost."""
+        rest = memoryview(payload)
+        while rest:
+            sent = self.try_send(rest)
+            rest = rest[sent:]
+            if rest:
+                await anyio.wait_writable(self._sock)
+
+    async def wait_either(self) -> None:
+        """Return when the connection can be read or written."""
+        async with anyio.create_task_group() as group:
+            for wait in (anyio.wait_readable, anyio.wait_writable):
+                group.start_soon(self._wait_one, wait, group.cancel_scope)
+
+    def has_input(self) -> bool:
+        """Return whether unread bytes, the end or an error stand at an idle connection."""
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+    def close(self, *, reset: bool = False) -> None:
+        """Close the connection, by a reset if its peer must not take it for an orderly end."""
+        if self.is_closed:
+            return
+        self.is_closed = True
+        with contextlib.suppress(OSError):
+            anyio.notify_closing(self._sock)
+        if reset:
+            with contextlib.suppress(OSError):
+                self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+        self._sock.close()
+
+    def finish_sending(self) -> None:
+        """Tell the peer that nothing more comes."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_WR)
+
+    async def _wait_one(
+        self, wait: Callable[[socket.socket], Awaitable[None]], scope: anyio.CancelScope
+    ) -> None:
+        await wait(self._sock)
+        scope.cancel()
+
+
+async def open_connection(host: str, port: int, timeout_s: float) -> Connection:
+    """Connect; raise OSError, or TimeoutError after `timeout_s` seconds."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    try:
+        with anyio.fail_after(timeout_s):
+            with contextlib.suppress(BlockingIOError):
+                sock.connect((host, port))
+            await anyio.wait_writable(sock)
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                raise OSError(code, f'connect to {host}:{port}')
+            return Connection(sock)
+    except BaseException:
+        sock.close()
+        raise
+
+
+def open_listener(address: str) -> socket.socket:
+    """Return a listening socket; raise UserError if the address cannot be used."""
+    host, _, port = address.rpartition(':')
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((host, int(port)))
+    except OSError as error:
+        listener.close()
+        raise UserError(f'cannot listen on {address}: {error.strerror}', step='listen') from error
+    listener.listen(BACKLOG)
+    listener.setblocking(False)
+    return listener
+
+
+async def accept_connections(
+    listener: socket.socket,
+    serve: Callable[[Connection], Awaitable[None]],
+    group: anyio.abc.TaskGroup,
+    on_error: Callable[[OSError], None],
+) -> None:
+    """Start a task for each connection, until cancelled or the listener is closed."""
+    while True:
+        try:
+            await anyio.wait_readable(listener)
+        except (anyio.ClosedResourceError, ValueError):
+            return
+        while True:
+            try:
+                sock, _peer = listener.accept()
+            except BlockingIOError:
+                break
+            except OSError as error:
+                on_error(error)
+                # Out of descriptors: connections must end first.
+                await anyio.sleep(ACCEPT_PAUSE_S)
+                break
+            group.start_soon(serve, Connection(sock))
--- /dev/null
+++ b/camphorpath/relay/upstream.py
@@ -0,0 +1,218 @@
+"""Connections to upstreams, and one exchange on one of them."""
+
+import re
+from collections.abc import AsyncIterator
+
+import attrs
+import h11
+
+from ..clocks import read_lease_clock
+from ..errors import AnswerTooLarge, NotSent, SentUnknown, Truncated
+from ..routing import Upstream
+from .headers import Headers, find_header
+from .sockets import Connection, open_connection
+
+# Connecting within a region takes a few ms; a lost opening packet is sent again after a second.
+CONNECT_TIMEOUT_S = 0.6
+# Idle connections are kept shorter than upstreams state, as a request may cross their close.
+KEEP_MARGIN_S = 1.0
+USUAL_KEEP_S = 4.0
+# A request that must not be repeated uses only a connection that was busy a moment ago.
+FRESH_S = 1.0
+MAX_IDLE = 16
+KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d+)')
+
+
+@attrs.define(eq=False)
+class UpstreamConnection:
+    """A connection to an upstream, with at most one request on it."""
+
+    connection: Connection
+    address: str
+    http: h11.Connection = attrs.field(factory=lambda: h11.Connection(h11.CLIENT))
+    keep_s: float = USUAL_KEEP_S
+    idle_since: float = 0
+    was_used: bool = False
+    _request: h11.Request | None = None
+    _unsent: bytes = b''
+
+    def send(self, request: h11.Request, body: bytes) -> None:
+        """Begin to send a request; the rest leaves while the answer is read.
+
+        Raises NotSent if no byte left.
+        """
+        self._request = request
+        payload = self.http.send(request)
+        if body:
+            payload += self.http.send(h11.Data(data=body)) or b''
+        payload += self.http.send(h11.EndOfMessage()) or b''
+        try:
+            sent = self.connection.try_send(payload)
+        except OSError as error:
+            raise NotSent(repr(error), step='send', peer=self.address) from error
+        self._unsent = payload[sent:]
+
+    async def read_event(self) -> object:
+        """Return the next event of the answer; raise OSError or h11.RemoteProtocolError."""
+        while True:
+            event = self.http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            while self._unsent:
+                await self.connection.wait_either()
+                sent = self.connection.try_send(self._unsent)
+                self._unsent = self._unsent[sent:]
+                if self.connection.has_input():
+                    break
+            self.http.receive_data(await self.connection.receive())
+
+    async def skip_answer(self) -> None:
+        """Read off a whole answer that belongs to an earlier request."""
+        event: object = None
+        while not isinstance(event, h11.EndOfMessage):
+            event = await self.read_event()
+            if isinstance(event, h11.ConnectionClosed):
+                raise h11.RemoteProtocolError('closed after an answer to another request')
+        rest, is_closed = self.http.trailing_data
+        # h11 expects one answer a request: its state is built anew, with the rest of the bytes.
+        self.http = h11.Connection(h11.CLIENT)
+        self.http.send(self._request)
+        if rest:
+            self.http.receive_data(rest)
+        if is_closed:
+            self.http.receive_data(b'')
+
+    def make_reusable(self) -> bool:
+        """Prepare for the next request; return whether the connection can carry one."""
+        is_done = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
+        if not is_done or self._unsent or self.http.trailing_data[0]:
+            return False
+        self.http.start_next_cycle()
+        self.idle_since = read_lease_clock()
+        self.was_used = True
+        return not self.connection.has_input()
+
+
+@attrs.define(eq=False)
+class UpstreamAnswer:
+    """The head of an answer; its body can be read once."""
+
+    status: int
+    headers: Headers
+    peer: str
+    _carrier: UpstreamConnection
+    is_complete: bool = False
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives; raise Truncated if it breaks off."""
+        while True:
+            try:
+                event = await self._carrier.read_event()
+            except (OSError, h11.RemoteProtocolError) as error:
+                raise Truncated(repr(error), step='receive_body', peer=self.peer) from error
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+                continue
+            if isinstance(event, h11.EndOfMessage):
+                self.is_complete = True
+                return
+            raise Truncated('the answer ended early', step='receive_body', peer=self.peer)
+
+    async def read_all(self, max_bytes: int) -> bytes:
+        """Return the whole body; raise Truncated, or AnswerTooLarge above `max_bytes`."""
+        parts = bytearray()
+        async for chunk in self.chunks():
+            parts += chunk
+            if len(parts) > max_bytes:
+                message = f'the answer is longer than {max_bytes} bytes'
+                raise AnswerTooLarge(message, step='receive_body', peer=self.peer)
+        return bytes(parts)
+
+
+@attrs.define
+class UpstreamPool:
+    """Idle connections by upstream address."""
+
+    # Connections opened since the start.
+    opened: int = 0
+    _idle: dict[str, list[UpstreamConnection]] = attrs.field(factory=dict)
+
+    async def acquire(self, upstream: Upstream, *, is_fresh: bool) -> UpstreamConnection:
+        """Return a connection without a request; `is_fresh`: idle for a moment at most.
+
+        Raises NotSent if none can be opened.
+        """
+        idle = self._idle.get(upstream.address, [])
+        now = read_lease_clock()
+        while idle:
+            carrier = idle.pop()
+            age = now - carrier.idle_since
+            limit_s = FRESH_S if is_fresh else carrier.keep_s
+            if age < limit_s and not carrier.connection.has_input():
+                return carrier
+            carrier.connection.close()
+        try:
+            connection = await open_connection(upstream.host, upstream.port, CONNECT_TIMEOUT_S)
+        except (OSError, TimeoutError) as error:
+            raise NotSent(repr(error), step='connect', peer=upstream.address) from error
+        self.opened += 1
+        return UpstreamConnection(connection, upstream.address)
+
+    def release(self, carrier: UpstreamConnection, *, is_complete: bool) -> None:
+        """Keep a connection whose answer is complete, close any other."""
+        idle = self._idle.setdefault(carrier.address, [])
+        if is_complete and len(idle) < MAX_IDLE and carrier.make_reusable():
+            idle.append(carrier)
+            return
+        carrier.connection.close(reset=not is_complete)
+
+    def close_idle(self, now: float) -> None:
+        """Close connections that were idle for too long."""
+        for address, idle in list(self._idle.items()):
+            kept = []
+            for carrier in idle:
+                if now - carrier.idle_since < carrier.keep_s:
+                    kept.append(carrier)
+                else:
+                    carrier.connection.close()
+            if kept:
+                self._idle[address] = kept
+            else:
+                self._idle.pop(address)
+
+
+async def read_answer(
+    carrier: UpstreamConnection, attempt_id: bytes, name: bytes
+) -> UpstreamAnswer:
+    """Return the answer to the request on a connection; raise SentUnknown.
+
+    An answer that names another attempt in the header `name` belongs to an earlier request and is
+    read off.
+    """
+    try:
+        event = await _read_own_head(carrier, attempt_id, name)
+    except (OSError, h11.RemoteProtocolError) as error:
+        raise SentUnknown(repr(error), step='receive_head', peer=carrier.address) from error
+    headers = list(event.headers)
+    _note_keep_alive(carrier, headers)
+    return UpstreamAnswer(event.status_code, headers, carrier.address, carrier)
+
+
+async def _read_own_head(
+    carrier: UpstreamConnection, attempt_id: bytes, name: bytes
+) -> h11.Response:
+    while True:
+        event = await carrier.read_event()
+        if isinstance(event, h11.InformationalResponse):
+            continue
+        if not isinstance(event, h11.Response):
+            raise h11.RemoteProtocolError('closed without an answer')
+        if find_header(event.headers, name) in {attempt_id, b''}:
+            return event
+        await carrier.skip_answer()
+
+
+def _note_keep_alive(carrier: UpstreamConnection, headers: Headers) -> None:
+    found = KEEP_ALIVE_TIMEOUT.search(find_header(headers, b'keep-alive'))
+    if found is not None:
+        carrier.keep_s = max(int(found.group(1)) - KEEP_MARGIN_S, 0)
--- a/camphorpath/ui/cli.py
+++ b/camphorpath/ui/cli.py
@@ -6,11 +6,11 @@
 
 from .. import __version__
 from ..errors import UserError
-from . import check, config, defaults, serve, status, timeline
+from . import check, config, defaults, edge, serve, status, timeline
 
 # Each module has `add_parser(subparsers)`, which sets `func`: a function from the parsed
 # options to the exit code.
-COMMANDS = (serve, check, defaults, config, status, timeline)
+COMMANDS = (serve, edge, check, defaults, config, status, timeline)
 
 
 def main(argv: Sequence[str] | None = None) -> int:
