Test placement, routing, relay, cluster and the adapter without the bench

Change: tests with raw upstreams and callers, fakes of the store, and properties of the quota. They showed that a head above the limit was taken when it came at once (h11 limits only a head in parts), and that an empty table passed for a list; both are mended. The log takes its descriptor.

--- a/camphorpath/edge/output.py
+++ b/camphorpath/edge/output.py
@@ -17,11 +17,13 @@
 
 
 class LogOutput:
-    """A bounded queue of lines before standard output."""
+    """A bounded queue of lines before a descriptor that never blocks."""
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, descriptor: int) -> None:
         """Write the lines of the daemon `name`."""
+        os.set_blocking(descriptor, False)
         self.dropped = 0
+        self._descriptor = descriptor
         self._name = name
         self._lines: collections.deque[bytes] = collections.deque()
         self._rest = b''
@@ -52,7 +54,7 @@
             if not self._rest:
                 self._rest = self._lines.popleft()
             try:
-                written = os.write(sys.stdout.fileno(), self._rest)
+                written = os.write(self._descriptor, self._rest)
             except BlockingIOError:
                 return
             except OSError:
@@ -78,8 +80,7 @@
 
 def open_output(name: str, level: str) -> LogOutput:
     """Send the log of this process to standard output, one JSON object a line."""
-    os.set_blocking(sys.stdout.fileno(), False)
-    output = LogOutput(name)
+    output = LogOutput(name, sys.stdout.fileno())
     logger.remove()
     logger.add(output.write, level=level, format='', backtrace=False, diagnose=False)
     return output
--- a/camphorpath/platform/fields.py
+++ b/camphorpath/platform/fields.py
@@ -46,7 +46,9 @@
 
     def items(self, name: str) -> list[Any]:
         """Return a list; a missing one is empty."""
-        found = self._table.get(name) or []
+        found = self._table.get(name)
+        if found is None:
+            return []
         if not isinstance(found, list):
             raise self._report(name, 'is not a list')
         return found
--- a/camphorpath/relay/caller.py
+++ b/camphorpath/relay/caller.py
@@ -73,6 +73,9 @@
             return None
         headers = list(head.headers)
         names = [name for name, _text in headers]
+        # h11 limits only a head that comes in several parts.
+        if sum(len(name) + len(text) for name, text in headers) > self.limits.max_head_bytes:
+            raise _refuse('the head is too large', STATUS_HEAD_TOO_LARGE)
         if b'content-length' in names and b'transfer-encoding' in names:
             # Two lengths are a way to hide a request within another one.
             raise _refuse('both a length and a transfer encoding', STATUS_BAD_REQUEST)
--- /dev/null
+++ b/tests/cluster/test_members.py
@@ -0,0 +1,55 @@
+from camphorpath.cluster.members import Members
+from camphorpath.schema import camphorpath_pb2 as pb
+
+
+def make_beat(name='d1', incarnation='1', sequence=1, **fields):
+    given = {'host': f'h-{name}', 'zone': 'a', 'ready': True, 'cores': 1}
+    return pb.EdgeHeartbeat(
+        name=name, incarnation=incarnation, sequence=sequence, **{**given, **fields}
+    )
+
+
+def test_silent_daemon_is_lost_and_comes_back():
+    """Guards against upstreams that stay with a daemon that is gone."""
+    members = Members('me')
+    members.observe(make_beat(), 0)
+    assert not members.expire(0.9)
+    assert len(members.expire(1.1)) == 1
+    members.observe(make_beat(sequence=2), 2)
+    assert [one.name for one in members.list_candidates()] == ['d1']
+
+
+def test_late_heartbeats_do_not_undo_newer_ones():
+    """Guards against a stopping daemon that gets calls because an old datagram came late."""
+    members = Members('me')
+    members.observe(make_beat(sequence=5, stopping=True), 0)
+    members.observe(make_beat(sequence=4), 0.1)
+    assert not members.list_candidates()
+
+
+def test_new_incarnation_replaces_the_old_one_for_good():
+    """Guards against a heartbeat of the process before a restart that hides the one after it."""
+    members = Members('me')
+    members.observe(make_beat(incarnation='old', sequence=9), 0)
+    replaced = members.observe(make_beat(incarnation='new'), 1)
+    assert replaced.beat.incarnation == 'old'
+    assert members.observe(make_beat(incarnation='old', sequence=10), 1.1) is None
+    assert members.known['d1'].beat.incarnation == 'new'
+
+
+def test_own_pause_is_not_taken_for_silence_of_all():
+    """Guards against a daemon that wakes, believes to be alone and takes all upstreams."""
+    members = Members('me')
+    members.observe(make_beat(), 0)
+    members.shift(5)
+    assert not members.expire(5.2)
+
+
+def test_intervals_grow_with_the_fleet():
+    """Guards against heartbeats that take the processor of a small machine in a large fleet."""
+    members = Members('me')
+    small = members.interval_s
+    for number in range(300):
+        members.observe(make_beat(f'd{number}'), 0)
+    assert small == 0.25
+    assert len(members.known) / members.interval_s <= 100
--- /dev/null
+++ b/tests/placement/test_quota.py
@@ -0,0 +1,92 @@
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from camphorpath.placement.quota import QuotaBounds, QuotaLedger
+from camphorpath.routing import Customer
+
+BOUNDS = QuotaBounds(window_s=8, overshoot=0.1, allowance=1000)
+STRICT = QuotaBounds(window_s=8, overshoot=0, allowance=0)
+
+
+def make_customer(rate=100, burst=100):
+    return Customer(
+        name='c', priority=0, rate=rate, burst=burst, counts_tokens=True, default_units=10
+    )
+
+
+def find_most(admitted, window_s):
+    return max(
+        sum(units for at, units in admitted if start <= at < start + window_s)
+        for start, _units in admitted
+    )
+
+
+@hypothesis.given(
+    asks=strategies.lists(
+        strategies.tuples(strategies.floats(0, 0.5), strategies.floats(1, 90)), min_size=1
+    ),
+    restart=strategies.integers(0, 40),
+)
+@pytest.mark.parametrize('bounds', [BOUNDS, STRICT])
+def test_no_window_exceeds_the_limit_over_a_restart(bounds, asks, restart):
+    """Guards against a quota that is spent twice because a restarted daemon forgot its use."""
+    customer = make_customer()
+    ledger = QuotaLedger(bounds, starts_full=True)
+    admitted = []
+    now = 0.0
+    for number, (gap, units) in enumerate(asks):
+        now += gap
+        if number == restart:
+            ledger = QuotaLedger(bounds, starts_full=False)
+            ledger.start(now)
+        if not ledger.admit(customer, units, now):
+            admitted.append((now, units))
+    limit = customer.rate * bounds.window_s + customer.burst
+    limit += bounds.overshoot * limit + bounds.allowance
+    assert not admitted or find_most(admitted, bounds.window_s) <= limit + 0.001
+
+
+def test_use_of_other_daemons_counts():
+    """Guards against a customer that gets its quota once from each daemon."""
+    customer = make_customer()
+    ledger = QuotaLedger(STRICT, starts_full=True)
+    ledger.take_report('d2-1', {'c': 0})
+    assert ledger.admit(customer, 40, 0) == 0
+    ledger.take_report('d2-1', {'c': 50})
+    assert ledger.admit(customer, 20, 0) > 0
+    assert ledger.admit(customer, 10, 0) == 0
+
+
+def test_use_before_the_first_report_is_not_counted_twice():
+    """Guards against a daemon that refuses everybody because a peer has run for a day."""
+    ledger = QuotaLedger(STRICT, starts_full=True)
+    customer = make_customer()
+    assert ledger.admit(customer, 1, 0) == 0
+    ledger.take_report('d2-1', {'c': 10**9})
+    assert ledger.admit(customer, 1, 0) == 0
+
+
+def test_refusal_names_when_the_units_are_there():
+    """Guards against a Retry-After after which the caller is refused again."""
+    customer = make_customer()
+    ledger = QuotaLedger(STRICT, starts_full=True)
+    assert ledger.admit(customer, 100, 0) == 0
+    wait_s = ledger.admit(customer, 50, 0)
+    assert wait_s == pytest.approx(0.5)
+    assert ledger.admit(customer, 50, wait_s + 0.001) == 0
+
+
+def test_units_of_a_call_that_did_not_run_come_back():
+    """Guards against refused calls that use up the quota."""
+    customer = make_customer()
+    ledger = QuotaLedger(STRICT, starts_full=True)
+    assert ledger.admit(customer, 100, 0) == 0
+    ledger.give_back(customer, 100)
+    assert ledger.admit(customer, 100, 0) == 0
+
+
+def test_rate_of_zero_is_no_limit():
+    """Guards against customers without a quota that are refused."""
+    ledger = QuotaLedger(STRICT, starts_full=False)
+    assert ledger.admit(make_customer(rate=0), 10**9, 0) == 0
--- /dev/null
+++ b/tests/placement/test_scheduler.py
@@ -0,0 +1,206 @@
+import attrs
+import pytest
+
+from camphorpath.placement.ownership import Assignment
+from camphorpath.placement.records import Placed, TurnedAway, WaitingCall
+from camphorpath.placement.scheduler import Scheduler
+
+from .test_ownership import make_upstream
+
+
+class Bench:
+    """A scheduler with upstreams that it owns; time is set by the tests."""
+
+    def __init__(self, upstreams, owned=None):
+        self.scheduler = Scheduler(name='me', zone='a', regions={'a': 'r1', 'b': 'r2'})
+        owned = [one.upstream_id for one in upstreams] if owned is None else owned
+        self.scheduler.set_upstreams(upstreams, Assignment({}, dict.fromkeys(owned, 'me')))
+        self.decisions = {}
+
+    def make_call(self, name, *, now=0.0, rank=(0, 0), objective_s=0.8, wait_s=1.6, **fields):
+        return WaitingCall(
+            call_id=name,
+            service='llm',
+            customer='',
+            rank=rank,
+            arrived_at=now,
+            objective_at=now + objective_s,
+            wait_until=now + wait_s,
+            deadline=now + 12,
+            prompt_tokens=1000,
+            output_tokens=100,
+            on_decision=lambda decision: self.decisions.__setitem__(name, decision),
+            **fields,
+        )
+
+    def submit(self, name, *, now=0.0, **fields):
+        call = self.make_call(name, now=now, **fields)
+        self.scheduler.submit(call, now)
+        return call
+
+    def where(self, name):
+        decision = self.decisions.get(name)
+        return decision.upstream.upstream_id if isinstance(decision, Placed) else None
+
+    def release(self, call, now):
+        self.scheduler.release(self.where(call.call_id), call, now)
+
+
+def test_slots_are_never_exceeded():
+    """Guards against calls that wait inside an upstream, where nothing orders them."""
+    bench = Bench([make_upstream(1), make_upstream(2)])
+    for number in range(10):
+        bench.submit(f'c{number}')
+    assert len(bench.decisions) == 8
+    assert bench.scheduler.count_waiting() == 2
+
+
+def test_urgent_call_goes_first():
+    """Guards against an urgent call that waits behind the work of a burst."""
+    bench = Bench([make_upstream(1, slots=1)])
+    first = bench.submit('first')
+    bench.submit('note', rank=(0, 2), now=0.01)
+    bench.submit('draft', rank=(0, 0), now=0.02)
+    bench.release(first, 0.1)
+    assert bench.where('draft')
+    assert 'note' not in bench.decisions
+
+
+def test_late_call_waits_behind_those_in_time():
+    """Guards against a burst after which every call is late because the late ones go first."""
+    bench = Bench([make_upstream(1, slots=1)])
+    first = bench.submit('first')
+    bench.submit('late', now=0.01, objective_s=0.1)
+    bench.submit('fresh', now=0.3)
+    bench.release(first, 0.35)
+    assert bench.where('fresh')
+
+
+def test_nothing_starves_under_lasting_overload():
+    """Guards against a low class that is never served while a higher one fills every slot."""
+    bench = Bench([make_upstream(1, slots=1)])
+    running = bench.submit('first')
+    bench.submit('note', rank=(0, 2), now=0.001, wait_s=100)
+    for number in range(20):
+        now = 0.01 * (number + 1)
+        following = bench.submit(f'draft{number}', now=now, wait_s=100)
+        bench.release(running, now + 0.005)
+        if bench.where('note'):
+            return
+        running = following if bench.where(following.call_id) else running
+    pytest.fail('the low class was not served in 20 slots')
+
+
+def test_hopeless_call_is_turned_away_at_once():
+    """Guards against a call that is held until its caller gives up."""
+    bench = Bench([make_upstream(1, slots=1)])
+    running = bench.submit('first')
+    for number in range(4):
+        bench.submit(f'next{number}', now=0.1 * number)
+        bench.release(running, 0.1 * number + 0.05)
+    for number in range(40):
+        bench.submit(f'more{number}', now=0.5)
+    refused = [one for one in bench.decisions.values() if isinstance(one, TurnedAway)]
+    assert refused
+    assert all(0 < one.retry_after_s <= 12 / 3 for one in refused)
+
+
+def test_call_that_waited_too_long_is_turned_away():
+    """Guards against a call that waits for a slot that never comes."""
+    bench = Bench([make_upstream(1, slots=1)])
+    bench.submit('first')
+    bench.submit('second', now=0.0, wait_s=0.5)
+    bench.scheduler.expire(0.49)
+    assert 'second' not in bench.decisions
+    bench.scheduler.expire(0.5)
+    assert isinstance(bench.decisions['second'], TurnedAway)
+
+
+def test_never_refused_while_a_slot_is_free():
+    """Guards against a refusal that names load while an upstream stands idle."""
+    bench = Bench([make_upstream(1)])
+    bench.submit('one', wait_s=0)
+    assert bench.where('one')
+
+
+def test_borrowed_slots_are_those_that_the_owner_lent():
+    """Guards against many daemons that fill an upstream that looked idle to each of them."""
+    bench = Bench([make_upstream(1, 'b')], owned=[])
+    bench.submit('early', wait_s=0.1)
+    assert bench.where('early') is None
+    bench.scheduler.take_loads('other-1', {'i-1': (0, 2)})
+    for number in range(5):
+        bench.submit(f'c{number}')
+    assert sum(1 for name in bench.decisions if bench.where(name)) == 2
+
+
+def test_calls_of_other_daemons_occupy_slots():
+    """Guards against an owner that forgets what its predecessor still runs there."""
+    bench = Bench([make_upstream(1, slots=4)])
+    bench.scheduler.take_loads('other-1', {'i-1': (3, 0)})
+    bench.submit('one')
+    bench.submit('two')
+    assert bench.where('one')
+    assert not bench.where('two')
+    bench.scheduler.forget_daemon('other-1')
+    bench.scheduler.pump(0.1)
+    assert bench.where('two')
+
+
+def test_slots_are_lent_only_while_nothing_waits():
+    """Guards against borrowers that take slots from calls that wait at the owner."""
+    bench = Bench([make_upstream(1, slots=4)])
+    assert bench.scheduler.report_loads(1, 0)['i-1'] == (0, 3)
+    for number in range(5):
+        bench.submit(f'c{number}')
+    assert bench.scheduler.report_loads(1, 0)['i-1'] == (4, 0)
+
+
+def test_failing_upstream_is_set_aside_and_comes_back():
+    """Guards against an upstream that fails every call with a good health check."""
+    bench = Bench([make_upstream(1), make_upstream(2), make_upstream(3)])
+    health = bench.scheduler.slots['i-1'].health
+    for _ in range(3):
+        health.fail(0)
+    for number in range(8):
+        bench.submit(f'c{number}')
+    assert 'i-1' not in {bench.where(name) for name in bench.decisions}
+    assert health.allows(0.6)
+
+
+def test_set_aside_upstreams_are_used_when_most_fail():
+    """Guards against a service that is refused as a whole because its calls fail by themselves."""
+    bench = Bench([make_upstream(1), make_upstream(2)])
+    for slots in bench.scheduler.slots.values():
+        for _ in range(3):
+            slots.health.fail(0)
+    bench.submit('one')
+    assert bench.where('one')
+
+
+def test_silent_upstream_gets_no_further_calls():
+    """Guards against an upstream without power that collects calls until they time out."""
+    bench = Bench([make_upstream(1, slots=8)])
+    bench.submit('first')
+    bench.submit('second', now=3)
+    assert not bench.where('second')
+
+
+def test_leaving_upstream_gets_no_calls():
+    """Guards against work that is sent to an upstream that is about to stop."""
+    bench = Bench([attrs.evolve(make_upstream(1), is_leaving=True)])
+    bench.submit('one')
+    assert isinstance(bench.decisions['one'], TurnedAway)
+
+
+def test_probe_that_was_withdrawn_does_not_block_the_next():
+    """Guards against an upstream that is set aside for ever after the caller of its probe left."""
+    bench = Bench([make_upstream(1), make_upstream(2), make_upstream(3)])
+    slots = bench.scheduler.slots['i-1']
+    for _ in range(3):
+        slots.health.fail(0)
+    slots.send('probe', 0, 1)
+    assert not slots.health.allows(1)
+    call = bench.make_call('probe')
+    bench.scheduler.release('i-1', call, 1.1)
+    assert slots.health.allows(1.2)
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,79 @@
+import pytest
+import yaml
+
+from camphorpath.errors import UserError
+from camphorpath.platform.settings import SETTINGS_VARIABLE, load_edge_settings
+
+DOCUMENT = {
+    'node_name': 'edge-1',
+    'zone': 'a',
+    'region': 'r',
+    'zones': {'a': 'r'},
+    'ip_address': '10.0.0.1',
+    'listen_addresses': {
+        'frontend': '10.0.0.1:1',
+        'ready': '10.0.0.1:2',
+        'control_plane': '10.0.0.1:3',
+        'directory_service': '10.0.0.1:4',
+    },
+    'internal_port_range': [7600, 7615],
+    'seed_nodes': ['10.0.0.2:3'],
+    'is_bootstrap': True,
+    'limits': {'cpu_quota': 0.5, 'core_count': 2, 'max_fds': 4100},
+    'platform': {'address': '10.0.9.9:5'},
+    'bounds': {
+        'contact_timeout_ms': 3000,
+        'drain_timeout_ms': 2500,
+        'grace_period_s': 8,
+        'ttl_max_s': 5,
+        'retry_budget_ratio': 0.2,
+        'retry_window_s': 10,
+        'retry_allowance': 56,
+        'quota_window_s': 8,
+        'quota_overshoot': 0.1,
+        'quota_allowance': 190000,
+    },
+    'new_field': {'ignored': True},
+}
+
+
+def write(path, document):
+    path.write_text(document if isinstance(document, str) else yaml.safe_dump(document))
+    return str(path)
+
+
+def test_settings_are_decoded(tmp_path, monkeypatch):
+    """Guards against settings in the wrong unit, and a failure at fields that are new."""
+    monkeypatch.setenv(SETTINGS_VARIABLE, write(tmp_path / 's.yaml', DOCUMENT))
+    settings = load_edge_settings()
+    assert settings.heartbeat_port == 7600
+    assert settings.cores == 1
+    assert settings.bounds.drain_timeout_s == 2.5
+    assert settings.store_url == 'http://10.0.9.9:5'
+    assert settings.seeds == ('10.0.0.2:3',)
+
+
+@pytest.mark.parametrize(
+    'document',
+    [
+        '{',
+        '[]',
+        {name: DOCUMENT[name] for name in DOCUMENT if name != 'zone'},
+        {**DOCUMENT, 'limits': {'cpu_quota': 'much'}},
+        {**DOCUMENT, 'internal_port_range': []},
+    ],
+)
+def test_unusable_settings_are_a_user_error(tmp_path, document):
+    """Guards against a daemon that starts with settings that it could not read."""
+    path = write(tmp_path / 's.yaml', document)
+    with pytest.raises(UserError, match=r's\.yaml'):
+        load_edge_settings(path)
+
+
+def test_missing_file_is_a_user_error(tmp_path, monkeypatch):
+    """Guards against a traceback where one line says what is missing."""
+    monkeypatch.delenv(SETTINGS_VARIABLE, raising=False)
+    with pytest.raises(UserError):
+        load_edge_settings()
+    with pytest.raises(UserError):
+        load_edge_settings(str(tmp_path / 'none.yaml'))
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,119 @@
+import base64
+
+import anyio
+import httpx
+import orjson
+import pytest
+
+from camphorpath.errors import HistoryGone, TableDown, TableUnsure
+from camphorpath.platform.store import MetadataStore
+
+
+def make_row(key, content=b'x', revision=1, **fields):
+    return {
+        'table_name': 't',
+        'part': '',
+        'key': key,
+        'value': base64.b64encode(content).decode(),
+        'row_version': revision,
+        **fields,
+    }
+
+
+def run(test, answer):
+    """Run a test with a store whose calls `answer` replies to."""
+
+    async def guarded():
+        store = MetadataStore('http://store', httpx.MockTransport(answer))
+        with anyio.fail_after(10):
+            await test(store)
+        await store.close()
+
+    anyio.run(guarded)
+
+
+def reply(document, status=200):
+    return httpx.Response(status, content=orjson.dumps(document))
+
+
+def test_pages_are_joined():
+    """Guards against rows beyond the first page that are taken as removed."""
+
+    def answer(request):
+        if request.url.params.get('range_start') == 'a\0':
+            return reply({'rows': [make_row('b')], 'row_version': 8, 'has_more': False})
+        return reply({'rows': [make_row('a')], 'row_version': 7, 'has_more': True})
+
+    async def test(store):
+        rows = await store.read_table('t')
+        assert [row.key for row in rows.rows] == ['a', 'b']
+        assert rows.revision == 8
+
+    run(test, answer)
+
+
+def test_removed_and_unreadable_rows():
+    """Guards against one row that nobody can decode and that hides all others."""
+
+    def answer(request):
+        rows = [
+            make_row('gone', is_deleted=True),
+            make_row('bad', value='%%%'),
+            make_row('good', b'1', 5),
+        ]
+        return reply({'rows': rows, 'row_version': 9})
+
+    async def test(store):
+        rows = (await store.read_changes('t', 3, 1)).rows
+        assert [row.value for row in rows] == [None, b'', b'1']
+
+    run(test, answer)
+
+
+@pytest.mark.parametrize('status', [429, 500, 503])
+def test_refused_call_had_no_effect(status):
+    """Guards against a write that counts as made though the store refused it."""
+
+    async def test(store):
+        with pytest.raises(TableDown):
+            await store.read_table('t')
+        with pytest.raises(TableDown):
+            await store.write_row('t', 'k', b'1')
+
+    run(test, lambda request: reply({}, status))
+
+
+def test_dropped_history_is_told():
+    """Guards against changes that are missed because the feed goes on after a gap."""
+
+    async def test(store):
+        with pytest.raises(HistoryGone):
+            await store.read_changes('t', 3, 1)
+
+    run(test, lambda request: reply({}, 410))
+
+
+def test_lost_answer_of_a_write_leaves_it_unsure():
+    """Guards against a write that counts as not made though it may have been."""
+
+    def answer(request):
+        raise httpx.ReadError('reset')
+
+    async def test(store):
+        with pytest.raises(TableUnsure):
+            await store.write_row('t', 'k', None)
+
+    run(test, answer)
+
+
+@pytest.mark.parametrize(
+    'content', [b'', b'[]', b'{"rows": 5}', b'{"rows": [{}], "row_version": 1}']
+)
+def test_unreadable_answer_is_an_outage(content):
+    """Guards against a fault of the program where the store answers nonsense."""
+
+    async def test(store):
+        with pytest.raises(TableDown):
+            await store.read_table('t')
+
+    run(test, lambda request: httpx.Response(200, content=content))
--- /dev/null
+++ b/tests/relay/support.py
@@ -0,0 +1,219 @@
+"""A relay in this process between raw upstreams and raw callers."""
+
+import asyncio
+import contextlib
+
+import anyio
+import attrs
+
+from camphorpath.events import EventLog
+from camphorpath.placement.budget import RetryBudget
+from camphorpath.placement.ownership import Assignment
+from camphorpath.placement.quota import QuotaBounds, QuotaLedger
+from camphorpath.placement.scheduler import Scheduler
+from camphorpath.relay.context import RelayContext
+from camphorpath.relay.dialect import Dialect
+from camphorpath.relay.metrics import RelayMetrics
+from camphorpath.relay.server import serve_calls
+from camphorpath.relay.sockets import open_listener
+from camphorpath.relay.upstream import UpstreamPool
+from camphorpath.routing import CallerLimits, CallKind, Customer, Upstream
+
+from ..routing.test_table import make_route, make_table
+
+GUARD_S = 20
+SIGNED = b'Signature: s\r\n'
+
+DIALECT = Dialect(
+    attempt_id=b'attempt',
+    deadline_ms=b'deadline-ms',
+    key=b'key',
+    tokens=b'tokens',
+    length_hint=b'hint',
+    last_event_id=b'last-event-id',
+    customer=b'customer',
+    expected_upstream=b'expected',
+    signature=b'signature',
+    not_run=b'not-run',
+    load=b'load',
+    reserved=frozenset((b'reserved',)),
+)
+ROUTES = (
+    make_route('/read/', max_attempts=2),
+    make_route('/write/', kind=CallKind.NON_IDEMPOTENT),
+    make_route('/twice/', kind=CallKind.NON_IDEMPOTENT, max_attempts=2),
+    make_route('/stream/', kind=CallKind.STREAM, max_attempts=2, is_resumable=True),
+    make_route('/once/', kind=CallKind.STREAM),
+    make_route('/keyed/', needs_key=True),
+)
+CUSTOMER = Customer(name='acme', priority=0, rate=0, burst=0, counts_tokens=False, default_units=0)
+
+
+def run(test):
+    """Run an async test; one that hangs fails after GUARD_S."""
+
+    async def guarded():
+        with anyio.fail_after(GUARD_S):
+            await test()
+
+    anyio.run(guarded)
+
+
+async def wait_for(condition, limit_s=GUARD_S):
+    with anyio.fail_after(limit_s):
+        while not condition():  # noqa: ASYNC110  the condition has no event
+            await anyio.sleep(0.005)
+
+
+@attrs.define
+class RawUpstream:
+    """A server whose behaviour is a function for each connection."""
+
+    host: str
+    port: int
+    requests: list = attrs.field(factory=list)
+    # Instants at which the relay closed a connection.
+    closed: int = 0
+
+    async def read_request(self, reader):
+        head = await reader.readuntil(b'\r\n\r\n')
+        body = b''
+        for line in head.lower().split(b'\r\n'):
+            if line.startswith(b'content-length:'):
+                body = await reader.readexactly(int(line.partition(b':')[2]))
+        self.requests.append((head, body))
+        return head
+
+    async def wait_closed(self, reader):
+        with contextlib.suppress(ConnectionError):
+            while await reader.read(1000):
+                continue
+        self.closed += 1
+
+
+@contextlib.asynccontextmanager
+async def open_upstream(behave):
+    """Serve `behave(upstream, reader, writer)` on each connection."""
+
+    async def accept(reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            await behave(upstream, reader, writer)
+        writer.close()
+
+    server = await asyncio.start_server(accept, '127.0.0.1', 0)
+    upstream = RawUpstream(*server.sockets[0].getsockname()[:2])
+    try:
+        yield upstream
+    finally:
+        server.close()
+
+
+def answer_with(*answers):
+    """Return a behaviour that sends fixed bytes for each request, in turn over all connections."""
+    left = list(answers)
+
+    async def behave(upstream, reader, writer):
+        while left:
+            await upstream.read_request(reader)
+            reply = left.pop(0)
+            if reply is None:
+                return
+            writer.write(reply)
+            await writer.drain()
+
+    return behave
+
+
+def make_answer(body=b'ok', status=b'200 OK', attempt=b'1', extra=b''):
+    head = b'HTTP/1.1 %b\r\nAttempt: %b\r\n%b%bContent-Length: %d\r\n\r\n'
+    return head % (status, attempt, SIGNED, extra, len(body)) + body
+
+
+def make_context(upstreams, limits=None):
+    scheduler = Scheduler(name='me', zone='a', regions={})
+    entries = [
+        Upstream(
+            upstream_id=f'i-{number}',
+            service='llm',
+            host=one.host,
+            port=one.port,
+            zone='a',
+            slots=4,
+            is_leaving=False,
+        )
+        for number, one in enumerate(upstreams)
+    ]
+    owners = {entry.upstream_id: 'me' for entry in entries}
+    scheduler.set_upstreams(entries, Assignment({}, owners))
+    for number, entry in enumerate(entries):
+        # The first upstream is the fastest, so that the order of attempts is known.
+        scheduler.slots[entry.upstream_id].speed.first_s = 0.01 * (number + 1)
+        scheduler.slots[entry.upstream_id].speed.samples = 1
+    return RelayContext(
+        dialect=DIALECT,
+        scheduler=scheduler,
+        quota=QuotaLedger(QuotaBounds(window_s=8, overshoot=0, allowance=0), starts_full=True),
+        budget=RetryBudget(ratio=0.2, window_s=10, allowance=100),
+        pool=UpstreamPool(),
+        events=EventLog('test'),
+        metrics=RelayMetrics(),
+        count_daemons=lambda: 1,
+        table=make_table(*ROUTES, customers={'secret': CUSTOMER}, limits=limits or CallerLimits()),
+    )
+
+
+@contextlib.asynccontextmanager
+async def open_relay(*upstreams, limits=None):
+    """Serve callers; yields the context, with its port as `port`."""
+    context = make_context(upstreams, limits)
+    listener = open_listener('127.0.0.1:0')
+    async with anyio.create_task_group() as group:
+        group.start_soon(serve_calls, context, listener, group)
+        yield context, listener.getsockname()[1]
+        group.cancel_scope.cancel()
+    listener.close()
+
+
+def make_request(path=b'/read/x', attempt=b'1', headers=b'', body=b'', method=b'GET'):
+    head = b'%b %b HTTP/1.1\r\nHost: h\r\nAttempt: %b\r\nDeadline-Ms: 5000\r\n%b'
+    head %= (method, path, attempt, headers)
+    if body:
+        head += b'Content-Length: %d\r\n' % len(body)
+    return head + b'\r\n' + body
+
+
+async def read_answer(reader):
+    """Return status, head and body of an answer with a length."""
+    head = await reader.readuntil(b'\r\n\r\n')
+    length = 0
+    for line in head.lower().split(b'\r\n'):
+        if line.startswith(b'content-length:'):
+            length = int(line.partition(b':')[2])
+    return int(head.split()[1]), head, await reader.readexactly(length)
+
+
+async def ask(port, request):
+    """Send one request on a new connection and return status, head and body."""
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(request)
+    try:
+        return await read_answer(reader)
+    finally:
+        writer.close()
+
+
+async def read_to_end(port, request):
+    """Send one request and return all bytes up to the end, and whether it was a reset."""
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(request)
+    received = b''
+    try:
+        while True:
+            chunk = await reader.read(1000)
+            received += chunk
+            if not chunk or received.endswith(b'0\r\n\r\n'):
+                return received, False
+    except ConnectionError:
+        return received, True
+    finally:
+        writer.close()
--- /dev/null
+++ b/tests/relay/test_calls.py
@@ -0,0 +1,322 @@
+import asyncio
+
+import anyio
+import pytest
+
+from camphorpath.routing import CallerLimits
+
+from .support import (
+    answer_with,
+    ask,
+    make_answer,
+    make_request,
+    open_relay,
+    open_upstream,
+    read_answer,
+    run,
+    wait_for,
+)
+
+
+def test_answer_is_passed_on_unchanged():
+    """Guards against an answer that lost its status, body or signature."""
+
+    async def test():
+        reply = make_answer(b'hello', b'201 Created', extra=b'Other: x\r\n')
+        async with open_upstream(answer_with(reply)) as upstream, open_relay(upstream) as relay:
+            status, head, body = await ask(relay[1], make_request())
+        assert (status, body) == (201, b'hello')
+        assert b'signature: s' in head.lower()
+        assert b'other: x' in head.lower()
+
+    run(test)
+
+
+def test_headers_that_the_relay_sets_replace_those_of_the_caller():
+    """Guards against a caller that names its own customer, upstream or deadline."""
+
+    async def test():
+        headers = b'Key: secret\r\nCustomer: root\r\nExpected: i-9\r\nReserved: 1\r\nMine: 2\r\n'
+        request = make_request(b'/keyed/x?q=1', headers=headers, body=b'abc', method=b'POST')
+        async with open_upstream(answer_with(make_answer())) as upstream:
+            async with open_relay(upstream) as relay:
+                await ask(relay[1], request)
+            head, body = upstream.requests[0]
+        lines = head.lower().split(b'\r\n')
+        assert lines[0] == b'post /keyed/x?q=1 http/1.1'
+        assert body == b'abc'
+        assert b'customer: acme' in lines
+        assert b'expected: i-0' in lines
+        assert b'mine: 2' in lines
+        assert b'host: h' in lines
+        assert not [line for line in lines if line.startswith((b'key:', b'reserved:'))]
+        deadline = [line for line in lines if line.startswith(b'deadline-ms:')]
+        assert len(deadline) == 1
+        assert int(deadline[0].split()[1]) <= 1000
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ('request_bytes', 'status'),
+    [
+        (make_request(b'/nowhere/x'), 404),
+        (make_request(b'/keyed/x'), 401),
+        (make_request(b'/keyed/x', headers=b'Key: other\r\n'), 401),
+        (make_request(headers=b'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n'), 400),
+        (b'GET  /read/x HTTP/1.1\r\n\r\n', 400),
+        (make_request(headers=b'Content-Length: 9999\r\n'), 413),
+        (make_request(headers=b'Long: ' + b'x' * 5000 + b'\r\n'), 431),
+    ],
+)
+def test_requests_that_are_not_served(request_bytes, status):
+    """Guards against requests that are passed on though they are not allowed or not sound."""
+
+    async def test():
+        limits = CallerLimits(max_head_bytes=2000, max_body_bytes=100)
+        async with open_upstream(answer_with(make_answer())) as upstream:
+            async with open_relay(upstream, limits=limits) as relay:
+                assert (await ask(relay[1], request_bytes))[0] == status
+            assert not upstream.requests
+
+    run(test)
+
+
+def test_without_manifest_the_answer_says_not_run():
+    """Guards against a daemon that answers 404 because it knows no route yet."""
+
+    async def test():
+        async with open_relay() as (context, port):
+            context.table = None
+            status, head, _body = await ask(port, make_request())
+        assert status == 503
+        assert b'retry-after' in head.lower()
+
+    run(test)
+
+
+def test_call_that_was_not_run_goes_to_another_upstream():
+    """Guards against a refusal although another upstream has room."""
+
+    async def test():
+        full = make_answer(b'', b'503 Full', extra=b'Not-Run: 1\r\nLoad: 4,2,4\r\n')
+        async with (
+            open_upstream(answer_with(full)) as first,
+            open_upstream(answer_with(make_answer(b'second'))) as second,
+            open_relay(first, second) as relay,
+        ):
+            status, _head, body = await ask(relay[1], make_request(b'/twice/x'))
+        assert (status, body) == (200, b'second')
+
+    run(test)
+
+
+def test_call_with_one_attempt_is_refused_as_not_run():
+    """Guards against a call that is sent to more upstreams than its route allows."""
+
+    async def test():
+        full = make_answer(b'', b'503 Full', extra=b'Not-Run: 1\r\n')
+        async with (
+            open_upstream(answer_with(full)) as first,
+            open_upstream(answer_with(make_answer())) as second,
+            open_relay(first, second) as relay,
+        ):
+            status, head, _body = await ask(relay[1], make_request(b'/write/x'))
+            assert not second.requests
+        assert status == 503
+        assert b'retry-after' in head.lower()
+
+    run(test)
+
+
+@pytest.mark.parametrize('path', [b'/write/x', b'/twice/x'])
+def test_call_that_may_have_run_is_not_repeated(path):
+    """Guards against a booking that is made twice, or is said not to have run."""
+
+    async def test():
+        async with (
+            open_upstream(answer_with(None)) as first,
+            open_upstream(answer_with(make_answer())) as second,
+            open_relay(first, second) as relay,
+        ):
+            status, _head, _body = await ask(relay[1], make_request(path))
+            assert (len(first.requests), len(second.requests)) == (1, 0)
+        assert status == 502
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    'broken',
+    [
+        None,
+        make_answer(b'x' * 50)[:-10],
+        b'not http\r\n\r\n',
+        make_answer(b'', b'500 Error'),
+        b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok',
+    ],
+)
+def test_repeatable_call_is_served_by_another_upstream(broken):
+    """Guards against half an answer, or one without a signature, that reaches the caller."""
+
+    async def test():
+        async with (
+            open_upstream(answer_with(broken)) as first,
+            open_upstream(answer_with(make_answer(b'whole'))) as second,
+            open_relay(first, second) as relay,
+        ):
+            status, _head, body = await ask(relay[1], make_request())
+        assert (status, body) == (200, b'whole')
+
+    run(test)
+
+
+def test_upstream_that_cannot_be_reached_is_skipped():
+    """Guards against a failure of a call of which no byte was sent."""
+
+    async def test():
+        async with open_upstream(answer_with()) as closed:
+            pass
+        async with (
+            open_upstream(answer_with(make_answer(b'second'))) as second,
+            open_relay(closed, second) as relay,
+        ):
+            status, _head, body = await ask(relay[1], make_request(b'/write/x'))
+        assert (status, body) == (200, b'second')
+
+    run(test)
+
+
+def test_late_second_answer_is_not_given_to_the_next_caller():
+    """Guards against an answer to another request on a connection that is used again."""
+
+    async def behave(upstream, reader, writer):
+        await upstream.read_request(reader)
+        writer.write(make_answer(b'first'))
+        await upstream.read_request(reader)
+        writer.write(make_answer(b'stray'))
+        writer.write(make_answer(b'second', attempt=b'2'))
+        await upstream.wait_closed(reader)
+
+    async def test():
+        async with open_upstream(behave) as upstream, open_relay(upstream) as relay:
+            first = await ask(relay[1], make_request())
+            second = await ask(relay[1], make_request(attempt=b'2'))
+            assert (first[2], second[2]) == (b'first', b'second')
+            assert relay[0].pool.opened == 1
+
+    run(test)
+
+
+def test_connection_with_bytes_after_an_answer_is_not_used_again():
+    """Guards against bytes of no request that become the answer to the next one."""
+
+    async def test():
+        spoiled = make_answer(b'first') + make_answer(b'stray', attempt=b'2')
+        async with (
+            open_upstream(answer_with(spoiled, make_answer(b'second', attempt=b'2'))) as upstream,
+            open_relay(upstream) as relay,
+        ):
+            await ask(relay[1], make_request())
+            second = await ask(relay[1], make_request(attempt=b'2'))
+            assert second[2] == b'second'
+            assert relay[0].pool.opened == 2
+
+    run(test)
+
+
+def test_upstream_work_stops_when_the_caller_leaves():
+    """Guards against upstreams that work for callers that are gone."""
+
+    async def behave(upstream, reader, writer):
+        await upstream.read_request(reader)
+        await upstream.wait_closed(reader)
+
+    async def test():
+        async with open_upstream(behave) as upstream, open_relay(upstream) as relay:
+            _reader, writer = await asyncio.open_connection('127.0.0.1', relay[1])
+            writer.write(make_request(b'/once/x'))
+            await wait_for(lambda: upstream.requests)
+            writer.close()
+            await wait_for(lambda: upstream.closed, 0.5)
+            assert not relay[0].scheduler.slots['i-0'].running
+
+    run(test)
+
+
+def test_waiting_call_of_a_caller_that_left_is_not_sent():
+    """Guards against work that begins after its caller gave up."""
+
+    async def behave(upstream, reader, writer):
+        await upstream.read_request(reader)
+        await upstream.wait_closed(reader)
+
+    async def test():
+        async with open_upstream(behave) as upstream, open_relay(upstream) as relay:
+            writers = []
+            for _ in range(5):
+                _reader, writer = await asyncio.open_connection('127.0.0.1', relay[1])
+                writer.write(make_request(b'/once/x', attempt=b'%d' % len(writers)))
+                writers.append(writer)
+                await anyio.sleep(0.02)
+            assert relay[0].scheduler.count_waiting() == 1
+            writers[4].close()
+            await anyio.sleep(0.05)
+            writers[0].close()
+            await anyio.sleep(0.05)
+            assert len(upstream.requests) == 4
+
+    run(test)
+
+
+def test_answer_that_does_not_come_in_time():
+    """Guards against a caller that is held longer than its route allows."""
+
+    async def behave(upstream, reader, writer):
+        await upstream.read_request(reader)
+        await upstream.wait_closed(reader)
+
+    async def test():
+        async with open_upstream(behave) as upstream, open_relay(upstream) as relay:
+            began = anyio.current_time()
+            status, _head, _body = await ask(relay[1], make_request(b'/write/x'))
+            assert status == 504
+            assert 0.9 < anyio.current_time() - began < 1.4
+
+    run(test)
+
+
+def test_connection_is_kept_for_further_requests():
+    """Guards against a connection that is closed as the next request is on its way."""
+
+    async def test():
+        async with (
+            open_upstream(answer_with(make_answer(b'a'), make_answer(b'b', attempt=b'2'))) as one,
+            open_relay(one) as relay,
+        ):
+            reader, writer = await asyncio.open_connection('127.0.0.1', relay[1])
+            writer.write(make_request() + make_request(attempt=b'2'))
+            assert (await read_answer(reader))[2] == b'a'
+            assert (await read_answer(reader))[2] == b'b'
+            writer.close()
+
+    run(test)
+
+
+def test_early_answer_to_a_long_body_is_passed_on():
+    """Guards against a relay that hangs because the upstream answered before it read the body."""
+
+    async def behave(upstream, reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        upstream.requests.append(b'')
+        writer.write(make_answer(b'too long', b'413 Too Large'))
+        await anyio.sleep(0.3)
+
+    async def test():
+        body = b'x' * 3_000_000
+        async with open_upstream(behave) as upstream, open_relay(upstream) as relay:
+            request = make_request(b'/write/x', body=body, method=b'POST')
+            status, _head, text = await ask(relay[1], request)
+        assert (status, text) == (413, b'too long')
+
+    run(test)
--- /dev/null
+++ b/tests/relay/test_streams.py
@@ -0,0 +1,135 @@
+import asyncio
+import itertools
+
+import anyio
+import attrs
+import hypothesis
+from hypothesis import strategies
+
+from camphorpath.relay.events import EventSplitter
+
+from .support import make_request, open_relay, open_upstream, read_to_end, run
+
+HEAD = (
+    b'HTTP/1.1 200 OK\r\nAttempt: 1\r\nSignature: s\r\nContent-Type: text/event-stream\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n'
+)
+
+
+def make_chunk(part):
+    return b'%x\r\n%b\r\n' % (len(part), part)
+
+
+def make_event(number):
+    return b'id: %d\ndata: e%d\n\n' % (number, number)
+
+
+def stream_events(numbers, *, ends=True, torn=b''):
+    """Return a behaviour that sends events, then part of one, and ends or breaks off."""
+
+    async def behave(upstream, reader, writer):
+        await upstream.read_request(reader)
+        writer.write(HEAD + b''.join(make_chunk(make_event(one)) for one in numbers))
+        if torn:
+            writer.write(make_chunk(torn))
+        if ends:
+            writer.write(b'0\r\n\r\n')
+        await writer.drain()
+        if not ends:
+            await anyio.sleep(0.05)
+            writer.transport.abort()
+
+    return behave
+
+
+def read_events(received):
+    return [line for line in received.split(b'\n') if line.startswith(b'data:')]
+
+
+def test_events_arrive_as_they_are_made():
+    """Guards against events that are held back until the stream ends."""
+
+    async def behave(upstream, reader, writer):
+        await upstream.read_request(reader)
+        writer.write(HEAD + make_chunk(make_event(1)))
+        await upstream.wait_closed(reader)
+
+    async def test():
+        async with open_upstream(behave) as upstream, open_relay(upstream) as relay:
+            reader, writer = await asyncio.open_connection('127.0.0.1', relay[1])
+            writer.write(make_request(b'/once/x'))
+            with anyio.fail_after(0.5):
+                await reader.readuntil(b'data: e1\n\n')
+            writer.close()
+
+    run(test)
+
+
+def test_broken_stream_goes_on_at_another_upstream():
+    """Guards against events that are missing or come twice after an upstream broke off."""
+
+    async def test():
+        first = stream_events([1, 2], ends=False, torn=b'id: 3\nda')
+        async with (
+            open_upstream(first) as one,
+            open_upstream(stream_events([3, 4])) as two,
+            open_relay(one, two) as relay,
+        ):
+            received, is_reset = await read_to_end(relay[1], make_request(b'/stream/x'))
+            assert b'last-event-id: 2' in two.requests[0][0].lower()
+        assert read_events(received) == [b'data: e1', b'data: e2', b'data: e3', b'data: e4']
+        assert received.endswith(b'0\r\n\r\n')
+        assert not is_reset
+
+    run(test)
+
+
+def test_silent_stream_goes_on_at_another_upstream():
+    """Guards against a stream that hangs at an upstream without power until its caller leaves."""
+
+    async def behave(upstream, reader, writer):
+        await upstream.read_request(reader)
+        writer.write(HEAD + make_chunk(make_event(1)))
+        await upstream.wait_closed(reader)
+
+    async def test():
+        async with (
+            open_upstream(behave) as one,
+            open_upstream(stream_events([2])) as two,
+            open_relay(one, two) as (context, port),
+        ):
+            routes = [attrs.evolve(route, timeout_s=5) for route in context.table.routes]
+            context.table = attrs.evolve(context.table, routes=tuple(routes))
+            received, _is_reset = await read_to_end(port, make_request(b'/stream/x'))
+        assert read_events(received) == [b'data: e1', b'data: e2']
+
+    run(test)
+
+
+def test_broken_stream_that_cannot_be_resumed_does_not_look_complete():
+    """Guards against half a stream that is taken for a whole one, and a second run of it."""
+
+    async def test():
+        async with (
+            open_upstream(stream_events([1], ends=False)) as one,
+            open_upstream(stream_events([1, 2])) as two,
+            open_relay(one, two) as relay,
+        ):
+            received, _is_reset = await read_to_end(relay[1], make_request(b'/once/x'))
+            assert not two.requests
+        assert read_events(received) == [b'data: e1']
+        assert not received.endswith(b'0\r\n\r\n')
+
+    run(test)
+
+
+@hypothesis.given(cuts=strategies.lists(strategies.integers(0, 60), max_size=6))
+def test_splitter_keeps_bytes_and_hands_out_whole_events(cuts):
+    """Guards against events that are cut, lost or joined when they arrive in odd parts."""
+    text = b''.join(make_event(number) for number in range(1, 5))
+    edges = sorted({0, len(text), *(min(cut, len(text)) for cut in cuts)})
+    splitter = EventSplitter()
+    parts = [splitter.feed(text[start:end]) for start, end in itertools.pairwise(edges)]
+    assert b''.join(parts) == text
+    assert all(not part or part.endswith(b'\n\n') for part in parts)
+    assert (splitter.events, splitter.last_id, splitter.rest) == (4, b'4', b'')
--- /dev/null
+++ b/tests/routing/test_upstreams.py
@@ -0,0 +1,42 @@
+from camphorpath.routing import UpstreamView
+
+from ..placement.test_ownership import make_upstream
+
+
+def make_view(count):
+    view = UpstreamView()
+    for number in range(count):
+        view.put(make_upstream(number))
+    return view
+
+
+def list_ids(view):
+    return {upstream.upstream_id for upstream in view.all()}
+
+
+def test_removed_upstream_is_gone_at_once():
+    """Guards against calls to an upstream that left, after a daemon had lost the store for long."""
+    view = make_view(9)
+    view.note_disturbance(0)
+    assert view.remove('i-1', 0.5)
+    assert 'i-1' not in list_ids(view)
+
+
+def test_entries_that_lapse_together_are_kept():
+    """Guards against a service without upstreams after an outage of the store."""
+    view = make_view(6)
+    view.note_disturbance(0)
+    for number in range(6):
+        view.remove(f'i-{number}', 0.1)
+    assert len(list_ids(view)) == 6
+    view.put(make_upstream(1))
+    assert len(view.expire(2.2)) == 5
+    assert list_ids(view) == {'i-1'}
+
+
+def test_without_disturbance_nothing_is_kept():
+    """Guards against calls to upstreams that were taken away all at once."""
+    view = make_view(4)
+    for number in range(4):
+        assert view.remove(f'i-{number}', 10)
+    assert not list_ids(view)
