Keep slots and quota for urgent calls, and tell refused callers a useful time

Cause: at 1.5 times what the engines carry, notes held the slots for seconds, so drafts waited (p80 0.58 s) and were late; a customer's priority put its notes before the drafts of others; refused callers came back into the same burst. Change: one active daemon a zone at these sizes; loads that upstreams state count; calls leave 0.3 of the slots to kinds two ranks more urgent and then do not wait to become late; late calls go one rank down; model calls leave 0.15 of the burst of the quota for each step of priority; refused callers return after half to all of 0.3 of their time.

--- a/camphorpath/placement/ownership.py
+++ b/camphorpath/placement/ownership.py
@@ -15,7 +15,7 @@
 
 # Slots that one active daemon owns. More make better use of bursts; fewer limit what the loss of a
 # daemon costs and what one small machine must carry.
-SLOTS_PER_ACTIVE = 16
+SLOTS_PER_ACTIVE = 32
 SCORE_BYTES = 8
 
 
--- a/camphorpath/placement/queue.py
+++ b/camphorpath/placement/queue.py
@@ -6,7 +6,6 @@
 """
 
 import random
-from collections.abc import Iterator
 
 import attrs
 
@@ -18,7 +17,7 @@
 # A caller waits at most this share of the time that it has left.
 RETRY_SHARE = 0.3
 MIN_RETRY_S = 0.1
-# Refused callers return spread over this part of the wait.
+# Refused callers return between this part of that share and the whole of it.
 RETRY_SPREAD = 0.5
 
 
@@ -27,7 +26,7 @@
     """The waiting calls of one service."""
 
     calls: list[WaitingCall] = attrs.field(factory=list)
-    _turn: int = 0
+    _turn: int = 1
 
     def add(self, call: WaitingCall) -> None:
         """Add a call."""
@@ -38,15 +37,25 @@
         if call in self.calls:
             self.calls.remove(call)
 
-    def ordered(self, now: float) -> Iterator[WaitingCall]:
-        """Yield the calls in the order in which they should get slots."""
-        self._turn += 1
+    def ordered(self, now: float) -> list[WaitingCall]:
+        """Return the calls in the order in which they should get slots."""
         ranked = sorted(self.calls, key=lambda call: sort_key(call, now))
-        if ranked and self._turn % FAIR_TURN == 0:
-            oldest = min(ranked, key=lambda call: call.arrived_at)
+        oldest = self.find_fair()
+        if oldest is not None:
             ranked.remove(oldest)
             ranked.insert(0, oldest)
-        yield from ranked
+        return ranked
+
+    def find_fair(self) -> WaitingCall | None:
+        """Return the call whose turn it is whatever its rank, or None."""
+        if not self.calls or self._turn % FAIR_TURN:
+            return None
+        return min(self.calls, key=lambda call: call.arrived_at)
+
+    def take(self, call: WaitingCall) -> None:
+        """Remove a call that gets a slot."""
+        self._turn += 1
+        self.calls.remove(call)
 
     def count_ahead(self, call: WaitingCall, now: float) -> int:
         """Return the number of calls that go before a call."""
@@ -55,16 +64,24 @@
 
 
 def sort_key(call: WaitingCall, now: float) -> tuple[object, ...]:
-    """Return the place of a call: rank, then those that are not late yet, then arrival."""
-    return call.rank, now > call.objective_at, call.arrived_at
+    """Return the place of a call: rank, where a late call goes one rank down, then arrival."""
+    customer_rank, route_rank = call.rank
+    is_late = now > call.objective_at
+    return customer_rank, route_rank + is_late, is_late, call.arrived_at
 
 
 def turn_away(reason: str, wait_s: float, deadline: float, now: float) -> TurnedAway:
-    """Return a refusal that names when a slot is expected.
+    """Return a refusal that names when the caller should come back."""
+    return TurnedAway(reason, choose_return(wait_s, deadline - now))
+
+
+def choose_return(wait_s: float, left_s: float) -> float:
+    """Return after how many seconds a refused caller should come back.
 
-    The time is spread so that refused callers do not return together, and leaves the caller most of
-    its time.
+    A caller that returns within the same burst is refused again, and its answer is late anyway: so
+    it is asked to wait for a good part of what it will wait. The times are spread, so that refused
+    callers do not return together, and leave the caller most of its time.
     """
-    spread = wait_s * (1 + RETRY_SPREAD * random.random())
-    limit = max(deadline - now, 0) * RETRY_SHARE
-    return TurnedAway(reason, round(min(max(spread, MIN_RETRY_S), max(limit, MIN_RETRY_S)), 3))
+    limit_s = max(left_s * RETRY_SHARE, MIN_RETRY_S)
+    soonest_s = min(max(wait_s, limit_s * RETRY_SPREAD), limit_s)
+    return round(random.uniform(soonest_s, limit_s), 3)
--- a/camphorpath/placement/quota.py
+++ b/camphorpath/placement/quota.py
@@ -15,6 +15,9 @@
 
 # The part of the tolerance that steady use may take; the rest is for the lag of heartbeats.
 TOLERANCE_SHARE = 0.33
+# Share of the burst that a call leaves to others, for each step of priority below the highest.
+RESERVED_SHARE = 0.15
+MAX_RESERVED_SHARE = 0.5
 
 
 @attrs.frozen(kw_only=True)
@@ -50,13 +53,18 @@
     _reported: dict[str, dict[str, float]] = attrs.field(factory=dict)
     _started_at: float | None = None
 
-    def admit(self, customer: Customer, units: float, now: float) -> float:
-        """Take units from the quota and return 0, or return the seconds until they are there."""
+    def admit(self, customer: Customer, units: float, now: float, priority: int = 0) -> float:
+        """Take units from the quota and return 0, or return the seconds until they are there.
+
+        Calls leave a part of the burst to those of a more urgent priority: 0 is the most urgent.
+        """
         if customer.rate <= 0:
             return 0
         bucket = self._fill(customer, now)
         # A request above the burst would never be admitted; it may use a full bucket.
         needed = min(units, customer.burst)
+        needed += customer.burst * min(RESERVED_SHARE * priority, MAX_RESERVED_SHARE)
+        needed = min(needed, customer.burst)
         if bucket.level < needed:
             return (needed - bucket.level) / self._fill_rate(customer)
         bucket.level -= units
--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -4,6 +4,7 @@
 the calls through `on_decision`.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 
 import attrs
@@ -27,6 +28,12 @@
 # Without any upstream a caller should come back after this time.
 NO_UPSTREAM_S = 0.7
 RATE_WINDOW_S = 2.0
+# Share of the owned slots that is kept free for calls more urgent than the one at hand, if such
+# calls came within the last URGENT_S seconds. Slots are held for long and calls are not preempted.
+RESERVED_SHARE = 0.3
+URGENT_S = 3.0
+# Ranks between a call and those for which it leaves slots; the next rank is nearly as urgent.
+URGENT_RANKS = 2
 
 
 @attrs.define
@@ -35,6 +42,8 @@
 
     queue: CallQueue = attrs.field(factory=CallQueue)
     ends: list[float] = attrs.field(factory=list)
+    # The last arrival of each rank of routes.
+    urgent_at: dict[int, float] = attrs.field(factory=dict)
 
 
 @attrs.define(kw_only=True)
@@ -98,6 +107,7 @@
     def submit(self, call: WaitingCall, now: float) -> None:
         """Give a call a slot, let it wait, or turn it away."""
         service = self._services.setdefault(call.service, _Service())
+        service.urgent_at[call.rank[1]] = now
         upstream = None
         if not self._has_urgent(service, call, now):
             upstream = self._choose(call, now)
@@ -107,6 +117,9 @@
         if not self._has_candidates(call):
             call.on_decision(turn_away('no_upstream', NO_UPSTREAM_S, call.deadline, now))
             return
+        if self._yields(call, now):
+            # Late it is worth little, and the slot would be missing to urgent calls.
+            call.wait_until = min(call.wait_until, call.objective_at)
         wait_s = self._estimate_wait(service, call, now)
         if now + wait_s > call.wait_until:
             call.on_decision(turn_away('queue_full', wait_s, call.deadline, now))
@@ -178,12 +191,12 @@
 
     def _pump_service(self, service: _Service, now: float) -> None:
         for call in list(service.queue.ordered(now)):
-            upstream = self._choose(call, now)
+            is_fair = call is service.queue.find_fair()
+            upstream = self._choose(call, now, is_fair=is_fair)
             if upstream is not None:
-                service.queue.remove(call)
+                service.queue.take(call)
                 self._place(call, upstream, now)
-            elif not call.excluded:
-                # Calls of one service differ only in the upstreams that they exclude.
+            elif not self._count_free(call.service, now):
                 return
 
     def _has_urgent(self, service: _Service, call: WaitingCall, now: float) -> bool:
@@ -197,8 +210,13 @@
             for upstream_id, slots in self.slots.items()
         )
 
-    def _choose(self, call: WaitingCall, now: float) -> Upstream | None:
-        """Return the upstream with a free slot at which the call should be done first."""
+    def _choose(self, call: WaitingCall, now: float, *, is_fair: bool = False) -> Upstream | None:
+        """Return the upstream with a free slot at which the call should be done first.
+
+        The last free slots are kept for the most urgent calls, unless it is the turn of this one.
+        """
+        if not is_fair and self._count_reserved(call, now) >= self._count_free(call.service, now):
+            return None
         is_desperate = self._is_desperate(call.service, now)
         costs = [
             (self._estimate_cost(call, slots), upstream_id)
@@ -208,6 +226,31 @@
         ]
         return self.slots[min(costs)[1]].upstream if costs else None
 
+    def _count_free(self, service: str, now: float) -> int:
+        return sum(
+            max(slots.count_free(now), 0)
+            for slots in self.slots.values()
+            if slots.is_usable(service, now, ignores_health=False)
+        )
+
+    def _yields(self, call: WaitingCall, now: float) -> bool:
+        """Return whether far more urgent calls of the service came lately."""
+        return any(
+            rank + URGENT_RANKS <= call.rank[1] and seen_at > now - URGENT_S
+            for rank, seen_at in self._services[call.service].urgent_at.items()
+        )
+
+    def _count_reserved(self, call: WaitingCall, now: float) -> int:
+        """Return the free slots that a call must leave to more urgent ones."""
+        if not self._yields(call, now):
+            return -1
+        owned = sum(
+            slots.upstream.slots
+            for slots in self.slots.values()
+            if slots.is_owner and slots.upstream.service == call.service
+        )
+        return math.floor(owned * RESERVED_SHARE)
+
     def _is_desperate(self, service: str, now: float) -> bool:
         """Return whether most upstreams of a service are set aside, so that this says nothing."""
         group = [
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -39,8 +39,8 @@
 MAX_UNSENT = 4
 # The caller comes back this long after an upstream did not run its call, in seconds.
 NOT_EXECUTED_RETRY_S = 0.2
-# A load that an upstream stated while it was full counts for this time, in seconds.
-FULL_HOLD_S = 0.4
+# A load that an upstream stated counts for this time, in seconds.
+LOAD_HOLD_S = 1.2
 # A stream without an event for this long goes on at another upstream, in seconds; callers abandon
 # one after two seconds or more.
 STREAM_GAP_S = 1.0
@@ -153,6 +153,7 @@
         ran_before = self.call.may_have_run
         self._note_send(upstream)
         answer = await self._read_head(carrier, upstream)
+        self._note_load(upstream, find_header(answer.headers, self.context.dialect.load))
         self._check_executed(upstream, answer, ran_before=ran_before)
         scheduler = self.context.scheduler
         scheduler.note_first_byte(upstream.upstream_id, waiting, read_lease_clock())
@@ -216,7 +217,6 @@
         is_stated = bool(find_header(answer.headers, dialect.not_run))
         if is_stated or answer.status == STATUS_MISDIRECTED:
             self.call.may_have_run = ran_before
-            self._note_load(upstream, find_header(answer.headers, dialect.load))
             message = f'the upstream answered {answer.status} and did not run the call'
             raise NotExecuted(message, step='receive_head', peer=upstream.address)
         if answer.status < STATUS_REDIRECT and not find_header(answer.headers, dialect.signature):
@@ -228,7 +228,7 @@
             return
         now = read_lease_clock()
         total = int(counts[0]) + int(counts[1])
-        self.context.scheduler.slots[upstream.upstream_id].note_load(total, now, FULL_HOLD_S)
+        self.context.scheduler.slots[upstream.upstream_id].note_load(total, now, LOAD_HOLD_S)
 
     async def _relay_whole(self, answer: UpstreamAnswer) -> str:
         body = await answer.read_all(MAX_ANSWER_BYTES)
--- a/camphorpath/relay/intake.py
+++ b/camphorpath/relay/intake.py
@@ -8,6 +8,7 @@
 
 from ..clocks import read_lease_clock
 from ..errors import Refusal
+from ..placement.queue import choose_return
 from ..routing import Customer, Route
 from .caller import CallerRequest
 from .context import RelayContext
@@ -101,14 +102,16 @@
 def _check_quota(context: RelayContext, call: Call, now: float) -> None:
     if call.customer is None:
         return
-    wait_s = context.quota.admit(call.customer, call.units, now)
+    # Calls without a prompt are small; what they leave would not serve a model call.
+    priority = call.route.priority if call.prompt_tokens else 0
+    wait_s = context.quota.admit(call.customer, call.units, now, priority)
     if wait_s:
         raise Refusal(
             'quota_exhausted',
             f'customer {call.customer.name} asks for {call.units:.0f} units above its quota of '
             f'{call.customer.rate:.0f} a second, burst {call.customer.burst:.0f}',
             status=STATUS_TOO_MANY,
-            retry_after_s=wait_s,
+            retry_after_s=choose_return(wait_s, call.time_left()),
         )
 
 
--- a/tests/placement/test_quota.py
+++ b/tests/placement/test_quota.py
@@ -90,3 +90,12 @@
     """Guards against customers without a quota that are refused."""
     ledger = QuotaLedger(STRICT, starts_full=False)
     assert ledger.admit(make_customer(rate=0), 10**9, 0) == 0
+
+
+def test_less_urgent_calls_leave_a_part_of_the_burst():
+    """Guards against a customer above its quota whose notes use up what its drafts need."""
+    customer = make_customer()
+    ledger = QuotaLedger(STRICT, starts_full=True)
+    assert ledger.admit(customer, 65, 0, priority=2) == 0
+    assert ledger.admit(customer, 10, 0, priority=2) > 0
+    assert ledger.admit(customer, 30, 0, priority=0) == 0
--- a/tests/placement/test_scheduler.py
+++ b/tests/placement/test_scheduler.py
@@ -204,3 +204,47 @@
     call = bench.make_call('probe')
     bench.scheduler.release('i-1', call, 1.1)
     assert slots.health.allows(1.2)
+
+
+def submit_kinds(bench, urgent_now):
+    """Submit as many calls of the least urgent kind as there are slots, after an urgent one."""
+    urgent = bench.submit('urgent', rank=(0, 0), now=urgent_now)
+    bench.release(urgent, urgent_now)
+    for number in range(20):
+        bench.submit(f'note{number}', rank=(0, 2), now=1)
+    return sum(1 for name in bench.decisions if name.startswith('note') and bench.where(name))
+
+
+def test_last_slots_are_kept_for_urgent_calls():
+    """Guards against a burst of drafts that waits for notes that hold every slot for seconds."""
+    bench = Bench([make_upstream(1, slots=5), make_upstream(2, slots=5)])
+    assert submit_kinds(bench, urgent_now=0.9) == 7
+    bench.submit('draft', rank=(1, 0), now=1)
+    bench.submit('answer', rank=(1, 1), now=1)
+    assert bench.where('draft')
+    assert bench.where('answer')
+
+
+def test_slots_are_not_kept_when_nothing_urgent_comes():
+    """Guards against slots that stand idle while calls wait."""
+    bench = Bench([make_upstream(1, slots=5), make_upstream(2, slots=5)])
+    assert submit_kinds(bench, urgent_now=-10) == 10
+
+
+def test_least_urgent_call_does_not_wait_to_become_late():
+    """Guards against slots that go to late notes while drafts of the same burst become late."""
+    bench = Bench([make_upstream(1, slots=1)])
+    bench.submit('draft', rank=(0, 0))
+    bench.submit('note', rank=(0, 2), now=0.0, objective_s=0.5, wait_s=1.0)
+    bench.scheduler.expire(0.5)
+    assert isinstance(bench.decisions['note'], TurnedAway)
+
+
+def test_late_call_goes_behind_the_next_rank():
+    """Guards against answers in time that are given up for drafts that are late already."""
+    bench = Bench([make_upstream(1, slots=1)])
+    first = bench.submit('first')
+    bench.submit('late draft', rank=(0, 0), now=0.0, objective_s=0.1)
+    bench.submit('answer', rank=(0, 1), now=0.05)
+    bench.release(first, 0.2)
+    assert bench.where('answer')
