Work out the assignment only when members change, and select within one service

Change: the assignment follows changes of members and upstreams; loads are taken in by difference; daemons that take no calls beat more rarely, and a heartbeat says when the next one comes.

--- a/camphorpath/cluster/members.py
+++ b/camphorpath/cluster/members.py
@@ -7,8 +7,10 @@
 from ..placement.ownership import Candidate
 from ..schema import camphorpath_pb2 as pb
 
-# Heartbeats a second that one daemon may receive at most; intervals grow with the fleet.
-MAX_RECEIVED_PER_S = 100.0
+# Heartbeats a second that one daemon may receive at most, if all were sent by daemons that take
+# calls, or by those that do not; intervals grow with the fleet.
+ACTIVE_RECEIVED_PER_S = 200.0
+IDLE_RECEIVED_PER_S = 50.0
 MIN_INTERVAL_S = 0.25
 # A daemon is taken as lost after so many intervals without a heartbeat. Datagrams get lost.
 DEAD_INTERVALS = 4
@@ -22,6 +24,10 @@
     beat: pb.EdgeHeartbeat
     heard_at: float
 
+    def due_at(self) -> float:
+        """Return the instant at which the daemon counts as lost."""
+        return self.heard_at + DEAD_INTERVALS * max(self.beat.interval, MIN_INTERVAL_S)
+
 
 @attrs.define
 class Members:
@@ -35,15 +41,10 @@
         factory=lambda: collections.deque(maxlen=MAX_ENDED)
     )
 
-    @property
-    def interval_s(self) -> float:
-        """The seconds between heartbeats."""
-        return max(MIN_INTERVAL_S, (len(self.known) + 1) / MAX_RECEIVED_PER_S)
-
-    @property
-    def dead_after_s(self) -> float:
-        """The seconds of silence after which a daemon is taken as lost."""
-        return DEAD_INTERVALS * self.interval_s
+    def choose_interval(self, *, is_active: bool) -> float:
+        """Return the seconds between heartbeats of a daemon that does or does not take calls."""
+        most = ACTIVE_RECEIVED_PER_S if is_active else IDLE_RECEIVED_PER_S
+        return max(MIN_INTERVAL_S, (len(self.known) + 1) / most)
 
     def observe(self, beat: pb.EdgeHeartbeat, now: float) -> Member | None:
         """Take in a heartbeat.
@@ -73,8 +74,7 @@
 
     def expire(self, now: float) -> list[Member]:
         """Drop and return the members that have been silent for too long."""
-        limit = now - self.dead_after_s
-        lost = [member for member in self.known.values() if member.heard_at < limit]
+        lost = [member for member in self.known.values() if member.due_at() < now]
         for member in lost:
             self.known.pop(member.beat.name)
         return lost
--- a/camphorpath/edge/beliefs.py
+++ b/camphorpath/edge/beliefs.py
@@ -25,6 +25,14 @@
     return Assignment({}, {})
 
 
+def _read_standing(member: Member | None) -> tuple[object, ...]:
+    """Return what the assignment depends on."""
+    if member is None:
+        return ()
+    beat = member.beat
+    return beat.incarnation, beat.zone, beat.cores, beat.ready, beat.stopping
+
+
 @attrs.define(kw_only=True)
 class Beliefs:
     """The state of a daemon that its heartbeats tell and those of others change."""
@@ -41,6 +49,7 @@
     _sequence: int = 0
     _watchers: tuple[str, ...] = ()
     _invalid: dict[str, int] = attrs.field(factory=dict)
+    _was_ready: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Take in each news of the manifest and the upstreams."""
@@ -51,6 +60,12 @@
         """Whether this daemon should get calls."""
         return self.relay.table is not None and self.rows.is_listed and not self.relay.is_stopping
 
+    @property
+    def interval_s(self) -> float:
+        """The seconds between the heartbeats of this daemon."""
+        is_active = self.assignment.is_active(self.settings.name)
+        return self.members.choose_interval(is_active=is_active)
+
     # --- heartbeats
 
     def make_beat(self) -> pb.EdgeHeartbeat:
@@ -71,6 +86,7 @@
             manifest_revision=self.rows.manifest.revision,
             upstreams_revision=self.rows.upstreams_revision,
             used=self.relay.quota.used,
+            interval=self.interval_s,
         )
         borrowers = max(sum(len(names) for names in self.assignment.actives.values()) - 1, 1)
         loads = self.relay.scheduler.report_loads(borrowers, read_lease_clock())
@@ -83,11 +99,12 @@
         if beat.name == self.settings.name:
             return
         now = read_lease_clock()
-        is_new = beat.name not in self.members.known
+        before = self.members.known.get(beat.name)
+        standing = _read_standing(before)
         replaced = self.members.observe(beat, now)
         if replaced is not None:
             self._forget(replaced)
-        if is_new or replaced is not None:
+        if before is None or replaced is not None:
             self.relay.events.emit(
                 Event.MEMBER_JOINED, member=beat.incarnation, address=beat.callers_address
             )
@@ -96,26 +113,31 @@
         self.relay.quota.take_report(beat.incarnation, dict(beat.used))
         loads = {load.upstream: (load.in_flight, load.lent) for load in beat.loads}
         self.relay.scheduler.take_loads(beat.incarnation, loads)
-        self.reassign()
+        if _read_standing(self.members.known.get(beat.name)) != standing:
+            self.reassign()
 
     def expire(self) -> None:
         """Drop members that are silent and upstreams whose grace has ended."""
         now = read_lease_clock()
-        for member in self.members.expire(now):
+        lost = self.members.expire(now)
+        for member in lost:
             self._forget(member)
             silent_s = round(now - member.heard_at, 2)
             self.relay.events.emit(
                 Event.MEMBER_LOST, member=member.beat.incarnation, silent_s=silent_s
             )
-        for upstream_id in self.view.expire(now):
+        gone = self.view.expire(now)
+        for upstream_id in gone:
             self.relay.events.emit(Event.UPSTREAM_GONE, '', upstream_id, reason='not back')
         self.rows.expire(now)
-        self.reassign()
+        if lost or gone or self._was_ready != self.is_ready:
+            self.reassign()
 
     # --- decisions that follow
 
     def reassign(self) -> None:
         """Work out the active daemons and the owners of upstreams."""
+        self._was_ready = self.is_ready
         candidates = self.members.list_candidates()
         settings = self.settings
         if self.is_ready:
--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -195,7 +195,7 @@
         beliefs.expire()
         daemon.heartbeats.send(beliefs.make_beat(), beliefs.members.hosts)
         daemon.follower.wake_watch()
-        await anyio.sleep(beliefs.members.interval_s)
+        await anyio.sleep(beliefs.interval_s)
         if daemon.relay.table is None and not daemon.follower.store_up and seeds:
             # The store is away: a peer may know the manifest.
             seeds.append(seeds.pop(0))
--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -55,6 +55,10 @@
     regions: Mapping[str, str]
     slots: dict[str, Slots] = attrs.field(factory=dict)
     _services: dict[str, _Service] = attrs.field(factory=dict)
+    # Upstreams in the last report of each other daemon.
+    _reported: dict[str, frozenset[str]] = attrs.field(factory=dict)
+    # Upstreams that do not leave, by service.
+    _groups: dict[str, list[Slots]] = attrs.field(factory=dict)
 
     # --- what is believed of upstreams
 
@@ -70,20 +74,29 @@
             known.is_owner = assignment.owners.get(upstream_id) == self.name
         for upstream_id in set(self.slots) - set(listed):
             self._drop(upstream_id)
+        self._groups = {}
+        for slots in self.slots.values():
+            if not slots.upstream.is_leaving:
+                self._groups.setdefault(slots.upstream.service, []).append(slots)
 
     def take_loads(self, incarnation: str, loads: Mapping[str, tuple[int, int]]) -> None:
         """Take in the calls that another daemon has at upstreams, and the slots that it lends."""
-        for upstream_id, slots in self.slots.items():
-            in_flight, lent = loads.get(upstream_id, (0, 0))
-            if in_flight:
-                slots.foreign[incarnation] = in_flight
-            else:
-                slots.foreign.pop(incarnation, None)
-            if upstream_id in loads and not slots.is_owner:
+        for upstream_id in self._reported.get(incarnation, frozenset()) - loads.keys():
+            left = self.slots.get(upstream_id)
+            if left is not None:
+                left.foreign.pop(incarnation, None)
+        self._reported[incarnation] = frozenset(loads)
+        for upstream_id, (in_flight, lent) in loads.items():
+            slots = self.slots.get(upstream_id)
+            if slots is None:
+                continue
+            slots.foreign[incarnation] = in_flight
+            if not slots.is_owner:
                 slots.lent = lent
 
     def forget_daemon(self, incarnation: str) -> None:
         """Drop the loads of a daemon that is gone."""
+        self._reported.pop(incarnation, None)
         for slots in self.slots.values():
             slots.foreign.pop(incarnation, None)
 
@@ -108,11 +121,11 @@
         """Give a call a slot, let it wait, or turn it away."""
         service = self._services.setdefault(call.service, _Service())
         service.urgent_at[call.rank[1]] = now
-        upstream = None
-        if not self._has_urgent(service, call, now):
-            upstream = self._choose(call, now)
-        if upstream is not None:
-            self._place(call, upstream, now)
+        chosen = None
+        if not service.queue.calls or not service.queue.count_ahead(call, now):
+            chosen = self._choose(call, self._list_usable(call.service, now), now)
+        if chosen is not None:
+            self._place(call, chosen, now)
             return
         if not self._has_candidates(call):
             call.on_decision(turn_away('no_upstream', NO_UPSTREAM_S, call.deadline, now))
@@ -190,47 +203,52 @@
             self.slots.pop(upstream_id)
 
     def _pump_service(self, service: _Service, now: float) -> None:
-        for call in list(service.queue.ordered(now)):
+        usable = self._list_usable(service.queue.calls[0].service, now)
+        if not usable:
+            return
+        for call in service.queue.ordered(now):
             is_fair = call is service.queue.find_fair()
-            upstream = self._choose(call, now, is_fair=is_fair)
-            if upstream is not None:
-                service.queue.take(call)
-                self._place(call, upstream, now)
-            elif not self._count_free(call.service, now):
+            chosen = self._choose(call, usable, now, is_fair=is_fair)
+            if chosen is None:
+                continue
+            service.queue.take(call)
+            self._place(call, chosen, now)
+            usable = [slots for slots in usable if slots.count_free(now) > 0]
+            if not usable:
                 return
 
-    def _has_urgent(self, service: _Service, call: WaitingCall, now: float) -> bool:
-        return bool(service.queue.calls) and service.queue.count_ahead(call, now) > 0
-
     def _has_candidates(self, call: WaitingCall) -> bool:
         return any(
-            slots.upstream.service == call.service
-            and not slots.upstream.is_leaving
-            and upstream_id not in call.excluded
-            for upstream_id, slots in self.slots.items()
+            slots.upstream.upstream_id not in call.excluded
+            for slots in self._groups.get(call.service, ())
         )
 
-    def _choose(self, call: WaitingCall, now: float, *, is_fair: bool = False) -> Upstream | None:
-        """Return the upstream with a free slot at which the call should be done first.
+    def _list_usable(self, service: str, now: float) -> list[Slots]:
+        """Return the upstreams with free slots.
+
+        Where most upstreams of the service are set aside, this says nothing, and all are used.
+        """
+        group = self._groups.get(service, ())
+        allowed = sum(1 for slots in group if slots.health.allows(now))
+        ignores_health = allowed < len(group) / 2
+        return [slots for slots in group if slots.is_usable(now, ignores_health=ignores_health)]
+
+    def _choose(
+        self, call: WaitingCall, usable: list[Slots], now: float, *, is_fair: bool = False
+    ) -> Slots | None:
+        """Return the slots at which the call should be done first.
 
         The last free slots are kept for the most urgent calls, unless it is the turn of this one.
         """
-        if not is_fair and self._count_reserved(call, now) >= self._count_free(call.service, now):
-            return None
-        is_desperate = self._is_desperate(call.service, now)
-        costs = [
-            (self._estimate_cost(call, slots), upstream_id)
-            for upstream_id, slots in self.slots.items()
-            if upstream_id not in call.excluded
-            and slots.is_usable(call.service, now, ignores_health=is_desperate)
-        ]
-        return self.slots[min(costs)[1]].upstream if costs else None
-
-    def _count_free(self, service: str, now: float) -> int:
-        return sum(
-            max(slots.count_free(now), 0)
-            for slots in self.slots.values()
-            if slots.is_usable(service, now, ignores_health=False)
+        if not is_fair and self._yields(call, now):
+            free = sum(slots.count_free(now) for slots in usable)
+            if free <= self._count_reserved(call.service):
+                return None
+        candidates = [slots for slots in usable if slots.upstream.upstream_id not in call.excluded]
+        return min(
+            candidates,
+            key=lambda slots: (self._estimate_cost(call, slots), slots.upstream.upstream_id),
+            default=None,
         )
 
     def _yields(self, call: WaitingCall, now: float) -> bool:
@@ -240,27 +258,12 @@
             for rank, seen_at in self._services[call.service].urgent_at.items()
         )
 
-    def _count_reserved(self, call: WaitingCall, now: float) -> int:
-        """Return the free slots that a call must leave to more urgent ones."""
-        if not self._yields(call, now):
-            return -1
-        owned = sum(
-            slots.upstream.slots
-            for slots in self.slots.values()
-            if slots.is_owner and slots.upstream.service == call.service
-        )
+    def _count_reserved(self, service: str) -> int:
+        """Return the free slots that are kept for urgent calls."""
+        group = self._groups.get(service, ())
+        owned = sum(slots.upstream.slots for slots in group if slots.is_owner)
         return math.floor(owned * RESERVED_SHARE)
 
-    def _is_desperate(self, service: str, now: float) -> bool:
-        """Return whether most upstreams of a service are set aside, so that this says nothing."""
-        group = [
-            slots
-            for slots in self.slots.values()
-            if slots.upstream.service == service and not slots.upstream.is_leaving
-        ]
-        allowed = sum(1 for slots in group if slots.health.allows(now))
-        return allowed < len(group) / 2
-
     def _estimate_cost(self, call: WaitingCall, slots: Slots) -> float:
         cost = slots.speed.estimate(call.prompt_tokens, call.output_tokens)
         # Calls that run together slow each other.
@@ -279,7 +282,7 @@
             return USUAL_WAIT_S * ahead
         return ahead * RATE_WINDOW_S / recent
 
-    def _place(self, call: WaitingCall, upstream: Upstream, now: float) -> None:
-        self.slots[upstream.upstream_id].send(call.call_id, call.prompt_tokens, now)
-        call.excluded.add(upstream.upstream_id)
-        call.on_decision(Placed(upstream))
+    def _place(self, call: WaitingCall, slots: Slots, now: float) -> None:
+        slots.send(call.call_id, call.prompt_tokens, now)
+        call.excluded.add(slots.upstream.upstream_id)
+        call.on_decision(Placed(slots.upstream))
--- a/camphorpath/placement/slots.py
+++ b/camphorpath/placement/slots.py
@@ -48,10 +48,8 @@
             foreign = max(foreign, self.hidden)
         return self.upstream.slots - len(self.running) - foreign
 
-    def is_usable(self, service: str, now: float, *, ignores_health: bool) -> bool:
-        """Return whether a call of a service may be sent now."""
-        if self.upstream.service != service or self.upstream.is_leaving:
-            return False
+    def is_usable(self, now: float, *, ignores_health: bool) -> bool:
+        """Return whether a call may be sent now."""
         if self.count_free(now) <= 0 or self.is_silent(now):
             return False
         return ignores_health or self.health.allows(now)
