Log what decided a refusal and when an upstream is set aside

Change: refusals carry the expected wait and the number of waiting calls; events 511 and 506 tell when an upstream is set aside and used again.

--- a/camphorpath/placement/health.py
+++ b/camphorpath/placement/health.py
@@ -49,15 +49,20 @@
 
     def allows(self, now: float) -> bool:
         """Return whether a call may be sent."""
-        if self.failures < FAILURE_LIMIT and not self.paused_until:
+        if not self.is_set_aside:
             return True
         return now >= self.paused_until and not self.is_probing
 
     def note_send(self, now: float) -> None:
         """Take note of a send; after a pause it is the probe."""
-        if self.paused_until and now >= self.paused_until:
+        if self.is_set_aside and now >= self.paused_until:
             self.is_probing = True
 
+    @property
+    def is_set_aside(self) -> bool:
+        """Whether it gets single calls only until one of them is answered."""
+        return self.paused_until > 0
+
     @property
     def is_unreliable(self) -> bool:
         """Whether peers of the same service should be preferred."""
--- a/camphorpath/placement/queue.py
+++ b/camphorpath/placement/queue.py
@@ -70,9 +70,12 @@
     return customer_rank, route_rank + is_late, is_late, call.arrived_at
 
 
-def turn_away(reason: str, wait_s: float, deadline: float, now: float) -> TurnedAway:
+def turn_away(
+    reason: str, wait_s: float, call: WaitingCall, now: float, waiting: int
+) -> TurnedAway:
     """Return a refusal that names when the caller should come back."""
-    return TurnedAway(reason, choose_return(wait_s, deadline - now))
+    retry_after_s = choose_return(wait_s, call.deadline - now)
+    return TurnedAway(reason, retry_after_s, round(wait_s, 3), waiting)
 
 
 def choose_return(wait_s: float, left_s: float) -> float:
--- a/camphorpath/placement/records.py
+++ b/camphorpath/placement/records.py
@@ -20,6 +20,9 @@
 
     reason: str
     retry_after_s: float
+    # What decided it: the seconds until a slot was expected, and the calls that waited.
+    expected_s: float
+    waiting: int
 
 
 Decision = Placed | TurnedAway
--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -127,15 +127,16 @@
         if chosen is not None:
             self._place(call, chosen, now)
             return
+        waiting = len(service.queue.calls)
         if not self._has_candidates(call):
-            call.on_decision(turn_away('no_upstream', NO_UPSTREAM_S, call.deadline, now))
+            call.on_decision(turn_away('no_upstream', NO_UPSTREAM_S, call, now, waiting))
             return
         if self._yields(call, now):
             # Late it is worth little, and the slot would be missing to urgent calls.
             call.wait_until = min(call.wait_until, call.objective_at)
         wait_s = self._estimate_wait(service, call, now)
         if now + wait_s > call.wait_until:
-            call.on_decision(turn_away('queue_full', wait_s, call.deadline, now))
+            call.on_decision(turn_away('queue_full', wait_s, call, now, waiting))
             return
         service.queue.add(call)
 
@@ -186,7 +187,8 @@
                     continue
                 service.queue.remove(call)
                 wait_s = self._estimate_wait(service, call, now)
-                call.on_decision(turn_away('waited_too_long', wait_s, call.deadline, now))
+                waiting = len(service.queue.calls)
+                call.on_decision(turn_away('waited_too_long', wait_s, call, now, waiting))
 
     def count_waiting(self) -> int:
         """Return the number of waiting calls."""
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -105,7 +105,8 @@
             return decision.upstream, waiting
         if failure is not None and self.call.may_have_run:
             raise self._give_up(failure)
-        raise Refusal(decision.reason, 'no slot in time', retry_after_s=decision.retry_after_s)
+        message = f'a slot expected in {decision.expected_s} s, {decision.waiting} calls wait'
+        raise Refusal(decision.reason, message, retry_after_s=decision.retry_after_s)
 
     def _make_waiting(self, decide: Callable[[Decision], None], *, is_repeat: bool) -> WaitingCall:
         call = self.call
@@ -141,9 +142,16 @@
             context.pool.release(carrier, is_complete=is_complete)
         health = context.scheduler.slots[upstream.upstream_id].health
         if outcome == FAILED:
-            health.fail(read_lease_clock())
-        else:
-            health.succeed()
+            self._fail_upstream(upstream, 'the upstream answered with a failure')
+            return outcome
+        if health.is_set_aside:
+            context.events.emit(
+                Event.UPSTREAM_RESTORED,
+                self.call.text_id,
+                upstream.upstream_id,
+                failures=health.failures,
+            )
+        health.succeed()
         return outcome
 
     async def _exchange(
@@ -277,12 +285,9 @@
     # --- after a failure
 
     def _note_failure(self, upstream: Upstream, error: UpstreamError) -> None:
-        slots = self.context.scheduler.slots.get(upstream.upstream_id)
-        if slots is not None:
-            is_certain = isinstance(error, NotSent) and not isinstance(
-                error.__cause__, TimeoutError
-            )
-            slots.health.fail(read_lease_clock(), is_certain=is_certain)
+        # Nothing listens there; a time-out can be a lost packet.
+        is_certain = isinstance(error, NotSent) and not isinstance(error.__cause__, TimeoutError)
+        self._fail_upstream(upstream, error.message, is_certain=is_certain)
         self.context.metrics.attempts.inc({'result': type(error).__name__})
         self.context.events.emit(
             Event.ATTEMPT_FAILED,
@@ -293,6 +298,23 @@
             may_have_run=self.call.may_have_run,
         )
 
+    def _fail_upstream(self, upstream: Upstream, problem: str, *, is_certain: bool = False) -> None:
+        slots = self.context.scheduler.slots.get(upstream.upstream_id)
+        if slots is None:
+            return
+        health = slots.health
+        was_set_aside = health.is_set_aside
+        health.fail(read_lease_clock(), is_certain=is_certain)
+        if health.is_set_aside and not was_set_aside:
+            self.context.events.emit(
+                Event.UPSTREAM_SET_ASIDE,
+                self.call.text_id,
+                upstream.upstream_id,
+                problem=problem,
+                failures=health.failures,
+                failure_share=round(health.failure_share, 2),
+            )
+
     def _may_repeat(self, error: UpstreamError) -> bool:
         """Return whether the call may be sent to another upstream; takes it from the budget."""
         call = self.call
--- a/camphorpath/relay/server.py
+++ b/camphorpath/relay/server.py
@@ -110,6 +110,7 @@
     try:
         call = accept_call(context, request)
     except Refusal as refusal:
+        # Its route is not known, or was not reached.
         attempt_id = dict(request.headers).get(context.dialect.attempt_id, b'')
         _log_refusal(context, attempt_id.decode('latin-1'), '', refusal)
         await caller.send_answer(*render_refusal(refusal))
--- a/tests/relay/test_calls.py
+++ b/tests/relay/test_calls.py
@@ -4,6 +4,7 @@
 import pytest
 
 from camphorpath.routing import CallerLimits
+from camphorpath.schema import camphorpath_pb2 as pb
 
 from .support import (
     answer_with,
@@ -320,3 +321,25 @@
         assert (status, text) == (413, b'too long')
 
     run(test)
+
+
+def test_upstream_that_fails_in_a_row_is_reported_and_restored():
+    """Guards against an upstream that gets no calls and of which the log does not say why."""
+
+    async def test():
+        failure = make_answer(b'', b'500 Error')
+        replies = [failure] * 3 + [make_answer()]
+        async with (
+            open_upstream(answer_with(*replies)) as first,
+            open_relay(first) as (context, port),
+        ):
+            for _ in range(3):
+                await ask(port, make_request(b'/write/x'))
+            told = [record.name for record in context.events.select(pb.TimelineRequest())]
+            assert told.count('upstream_set_aside') == 1
+            context.scheduler.slots['i-0'].health.paused_until = 0.1
+            await ask(port, make_request(b'/write/x'))
+            told = [record.name for record in context.events.select(pb.TimelineRequest())]
+            assert told.count('upstream_restored') == 1
+
+    run(test)
