End a silent attempt only if another one is allowed

Change: the limit on silence is set only while the budget has room. Measured: the new test fails before the change and passes after it.

--- a/camphorpath/placement/budget.py
+++ b/camphorpath/placement/budget.py
@@ -29,12 +29,16 @@
         """Count the first send of a call."""
         self._add(self._calls, service, now)
 
-    def take(self, service: str, now: float, daemons: int) -> bool:
-        """Return whether a call may be sent once more, and count it if so."""
+    def has_room(self, service: str, now: float, daemons: int) -> bool:
+        """Return whether a call may be sent once more."""
         share = math.floor(self.allowance * SAFETY / max(daemons, 1))
         calls = self._count(self._calls, service, now)
         limit = self.ratio * SAFETY * calls + share
-        if self._count(self._repeats, service, now) + 1 > limit:
+        return self._count(self._repeats, service, now) + 1 <= limit
+
+    def take(self, service: str, now: float, daemons: int) -> bool:
+        """Return whether a call may be sent once more, and count it if so."""
+        if not self.has_room(service, now, daemons):
             return False
         self._add(self._repeats, service, now)
         return True
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -212,7 +212,7 @@
         limit_s = None
         slots = self.context.scheduler.slots[upstream.upstream_id]
         running = slots.running.get(call.text_id)
-        if running is not None and self._has_attempts_left() and call.route.is_repeatable:
+        if running is not None and call.route.is_repeatable and self._can_go_elsewhere():
             limit_s = max(running.first_due - read_lease_clock(), 0)
         with anyio.move_on_after(limit_s):
             return await read_answer(carrier, call.attempt_id, self.context.dialect.attempt_id)
@@ -329,7 +329,15 @@
         return self.context.budget.take(call.service, read_lease_clock(), daemons)
 
     def _can_resume(self) -> bool:
-        return self.call.route.is_resumable and self._has_attempts_left()
+        return self.call.route.is_resumable and self._can_go_elsewhere()
+
+    def _can_go_elsewhere(self) -> bool:
+        """Return whether another attempt is allowed, so that a silent one may be ended for it."""
+        daemons = self.context.count_daemons()
+        now = read_lease_clock()
+        return self._has_attempts_left() and self.context.budget.has_room(
+            self.call.service, now, daemons
+        )
 
     def _has_attempts_left(self) -> bool:
         return self.call.sends < self.call.route.max_attempts
--- a/tests/relay/test_calls.py
+++ b/tests/relay/test_calls.py
@@ -1,8 +1,10 @@
 import asyncio
 
 import anyio
+import attrs
 import pytest
 
+from camphorpath.placement.budget import RetryBudget
 from camphorpath.routing import CallerLimits
 from camphorpath.schema import camphorpath_pb2 as pb
 
@@ -343,3 +345,26 @@
             assert told.count('upstream_restored') == 1
 
     run(test)
+
+
+def test_silent_attempt_is_not_ended_when_no_other_is_allowed():
+    """Guards against a slow answer that is thrown away though the retry budget is used up."""
+
+    async def behave(upstream, reader, writer):
+        await upstream.read_request(reader)
+        await anyio.sleep(1.2)
+        writer.write(make_answer(b'slow'))
+
+    async def test():
+        async with (
+            open_upstream(behave) as first,
+            open_upstream(behave) as second,
+            open_relay(first, second) as (context, port),
+        ):
+            routes = [attrs.evolve(route, timeout_s=5) for route in context.table.routes]
+            context.table = attrs.evolve(context.table, routes=tuple(routes))
+            context.budget = RetryBudget(ratio=0, window_s=10, allowance=0)
+            status, _head, body = await ask(port, make_request())
+        assert (status, body) == (200, b'slow')
+
+    run(test)
