--- a/camphorpath/edge/settings.py
+++ b/camphorpath/edge/settings.py
@@ -7,8 +7,6 @@
 class Bounds:
     """Times and limits within which the deployment expects the system to act; times in seconds."""
 
-    contact_timeout_s: float
-    drain_timeout_s: float
     # From SIGTERM until the process is killed.
     stop_limit_s: float
     max_keep_s: float
@@ -41,7 +39,6 @@
     is_first_start: bool
     # Processor time that the machine grants, in cores.
     cores: float
-    max_descriptors: int
     store_url: str
     bounds: Bounds
     log_level: str = 'INFO'
--- a/camphorpath/placement/records.py
+++ b/camphorpath/placement/records.py
@@ -34,7 +34,6 @@
 
     call_id: str
     service: str
-    customer: str
     # The lower, the more urgent.
     rank: tuple[int, int]
     arrived_at: float
--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -21,8 +21,6 @@
 OTHER_REGION_S = 0.06
 # Added for an upstream that fails often.
 UNRELIABLE_S = 1.0
-# How long the load that an upstream states counts; heartbeats of the daemons bring newer figures.
-STATED_LOAD_S = 0.5
 # Expected wait for a slot where none of the service has ended yet.
 USUAL_WAIT_S = 0.05
 # Without any upstream a caller should come back after this time.
--- a/camphorpath/platform/settings.py
+++ b/camphorpath/platform/settings.py
@@ -8,7 +8,6 @@
 from ..edge.settings import Bounds, EdgeSettings
 from ..errors import PlatformError, UserError
 from .fields import Fields
-from .manifest import MS_PER_S
 
 SETTINGS_VARIABLE = 'CAMPHORPATH_CONFIG'
 
@@ -51,7 +50,6 @@
         is_first_start=fields.flag('is_bootstrap'),
         # The quota is a share of a core that is `core_count` times as fast as the usual one.
         cores=machine.number('cpu_quota') * machine.number('core_count', 1),
-        max_descriptors=int(machine.number('max_fds')),
         store_url=f'http://{fields.part("platform").text("address")}',
         bounds=_decode_bounds(fields.part('bounds')),
     )
@@ -59,8 +57,6 @@
 
 def _decode_bounds(fields: Fields) -> Bounds:
     return Bounds(
-        contact_timeout_s=fields.number('contact_timeout_ms') / MS_PER_S,
-        drain_timeout_s=fields.number('drain_timeout_ms') / MS_PER_S,
         stop_limit_s=fields.number('grace_period_s'),
         max_keep_s=fields.number('ttl_max_s'),
         retry_ratio=fields.number('retry_budget_ratio'),
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -32,7 +32,6 @@
 STATUS_MISDIRECTED = 421
 STATUS_SERVER_ERROR = 500
 STATUS_BAD_GATEWAY = 502
-STATUS_UNAVAILABLE = 503
 STATUS_GATEWAY_TIMEOUT = 504
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 # Connections that may fail for one call before it is turned away; nothing was sent on them.
@@ -68,17 +67,16 @@
         """Serve the call and return its outcome for the log; raise Refusal or CallerGone."""
         failure: UpstreamError | None = None
         while True:
-            waiting = await self._place(failure)
-            upstream, call = waiting
+            upstream, waiting = await self._place(failure)
             try:
-                return await self._attempt(upstream, call)
+                return await self._attempt(upstream, waiting)
             except UpstreamError as error:
                 failure = error
                 self._note_failure(upstream, error)
                 if not self._may_repeat(error):
                     raise self._give_up(error) from error
             finally:
-                self._release(upstream, call)
+                self._release(upstream, waiting)
 
     async def _place(self, failure: UpstreamError | None) -> tuple[Upstream, WaitingCall]:
         """Wait for a slot and return its upstream; raise Refusal."""
@@ -117,7 +115,6 @@
         return WaitingCall(
             call_id=call.text_id,
             service=call.service,
-            customer=call.customer.name if call.customer else '',
             rank=(call.customer.priority if call.customer else 0, call.route.priority),
             arrived_at=call.arrived_at,
             objective_at=call.arrived_at + call.route.objective_s,
--- a/tests/placement/test_scheduler.py
+++ b/tests/placement/test_scheduler.py
@@ -21,7 +21,6 @@
         return WaitingCall(
             call_id=name,
             service='llm',
-            customer='',
             rank=rank,
             arrived_at=now,
             objective_at=now + objective_s,
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -48,7 +48,7 @@
     settings = load_edge_settings()
     assert settings.heartbeat_port == 7600
     assert settings.cores == 1
-    assert settings.bounds.drain_timeout_s == 2.5
+    assert settings.bounds.stop_limit_s == 8
     assert settings.store_url == 'http://10.0.9.9:5'
     assert settings.seeds == ('10.0.0.2:3',)
 
