Count each answer once

Cause: reading the diff: a refused call was counted when it was refused and again when it ended. Change: the outcomes of upstreams are counted at the end, all others where they are decided. Measured: the new test counts 3 answers for 3 requests (4 before).

--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -26,6 +26,7 @@
 from .intake import MS_PER_S, Call
 from .upstream import UpstreamAnswer, UpstreamConnection, read_answer
 
+SERVED = 'served'
 FAILED = 'failed_at_upstream'
 STATUS_OK = 200
 STATUS_REDIRECT = 300
@@ -242,7 +243,7 @@
             raise Truncated(f'status {answer.status}', step='receive_head', peer=answer.peer)
         self._note_first_answer()
         await self.caller.send_answer(answer.status, select_answer_headers(answer.headers), body)
-        return FAILED if is_failure else 'served'
+        return FAILED if is_failure else SERVED
 
     async def _relay_stream(self, upstream: Upstream, answer: UpstreamAnswer) -> str:
         began_at = read_lease_clock()
@@ -265,7 +266,7 @@
         events = splitter.events - before
         if slots is not None and events:
             slots.speed.learn_answer(read_lease_clock() - began_at, events * TOKENS_PER_EVENT)
-        return 'served'
+        return SERVED
 
     async def _pass_on(self, answer: UpstreamAnswer, part: bytes) -> None:
         if self.has_started:
--- a/camphorpath/relay/server.py
+++ b/camphorpath/relay/server.py
@@ -11,7 +11,7 @@
 from ..errors import CallerGone, Refusal
 from ..events import Event
 from ..routing import CallerLimits
-from .call import STATUS_GATEWAY_TIMEOUT, CallRun, render_refusal
+from .call import FAILED, SERVED, STATUS_GATEWAY_TIMEOUT, CallRun, render_refusal
 from .caller import CallerConnection, CallerRequest
 from .context import RelayContext
 from .headers import Headers
@@ -21,6 +21,7 @@
 Page = tuple[int, Headers, bytes]
 LEFT = 'caller_left'
 LATE = 'deadline_exceeded'
+UPSTREAM_OUTCOMES = frozenset((SERVED, FAILED))
 
 
 async def serve_calls(
@@ -116,9 +117,11 @@
         await caller.send_answer(*render_refusal(refusal))
         return
     outcome = await _serve_call(context, caller, call)
-    context.metrics.answers.inc({'route': call.route.name, 'outcome': outcome})
+    if outcome in UPSTREAM_OUTCOMES:
+        # The others are counted where they are decided.
+        context.metrics.answers.inc({'route': call.route.name, 'outcome': outcome})
     context.events.emit(
-        Event.REQUEST_COMPLETE if outcome == 'served' else Event.REQUEST_FAILED,
+        Event.REQUEST_COMPLETE if outcome == SERVED else Event.REQUEST_FAILED,
         call.text_id,
         outcome=outcome,
         route=call.route.name,
--- a/tests/relay/test_calls.py
+++ b/tests/relay/test_calls.py
@@ -368,3 +368,19 @@
         assert (status, body) == (200, b'slow')
 
     run(test)
+
+
+def test_each_answer_is_counted_once():
+    """Guards against metrics that show more answers than callers got."""
+
+    async def test():
+        async with (
+            open_upstream(answer_with(make_answer(), None)) as first,
+            open_relay(first) as (context, port),
+        ):
+            for path in (b'/read/x', b'/write/x', b'/nowhere/x'):
+                await ask(port, make_request(path))
+            counted = context.metrics.answers.values.store
+            assert sum(counted.values()) == 3
+
+    run(test)
