--- a/camphorpath/placement/budget.py
+++ b/camphorpath/placement/budget.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+# Calls are counted in bins of this length, in seconds; a small part of the window.
 BIN_S = 0.5
 # The window of the budget slides and its edges lag behind those of the deployment.
 SAFETY = 0.7
--- a/camphorpath/placement/speed.py
+++ b/camphorpath/placement/speed.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+# Weight of a new sample: about the last ten count.
 EWMA_WEIGHT = 0.15
 # Assumed until something was measured: the usual figures of the engines in use.
 USUAL_FIRST_S = 0.08
--- a/camphorpath/relay/intake.py
+++ b/camphorpath/relay/intake.py
@@ -21,11 +21,14 @@
 MS_PER_S = 1000
 # Output tokens that are assumed where the caller states only the highest number.
 OUTPUT_SHARE = 0.5
-# A caller gives up a stream without its first event after this many times the objective.
+# A call may wait for this many times its objective: callers give up a stream without an event after
+# four times the objective or two seconds, whichever is longer.
 WAIT_OBJECTIVES = 2.0
 # Part of the caller's time that a call may wait.
 WAIT_SHARE = 0.35
+# A daemon has its first manifest within half a second of its start.
 NO_MANIFEST_S = 0.5
+# Another daemon takes the call at once.
 STOPPING_S = 0.1
 
 
