--- a/camphorpath/edge/beliefs.py
+++ b/camphorpath/edge/beliefs.py
@@ -9,7 +9,8 @@
 from ..cluster.shared import SharedRows
 from ..errors import PlatformError
 from ..events import Event
-from ..placement.ownership import Assignment, Candidate, assign, hash_pair
+from ..hashing import hash_pair
+from ..placement.ownership import Assignment, Candidate, assign
 from ..platform.entries import decode_upstream
 from ..platform.manifest import decode_manifest
 from ..relay.context import RelayContext
@@ -21,10 +22,6 @@
 WATCHERS = 2
 
 
-def _no_assignment() -> Assignment:
-    return Assignment({}, {})
-
-
 def _read_standing(member: Member | None) -> tuple[object, ...]:
     """Return what the assignment depends on."""
     if member is None:
@@ -43,11 +40,10 @@
     members: Members
     view: UpstreamView = attrs.field(factory=UpstreamView)
     rows: SharedRows = attrs.field(init=False)
-    assignment: Assignment = attrs.field(factory=_no_assignment)
+    assignment: Assignment = attrs.field(factory=Assignment)
     # Whether the last call of the store was answered.
     is_store_up: bool = True
     _sequence: int = 0
-    _watchers: tuple[str, ...] = ()
     _invalid: dict[str, int] = attrs.field(factory=dict)
     _was_ready: bool = False
 
--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -3,6 +3,7 @@
 import contextlib
 import secrets
 import signal
+from collections.abc import Callable
 
 import anyio
 import anyio.abc
@@ -27,6 +28,7 @@
 from ..relay.server import serve_calls, serve_pages
 from ..relay.sockets import open_listener
 from ..relay.upstream import UpstreamPool
+from ..schema import camphorpath_pb2 as pb
 from .beliefs import Beliefs
 from .output import LogOutput
 from .pages import make_control_pages, make_directory_pages, make_metrics_pages, make_ready_pages
@@ -163,12 +165,10 @@
     group.start_soon(serve_calls, daemon.relay, open_listener(settings.callers_address), group)
 
 
-def _make_receiver(daemon: EdgeDaemon):
-    control_port = daemon.settings.control_address.rpartition(':')[2]
-
-    def receive(beat) -> None:
+def _make_receiver(daemon: EdgeDaemon) -> Callable[[pb.EdgeHeartbeat], None]:
+    def receive(beat: pb.EdgeHeartbeat) -> None:
         daemon.beliefs.take_beat(beat)
-        daemon.follower.note_peer(beat, f'{beat.host}:{control_port}')
+        daemon.follower.note_peer(beat, f'{beat.host}:{daemon.settings.control_port}')
 
     return receive
 
@@ -186,7 +186,6 @@
 async def _beat(daemon: EdgeDaemon) -> None:
     """Send heartbeats, and act on the silence of others."""
     beliefs = daemon.beliefs
-    control_port = daemon.settings.control_address.rpartition(':')[2]
     for seed in daemon.settings.seeds:
         beliefs.members.add_host(seed.rpartition(':')[0])
     seeds = [seed for seed in daemon.settings.seeds if seed != daemon.settings.control_address]
@@ -199,7 +198,7 @@
         if daemon.relay.table is None and not daemon.follower.store_up and seeds:
             # The store is away: a peer may know the manifest.
             seeds.append(seeds.pop(0))
-            await daemon.follower.take_from(f'{seeds[0].rpartition(":")[0]}:{control_port}')
+            await daemon.follower.take_from(seeds[0])
 
 
 async def _tick(daemon: EdgeDaemon) -> None:
--- a/camphorpath/edge/output.py
+++ b/camphorpath/edge/output.py
@@ -5,9 +5,10 @@
 import sys
 
 import anyio
-import orjson
 from loguru import logger
 
+from ..events.lines import render_line
+
 # Lines that wait for the reader; further ones are dropped and counted.
 MAX_WAITING = 4000
 # Lines a second, on average and at once; above, lines of requests are dropped first.
@@ -37,16 +38,7 @@
             self.dropped += 1
             return
         self._allowed -= 1
-        line = {
-            'time': record['time'].isoformat(),
-            'level': record['level'].name,
-            'daemon': self._name,
-            'message': record['message'],
-            **record['extra'],
-        }
-        if record['exception'] is not None:
-            line['exception'] = repr(record['exception'].value)
-        self._lines.append(orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE))
+        self._lines.append(f'{render_line(record, self._name)}\n'.encode())
 
     def flush(self) -> None:
         """Write what the reader takes now."""
--- a/camphorpath/edge/pages.py
+++ b/camphorpath/edge/pages.py
@@ -1,13 +1,12 @@
 """The small pages of a daemon: readiness, addresses, state for peers, metrics."""
 
-import urllib.parse
 from collections.abc import Awaitable, Callable
 
 import orjson
 from aioprometheus.renderer import render
 
 from ..cluster.states import STATE_PATH, read_revisions
-from ..platform.wire import READY_PATH, RESOLVE_PATH, render_addresses
+from ..platform.wire import READY_PATH, RESOLVE_PATH, read_place, render_addresses
 from ..relay.caller import CallerRequest
 from ..relay.context import RelayContext
 from ..relay.server import Page
@@ -41,8 +40,7 @@
     async def answer(request: CallerRequest) -> Page:
         if request.path != RESOLVE_PATH:
             return STATUS_NOT_FOUND, [], b''
-        query = dict(urllib.parse.parse_qsl(request.target.partition(b'?')[2].decode('latin-1')))
-        addresses = beliefs.list_addresses(query.get('zone', ''), query.get('region', ''))
+        addresses = beliefs.list_addresses(*read_place(request.query))
         if not addresses:
             return STATUS_UNAVAILABLE, [], b''
         keep_s = min(KEEP_S, beliefs.settings.bounds.max_keep_s)
@@ -59,7 +57,7 @@
         if request.path != STATE_PATH:
             return STATUS_NOT_FOUND, [], b''
         try:
-            revisions = read_revisions(request.target.partition(b'?')[2].decode('latin-1'))
+            revisions = read_revisions(request.query)
         except ValueError:
             return STATUS_BAD_REQUEST, [], b''
         state = beliefs.rows.collect_since(*revisions)
--- a/camphorpath/edge/settings.py
+++ b/camphorpath/edge/settings.py
@@ -42,3 +42,8 @@
     store_url: str
     bounds: Bounds
     log_level: str = 'INFO'
+
+    @property
+    def control_port(self) -> str:
+        """The port of the control address, the same on all machines."""
+        return self.control_address.rpartition(':')[2]
--- /dev/null
+++ b/camphorpath/events/lines.py
@@ -0,0 +1,23 @@
+"""Log records as lines of JSON."""
+
+import json
+
+import orjson
+
+
+def render_line(record: dict[str, object], daemon: str) -> str:
+    """Return one record of the logger as a JSON object without the end of the line."""
+    line = {
+        'time': record['time'].isoformat(),
+        'level': record['level'].name,
+        'daemon': daemon,
+        'message': record['message'],
+        **record['extra'],
+    }
+    if record['exception'] is not None:
+        line['exception'] = repr(record['exception'].value)
+    try:
+        return orjson.dumps(line, default=str).decode()
+    except orjson.JSONEncodeError:
+        # Text that is not valid Unicode, and integers above 64 bits.
+        return json.dumps(line, default=str)
--- a/camphorpath/members/hashing.py
+++ b/camphorpath/members/hashing.py
@@ -1,12 +1,10 @@
 """Rendezvous hashing of keys over members."""
 
-import hashlib
 from collections.abc import Iterable
 
+from ..hashing import hash_pair
 from ..schema import camphorpath_pb2 as pb
 
-SCORE_BYTES = 8
-
 
 def choose_member(key: str, members: Iterable[pb.MemberInfo]) -> pb.MemberInfo:
     """Return the member that owns `key`; `members` must not be empty.
@@ -36,5 +34,4 @@
 
 
 def _score(key: str, address: str) -> tuple[bytes, str]:
-    text = f'{len(key)}:{key}{address}'
-    return hashlib.blake2b(text.encode(), digest_size=SCORE_BYTES).digest(), address
+    return hash_pair(key, address), address
--- a/camphorpath/placement/ownership.py
+++ b/camphorpath/placement/ownership.py
@@ -5,18 +5,17 @@
 compute the assignment from the same members, so nobody has to be asked.
 """
 
-import hashlib
 import math
 from collections.abc import Iterable, Mapping, Sequence
 
 import attrs
 
+from ..hashing import hash_pair
 from ..routing import Upstream
 
 # Slots that one active daemon owns. More make better use of bursts; fewer limit what the loss of a
 # daemon costs and what one small machine must carry.
 SLOTS_PER_ACTIVE = 32
-SCORE_BYTES = 8
 
 
 @attrs.frozen
@@ -32,8 +31,8 @@
 class Assignment:
     """Active daemons by zone, and the owner of each upstream by its id."""
 
-    actives: Mapping[str, tuple[str, ...]]
-    owners: Mapping[str, str]
+    actives: Mapping[str, tuple[str, ...]] = attrs.field(factory=dict)
+    owners: Mapping[str, str] = attrs.field(factory=dict)
 
     def is_active(self, name: str) -> bool:
         """Return whether a daemon takes calls."""
@@ -82,8 +81,3 @@
         )[-1]
         counts[owner] = counts.get(owner, 0) + 1
         owners[upstream.upstream_id] = owner
-
-
-def hash_pair(key: str, name: str) -> bytes:
-    """Return a score that is the same in all daemons and independent between keys."""
-    return hashlib.blake2b(f'{len(key)}:{key}{name}'.encode(), digest_size=SCORE_BYTES).digest()
--- a/camphorpath/platform/wire.py
+++ b/camphorpath/platform/wire.py
@@ -1,6 +1,7 @@
 """Header names, paths and words of the lending platform."""
 
 import types
+import urllib.parse
 
 from ..relay.dialect import Dialect
 from ..routing import CallKind
@@ -52,6 +53,12 @@
 )
 
 
+def read_place(query: str) -> tuple[str, str]:
+    """Return the zone and the region of a caller that asks where to connect."""
+    found = dict(urllib.parse.parse_qsl(query))
+    return found.get('zone', ''), found.get('region', '')
+
+
 def render_addresses(addresses: list[str], keep_s: float) -> dict[str, object]:
     """Return the body of the answer to a caller that asks where to connect."""
     return {'addresses': addresses, 'ttl_s': keep_s}
--- a/camphorpath/relay/caller.py
+++ b/camphorpath/relay/caller.py
@@ -35,6 +35,11 @@
         """Return the path of the target, without the query."""
         return self.target.partition(b'?')[0].decode('latin-1')
 
+    @property
+    def query(self) -> str:
+        """Return the query of the target."""
+        return self.target.partition(b'?')[2].decode('latin-1')
+
     @property
     def host(self) -> str:
         """Return the host without its port, in lower case."""
--- a/camphorpath/ui/serve.py
+++ b/camphorpath/ui/serve.py
@@ -1,15 +1,14 @@
 """The `serve` command: run one daemon."""
 
 import argparse
-import json
 import sys
 
 import anyio
-import orjson
 from loguru import logger
 
 from ..daemon import run_daemon, watch_signals
 from ..errors import UserError
+from ..events.lines import render_line
 from ..schema import camphorpath_pb2 as pb
 from ..settings import load_settings
 
@@ -42,31 +41,13 @@
     """Write one JSON object a line to standard error."""
 
     def write(message: object) -> None:
-        record = message.record
-        line = {
-            'time': record['time'].isoformat(),
-            'level': record['level'].name,
-            'daemon': settings.name,
-            'message': record['message'],
-            **record['extra'],
-        }
-        if record['exception'] is not None:
-            line['exception'] = repr(record['exception'].value)
-        sys.stderr.write(f'{_render(line)}\n')
+        sys.stderr.write(f'{render_line(message.record, settings.name)}\n')
 
     logger.remove()
     # The sink formats the line itself and wants no text or variables of loguru.
     logger.add(write, level=settings.log_level, format='', backtrace=False, diagnose=False)
 
 
-def _render(line: dict[str, object]) -> str:
-    try:
-        return orjson.dumps(line, default=str).decode()
-    except orjson.JSONEncodeError:
-        # Text that is not valid Unicode, and integers above 64 bits.
-        return json.dumps(line, default=str)
-
-
 def _find_user_error(group: BaseExceptionGroup) -> BaseException:
     """Return the user error that ended the daemon, or the group if it is a fault of the program."""
     faults: BaseException = group
--- a/camphorpath/upstreams/headers.py
+++ b/camphorpath/upstreams/headers.py
@@ -30,13 +30,13 @@
 def select_request_headers(headers: list[tuple[str, str]]) -> list[tuple[bytes, bytes]]:
     """Return the headers of a caller that go to the upstream; raise UnicodeEncodeError."""
     raw = [(name.encode('ascii'), text.encode('latin-1')) for name, text in headers]
-    dropped = HOP_BY_HOP | SET_PER_CALL | _read_connection_options(raw)
+    dropped = HOP_BY_HOP | SET_PER_CALL | read_connection_options(raw)
     return [(name, text) for name, text in raw if name.lower() not in dropped]
 
 
 def select_answer_headers(raw: list[tuple[bytes, bytes]]) -> list[tuple[str, str]]:
     """Return the headers of an answer that go to the caller."""
-    dropped = HOP_BY_HOP | _read_connection_options(raw)
+    dropped = HOP_BY_HOP | read_connection_options(raw)
     return [
         (name.decode('latin-1'), text.decode('latin-1'))
         for name, text in raw
@@ -44,7 +44,8 @@
     ]
 
 
-def _read_connection_options(raw: list[tuple[bytes, bytes]]) -> set[bytes]:
+def read_connection_options(raw: list[tuple[bytes, bytes]]) -> set[bytes]:
+    """Return the names of the headers that concern only this connection."""
     return {
         option.strip().lower()
         for name, text in raw
--- a/tests/relay/support.py
+++ b/tests/relay/support.py
@@ -124,6 +124,12 @@
     return behave
 
 
+async def stay_silent(upstream, reader, writer):
+    """Read a request and never answer."""
+    await upstream.read_request(reader)
+    await upstream.wait_closed(reader)
+
+
 def make_answer(body=b'ok', status=b'200 OK', attempt=b'1', extra=b''):
     head = b'HTTP/1.1 %b\r\nAttempt: %b\r\n%b%bContent-Length: %d\r\n\r\n'
     return head % (status, attempt, SIGNED, extra, len(body)) + body
--- a/tests/relay/test_calls.py
+++ b/tests/relay/test_calls.py
@@ -17,6 +17,7 @@
     open_upstream,
     read_answer,
     run,
+    stay_silent,
     wait_for,
 )
 
@@ -231,12 +232,8 @@
 def test_upstream_work_stops_when_the_caller_leaves():
     """Guards against upstreams that work for callers that are gone."""
 
-    async def behave(upstream, reader, writer):
-        await upstream.read_request(reader)
-        await upstream.wait_closed(reader)
-
     async def test():
-        async with open_upstream(behave) as upstream, open_relay(upstream) as relay:
+        async with open_upstream(stay_silent) as upstream, open_relay(upstream) as relay:
             _reader, writer = await asyncio.open_connection('127.0.0.1', relay[1])
             writer.write(make_request(b'/once/x'))
             await wait_for(lambda: upstream.requests)
@@ -250,12 +247,8 @@
 def test_waiting_call_of_a_caller_that_left_is_not_sent():
     """Guards against work that begins after its caller gave up."""
 
-    async def behave(upstream, reader, writer):
-        await upstream.read_request(reader)
-        await upstream.wait_closed(reader)
-
     async def test():
-        async with open_upstream(behave) as upstream, open_relay(upstream) as relay:
+        async with open_upstream(stay_silent) as upstream, open_relay(upstream) as relay:
             writers = []
             for _ in range(5):
                 _reader, writer = await asyncio.open_connection('127.0.0.1', relay[1])
@@ -275,12 +268,8 @@
 def test_answer_that_does_not_come_in_time():
     """Guards against a caller that is held longer than its route allows."""
 
-    async def behave(upstream, reader, writer):
-        await upstream.read_request(reader)
-        await upstream.wait_closed(reader)
-
     async def test():
-        async with open_upstream(behave) as upstream, open_relay(upstream) as relay:
+        async with open_upstream(stay_silent) as upstream, open_relay(upstream) as relay:
             began = anyio.current_time()
             status, _head, _body = await ask(relay[1], make_request(b'/write/x'))
             assert status == 504
