Log when a report says that an upstream leaves, and keep overlapping drains of the soak

Change: event 502 with its source for load reports too; a fault of an upstream ends with the last of its kind.

--- a/camphorpath/admission/service.py
+++ b/camphorpath/admission/service.py
@@ -195,7 +195,10 @@
             for running in lost:
                 self.remove_running(running)
             upstream.prefixes.clear()
+        was_leaving = upstream.is_leaving
         upstream.take_report(report, self.context.clock())
+        if upstream.is_leaving and not was_leaving:
+            self.context.events.emit(Event.UPSTREAM_LEAVING, '', upstream.name, source='report')
         for orphan in list(upstream.find_gone(self.context.clock())):
             self.remove_running(orphan)
         return refused
@@ -272,7 +275,7 @@
         upstream = self.upstreams.get(vm.name)
         if upstream is not None:
             if vm.state != upstream.vm.state and vm.state != 'live':
-                self.context.events.emit(Event.UPSTREAM_LEAVING, '', vm.name)
+                self.context.events.emit(Event.UPSTREAM_LEAVING, '', vm.name, source='vm_list')
             upstream.vm = vm
             upstream.pool = pool
             return
--- a/tests/admission/test_owner.py
+++ b/tests/admission/test_owner.py
@@ -298,3 +298,11 @@
     for _ in range(3):
         bench.release(bench.granted_ids()[-1])
     assert waiting in bench.granted_ids()
+
+
+def test_a_report_that_the_upstream_leaves_is_logged_once():
+    """Guards against a log that doesn't show when the owner learned that an upstream leaves."""
+    bench = Bench()
+    for _ in range(2):
+        bench.report('u1', draining=True)
+    assert bench.event_names().count('upstream_leaving') == 1
--- a/tools/injector.py
+++ b/tools/injector.py
@@ -80,6 +80,8 @@
     _since: dict[tuple[str, str], float] = attrs.Factory(dict)
     _marks: list[tuple[str, str, float, float]] = attrs.Factory(list)
     _vms_hidden: list[tuple[float, float]] = attrs.Factory(list)
+    # Faults in force by kind and upstream.
+    _active: collections.Counter = attrs.Factory(collections.Counter)
     _starts: int = 0
     _lock: anyio.Lock = attrs.Factory(anyio.Lock)
 
@@ -279,11 +281,16 @@
         if fault.kind == 'hang':
             begin = {'hang': HANGS[int(fault.detail * len(HANGS))]}
         running = self.deployment.upstreams[name]
+        self._active[fault.kind, name] += 1
         await self.deployment.set_upstream_faults(name, **begin)
         if fault.kind == 'drain':
             self._mark(name, 'drain')
             await anyio.sleep(LEAVE_EXTRA_S)
         await anyio.sleep(fault.lasts_s)
+        self._active[fault.kind, name] -= 1
+        if self._active[fault.kind, name]:
+            # The other fault of this kind ends it.
+            return True
         if fault.kind == 'drain':
             self._unmark(name, 'drain')
         if self.deployment.upstreams[name] is running:
