Count a call as late from the instant at which its first byte would be late

Change: the queue counts a call as late from its objective less the expected time to the first byte, and the least urgent calls wait only until then. The log of an answer shows its first byte and longest pause.

--- a/camphorpath/placement/queue.py
+++ b/camphorpath/placement/queue.py
@@ -66,7 +66,7 @@
 def sort_key(call: WaitingCall, now: float) -> tuple[object, ...]:
     """Return the place of a call: rank, where a late call goes one rank down, then arrival."""
     customer_rank, route_rank = call.rank
-    is_late = now > call.objective_at
+    is_late = now > call.late_from
     return customer_rank, route_rank + is_late, is_late, call.arrived_at
 
 
--- a/camphorpath/placement/records.py
+++ b/camphorpath/placement/records.py
@@ -1,5 +1,6 @@
 """Calls that wait for a slot, and what is decided of them."""
 
+import math
 from collections.abc import Callable
 
 import attrs
@@ -39,6 +40,8 @@
     arrived_at: float
     # The first byte is due.
     objective_at: float
+    # From this instant the first byte comes too late even if a slot is free; set on submission.
+    late_from: float = math.inf
     # After this instant the call is not worth a slot.
     wait_until: float
     deadline: float
--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -119,6 +119,7 @@
         """Give a call a slot, let it wait, or turn it away."""
         service = self._services.setdefault(call.service, _Service())
         service.urgent_at[call.rank[1]] = now
+        call.late_from = call.objective_at - self._expect_first(call)
         chosen = None
         if not service.queue.calls or not service.queue.count_ahead(call, now):
             chosen = self._choose(call, self._list_usable(call.service, now), now)
@@ -131,7 +132,7 @@
             return
         if self._yields(call, now):
             # Late it is worth little, and the slot would be missing to urgent calls.
-            call.wait_until = min(call.wait_until, call.objective_at)
+            call.wait_until = min(call.wait_until, call.late_from)
         wait_s = self._estimate_wait(service, call, now)
         if now + wait_s > call.wait_until:
             call.on_decision(turn_away('queue_full', wait_s, call, now, waiting))
@@ -275,6 +276,13 @@
             cost += UNRELIABLE_S
         return cost
 
+    def _expect_first(self, call: WaitingCall) -> float:
+        """Return the seconds from a send to the first byte, as a mean over the upstreams."""
+        group = self._groups.get(call.service, ())
+        if not group:
+            return 0
+        return sum(slots.speed.estimate_first(call.prompt_tokens) for slots in group) / len(group)
+
     def _estimate_wait(self, service: _Service, call: WaitingCall, now: float) -> float:
         ahead = service.queue.count_ahead(call, now) + 1
         recent = sum(1 for end in service.ends if end > now - RATE_WINDOW_S)
--- a/camphorpath/placement/speed.py
+++ b/camphorpath/placement/speed.py
@@ -31,9 +31,13 @@
             self.token_s += self._weight() * (seconds / tokens - self.token_s)
         self.samples += 1
 
+    def estimate_first(self, prompt_tokens: float) -> float:
+        """Return the expected seconds from the send to the first byte of an answer."""
+        return self.first_s + prompt_tokens * USUAL_PREFILL_S
+
     def estimate(self, prompt_tokens: float, output_tokens: float) -> float:
         """Return the expected seconds from the send to the end of an answer."""
-        return self.first_s + prompt_tokens * USUAL_PREFILL_S + max(output_tokens, 1) * self.token_s
+        return self.estimate_first(prompt_tokens) + max(output_tokens, 1) * self.token_s
 
     def _weight(self) -> float:
         return EWMA_WEIGHT if self.samples else 0.5
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -63,6 +63,7 @@
     tried: set[str] = attrs.field(factory=set)
     has_started: bool = False
     unsent: int = 0
+    _passed_at: float = 0
 
     async def serve(self) -> str:
         """Serve the call and return its outcome for the log; raise Refusal or CallerGone."""
@@ -201,6 +202,8 @@
             waited_ms=round((read_lease_clock() - call.arrived_at) * MS_PER_S),
             left_ms=round(call.time_left() * MS_PER_S),
             running=len(slots.running),
+            prompt_tokens=round(call.prompt_tokens),
+            expected_first_ms=round(slots.speed.estimate_first(call.prompt_tokens) * MS_PER_S),
             is_owner=slots.is_owner,
             manifest=self.context.table.version if self.context.table else 0,
         )
@@ -269,15 +272,20 @@
         return SERVED
 
     async def _pass_on(self, answer: UpstreamAnswer, part: bytes) -> None:
+        now = read_lease_clock()
         if self.has_started:
+            self.call.longest_pause_s = max(self.call.longest_pause_s, now - self._passed_at)
+            self._passed_at = now
             await self.caller.send_part(part)
             return
+        self._passed_at = now
         self.has_started = True
         self._note_first_answer()
         await self.caller.start_stream(answer.status, select_answer_headers(answer.headers), part)
 
     def _note_first_answer(self) -> None:
         waited_s = read_lease_clock() - self.call.arrived_at
+        self.call.first_s = waited_s
         self.context.metrics.first_byte.observe({'route': self.call.route.name}, waited_s)
 
     # --- after a failure
--- a/camphorpath/relay/intake.py
+++ b/camphorpath/relay/intake.py
@@ -50,6 +50,10 @@
     sends: int = 0
     # Whether an upstream may have run it.
     may_have_run: bool = False
+    # From the arrival to the first part of the answer, None before it.
+    first_s: float | None = None
+    # The longest time between two parts of a stream.
+    longest_pause_s: float = 0
 
     @property
     def text_id(self) -> str:
--- a/camphorpath/relay/server.py
+++ b/camphorpath/relay/server.py
@@ -127,6 +127,8 @@
         route=call.route.name,
         attempts=call.sends,
         took_ms=_elapsed_ms(call),
+        first_ms=None if call.first_s is None else round(call.first_s * MS_PER_S),
+        pause_ms=round(call.longest_pause_s * MS_PER_S),
     )
 
 
--- a/tests/placement/test_scheduler.py
+++ b/tests/placement/test_scheduler.py
@@ -247,3 +247,23 @@
     bench.submit('answer', rank=(0, 1), now=0.05)
     bench.release(first, 0.2)
     assert bench.where('answer')
+
+
+def test_a_call_is_late_as_soon_as_its_first_byte_would_be():
+    """Guards against slots for calls that wait to the last moment and are answered late anyway."""
+    bench = Bench([make_upstream(1, slots=1)])
+    first = bench.submit('first')
+    bench.submit('nearly late', now=0.0, objective_s=0.2)
+    bench.submit('fresh', now=0.1)
+    bench.release(first, 0.15)
+    assert bench.where('fresh')
+    assert 'nearly late' not in bench.decisions
+
+
+def test_least_urgent_call_learns_early_that_it_would_be_late():
+    """Guards against a caller that waits for its whole objective and is then turned away."""
+    bench = Bench([make_upstream(1, slots=1)])
+    bench.submit('draft', rank=(0, 0))
+    bench.submit('note', rank=(0, 2), now=0.0, objective_s=0.5, wait_s=1.0)
+    bench.scheduler.expire(0.45)
+    assert isinstance(bench.decisions['note'], TurnedAway)
