Drop heartbeats and rows with hosts that are no addresses or figures that cannot be

Cause: found by writing the fuzz tests: a host name of more than 63 characters in a heartbeat or in a row of the members raises UnicodeError from the socket, which ended the daemon; any other name is looked up for each datagram. An infinite interval or a cores figure of NaN made a member that is never lost or sorts anywhere. Change: hosts must be IPv4 addresses, figures finite, intervals 0 to 60 s.

--- a/camphorpath/cluster/heartbeats.py
+++ b/camphorpath/cluster/heartbeats.py
@@ -1,6 +1,7 @@
 """Heartbeats by UDP."""
 
 import contextlib
+import math
 import socket
 from collections.abc import Callable, Iterable
 
@@ -8,10 +9,13 @@
 from google.protobuf.message import DecodeError
 
 from ..schema import camphorpath_pb2 as pb
+from .addresses import is_address
 
 MAX_DATAGRAM_BYTES = 60000
 # Datagrams that are read before other tasks run.
 BATCH = 64
+# Fleets of thousands have longer intervals than this in no case, in seconds.
+MAX_INTERVAL_S = 60.0
 
 
 class HeartbeatSocket:
@@ -51,8 +55,14 @@
 
 
 def _decode(datagram: bytes) -> pb.EdgeHeartbeat | None:
+    """Return a heartbeat, or None for a datagram that is none or states what cannot be."""
     try:
         beat = pb.EdgeHeartbeat.FromString(datagram)
     except DecodeError:
         return None
-    return beat if beat.name and beat.incarnation and beat.host else None
+    if not (beat.name and beat.incarnation and is_address(beat.host)):
+        return None
+    numbers = [beat.cores, beat.interval, *beat.used.values()]
+    numbers.extend(load.factor for load in beat.loads)
+    is_sane = all(map(math.isfinite, numbers)) and 0 <= beat.interval <= MAX_INTERVAL_S
+    return beat if is_sane else None
--- a/camphorpath/cluster/members.py
+++ b/camphorpath/cluster/members.py
@@ -6,6 +6,7 @@
 
 from ..placement.ownership import Candidate
 from ..schema import camphorpath_pb2 as pb
+from .addresses import is_address
 
 # Heartbeats a second that one daemon may receive at most, if all were sent by daemons that take
 # calls, or by those that do not; intervals grow with the fleet.
@@ -68,8 +69,8 @@
         return known
 
     def add_host(self, host: str) -> None:
-        """Tell a host of this daemon from now on."""
-        if host and host != self.own_host:
+        """Tell a host of this daemon from now on, if it is an address."""
+        if host != self.own_host and is_address(host):
             self.hosts.add(host)
 
     def expire(self, now: float) -> list[Member]:
