--- a/tests/platform/test_manifest.py
+++ b/tests/platform/test_manifest.py
@@ -1,3 +1,5 @@
+import math
+
 import orjson
 import pytest
 
@@ -42,6 +44,13 @@
     assert route.targets == (('llm', 1.0),)
 
 
+@pytest.mark.parametrize(('given', 'pause_s'), [({}, math.inf), (0, math.inf), (250, 0.25)])
+def test_longest_pause_of_a_stream_is_decoded(given, pause_s):
+    """Guards against streams whose pauses count as too long because none is stated."""
+    route = ROUTE if given == {} else {**ROUTE, 'itl_target_ms': given}
+    assert decode(routes=[route]).find_route('shop.example', '/a/b').pause_s == pause_s
+
+
 def test_split_replaces_the_service():
     """Guards against calls that all go to one side of a split."""
     split = [{'service': 'old', 'weight': 90}, {'service': 'new', 'weight': 10}]
