--- a/camphorpath/placement/records.py
+++ b/camphorpath/placement/records.py
@@ -38,7 +38,7 @@
     lent: int = 0
     # The only daemon that may use them; empty for all.
     borrower: str = ''
-    # The speed that the owner learned.
+    # How many times the usual time to the first byte it takes, as its owner learned.
     factor: float = 1.0
 
 
--- a/camphorpath/placement/speed.py
+++ b/camphorpath/placement/speed.py
@@ -21,7 +21,7 @@
 class Speed:
     """Times of an upstream, as moving averages."""
 
-    # Times the usual time to the first byte.
+    # How many times the usual time to the first byte it takes.
     factor: float = 1.0
     # Seconds for each token of the answer.
     token_s: float = USUAL_TOKEN_S
