--- a/camphorpath/placement/queue.py
+++ b/camphorpath/placement/queue.py
@@ -21,7 +21,7 @@
 RETRY_SHARE = 0.3
 MIN_RETRY_S = 0.1
 # Refused callers return between this part of that share and the whole of it.
-RETRY_SPREAD = 0.8
+RETRY_SPREAD = 0.7
 
 
 Rank = tuple[int, int]
