Count the shares of all classes once, and drop an unused look-up

Cause: read as a newcomer: the totals were summed again for each class at each turn, a method had an early return for one line, and UpstreamView.get had no user. Change: the same comparison in one place; behaviour and checks unchanged. Measured: lint and the tests of placement, routing, relay and edge pass.

--- a/camphorpath/placement/queue.py
+++ b/camphorpath/placement/queue.py
@@ -79,7 +79,13 @@
         """Return the call whose turn it is whatever its rank, or None."""
         if self._turn % STARVED_TURN:
             return None
-        starved = {rank for rank in self._counts if self._is_starved(rank)}
+        came = sum(counts.came for counts in self._counts.values())
+        served = sum(counts.served for counts in self._counts.values())
+        starved = {
+            rank
+            for rank, counts in self._counts.items()
+            if counts.served * came < STARVED_SHARE * served * counts.came
+        }
         candidates = [call for call in self.calls if call.rank in starved]
         return min(candidates, key=lambda call: call.arrived_at, default=None)
 
@@ -93,14 +99,6 @@
         key = sort_key(call, now)
         return sum(1 for other in self.calls if sort_key(other, now) < key)
 
-    def _is_starved(self, rank: Rank) -> bool:
-        counts = self._counts.get(rank)
-        if counts is None or not counts.came:
-            return False
-        came = sum(one.came for one in self._counts.values())
-        served = sum(one.served for one in self._counts.values())
-        return counts.served / counts.came < STARVED_SHARE * served / came
-
 
 def sort_key(call: WaitingCall, now: float) -> tuple[object, ...]:
     """Return the place of a call: rank, where a late call goes one rank down, then arrival."""
--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -193,9 +193,8 @@
         if running is None or running.has_answered:
             return
         running.has_answered = True
-        if is_failure:
-            return
-        slots.speed.learn_first(now - running.sent_at, running.tokens_before)
+        if not is_failure:
+            slots.speed.learn_first(now - running.sent_at, running.tokens_before)
 
     def release(self, upstream_id: str, call: WaitingCall, now: float) -> None:
         """Free the slot of a call and give it to the next one."""
--- a/camphorpath/routing/upstreams.py
+++ b/camphorpath/routing/upstreams.py
@@ -33,10 +33,6 @@
         """Return all upstreams, the leaving ones included."""
         return list(self._entries.values())
 
-    def get(self, upstream_id: str) -> Upstream | None:
-        """Return an upstream, or None."""
-        return self._entries.get(upstream_id)
-
     def note_disturbance(self, now: float) -> None:
         """Take note that the store did not answer, or answers again."""
         self._disturbed_until = now + RETURN_GRACE_S
