--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -62,6 +62,8 @@
     _reported: dict[str, frozenset[str]] = attrs.field(factory=dict)
     # Names and waiting calls of other daemons, by incarnation.
     _demand: dict[str, tuple[str, dict[str, int]]] = attrs.field(factory=dict)
+    # Whether callers are told to come here.
+    _is_active: bool = False
     # Reports that were made.
     _rounds: int = 0
     # Upstreams that do not leave, by service.
@@ -72,6 +74,7 @@
 
     def set_upstreams(self, upstreams: Iterable[Upstream], assignment: Assignment) -> None:
         """Take in the registered upstreams and their owners."""
+        self._is_active = assignment.is_active(self.name)
         listed = {upstream.upstream_id: upstream for upstream in upstreams}
         for upstream_id, upstream in listed.items():
             known = self.slots.get(upstream_id)
@@ -104,7 +107,10 @@
                 continue
             slots.foreign[incarnation] = load.in_flight
             if slots.owner == name:
-                slots.lent = load.lent if load.borrower in {'', self.name} else 0
+                # A daemon that takes no calls has only few that strayed, and is heard too seldom
+                # to be chosen.
+                is_meant = not self._is_active or load.borrower in {'', self.name}
+                slots.lent = load.lent if is_meant else 0
                 slots.speed.factor = load.factor or slots.speed.factor
 
     def forget_daemon(self, incarnation: str) -> None:
--- a/tests/placement/test_scheduler.py
+++ b/tests/placement/test_scheduler.py
@@ -16,7 +16,8 @@
         self.scheduler = Scheduler(name='me', zone='a', regions={'a': 'r1', 'b': 'r2'})
         owned = [one.upstream_id for one in upstreams] if owned is None else owned
         owners = {one.upstream_id: 'other' for one in upstreams} | dict.fromkeys(owned, 'me')
-        self.scheduler.set_upstreams(upstreams, Assignment({}, owners))
+        actives = {'r1': ('me', 'other')}
+        self.scheduler.set_upstreams(upstreams, Assignment(actives, owners))
         self.decisions = {}
 
     def make_call(self, name, *, now=0.0, rank=(0, 0), objective_s=0.8, wait_s=1.6, **fields):
@@ -165,6 +166,15 @@
     assert bench.where('one')
 
 
+def test_daemon_that_takes_no_calls_may_use_what_is_lent_to_another():
+    """Guards against calls that reach such a daemon and are all refused under load."""
+    bench = Bench([make_upstream(1, 'b')], owned=[])
+    bench.scheduler.set_upstreams([make_upstream(1, 'b')], Assignment({'r': ('o',)}, {'i-1': 'o'}))
+    bench.scheduler.take_loads('o', 'o-1', {'i-1': Load(0, 2, 'third')}, {})
+    bench.submit('one')
+    assert bench.where('one')
+
+
 def test_borrowers_know_the_speed_that_the_owner_learned():
     """Guards against borrowers that send their calls to the slowest upstream, which is free."""
     bench = Bench([make_upstream(1, 'b'), make_upstream(2, 'b')], owned=[])
