End answers without end, slow streams by what is allowed, and pauses that upstreams ask for

Cause: an event of a stream without end was kept whole and searched from its start at each chunk; interim heads and answers to other requests had no limit; a copy of an answer without the id of its request was taken for the next one's on a connection that was used again; a resumable stream was ended 1.0 s after its last byte, so a sound pause of 1.1 s was cut and a stream that sends a byte now and then was not. Leaving upstreams that say so in an answer, and 503 with Retry-After, were not read.

Change: limits of 256 KiB an event, 1 MiB and 16 heads of what was not asked for; an answer without an id counts only on a new connection; whole events are progress, and the limit follows objective, allowed pause and the stream's own pauses (patience.py); a leaving incarnation is marked whatever its entry says; no call goes to an upstream until its Retry-After is over.

--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -246,7 +246,7 @@
         service = self._services.get(slots.upstream.service)
         if service is not None and service.queue.calls:
             return 0
-        if slots.upstream.is_leaving or not slots.health.allows(now):
+        if slots.upstream.is_leaving or now < slots.rests_until or not slots.health.allows(now):
             return 0
         return max(slots.count_free(now) - 1, 0)
 
@@ -323,7 +323,7 @@
         for slots in self._groups.get(call.service, ()):
             if not slots.is_owner or slots.upstream.upstream_id in call.excluded:
                 continue
-            if slots.is_silent(now) or not slots.health.allows(now):
+            if not slots.is_trusted(now, starts_at=now + wait_s):
                 continue
             if self._estimate_cost(call, slots, now + wait_s) + wait_s < cost:
                 return True
--- a/camphorpath/placement/slots.py
+++ b/camphorpath/placement/slots.py
@@ -1,5 +1,7 @@
 """The slots of one upstream as one daemon sees them."""
 
+import math
+
 import attrs
 
 from ..routing import Upstream
@@ -11,6 +13,8 @@
 # SILENCE_MIN_S, makes the upstream suspect until it answers.
 SILENCE_FACTOR = 4
 SILENCE_MIN_S = 0.9
+# A pause that an upstream asks for is honoured up to this time, in seconds.
+MAX_REST_S = 300.0
 
 
 @attrs.define
@@ -47,6 +51,8 @@
     # Calls that the upstream reported beyond those known here, until `hidden_until`.
     hidden: int = 0
     hidden_until: float = 0
+    # The upstream asked for no calls of this daemon until then.
+    rests_until: float = -math.inf
 
     def count_free(self, now: float) -> int:
         """Return the slots that this daemon may still use."""
@@ -59,15 +65,25 @@
 
     def is_usable(self, now: float, *, ignores_health: bool) -> bool:
         """Return whether a call may be sent now."""
-        if self.count_free(now) <= 0 or self.is_silent(now):
+        if self.count_free(now) <= 0 or self.is_silent(now) or now < self.rests_until:
             return False
         return ignores_health or self.health.allows(now)
 
+    def is_trusted(self, now: float, *, starts_at: float) -> bool:
+        """Return whether a call that waits may count on a slot at an instant."""
+        if self.is_silent(now) or starts_at < self.rests_until:
+            return False
+        return self.health.allows(now)
+
     def note_load(self, total: int, now: float, hold_s: float) -> None:
         """Take in the number of running and waiting calls that the upstream stated."""
         self.hidden = max(total - len(self.running), 0)
         self.hidden_until = now + hold_s
 
+    def rest(self, now: float, seconds: float) -> None:
+        """Send nothing for so many seconds, as the upstream asked."""
+        self.rests_until = max(self.rests_until, now + min(seconds, MAX_REST_S))
+
     def is_silent(self, now: float) -> bool:
         """Return whether a call waits for its first byte for suspiciously long."""
         return any(not call.has_answered and now > call.first_due for call in self.running.values())
--- a/camphorpath/platform/wire.py
+++ b/camphorpath/platform/wire.py
@@ -18,6 +18,7 @@
     signature=b'x-runner-signature',
     not_run=b'x-not-executed',
     load=b'x-runner-load',
+    leaving=b'server-leaving',
     reserved=frozenset(
         (
             b'x-expected-version',
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -9,6 +9,7 @@
 
 from ..clocks import read_lease_clock
 from ..errors import (
+    AnswerTooLarge,
     NotExecuted,
     NotSent,
     Refusal,
@@ -24,6 +25,7 @@
 from .events import EventSplitter
 from .headers import Headers, find_header, select_answer_headers, select_request_headers
 from .intake import MS_PER_S, Call
+from .patience import limit_pause
 from .upstream import UpstreamAnswer, UpstreamConnection, read_answer
 
 SERVED = 'served'
@@ -33,6 +35,7 @@
 STATUS_MISDIRECTED = 421
 STATUS_SERVER_ERROR = 500
 STATUS_BAD_GATEWAY = 502
+STATUS_UNAVAILABLE = 503
 STATUS_GATEWAY_TIMEOUT = 504
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 # Connections that may fail for one call before it is turned away; nothing was sent on them.
@@ -41,9 +44,11 @@
 NOT_EXECUTED_RETRY_S = 0.2
 # A load that an upstream stated counts for this time, in seconds.
 LOAD_HOLD_S = 1.2
-# A stream without an event for this long goes on at another upstream, in seconds; callers abandon
-# one after two seconds or more.
-STREAM_GAP_S = 1.0
+# Bytes of one event of a stream; the longest ones in use have some hundred.
+MAX_EVENT_BYTES = 262144
+RETRY_AFTER = b'retry-after'
+# The value of a header that states something by being there.
+STATED = b'1'
 # The number of tokens in an event is not stated; only relative speeds matter here.
 TOKENS_PER_EVENT = 4
 
@@ -161,7 +166,7 @@
         ran_before = self.call.may_have_run
         self._note_send(upstream)
         answer = await self._read_head(carrier, upstream)
-        self._note_load(upstream, find_header(answer.headers, self.context.dialect.load))
+        self._note_head(upstream, answer)
         self._check_executed(upstream, answer, ran_before=ran_before)
         is_failure = answer.status >= STATUS_SERVER_ERROR
         self.context.scheduler.note_first_byte(
@@ -234,13 +239,22 @@
         if answer.status < STATUS_REDIRECT and not find_header(answer.headers, dialect.signature):
             raise SentUnknown('an answer without signature', step='receive_head', peer=answer.peer)
 
-    def _note_load(self, upstream: Upstream, text: bytes) -> None:
-        counts = text.split(b',')
-        if len(counts) < 2 or not (counts[0].isdigit() and counts[1].isdigit()):
-            return
+    def _note_head(self, upstream: Upstream, answer: UpstreamAnswer) -> None:
+        """Take note of what an upstream tells of itself beside its answer."""
+        dialect = self.context.dialect
         now = read_lease_clock()
-        total = int(counts[0]) + int(counts[1])
-        self.context.scheduler.slots[upstream.upstream_id].note_load(total, now, LOAD_HOLD_S)
+        slots = self.context.scheduler.slots[upstream.upstream_id]
+        load = _read_load(find_header(answer.headers, dialect.load))
+        if load is not None:
+            slots.note_load(load, now, LOAD_HOLD_S)
+        if find_header(answer.headers, dialect.leaving) == STATED:
+            self.context.on_leaving(upstream)
+        pause_s = _read_pause(answer)
+        if pause_s > 0:
+            slots.rest(now, pause_s)
+            self.context.events.emit(
+                Event.UPSTREAM_RESTS, self.call.text_id, upstream.upstream_id, seconds=pause_s
+            )
 
     async def _relay_whole(self, answer: UpstreamAnswer) -> str:
         body = await answer.read_all(MAX_ANSWER_BYTES)
@@ -254,19 +268,22 @@
     async def _relay_stream(self, upstream: Upstream, answer: UpstreamAnswer) -> str:
         began_at = read_lease_clock()
         splitter = self.splitter
-        splitter.rest = b''
+        splitter.drop_rest()
         before = splitter.events
-        limit_s = STREAM_GAP_S if self._can_resume() else math.inf
-        with anyio.move_on_after(limit_s) as scope:
+        with anyio.move_on_after(self._limit_event()) as scope:
             async for chunk in answer.chunks():
                 whole = splitter.feed(chunk)
                 if whole:
                     await self._pass_on(answer, whole)
-                scope.deadline = anyio.current_time() + limit_s
+                    # Bytes that complete no event are no progress.
+                    scope.deadline = anyio.current_time() + self._limit_event()
+                elif len(splitter.rest) > MAX_EVENT_BYTES:
+                    message = f'an event is longer than {MAX_EVENT_BYTES} bytes'
+                    raise AnswerTooLarge(message, step='receive_body', peer=answer.peer)
         if not answer.is_complete:
             raise Truncated('no event for too long', step='receive_body', peer=answer.peer)
         if not self.has_started or splitter.rest:
-            await self._pass_on(answer, splitter.rest)
+            await self._pass_on(answer, splitter.drop_rest())
         await self.caller.end_stream()
         slots = self.context.scheduler.slots.get(upstream.upstream_id)
         events = splitter.events - before
@@ -337,8 +354,11 @@
         daemons = self.context.count_daemons()
         return self.context.budget.take(call.service, read_lease_clock(), daemons)
 
-    def _can_resume(self) -> bool:
-        return self.call.route.is_resumable and self._can_go_elsewhere()
+    def _limit_event(self) -> float:
+        """Return the seconds for the next event after which the stream goes on elsewhere."""
+        if not (self.call.route.is_resumable and self._can_go_elsewhere()):
+            return math.inf
+        return limit_pause(self.call.route, self.call.longest_pause_s)
 
     def _can_go_elsewhere(self) -> bool:
         """Return whether another attempt is allowed, so that a silent one may be ended for it."""
@@ -366,6 +386,26 @@
         self.context.scheduler.release(upstream.upstream_id, waiting, read_lease_clock())
 
 
+def _read_load(text: bytes) -> int | None:
+    """Return the running and waiting calls that an upstream states, None if it states none."""
+    counts = text.split(b',')
+    if len(counts) < 2 or not (counts[0].isdigit() and counts[1].isdigit()):
+        return None
+    return int(counts[0]) + int(counts[1])
+
+
+def _read_pause(answer: UpstreamAnswer) -> float:
+    """Return for how many seconds an upstream wants no calls; 0 if it asks for no pause."""
+    if answer.status != STATUS_UNAVAILABLE:
+        return 0
+    try:
+        seconds = float(find_header(answer.headers, RETRY_AFTER) or 0)
+    except ValueError:
+        # A date: the deployments state seconds.
+        return 0
+    return seconds if math.isfinite(seconds) else 0
+
+
 def render_refusal(refusal: Refusal) -> tuple[int, Headers, bytes]:
     """Return status, headers and body of a refusal."""
     headers: Headers = [(b'content-type', b'text/plain; charset=utf-8')]
--- a/camphorpath/relay/context.py
+++ b/camphorpath/relay/context.py
@@ -9,7 +9,7 @@
 from ..placement.budget import RetryBudget
 from ..placement.quota import QuotaLedger
 from ..placement.scheduler import Scheduler
-from ..routing import CallerLimits, RoutingTable
+from ..routing import CallerLimits, RoutingTable, Upstream
 from .caller import CallerConnection
 from .dialect import Dialect
 from .metrics import RelayMetrics
@@ -29,6 +29,8 @@
     metrics: RelayMetrics
     # Number of daemons that share the retry budget.
     count_daemons: Callable[[], int]
+    # Called for an upstream that said in an answer that it leaves.
+    on_leaving: Callable[[Upstream], None] = lambda upstream: None
     # None before the first manifest.
     table: RoutingTable | None = None
     is_stopping: bool = False
--- a/camphorpath/relay/dialect.py
+++ b/camphorpath/relay/dialect.py
@@ -22,5 +22,7 @@
     signature: bytes
     not_run: bytes
     load: bytes
+    # The upstream leaves.
+    leaving: bytes
     # Headers of callers that only the relay may set.
     reserved: frozenset[bytes]
--- a/camphorpath/relay/events.py
+++ b/camphorpath/relay/events.py
@@ -5,6 +5,7 @@
 import attrs
 
 EVENT_END = re.compile(rb'\r?\n\r?\n')
+MAX_END_BYTES = 4
 ID_LINE = re.compile(rb'(?:\A|\n)id: ?([^\r\n]*)')
 
 
@@ -14,21 +15,29 @@
 
     last_id: bytes = b''
     events: int = 0
-    rest: bytes = b''
+    # The bytes after the last whole event.
+    rest: bytearray = attrs.field(factory=bytearray)
 
     def feed(self, chunk: bytes) -> bytes:
         """Return the whole events that a chunk completes; what follows is kept."""
-        pending = self.rest + chunk
+        # The end of an event may have come in two parts.
+        start = max(len(self.rest) - MAX_END_BYTES + 1, 0)
+        self.rest += chunk
         end = 0
-        for found in EVENT_END.finditer(pending):
+        for found in EVENT_END.finditer(self.rest, start):
             end = found.end()
             self.events += 1
         if not end:
-            self.rest = pending
             return b''
-        whole = pending[:end]
-        self.rest = pending[end:]
+        whole = bytes(self.rest[:end])
+        self.rest = self.rest[end:]
         ids = ID_LINE.findall(whole)
         if ids:
             self.last_id = ids[-1]
         return whole
+
+    def drop_rest(self) -> bytes:
+        """Forget the bytes after the last whole event, and return them."""
+        rest = bytes(self.rest)
+        self.rest = bytearray()
+        return rest
--- a/camphorpath/relay/upstream.py
+++ b/camphorpath/relay/upstream.py
@@ -20,6 +20,10 @@
 # A request that must not be repeated uses only a connection that was busy a moment ago.
 FRESH_S = 1.0
 MAX_IDLE = 16
+# Answers that are not the one asked for, and interim ones, are read off up to these limits; an
+# upstream in trouble may send them without end.
+MAX_SKIPPED = 16
+MAX_SKIPPED_BYTES = 1024 * 1024
 KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d+)')
 
 
@@ -69,8 +73,13 @@
     async def skip_answer(self) -> None:
         """Read off a whole answer that belongs to an earlier request."""
         event: object = None
+        skipped = 0
         while not isinstance(event, h11.EndOfMessage):
             event = await self.read_event()
+            if isinstance(event, h11.Data):
+                skipped += len(event.data)
+            if skipped > MAX_SKIPPED_BYTES:
+                raise h11.RemoteProtocolError('an answer to another request is too long')
             if isinstance(event, h11.ConnectionClosed):
                 raise h11.RemoteProtocolError('closed after an answer to another request')
         rest, is_closed = self.http.trailing_data
@@ -187,7 +196,7 @@
     """Return the answer to the request on a connection; raise SentUnknown.
 
     An answer that names another attempt in the header `name` belongs to an earlier request and is
-    read off.
+    read off; one that names none is taken only on a new connection.
     """
     try:
         event = await _read_own_head(carrier, attempt_id, name)
@@ -201,15 +210,25 @@
 async def _read_own_head(
     carrier: UpstreamConnection, attempt_id: bytes, name: bytes
 ) -> h11.Response:
-    while True:
+    for _ in range(MAX_SKIPPED):
         event = await carrier.read_event()
         if isinstance(event, h11.InformationalResponse):
             continue
         if not isinstance(event, h11.Response):
             raise h11.RemoteProtocolError('closed without an answer')
-        if find_header(event.headers, name) in {attempt_id, b''}:
+        found = find_header(event.headers, name) or _assume_attempt(carrier, attempt_id)
+        if found == attempt_id:
             return event
         await carrier.skip_answer()
+    raise h11.RemoteProtocolError('too many answers that were not asked for')
+
+
+def _assume_attempt(carrier: UpstreamConnection, attempt_id: bytes) -> bytes:
+    """Return the attempt to which an answer that names none belongs."""
+    if carrier.was_used:
+        # It may be a second copy of an earlier answer.
+        raise h11.RemoteProtocolError('an answer that names no request')
+    return attempt_id
 
 
 def _note_keep_alive(carrier: UpstreamConnection, headers: Headers) -> None:
--- a/camphorpath/routing/upstreams.py
+++ b/camphorpath/routing/upstreams.py
@@ -1,5 +1,7 @@
 """The upstreams that are registered, and when an entry that vanished counts as gone."""
 
+import collections
+
 import attrs
 
 from .records import Upstream
@@ -11,6 +13,7 @@
 TOGETHER_S = 1.0
 # Share of the entries of a service above which their removal means that they lapsed.
 LAPSE_SHARE = 0.5
+MAX_LEAVING = 10000
 
 
 @attrs.define
@@ -28,6 +31,10 @@
     # Ids of entries that lapsed, and the instant at which they count as gone.
     _lapsed: dict[str, float] = attrs.field(factory=dict)
     _disturbed_until: float = 0
+    # Incarnations that said that they leave; their entries may not tell it yet, or never.
+    _leaving: collections.deque[tuple[str, int]] = attrs.field(
+        factory=lambda: collections.deque(maxlen=MAX_LEAVING)
+    )
 
     def all(self) -> list[Upstream]:
         """Return all upstreams, the leaving ones included."""
@@ -41,10 +48,24 @@
         """Take in an entry; return whether it differs from the one before."""
         self._removed.pop(upstream.upstream_id, None)
         self._lapsed.pop(upstream.upstream_id, None)
+        if (upstream.upstream_id, upstream.incarnation) in self._leaving:
+            upstream = attrs.evolve(upstream, is_leaving=True)
         is_new = self._entries.get(upstream.upstream_id) != upstream
         self._entries[upstream.upstream_id] = upstream
         return is_new
 
+    def note_leaving(self, upstream_id: str, incarnation: int) -> bool:
+        """Take note that an incarnation of an upstream leaves; return whether that is news."""
+        key = upstream_id, incarnation
+        if key in self._leaving:
+            return False
+        self._leaving.append(key)
+        upstream = self._entries.get(upstream_id)
+        if upstream is None or upstream.incarnation != incarnation or upstream.is_leaving:
+            return False
+        self._entries[upstream_id] = attrs.evolve(upstream, is_leaving=True)
+        return True
+
     def remove(self, upstream_id: str, now: float) -> bool:
         """Take note that an entry was removed; return whether the upstream counts as gone."""
         upstream = self._entries.pop(upstream_id, None)
--- a/tests/relay/support.py
+++ b/tests/relay/support.py
@@ -36,6 +36,7 @@
     signature=b'signature',
     not_run=b'not-run',
     load=b'load',
+    leaving=b'leaving',
     reserved=frozenset((b'reserved',)),
 )
 ROUTES = (
--- a/tests/relay/test_calls.py
+++ b/tests/relay/test_calls.py
@@ -373,3 +373,99 @@
             assert sum(counted.values()) == 3
 
     run(test)
+
+
+@pytest.mark.parametrize('attempt', [b'Attempt: 1\r\n', b''])
+def test_second_copy_without_the_name_of_its_request_is_not_passed_on(attempt):
+    """Guards against the answer to another caller where a server repeats it without its id."""
+    copy = b'HTTP/1.1 200 OK\r\n%bSignature: s\r\nContent-Length: 5\r\n\r\nfirst' % attempt
+
+    async def behave(upstream, reader, writer):
+        await upstream.read_request(reader)
+        writer.write(make_answer(b'first', attempt=b'1'))
+        await writer.drain()
+        await upstream.read_request(reader)
+        writer.write(copy + make_answer(b'second', attempt=b'2'))
+        await writer.drain()
+
+    async def test():
+        async with open_upstream(behave) as one, open_relay(one) as relay:
+            await ask(relay[1], make_request(b'/write/x', b'1'))
+            _status, _head, body = await ask(relay[1], make_request(b'/write/x', b'2'))
+        assert body != b'first'
+
+    run(test)
+
+
+ENDLESS = (
+    b'HTTP/1.1 103 Early\r\nLink: x\r\n\r\n' * 100,
+    b'X-Filler: y\r\n' * 1000,
+    b'1000\r\n' + b'z' * 4096 + b'\r\n',
+)
+ENDLESS_HEADS = (
+    b'',
+    b'HTTP/1.1 200 OK\r\n',
+    b'HTTP/1.1 200 OK\r\nAttempt: 0\r\nTransfer-Encoding: chunked\r\n\r\n',
+)
+
+
+@pytest.mark.parametrize(
+    ('head', 'part'), list(zip(ENDLESS_HEADS, ENDLESS, strict=True)), ids=['103', 'head', 'body']
+)
+def test_bytes_that_are_no_answer_end_at_a_limit(head, part):
+    """Guards against an upstream that sends heads or bodies until the relay closes."""
+    sent = []
+
+    async def behave(upstream, reader, writer):
+        await upstream.read_request(reader)
+        writer.write(head)
+        while not writer.transport.is_closing():
+            writer.write(part)
+            sent.append(len(part))
+            await writer.drain()
+
+    async def test():
+        async with open_upstream(behave) as one, open_relay(one) as relay:
+            with anyio.fail_after(0.9):
+                status, _head, _body = await ask(relay[1], make_request(b'/write/x'))
+            assert status == 502
+            await wait_for(lambda: not relay[0].in_progress)
+        assert sum(sent) < 8 * 1024 * 1024
+
+    run(test)
+
+
+def test_upstream_that_says_that_it_leaves_is_reported():
+    """Guards against calls to a leaving upstream whose entry does not tell it."""
+
+    async def test():
+        reply = make_answer(extra=b'Leaving: 1\r\n')
+        async with open_upstream(answer_with(reply)) as one, open_relay(one) as relay:
+            told = []
+            relay[0].on_leaving = told.append
+            await ask(relay[1], make_request())
+        assert [upstream.upstream_id for upstream in told] == ['i-0']
+
+    run(test)
+
+
+def test_upstream_that_asks_for_a_pause_gets_it():
+    """Guards against calls to an upstream that turned one away for so many seconds."""
+
+    async def test():
+        busy = make_answer(
+            status=b'503 Busy', extra=b'Not-Run: 1\r\nRetry-After: 0.6\r\n', attempt=b'1'
+        )
+        async with (
+            open_upstream(answer_with(busy, make_answer(attempt=b'4'))) as one,
+            open_relay(one) as relay,
+        ):
+            for attempt in (b'1', b'2', b'3'):
+                status, _head, _body = await ask(relay[1], make_request(b'/write/x', attempt))
+                assert status == 503
+            assert len(one.requests) == 1
+            await anyio.sleep(0.6)
+            status, _head, _body = await ask(relay[1], make_request(b'/write/x', b'4'))
+            assert status == 200
+
+    run(test)
--- a/tests/relay/test_streams.py
+++ b/tests/relay/test_streams.py
@@ -1,5 +1,6 @@
 import asyncio
 import itertools
+import time
 
 import anyio
 import attrs
@@ -42,6 +43,12 @@
     return behave
 
 
+def allow_time(context):
+    """Let calls last up to the deadline that their callers state."""
+    routes = [attrs.evolve(route, timeout_s=5) for route in context.table.routes]
+    context.table = attrs.evolve(context.table, routes=tuple(routes))
+
+
 def read_events(received):
     return [line for line in received.split(b'\n') if line.startswith(b'data:')]
 
@@ -98,8 +105,7 @@
             open_upstream(stream_events([2])) as two,
             open_relay(one, two) as (context, port),
         ):
-            routes = [attrs.evolve(route, timeout_s=5) for route in context.table.routes]
-            context.table = attrs.evolve(context.table, routes=tuple(routes))
+            allow_time(context)
             received, _is_reset = await read_to_end(port, make_request(b'/stream/x'))
         assert read_events(received) == [b'data: e1', b'data: e2']
 
@@ -133,3 +139,77 @@
     assert b''.join(parts) == text
     assert all(not part or part.endswith(b'\n\n') for part in parts)
     assert (splitter.events, splitter.last_id, splitter.rest) == (4, b'4', b'')
+
+
+def test_event_without_end_costs_neither_time_nor_memory():
+    """Guards against one upstream in trouble that stops a daemon for minutes."""
+    sent = []
+
+    async def behave(upstream, reader, writer):
+        await upstream.read_request(reader)
+        writer.write(HEAD + make_chunk(make_event(1)))
+        while not writer.transport.is_closing():
+            writer.write(make_chunk(b'x' * 65536))
+            sent.append(65536)
+            await writer.drain()
+
+    async def test():
+        async with (
+            open_upstream(behave) as one,
+            open_upstream(stream_events([2, 3])) as two,
+            open_relay(one, two) as relay,
+        ):
+            began_at = time.process_time()
+            received, _is_reset = await read_to_end(relay[1], make_request(b'/stream/x'))
+            assert time.process_time() - began_at < 2
+        assert sum(sent) < 8 * 1024 * 1024
+        assert read_events(received) == [b'data: e1', b'data: e2', b'data: e3']
+
+    run(test)
+
+
+def test_bytes_without_an_event_are_no_progress():
+    """Guards against a stalled stream that sends a byte now and then and goes on for ever."""
+
+    async def behave(upstream, reader, writer):
+        await upstream.read_request(reader)
+        writer.write(HEAD + make_chunk(make_event(1)))
+        while not writer.transport.is_closing():
+            writer.write(make_chunk(b'd'))
+            await writer.drain()
+            await anyio.sleep(0.2)
+
+    async def test():
+        async with (
+            open_upstream(behave) as one,
+            open_upstream(stream_events([2, 3])) as two,
+            open_relay(one, two) as (context, port),
+        ):
+            allow_time(context)
+            received, _is_reset = await read_to_end(port, make_request(b'/stream/x'))
+        assert read_events(received) == [b'data: e1', b'data: e2', b'data: e3']
+
+    run(test)
+
+
+def test_slow_stream_is_not_cut():
+    """Guards against a sound stream that is read again because of one pause of 1.1 s."""
+
+    async def behave(upstream, reader, writer):
+        await upstream.read_request(reader)
+        writer.write(HEAD + make_chunk(make_event(1)))
+        await writer.drain()
+        await anyio.sleep(1.1)
+        writer.write(make_chunk(make_event(2)) + b'0\r\n\r\n')
+
+    async def test():
+        async with (
+            open_upstream(behave) as one,
+            open_upstream(stream_events([2])) as two,
+            open_relay(one, two) as (context, port),
+        ):
+            allow_time(context)
+            await read_to_end(port, make_request(b'/stream/x'))
+            assert not two.requests
+
+    run(test)
--- a/tests/routing/test_upstreams.py
+++ b/tests/routing/test_upstreams.py
@@ -1,3 +1,5 @@
+import attrs
+
 from camphorpath.routing import UpstreamView
 
 from ..placement.test_ownership import make_upstream
@@ -40,3 +42,14 @@
     for number in range(4):
         assert view.remove(f'i-{number}', 10)
     assert not list_ids(view)
+
+
+def test_upstream_that_said_that_it_leaves_stays_leaving():
+    """Guards against an entry that still says ready and brings a leaving upstream back."""
+    view = UpstreamView()
+    view.put(make_upstream(1))
+    assert view.note_leaving('i-1', 0)
+    view.put(make_upstream(1))
+    assert view.all()[0].is_leaving
+    view.put(attrs.evolve(make_upstream(1), incarnation=7))
+    assert not view.all()[0].is_leaving
