Announce changes when they are learned, and ask the store when nothing confirms what is held

Cause: what a watcher learned reached the others with its next heartbeat, every (N+1)/50 s for a daemon without calls: 3.9 s at 195 machines, against a bound of 4.0 s. After a cut, daemons that saw other members each took another one for the watcher, and silence looked like no news. A peer that had been away longer than 120 s kept upstreams that left meanwhile.

Change: watchers, one a region among the daemons that take calls and three at least, announce each change at once with its rows; heartbeats carry the age of the last confirmation; a daemon that holds nothing confirmed within 2 s, was paused, or cannot reach a peer that is ahead reads the store itself; a daemon that was away for long gets a listing; connections to the store use keepalive.

--- a/camphorpath/cluster/follower.py
+++ b/camphorpath/cluster/follower.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import anyio
 import attrs
@@ -17,15 +17,22 @@
 from .shared import SharedRows
 from .states import fetch_state
 
-# One change call of a watcher. A connection that has gone silent is noticed after this time; a
-# manifest has to be in force within 2.5 s.
-WATCH_WAIT_S = 1.5
+# One change call of a watcher. A connection that has gone silent is noticed a second later; a
+# manifest has to be in force within 2.5 s, and the other watchers announce it meanwhile.
+WATCH_WAIT_S = 2.0
+# A daemon that is told nothing newer than this asks the store itself; in seconds.
+STALE_S = 2.0
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 0.6
-# A daemon that lost the store and need not follow it asks again after this time, in seconds.
+# While the store does not answer, a daemon that need not follow it asks again after this time, in
+# seconds; the pause doubles, as a whole fleet may be waiting.
 PROBE_PAUSE_S = 1.0
+MAX_PROBE_PAUSE_S = 1.5
+# The part of such times that is drawn, so that a fleet does not ask at the same moment.
+SPREAD = 0.3
 # A peer that is ahead is asked again at most this often, in seconds.
 CATCH_UP_PAUSE_S = 0.05
+TABLES = (MANIFEST_TABLE, UPSTREAM_TABLE)
 
 
 @attrs.define(kw_only=True)
@@ -39,21 +46,47 @@
     # Whether this daemon reads the store; the others are told by heartbeats.
     is_watcher: Callable[[], bool]
     on_disturbance: Callable[[], None]
+    # Tells all others what changed after a revision of the upstreams.
+    announce: Callable[[pb.SharedState, int], None]
+    on_hosts: Callable[[Iterable[str]], None]
     store_up: bool = False
-    # Peers that are ahead: control address.
-    _ahead: str = ''
+    # Revisions of manifest and upstreams of peers that are ahead, by control address.
+    _ahead: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+    # When the store, or a peer, confirmed what is held here, on the lease clock.
+    _confirmed_at: float = -math.inf
+    # The same for each table that this daemon reads.
+    _read_at: dict[str, float] = attrs.field(factory=dict)
     _wake: anyio.Event = attrs.field(factory=anyio.Event)
     _watch_wake: anyio.Event = attrs.field(factory=anyio.Event)
 
     def note_peer(self, beat: pb.EdgeHeartbeat, address: str) -> None:
         """Compare the revisions of a peer with those held here."""
-        is_ahead = beat.manifest_revision > self.rows.manifest.revision
-        if is_ahead or beat.upstreams_revision > self.rows.upstreams_revision:
-            self._ahead = address
+        revisions = beat.manifest_revision, beat.upstreams_revision
+        if self._is_behind(revisions):
+            self._ahead[address] = revisions
             self._wake.set()
+            return
+        self._ahead.pop(address, None)
+        if beat.store_age >= 0:
+            self._confirmed_at = max(self._confirmed_at, read_lease_clock() - beat.store_age)
+
+    def take_news(self, beat: pb.EdgeHeartbeat, address: str) -> None:
+        """Take in what a peer announces; what lacks here is taken from it."""
+        self.rows.take_news(beat.news, beat.news_after, read_lease_clock())
+        self.note_peer(beat, address)
+
+    def store_age(self) -> float:
+        """Return the seconds since what is held here was confirmed; infinite if it never was."""
+        return read_lease_clock() - self._confirmed_at
+
+    def doubt(self) -> None:
+        """Take note that news may have been missed: the store is asked at once."""
+        self._confirmed_at = -math.inf
+        self._read_at.clear()
+        self.wake_watch()
 
     def wake_watch(self) -> None:
-        """Take note that this daemon may have become a watcher."""
+        """Take note that this daemon may have become a watcher, or what it holds is old."""
         self._watch_wake.set()
         self._watch_wake = anyio.Event()
 
@@ -62,9 +95,28 @@
         while True:
             await self._wake.wait()
             self._wake = anyio.Event()
-            await self.take_from(self._ahead)
+            await self._catch_up()
             await anyio.sleep(CATCH_UP_PAUSE_S)
 
+    async def _catch_up(self) -> None:
+        """Take what one of the peers that are ahead holds, or ask the store if none answers."""
+        while True:
+            for address, revisions in list(self._ahead.items()):
+                if not self._is_behind(revisions):
+                    self._ahead.pop(address)
+            if not self._ahead:
+                return
+            # All that are behind must not ask the same peer.
+            address = random.choice(list(self._ahead))
+            self._ahead.pop(address)
+            is_taken = await self.take_from(address)
+            if not is_taken and not self._ahead:
+                self.doubt()
+
+    def _is_behind(self, revisions: tuple[int, int]) -> bool:
+        manifest, upstreams = revisions
+        return manifest > self.rows.manifest.revision or upstreams > self.rows.upstreams_revision
+
     async def take_from(self, address: str) -> bool:
         """Take the state of one peer; return whether that worked."""
         rows = self.rows
@@ -76,6 +128,7 @@
             self.events.emit(Event.BAD_PEER, problem=str(error))
             return False
         rows.take_state(state, read_lease_clock())
+        self.on_hosts(state.hosts)
         self.events.emit(
             Event.STATE_TAKEN,
             peer=address,
@@ -92,7 +145,7 @@
                 if row.key == MANIFEST_KEY and row.value is not None:
                     self.rows.take_manifest(row.value, row.revision)
 
-        await self._watch(MANIFEST_TABLE, take, take)
+        await self._watch(MANIFEST_TABLE, take, take, lambda: self.rows.manifest.revision)
 
     async def watch_upstreams(self) -> None:
         """Follow the entries of upstreams in the store, until cancelled."""
@@ -103,25 +156,33 @@
         def take(rows: Rows) -> None:
             for row in _share(rows):
                 self.rows.take_upstream(row, read_lease_clock())
+            self.rows.note_revision(rows.revision)
 
-        await self._watch(UPSTREAM_TABLE, take_all, take)
+        await self._watch(UPSTREAM_TABLE, take_all, take, lambda: self.rows.upstreams_revision)
 
     async def _watch(
-        self, table: str, take_all: Callable[[Rows], None], take: Callable[[Rows], None]
+        self,
+        table: str,
+        take_all: Callable[[Rows], None],
+        take: Callable[[Rows], None],
+        read_held: Callable[[], int],
     ) -> None:
         revision: int | None = None
         failures = 0
         while True:
-            if revision is not None and not self.is_watcher():
-                await self._wait_watcher()
-                # What changed meanwhile came from peers; the feed goes on where it was left.
+            is_watcher = self.is_watcher()
+            if revision is not None and not is_watcher:
+                await self._wait_due(table, failures)
+                # What changed meanwhile came from peers; the feed goes on after that.
+                revision = max(revision, read_held())
             try:
                 if revision is None:
                     rows = await self.store.read_table(table)
                     take_all(rows)
                 else:
-                    rows = await self.store.read_changes(table, revision, WATCH_WAIT_S)
-                    take(rows)
+                    wait_s = WATCH_WAIT_S if is_watcher else 0
+                    rows = await self.store.read_changes(table, revision, wait_s)
+                    self._take_changes(rows, take)
             except HistoryGone:
                 revision = None
                 continue
@@ -131,18 +192,51 @@
                 await anyio.sleep(random.uniform(MIN_RETRY_S, MAX_RETRY_S))
                 continue
             self._note_up(failures)
+            self._note_read(table)
             failures = 0
             revision = rows.revision
 
-    async def _wait_watcher(self) -> None:
-        """Wait until this daemon is a watcher, or should see whether the store is back.
+    def _take_changes(self, rows: Rows, take: Callable[[Rows], None]) -> None:
+        """Take in changes and announce those that were not known yet."""
+        held = self.rows
+        manifest, upstreams = held.manifest.revision, held.upstreams_revision
+        take(rows)
+        news = held.collect_since(manifest, upstreams)
+        if news.HasField('manifest') or news.upstreams:
+            self.announce(news, upstreams)
+
+    async def _wait_due(self, table: str, failures: int) -> None:
+        """Wait until this daemon is a watcher, or should ask the store once.
 
-        Peers keep vanished upstreams while any daemon reports that the store is away.
+        It asks if what it holds was not confirmed lately, by whomever, and if the store did not
+        answer: peers keep vanished upstreams while any daemon reports that the store is away.
         """
-        with anyio.move_on_after(math.inf if self.store_up else PROBE_PAUSE_S):
-            while not self.is_watcher():
+        spread = random.uniform(1 - SPREAD, 1)
+        probe_at = math.inf
+        if failures or not self.store_up:
+            pause_s = min(PROBE_PAUSE_S * 2 ** max(failures - 1, 0), MAX_PROBE_PAUSE_S)
+            probe_at = read_lease_clock() + pause_s * spread
+        while not self.is_watcher():
+            due_at = probe_at
+            if math.isinf(due_at):
+                due_at = self._find_confirmed(table) + STALE_S * spread
+            left_s = due_at - read_lease_clock()
+            if left_s <= 0:
+                return
+            with anyio.move_on_after(left_s):
                 await self._watch_wake.wait()
 
+    def _find_confirmed(self, table: str) -> float:
+        """Return when what is held of a table was confirmed, here or at a peer."""
+        return max(self._confirmed_at, self._read_at.get(table, -math.inf))
+
+    def _note_read(self, table: str) -> None:
+        """Take note that the store confirmed what is held of a table."""
+        now = read_lease_clock()
+        self._read_at[table] = now
+        if len(self._read_at) == len(TABLES):
+            self._confirmed_at = max(self._confirmed_at, min(self._read_at.values()))
+
     def _note_down(self, error: TableDown) -> None:
         self.on_disturbance()
         if self.store_up:
--- a/camphorpath/cluster/heartbeats.py
+++ b/camphorpath/cluster/heartbeats.py
@@ -62,7 +62,7 @@
         return None
     if not (beat.name and beat.incarnation and is_address(beat.host)):
         return None
-    numbers = [beat.cores, beat.interval, *beat.used.values()]
+    numbers = [beat.cores, beat.interval, beat.store_age, *beat.used.values()]
     numbers.extend(load.factor for load in beat.loads)
     is_sane = all(map(math.isfinite, numbers)) and 0 <= beat.interval <= MAX_INTERVAL_S
     return beat if is_sane else None
--- a/camphorpath/cluster/members.py
+++ b/camphorpath/cluster/members.py
@@ -1,6 +1,7 @@
 """The other edge daemons, as known from their heartbeats."""
 
 import collections
+from collections.abc import Iterable
 
 import attrs
 
@@ -73,6 +74,11 @@
         if host != self.own_host and is_address(host):
             self.hosts.add(host)
 
+    def add_hosts(self, hosts: Iterable[str]) -> None:
+        """Tell hosts that a peer knows."""
+        for host in hosts:
+            self.add_host(host)
+
     def expire(self, now: float) -> list[Member]:
         """Drop and return the members that have been silent for too long."""
         lost = [member for member in self.known.values() if member.due_at() < now]
--- a/camphorpath/cluster/shared.py
+++ b/camphorpath/cluster/shared.py
@@ -6,7 +6,7 @@
 
 from ..schema import camphorpath_pb2 as pb
 
-# Removals are passed on for this time, in seconds; a daemon that was away longer reads all rows.
+# Removals are passed on for this time, in seconds; a daemon that was away longer gets all rows.
 REMOVAL_KEPT_S = 120.0
 
 
@@ -23,6 +23,8 @@
     # The entries were read at least once.
     is_listed: bool = False
     _removed_at: dict[str, float] = attrs.field(factory=dict)
+    # The newest removal that is not passed on any more.
+    _forgotten_revision: int = 0
 
     def take_manifest(self, content: bytes, revision: int) -> bool:
         """Take in a manifest; return whether it is newer."""
@@ -33,9 +35,11 @@
         return True
 
     def take_upstream(self, row: pb.SharedRow, now: float) -> bool:
-        """Take in the row of an upstream; return whether it is newer."""
+        """Take in the row of an upstream; return whether it is newer.
+
+        Other rows may have changed before it: `note_revision` tells that none is missing.
+        """
         known = self.upstreams.get(row.key)
-        self.upstreams_revision = max(self.upstreams_revision, row.revision)
         if known is not None and known.revision >= row.revision:
             return False
         self.upstreams[row.key] = row
@@ -47,6 +51,10 @@
             self.on_upstream(row.key, None if row.removed else row.content, row.revision)
         return True
 
+    def note_revision(self, revision: int) -> None:
+        """Take note that all changes of upstreams up to a revision were taken in."""
+        self.upstreams_revision = max(self.upstreams_revision, revision)
+
     def take_listing(self, rows: Iterable[pb.SharedRow], revision: int, now: float) -> None:
         """Take in all rows as of a revision; those that are missing were removed."""
         listed = set()
@@ -56,6 +64,7 @@
         for key, known in list(self.upstreams.items()):
             if key not in listed and not known.removed and known.revision <= revision:
                 self.take_upstream(pb.SharedRow(key=key, revision=revision, removed=True), now)
+        self.note_revision(revision)
         self.is_listed = True
 
     def collect_since(self, manifest_revision: int, upstreams_revision: int) -> pb.SharedState:
@@ -63,8 +72,10 @@
         state = pb.SharedState(upstreams_revision=self.upstreams_revision)
         if self.manifest.revision > manifest_revision:
             state.manifest.CopyFrom(self.manifest)
+        state.is_listing = upstreams_revision < self._forgotten_revision
         for row in self.upstreams.values():
-            if row.revision > upstreams_revision:
+            is_lacking = row.revision > upstreams_revision
+            if (state.is_listing and not row.removed) or is_lacking:
                 state.upstreams.append(row)
         return state
 
@@ -72,14 +83,29 @@
         """Take in what a peer passed on."""
         if state.manifest.revision:
             self.take_manifest(state.manifest.content, state.manifest.revision)
+        if state.is_listing:
+            live = [row for row in state.upstreams if not row.removed]
+            self.take_listing(live, state.upstreams_revision, now)
+            return
         for row in state.upstreams:
             self.take_upstream(row, now)
-        self.upstreams_revision = max(self.upstreams_revision, state.upstreams_revision)
+        self.note_revision(state.upstreams_revision)
         self.is_listed = True
 
+    def take_news(self, news: pb.SharedState, after: int, now: float) -> None:
+        """Take in changes that a peer announces; those up to `after` may be unknown here."""
+        if news.manifest.revision:
+            self.take_manifest(news.manifest.content, news.manifest.revision)
+        for row in news.upstreams:
+            self.take_upstream(row, now)
+        if self.is_listed and after <= self.upstreams_revision:
+            self.note_revision(news.upstreams_revision)
+
     def expire(self, now: float) -> None:
         """Forget old removals."""
         for key, removed_at in list(self._removed_at.items()):
             if removed_at < now - REMOVAL_KEPT_S:
                 self._removed_at.pop(key)
-                self.upstreams.pop(key, None)
+                forgotten = self.upstreams.pop(key, None)
+                if forgotten is not None:
+                    self._forgotten_revision = max(self._forgotten_revision, forgotten.revision)
--- a/camphorpath/edge/beliefs.py
+++ b/camphorpath/edge/beliefs.py
@@ -1,5 +1,6 @@
 """What one daemon believes of the manifest, the upstreams and the other daemons."""
 
+import math
 import zlib
 
 import attrs
@@ -7,9 +8,9 @@
 from ..clocks import read_lease_clock
 from ..cluster.members import Member, Members
 from ..cluster.shared import SharedRows
+from ..cluster.watchers import choose_watchers
 from ..errors import PlatformError
 from ..events import Event
-from ..hashing import hash_pair
 from ..placement.ownership import Assignment, Candidate, assign
 from ..placement.records import Load
 from ..platform.entries import decode_upstream
@@ -19,8 +20,9 @@
 from ..schema import camphorpath_pb2 as pb
 from .settings import EdgeSettings
 
-# Daemons that follow the store; the others hear of changes from them. One may be cut off.
-WATCHERS = 2
+# An announcement that is longer names the revisions only: a datagram of several packets is lost
+# with each of them, and a manifest would go to the whole fleet over the link of one daemon.
+MAX_NEWS_BYTES = 1200
 
 
 def _read_standing(member: Member | None) -> tuple[object, ...]:
@@ -44,6 +46,8 @@
     assignment: Assignment = attrs.field(factory=Assignment)
     # Whether the last call of the store was answered.
     is_store_up: bool = True
+    # Seconds since the store confirmed what this daemon holds.
+    store_age_s: float = math.inf
     _sequence: int = 0
     _invalid: dict[str, int] = attrs.field(factory=dict)
     _was_ready: bool = False
@@ -85,6 +89,7 @@
             used=self.relay.quota.used,
             interval=self.interval_s,
             waiting=self.relay.scheduler.count_waiting(),
+            store_age=self._state_store_age(),
         )
         borrowers = max(sum(len(names) for names in self.assignment.actives.values()) - 1, 1)
         loads = self.relay.scheduler.report_loads(borrowers, read_lease_clock())
@@ -92,6 +97,24 @@
             beat.loads.append(pb.UpstreamLoad(upstream=upstream_id, **attrs.asdict(load)))
         return beat
 
+    def make_news(self, news: pb.SharedState, after: int) -> pb.EdgeHeartbeat:
+        """Return the announcement of what changed after a revision of the upstreams."""
+        settings = self.settings
+        beat = pb.EdgeHeartbeat(
+            name=settings.name,
+            incarnation=self.incarnation,
+            host=settings.host,
+            manifest_revision=self.rows.manifest.revision,
+            upstreams_revision=self.rows.upstreams_revision,
+            store_age=self._state_store_age(),
+            news=news,
+            news_after=after,
+        )
+        if beat.ByteSize() > MAX_NEWS_BYTES:
+            beat.news.Clear()
+            beat.news.SetInParent()
+        return beat
+
     def take_beat(self, beat: pb.EdgeHeartbeat) -> None:
         """Take in the heartbeat of another daemon."""
         if beat.name == self.settings.name:
@@ -156,11 +179,10 @@
 
     def is_watcher(self) -> bool:
         """Return whether this daemon follows the store."""
-        names = [member.beat.name for member in self.members.known.values() if member.beat.store_up]
-        if self.is_store_up or not names:
-            names.append(self.settings.name)
-        ranked = sorted(names, key=lambda name: hash_pair('watcher', name))
-        return self.settings.name in ranked[:WATCHERS]
+        connected = [one.beat.name for one in self.members.known.values() if one.beat.store_up]
+        if self.is_store_up or not connected:
+            connected.append(self.settings.name)
+        return self.settings.name in choose_watchers(self.assignment.actives, connected)
 
     def list_addresses(self, zone: str, region: str) -> list[str]:
         """Return the addresses that a caller in a zone should use."""
@@ -224,6 +246,17 @@
                 revision=revision,
             )
 
+    def _state_store_age(self) -> float:
+        return self.store_age_s if math.isfinite(self.store_age_s) else -1
+
+    def note_leaving(self, upstream_id: str, incarnation: int, source: str) -> bool:
+        """Take note that an upstream leaves, as `source` said; return whether that is news."""
+        if not self.view.note_leaving(upstream_id, incarnation):
+            return False
+        self.relay.events.emit(Event.UPSTREAM_LEAVING, '', upstream_id, source=source)
+        self.reassign()
+        return True
+
     def _forget(self, member: Member) -> None:
         self.relay.quota.forget(member.beat.incarnation)
         self.relay.scheduler.forget_daemon(member.beat.incarnation)
--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -28,6 +28,7 @@
 from ..relay.server import serve_calls, serve_pages
 from ..relay.sockets import open_listener
 from ..relay.upstream import UpstreamPool
+from ..routing import Upstream
 from ..schema import camphorpath_pb2 as pb
 from .beliefs import Beliefs
 from .output import LogOutput
@@ -96,6 +97,8 @@
     beliefs = Beliefs(settings=settings, incarnation=incarnation, relay=relay, members=members)
     store = MetadataStore(settings.store_url)
     peers = make_state_client()
+    heartbeats = HeartbeatSocket(settings.host, settings.heartbeat_port)
+    relay.on_leaving = _make_leaving_handler(beliefs, heartbeats)
     follower = Follower(
         store=store,
         rows=beliefs.rows,
@@ -103,6 +106,8 @@
         peers=peers,
         is_watcher=beliefs.is_watcher,
         on_disturbance=lambda: beliefs.view.note_disturbance(read_lease_clock()),
+        announce=lambda news, after: heartbeats.send(beliefs.make_news(news, after), members.hosts),
+        on_hosts=members.add_hosts,
     )
     return EdgeDaemon(
         settings=settings,
@@ -110,7 +115,7 @@
         beliefs=beliefs,
         follower=follower,
         store=store,
-        heartbeats=HeartbeatSocket(settings.host, settings.heartbeat_port),
+        heartbeats=heartbeats,
         peers=peers,
     )
 
@@ -167,12 +172,38 @@
 
 def _make_receiver(daemon: EdgeDaemon) -> Callable[[pb.EdgeHeartbeat], None]:
     def receive(beat: pb.EdgeHeartbeat) -> None:
+        if beat.name == daemon.settings.name:
+            return
+        address = f'{beat.host}:{daemon.settings.control_port}'
+        if beat.HasField('news'):
+            daemon.follower.take_news(beat, address)
+            for one in beat.news.leaving:
+                daemon.beliefs.note_leaving(one.upstream, one.incarnation, beat.name)
+            return
         daemon.beliefs.take_beat(beat)
-        daemon.follower.note_peer(beat, f'{beat.host}:{daemon.settings.control_port}')
+        daemon.follower.note_peer(beat, address)
 
     return receive
 
 
+def _make_leaving_handler(
+    beliefs: Beliefs, heartbeats: HeartbeatSocket
+) -> Callable[[Upstream], None]:
+    """Return what is called with an upstream that says in an answer that it leaves."""
+
+    def tell(upstream: Upstream) -> None:
+        if not beliefs.note_leaving(upstream.upstream_id, upstream.incarnation, 'answer'):
+            return
+        leaving = pb.LeavingUpstream(
+            upstream=upstream.upstream_id, incarnation=upstream.incarnation
+        )
+        revision = beliefs.rows.upstreams_revision
+        news = beliefs.make_news(pb.SharedState(leaving=[leaving]), revision)
+        heartbeats.send(news, beliefs.members.hosts)
+
+    return tell
+
+
 async def _watch_signals(daemon: EdgeDaemon, stop: anyio.Event) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as received:
         async for number in received:
@@ -191,6 +222,7 @@
     seeds = [seed for seed in daemon.settings.seeds if seed != daemon.settings.control_address]
     while True:
         beliefs.is_store_up = daemon.follower.store_up
+        beliefs.store_age_s = daemon.follower.store_age()
         beliefs.expire()
         daemon.heartbeats.send(beliefs.make_beat(), beliefs.members.hosts)
         daemon.follower.wake_watch()
@@ -210,6 +242,8 @@
         if now - last > PAUSE_S:
             daemon.relay.events.emit(Event.DAEMON_PAUSED, seconds=round(now - last, 2))
             daemon.beliefs.members.shift(now - last)
+            # Heartbeats that waited in the socket may have confirmed what is old by now.
+            daemon.follower.doubt()
         last = now
         daemon.relay.scheduler.expire(now)
 
--- a/camphorpath/platform/store.py
+++ b/camphorpath/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import socket
 from typing import Any
 
 import anyio
@@ -20,6 +21,14 @@
 SLOW_TIMEOUT_S = 2.0
 PAGE_ROWS = 500
 MS_PER_S = 1000
+# A channel that has gone silent for good is given up after about this time, in seconds.
+SILENCE_LIMIT_S = 2
+SOCKET_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, SILENCE_LIMIT_S - 1),
+)
 NEVER_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
 
@@ -50,7 +59,10 @@
     def __init__(self, url: str, transport: httpx.AsyncBaseTransport | None = None) -> None:
         """Keep the address; the first call connects."""
         self._url = url
-        self._client = httpx.AsyncClient(base_url=url, transport=transport, trust_env=False)
+        usual = httpx.AsyncHTTPTransport(socket_options=SOCKET_OPTIONS)
+        self._client = httpx.AsyncClient(
+            base_url=url, transport=transport or usual, trust_env=False
+        )
 
     async def read_table(self, table: str) -> Rows:
         """Return all rows of a table; raise TableDown."""
--- a/tests/cluster/test_follower.py
+++ b/tests/cluster/test_follower.py
@@ -1,8 +1,10 @@
+import math
+
 import anyio
 import attrs
 import httpx
 
-from camphorpath.cluster.follower import Follower
+from camphorpath.cluster.follower import STALE_S, Follower
 from camphorpath.cluster.shared import SharedRows
 from camphorpath.errors import HistoryGone, TableDown
 from camphorpath.events import EventLog
@@ -34,7 +36,7 @@
         return reply
 
 
-def make_follower(store, *, is_watcher=lambda: True, transport=None):
+def make_follower(store, *, is_watcher=lambda: True, transport=None, announce=None):
     told = []
     follower = Follower(
         store=store,
@@ -46,6 +48,8 @@
         peers=httpx.AsyncClient(transport=transport) if transport else httpx.AsyncClient(),
         is_watcher=is_watcher,
         on_disturbance=lambda: None,
+        announce=announce or (lambda news, after: None),
+        on_hosts=lambda hosts: None,
     )
     return follower, told
 
@@ -120,3 +124,112 @@
     run_until(lambda: bool(told), follower.follow_peers)
     follower.note_peer(beat, '10.0.0.2:1')
     assert asked == ['/state']
+
+
+def make_state(revision, *keys):
+    rows = [pb.SharedRow(key=key, content=b'x', revision=revision) for key in keys]
+    return pb.SharedState(upstreams=rows, upstreams_revision=revision)
+
+
+def test_change_is_announced_when_it_is_learned():
+    """Guards against a manifest that reaches a large fleet seconds later, by heartbeats."""
+    store = FakeStore([list_rows(1, 'a')], [list_rows(4, 'b'), Rows([], 5)])
+    announced = []
+    follower, _told = make_follower(store, announce=lambda *news: announced.append(news))
+    run_until(lambda: not store.changes, follower.watch_upstreams)
+    assert [(after, [row.key for row in news.upstreams]) for news, after in announced] == [
+        (1, ['b'])
+    ]
+
+
+def test_announcement_after_a_lost_one_is_not_taken_for_all():
+    """Guards against calls to an upstream whose leaving was announced and lost."""
+    asked = []
+
+    def answer(request):
+        asked.append(request.url.params['upstreams'])
+        return httpx.Response(200, content=make_state(9, 'b', 'c').SerializeToString())
+
+    follower, told = make_follower(FakeStore(), transport=httpx.MockTransport(answer))
+    follower.rows.take_state(make_state(5, 'a'), 0)
+    beat = pb.EdgeHeartbeat(name='d2', upstreams_revision=9, news=make_state(9, 'c'), news_after=7)
+    follower.take_news(beat, '10.0.0.2:1')
+    assert ('c', b'x') in told
+    run_until(lambda: ('b', b'x') in told, follower.follow_peers)
+    assert asked == ['5']
+
+
+def test_daemon_that_is_told_nothing_asks_the_store_itself():
+    """Guards against a daemon whose watchers, as it sees them, do not follow the store."""
+    store = FakeStore([list_rows(1, 'a')], [list_rows(2, 'b')])
+    follower, told = make_follower(store, is_watcher=lambda: False)
+    follower.store_up = True
+    started = anyio.run(_measure, lambda: ('b', b'x') in told, follower.watch_upstreams)
+    assert started < STALE_S + 0.5
+
+
+def test_confirmation_by_a_peer_spares_the_store():
+    """Guards against a fleet in which each daemon reads what a few of them could tell."""
+    store = FakeStore([list_rows(1, 'a')], [Rows([], 1)])
+    follower, told = make_follower(store, is_watcher=lambda: False)
+
+    async def confirm():
+        while True:
+            beat = pb.EdgeHeartbeat(name='d2', upstreams_revision=1, store_age=0.1)
+            follower.note_peer(beat, '10.0.0.2:1')
+            await anyio.sleep(0.1)
+
+    async def main():
+        async with anyio.create_task_group() as group:
+            group.start_soon(confirm)
+            group.start_soon(follower.watch_upstreams)
+            await anyio.sleep(STALE_S + 0.5)
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+    assert told and len(store.changes) == 1
+
+
+def test_confirmation_of_other_revisions_counts_for_nothing():
+    """Guards against a daemon that is behind and takes the contact of a peer for its own."""
+    follower, _told = make_follower(FakeStore())
+    follower.note_peer(pb.EdgeHeartbeat(upstreams_revision=3, store_age=0.1), '10.0.0.2:1')
+    assert math.isinf(follower.store_age())
+
+
+def test_paused_daemon_asks_the_store_before_it_believes_old_heartbeats():
+    """Guards against a daemon that wakes and uses an upstream that left while it stood still."""
+    store = FakeStore([list_rows(1, 'a')], [list_rows(2, 'b')])
+    follower, told = make_follower(store, is_watcher=lambda: False)
+
+    async def wake():
+        await wait_for(lambda: follower.store_up)
+        follower.doubt()
+
+    took_s = anyio.run(_measure, lambda: ('b', b'x') in told, follower.watch_upstreams, wake)
+    assert took_s < 0.5
+
+
+def test_store_is_asked_if_no_peer_that_is_ahead_answers():
+    """Guards against a daemon that waits for the next announcement after a peer was lost."""
+    store = FakeStore([list_rows(1, 'a')], [list_rows(2, 'b')])
+    transport = httpx.MockTransport(lambda request: httpx.Response(503))
+    follower, told = make_follower(store, is_watcher=lambda: False, transport=transport)
+
+    async def tell():
+        await wait_for(lambda: follower.store_up)
+        follower.note_peer(pb.EdgeHeartbeat(name='d2', upstreams_revision=2), '10.0.0.2:1')
+
+    tasks = follower.watch_upstreams, follower.follow_peers, tell
+    assert anyio.run(_measure, lambda: ('b', b'x') in told, *tasks) < 0.5
+
+
+async def _measure(check, *tasks):
+    """Return after how many seconds `check` holds."""
+    began_at = anyio.current_time()
+    async with anyio.create_task_group() as group:
+        for task in tasks:
+            group.start_soon(task)
+        await wait_for(check, 5)
+        group.cancel_scope.cancel()
+    return anyio.current_time() - began_at
--- a/tests/cluster/test_shared.py
+++ b/tests/cluster/test_shared.py
@@ -41,8 +41,10 @@
     ahead, behind = Log(), Log()
     ahead.rows.take_manifest(b'm', 3)
     ahead.rows.take_upstream(make_row('a', 4), 0)
+    ahead.rows.note_revision(4)
     behind.rows.take_state(ahead.rows.collect_since(0, 0), 0)
     ahead.rows.take_upstream(make_row('a', 6, removed=True), 1)
+    ahead.rows.note_revision(6)
     state = ahead.rows.collect_since(3, 4)
     assert not state.HasField('manifest')
     behind.rows.take_state(state, 1)
@@ -56,3 +58,16 @@
     log.rows.take_upstream(make_row('a', 2, removed=True), 1)
     log.rows.expire(1000)
     assert not log.rows.upstreams
+
+
+def test_peer_that_was_away_for_long_gets_all_rows():
+    """Guards against an upstream that left while a daemon was cut off longer than removals last."""
+    ahead, behind = Log(), Log()
+    for log in (ahead, behind):
+        log.rows.take_listing([make_row('a', 1), make_row('b', 1)], 1, 0)
+    ahead.rows.take_upstream(make_row('a', 2, removed=True), 1)
+    ahead.rows.note_revision(2)
+    ahead.rows.expire(1000)
+    behind.rows.take_state(ahead.rows.collect_since(0, 1), 1000)
+    assert behind.told[-1] == ('a', None, 2)
+    assert not ahead.rows.collect_since(0, 2).upstreams
