Give most of the allowance for repeats to the daemons that take calls

Cause: the allowance was divided over all hosts ever heard, which left one repeat a window to each of 77 daemons, of which seven take calls.

Change: 0.4 of it is shared by the daemons that take calls, the rest by all; both sides of a cut together keep the allowance.

--- a/camphorpath/edge/beliefs.py
+++ b/camphorpath/edge/beliefs.py
@@ -11,6 +11,7 @@
 from ..cluster.watchers import choose_watchers
 from ..errors import PlatformError
 from ..events import Event
+from ..placement.budget import share_allowance
 from ..placement.ownership import Assignment, Candidate, assign
 from ..placement.records import Load
 from ..platform.entries import decode_upstream
@@ -184,6 +185,12 @@
             connected.append(self.settings.name)
         return self.settings.name in choose_watchers(self.assignment.actives, connected)
 
+    def share_budget(self) -> float:
+        """Return the part of the allowance for repeats that this daemon may use."""
+        actives = sum(map(len, self.assignment.actives.values()))
+        is_active = self.assignment.is_active(self.settings.name)
+        return share_allowance(len(self.members.hosts) + 1, actives, is_active=is_active)
+
     def list_addresses(self, zone: str, region: str) -> list[str]:
         """Return the addresses that a caller in a zone should use."""
         actives = self.assignment.actives
--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -91,7 +91,7 @@
         pool=UpstreamPool(),
         events=events,
         metrics=RelayMetrics(),
-        count_daemons=lambda: len(members.hosts) + 1,
+        share_budget=lambda: beliefs.share_budget(),
     )
     relay.quota.start(read_lease_clock())
     beliefs = Beliefs(settings=settings, incarnation=incarnation, relay=relay, members=members)
--- a/camphorpath/placement/budget.py
+++ b/camphorpath/placement/budget.py
@@ -13,6 +13,18 @@
 BIN_S = 0.5
 # The window of the budget slides and its edges lag behind those of the deployment.
 SAFETY = 0.7
+# Part of the allowance that the daemons that take calls share; all daemons share the rest. Each
+# side of a network that is cut in two counts only its own, and both together keep the allowance.
+ACTIVE_PART = 0.4
+
+
+def share_allowance(daemons: int, actives: int, *, is_active: bool) -> float:
+    """Return the part of the allowance that one daemon may use without asking others.
+
+    `daemons` are all that were ever heard, `actives` those that take calls now.
+    """
+    share = (1 - ACTIVE_PART) / max(daemons, 1)
+    return share + ACTIVE_PART / max(actives, 1) if is_active else share
 
 
 @attrs.define
@@ -30,16 +42,15 @@
         """Count the first send of a call."""
         self._add(self._calls, service, now)
 
-    def has_room(self, service: str, now: float, daemons: int) -> bool:
-        """Return whether a call may be sent once more."""
-        share = math.floor(self.allowance * SAFETY / max(daemons, 1))
+    def has_room(self, service: str, now: float, share: float) -> bool:
+        """Return whether a call may be sent once more, with a share of the allowance."""
         calls = self._count(self._calls, service, now)
-        limit = self.ratio * SAFETY * calls + share
+        limit = self.ratio * SAFETY * calls + math.floor(self.allowance * SAFETY * share)
         return self._count(self._repeats, service, now) + 1 <= limit
 
-    def take(self, service: str, now: float, daemons: int) -> bool:
+    def take(self, service: str, now: float, share: float) -> bool:
         """Return whether a call may be sent once more, and count it if so."""
-        if not self.has_room(service, now, daemons):
+        if not self.has_room(service, now, share):
             return False
         self._add(self._repeats, service, now)
         return True
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -351,8 +351,8 @@
             return False
         if not isinstance(error, NotExecuted) and not call.route.is_repeatable:
             return False
-        daemons = self.context.count_daemons()
-        return self.context.budget.take(call.service, read_lease_clock(), daemons)
+        share = self.context.share_budget()
+        return self.context.budget.take(call.service, read_lease_clock(), share)
 
     def _limit_event(self) -> float:
         """Return the seconds for the next event after which the stream goes on elsewhere."""
@@ -362,10 +362,10 @@
 
     def _can_go_elsewhere(self) -> bool:
         """Return whether another attempt is allowed, so that a silent one may be ended for it."""
-        daemons = self.context.count_daemons()
+        share = self.context.share_budget()
         now = read_lease_clock()
         return self._has_attempts_left() and self.context.budget.has_room(
-            self.call.service, now, daemons
+            self.call.service, now, share
         )
 
     def _has_attempts_left(self) -> bool:
--- a/camphorpath/relay/context.py
+++ b/camphorpath/relay/context.py
@@ -27,8 +27,8 @@
     pool: UpstreamPool
     events: EventLog
     metrics: RelayMetrics
-    # Number of daemons that share the retry budget.
-    count_daemons: Callable[[], int]
+    # The part of the allowance for repeats that this daemon may use.
+    share_budget: Callable[[], float]
     # Called for an upstream that said in an answer that it leaves.
     on_leaving: Callable[[Upstream], None] = lambda upstream: None
     # None before the first manifest.
--- a/tests/relay/support.py
+++ b/tests/relay/support.py
@@ -164,7 +164,7 @@
         pool=UpstreamPool(),
         events=EventLog('test'),
         metrics=RelayMetrics(),
-        count_daemons=lambda: 1,
+        share_budget=lambda: 1,
         table=make_table(*ROUTES, customers={'secret': CUSTOMER}, limits=limits or CallerLimits()),
     )
 
