--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -19,6 +19,7 @@
 from ..errors import TableDown, TableUnsure
 from ..events import Event, EventLog
 from ..placement.budget import RetryBudget
+from ..placement.quarantine import Crash
 from ..placement.quota import QuotaBounds, QuotaLedger
 from ..placement.scheduler import Scheduler
 from ..platform.store import MetadataStore
@@ -49,6 +50,8 @@
 # Idle connections of callers are closed this long after the stop began.
 CLOSE_IDLE_AFTER_S = 3.0
 INCARNATION_BYTES = 4
+# They fit in an announcement.
+CRASHES_PER_DATAGRAM = 16
 
 
 @attrs.define(kw_only=True)
@@ -179,6 +182,10 @@
             daemon.follower.take_news(beat, address)
             for one in beat.news.leaving:
                 daemon.beliefs.note_leaving(one.upstream, one.incarnation, beat.name)
+            for crash in beat.news.crashes:
+                daemon.relay.quarantine.note_crash(
+                    Crash(crash.digest, crash.upstream), read_lease_clock(), is_told=True
+                )
             return
         daemon.beliefs.take_beat(beat)
         daemon.follower.note_peer(beat, address)
@@ -246,6 +253,20 @@
             daemon.follower.doubt()
         last = now
         daemon.relay.scheduler.expire(now)
+        daemon.relay.quarantine.expire(now)
+        _tell_crashes(daemon)
+
+
+def _tell_crashes(daemon: EdgeDaemon) -> None:
+    """Tell the others which calls may have ended an upstream: they come back anywhere."""
+    crashes = daemon.relay.quarantine.take_untold()
+    for start in range(0, len(crashes), CRASHES_PER_DATAGRAM):
+        batch = crashes[start : start + CRASHES_PER_DATAGRAM]
+        told = [pb.CrashedUpstream(**attrs.asdict(crash)) for crash in batch]
+        news = daemon.beliefs.make_news(
+            pb.SharedState(crashes=told), daemon.beliefs.rows.upstreams_revision
+        )
+        daemon.heartbeats.send(news, daemon.beliefs.members.hosts)
 
 
 async def _close_idle(daemon: EdgeDaemon) -> None:
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -18,13 +18,14 @@
     UpstreamError,
 )
 from ..events import Event
+from ..placement.quarantine import Crash
 from ..placement.records import Decision, Placed, WaitingCall
 from ..routing import CallKind, Upstream
 from .caller import CallerConnection
 from .context import RelayContext
 from .events import EventSplitter
 from .headers import Headers, find_header, select_answer_headers, select_request_headers
-from .intake import MS_PER_S, Call
+from .intake import MS_PER_S, Call, identify_call
 from .patience import limit_pause
 from .upstream import UpstreamAnswer, UpstreamConnection, read_answer
 
@@ -157,6 +158,8 @@
                 failures=health.failures,
             )
         health.succeed()
+        if not context.quarantine.is_empty:
+            context.quarantine.note_success(identify_call(context.dialect, self.call))
         return outcome
 
     async def _exchange(
@@ -314,6 +317,13 @@
         # Nothing listens there; a time-out can be a lost packet.
         is_certain = isinstance(error, NotSent) and not isinstance(error.__cause__, TimeoutError)
         self._fail_upstream(upstream, error.message, is_certain=is_certain)
+        if isinstance(error, (SentUnknown, Truncated)) and error.__cause__ is not None:
+            # The connection broke; the upstream may have ended because of this call.
+            ended = Crash(
+                identify_call(self.context.dialect, self.call),
+                f'{upstream.upstream_id}/{upstream.incarnation}',
+            )
+            self.context.quarantine.note_crash(ended, read_lease_clock(), is_told=False)
         self.context.metrics.attempts.inc({'result': type(error).__name__})
         self.context.events.emit(
             Event.ATTEMPT_FAILED,
--- a/camphorpath/relay/context.py
+++ b/camphorpath/relay/context.py
@@ -7,6 +7,7 @@
 
 from ..events import EventLog
 from ..placement.budget import RetryBudget
+from ..placement.quarantine import Quarantine
 from ..placement.quota import QuotaLedger
 from ..placement.scheduler import Scheduler
 from ..routing import CallerLimits, RoutingTable, Upstream
@@ -25,6 +26,7 @@
     quota: QuotaLedger
     budget: RetryBudget
     pool: UpstreamPool
+    quarantine: Quarantine = attrs.field(factory=Quarantine)
     events: EventLog
     metrics: RelayMetrics
     # The part of the allowance for repeats that this daemon may use.
--- a/camphorpath/relay/intake.py
+++ b/camphorpath/relay/intake.py
@@ -8,6 +8,7 @@
 
 from ..clocks import read_lease_clock
 from ..errors import Refusal
+from ..placement.quarantine import digest_call
 from ..placement.queue import choose_return
 from ..routing import Customer, Route
 from .caller import CallerRequest
@@ -55,6 +56,9 @@
     # The longest time between two parts of a stream.
     longest_pause_s: float = 0
 
+    # What it has in common with its repetitions.
+    digest: bytes = b''
+
     @property
     def text_id(self) -> str:
         """The id as text, for the log."""
@@ -102,10 +106,27 @@
         output_tokens=_estimate_output(request.headers, dialect, output),
         units=customer.count_units(tokens) if customer else 0,
     )
+    _check_crashes(context, call, now)
     _check_quota(context, call, now)
     return call
 
 
+def _check_crashes(context: RelayContext, call: Call, now: float) -> None:
+    if context.quarantine.is_empty:
+        return
+    if context.quarantine.holds(identify_call(context.dialect, call), now):
+        raise Refusal('crashes_upstreams', 'calls like this one ended several upstreams')
+
+
+def identify_call(dialect: Dialect, call: Call) -> bytes:
+    """Return the digest of a call."""
+    if not call.digest:
+        request = call.request
+        key = find_header(request.headers, dialect.key)
+        call.digest = digest_call(request.target, key, request.body)
+    return call.digest
+
+
 def _check_quota(context: RelayContext, call: Call, now: float) -> None:
     if call.customer is None:
         return
--- a/tests/relay/test_calls.py
+++ b/tests/relay/test_calls.py
@@ -1,10 +1,12 @@
 import asyncio
+import contextlib
 
 import anyio
 import attrs
 import pytest
 
 from camphorpath.placement.budget import RetryBudget
+from camphorpath.placement.quarantine import CRASH_LIMIT
 from camphorpath.routing import CallerLimits
 from camphorpath.schema import camphorpath_pb2 as pb
 
@@ -469,3 +471,26 @@
             assert status == 200
 
     run(test)
+
+
+def test_call_that_crashes_each_upstream_is_held():
+    """Guards against one call that comes again and ends all upstreams, one after the other."""
+
+    async def behave(upstream, reader, writer):
+        await upstream.read_request(reader)
+        writer.transport.abort()
+
+    async def test():
+        async with contextlib.AsyncExitStack() as stack:
+            upstreams = [await stack.enter_async_context(open_upstream(behave)) for _ in range(5)]
+            context, port = await stack.enter_async_context(open_relay(*upstreams))
+            for attempt in range(5):
+                await ask(port, make_request(b'/read/x', b'%d' % attempt))
+            ended = {crash.upstream for crash in context.quarantine.take_untold()}
+            assert len(ended) >= CRASH_LIMIT
+            sent = sum(len(one.requests) for one in upstreams)
+            status, _head, _body = await ask(port, make_request(b'/read/x', b'9'))
+            assert status == 503
+            assert sum(len(one.requests) for one in upstreams) == sent
+
+    run(test)
