Announce changes that are found after a gap of the history

Cause: a watcher that had to read a whole table told nobody what had changed.

Change: all but the first rows after a start are announced.

Result: a test that fails on the code before.

--- a/camphorpath/cluster/follower.py
+++ b/camphorpath/cluster/follower.py
@@ -206,7 +206,7 @@
             try:
                 if revision is None:
                     rows = await self.store.read_table(table)
-                    take_all(rows)
+                    self._take_changes(rows, take_all, is_first=not read_held())
                 else:
                     wait_s = WATCH_WAIT_S if is_watcher else 0
                     rows = await self.store.read_changes(table, revision, wait_s)
@@ -224,13 +224,15 @@
             failures = 0
             revision = rows.revision
 
-    def _take_changes(self, rows: Rows, take: Callable[[Rows], None]) -> None:
-        """Take in changes and announce those that were not known yet."""
+    def _take_changes(
+        self, rows: Rows, take: Callable[[Rows], None], *, is_first: bool = False
+    ) -> None:
+        """Take in rows, and announce what is new unless they are the first after a start."""
         held = self.rows
         manifest, upstreams = held.manifest.revision, held.upstreams_revision
         take(rows)
         news = held.collect_since(manifest, upstreams)
-        if news.HasField('manifest') or news.upstreams:
+        if not is_first and (news.HasField('manifest') or news.upstreams):
             self.announce(news, upstreams)
 
     async def _wait_due(self, table: str, failures: int) -> None:
--- a/tests/cluster/test_follower.py
+++ b/tests/cluster/test_follower.py
@@ -143,6 +143,15 @@
     ]
 
 
+def test_change_found_after_a_gap_of_the_history_is_announced():
+    """Guards against news that stay with the watchers when the store drops its history."""
+    store = FakeStore([list_rows(1, 'a'), list_rows(9, 'a', 'b')], [HistoryGone('gap')])
+    announced = []
+    follower, told = make_follower(store, announce=lambda *news: announced.append(news))
+    run_until(lambda: ('b', b'x') in told, follower.watch_upstreams)
+    assert [after for _news, after in announced] == [1]
+
+
 def test_announcement_after_a_lost_one_is_not_taken_for_all():
     """Guards against calls to an upstream whose leaving was announced and lost."""
     asked = []
