Test that a manifest is in force everywhere in time at 9, 77 and 195 daemons

Followers of a whole fleet in one process, with a watcher frozen or cut and with a fleet in which nobody takes itself for a watcher.

--- /dev/null
+++ b/tests/cluster/test_fleet.py
@@ -0,0 +1,189 @@
+"""How fast a whole fleet learns of a manifest; all followers run in one process."""
+
+import anyio
+import attrs
+import httpx
+import pytest
+
+from camphorpath.cluster.follower import STALE_S, Follower
+from camphorpath.cluster.shared import SharedRows
+from camphorpath.cluster.watchers import choose_watchers
+from camphorpath.errors import TableDown
+from camphorpath.events import EventLog
+from camphorpath.platform.store import Rows, StoreRow
+from camphorpath.platform.wire import MANIFEST_KEY, MANIFEST_TABLE
+from camphorpath.schema import camphorpath_pb2 as pb
+
+from ..relay.support import wait_for
+
+DELAY_S = 0.01
+# The stated bound for a manifest, from the answer of the store.
+IN_FORCE_S = 1.0
+BEAT_S = 0.5
+
+
+@attrs.define
+class SharedStore:
+    """The store, as one daemon reaches it."""
+
+    manifests: list
+    changed: anyio.Event
+    is_cut: bool = False
+
+    async def read_table(self, table):
+        await self._answer()
+        return self._list(table, 0)
+
+    async def read_changes(self, table, after, wait_s):
+        await self._answer()
+        if not self._list(table, after).rows:
+            with anyio.move_on_after(wait_s):
+                await self.changed.wait()
+        await self._answer()
+        return self._list(table, after)
+
+    async def _answer(self):
+        await anyio.sleep(DELAY_S)
+        if self.is_cut:
+            raise TableDown('cut off')
+
+    def _list(self, table, after):
+        kept = self.manifests if table == MANIFEST_TABLE else []
+        rows = [StoreRow(MANIFEST_KEY, b'm', one) for one in kept if one > after]
+        return Rows(rows, max(self.manifests))
+
+
+class Fleet:
+    """Followers that hear each other's announcements and heartbeats."""
+
+    def __init__(self, size, *, agrees=True):
+        self.manifests = [1]
+        self.changed = anyio.Event()
+        self.agrees = agrees
+        self.names = [f'd{number}' for number in range(size)]
+        self.frozen = set()
+        self.chosen = {}
+        self.actives = {f'r{region}': self.names[region::3][:3] for region in range(3)}
+        self.followers = {name: self._make(name) for name in self.names}
+
+    def watchers(self):
+        if not self.agrees:
+            return frozenset()
+        connected = tuple(name for name in self.names if self.followers[name].store_up)
+        if connected not in self.chosen:
+            self.chosen[connected] = choose_watchers(self.actives, connected or self.names)
+        return self.chosen[connected]
+
+    def publish(self, revision):
+        self.manifests.append(revision)
+        self.changed.set()
+
+    def list_behind(self):
+        awake = [one for name, one in self.followers.items() if name not in self.frozen]
+        return [one for one in awake if one.rows.manifest.revision < max(self.manifests)]
+
+    async def run(self, group):
+        self.group = group
+        for follower in self.followers.values():
+            for task in (follower.watch_manifest, follower.watch_upstreams, follower.follow_peers):
+                group.start_soon(task)
+        group.start_soon(self._beat)
+        await wait_for(lambda: not self.list_behind())
+        await anyio.sleep(BEAT_S)
+
+    def _make(self, name):
+        store = SharedStore(self.manifests, self.changed)
+        return Follower(
+            store=store,
+            rows=SharedRows(lambda content, revision: None, lambda key, content, revision: None),
+            events=EventLog('test'),
+            peers=httpx.AsyncClient(transport=httpx.MockTransport(self._answer_peer)),
+            is_watcher=lambda: name in self.watchers(),
+            on_disturbance=lambda: None,
+            announce=lambda news, after: self.group.start_soon(self._tell, name, after),
+            on_hosts=lambda hosts: None,
+        )
+
+    def _answer_peer(self, request):
+        """Answer a daemon that takes the state of the one named by the host."""
+        if request.url.host in self.frozen:
+            raise httpx.ReadTimeout('frozen')
+        revisions = (int(request.url.params[name]) for name in ('manifest', 'upstreams'))
+        state = self.followers[request.url.host].rows.collect_since(*revisions)
+        return httpx.Response(200, content=state.SerializeToString())
+
+    async def _tell(self, name, after):
+        if name in self.frozen:
+            return
+        await anyio.sleep(DELAY_S)
+        beat = self._make_beat(name)
+        beat.news.SetInParent()
+        beat.news_after = after
+        for other, follower in self.followers.items():
+            if other != name and other not in self.frozen:
+                follower.take_news(beat, name)
+
+    async def _beat(self):
+        while True:
+            await anyio.sleep(BEAT_S)
+            for name in self.actives['r0']:
+                beat = self._make_beat(name)
+                for other, follower in self.followers.items():
+                    if not {name, other} & self.frozen and other != name:
+                        follower.note_peer(beat, name)
+
+    def _make_beat(self, name):
+        follower = self.followers[name]
+        age_s = follower.store_age()
+        return pb.EdgeHeartbeat(
+            name=name,
+            manifest_revision=follower.rows.manifest.revision,
+            upstreams_revision=follower.rows.upstreams_revision,
+            store_age=age_s if age_s < STALE_S else -1,
+        )
+
+
+def measure(size, *, prepare=lambda fleet: None, agrees=True):
+    """Return how many seconds pass until a manifest is in force everywhere."""
+
+    async def main():
+        async with anyio.create_task_group() as group:
+            fleet = Fleet(size, agrees=agrees)
+            await fleet.run(group)
+            prepare(fleet)
+            began_at = anyio.current_time()
+            fleet.publish(9)
+            await wait_for(lambda: not fleet.list_behind())
+            took_s = anyio.current_time() - began_at
+            group.cancel_scope.cancel()
+        return took_s
+
+    return anyio.run(main)
+
+
+def freeze_watcher(fleet):
+    """Let a watcher stand still: it neither tells nor hears anything."""
+    name = min(fleet.watchers())
+    fleet.frozen.add(name)
+    fleet.names.remove(name)
+
+
+def cut_watcher(fleet):
+    fleet.followers[min(fleet.watchers())].store.is_cut = True
+
+
+@pytest.mark.parametrize('size', [9, 77, 195])
+def test_manifest_is_in_force_everywhere_in_time(size):
+    """Guards against a bound that holds only for small fleets."""
+    assert measure(size) < IN_FORCE_S
+
+
+@pytest.mark.parametrize('prepare', [freeze_watcher, cut_watcher])
+def test_one_lost_watcher_delays_nobody(prepare):
+    """Guards against a fleet that hears of a manifest from one daemon only."""
+    assert measure(77, prepare=prepare) < IN_FORCE_S
+
+
+def test_fleet_without_any_watcher_asks_the_store():
+    """Guards against daemons that each take another one for the watcher, after a cut."""
+    assert measure(77, agrees=False) < STALE_S + IN_FORCE_S
