Survive an upstream that is replaced and leaves below a call, and clear suspected calls everywhere

Cause: a call read the slots of its upstream by id at each step; when the entry was replaced by another incarnation and then removed, the missing key ended the daemon. Found by reading for work that is given up because a machine was silent. A call that was answered cleared its crashes only at the daemon that answered it, so the others, told of crashes with successes between them, could hold a sound popular call.

Change: what is learned of an upstream that is gone is dropped; successes of suspected calls are announced.

--- a/camphorpath/edge/beliefs.py
+++ b/camphorpath/edge/beliefs.py
@@ -13,6 +13,7 @@
 from ..events import Event
 from ..placement.budget import share_allowance
 from ..placement.ownership import Assignment, Candidate, assign
+from ..placement.quarantine import Crash
 from ..placement.records import Load
 from ..platform.entries import decode_upstream
 from ..platform.manifest import decode_manifest
@@ -151,6 +152,17 @@
         if _read_standing(member) != standing:
             self.reassign()
 
+    def take_announcement(self, beat: pb.EdgeHeartbeat) -> None:
+        """Take in what another daemon has seen of upstreams and calls."""
+        for one in beat.news.leaving:
+            self.note_leaving(one.upstream, one.incarnation, beat.name)
+        quarantine = self.relay.quarantine
+        for crash in beat.news.crashes:
+            ended = Crash(crash.digest, crash.upstream)
+            quarantine.note_crash(ended, read_lease_clock(), is_told=True)
+        for digest in beat.news.cleared:
+            quarantine.note_success(digest, is_told=True)
+
     def expire(self) -> None:
         """Drop members that are silent and upstreams whose grace has ended."""
         now = read_lease_clock()
--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -19,7 +19,6 @@
 from ..errors import TableDown, TableUnsure
 from ..events import Event, EventLog
 from ..placement.budget import RetryBudget
-from ..placement.quarantine import Crash
 from ..placement.quota import QuotaBounds, QuotaLedger
 from ..placement.scheduler import Scheduler
 from ..platform.store import MetadataStore
@@ -182,12 +181,7 @@
         address = f'{beat.host}:{daemon.settings.control_port}'
         if beat.HasField('news'):
             daemon.follower.take_news(beat, address)
-            for one in beat.news.leaving:
-                daemon.beliefs.note_leaving(one.upstream, one.incarnation, beat.name)
-            for crash in beat.news.crashes:
-                daemon.relay.quarantine.note_crash(
-                    Crash(crash.digest, crash.upstream), read_lease_clock(), is_told=True
-                )
+            daemon.beliefs.take_announcement(beat)
             return
         daemon.beliefs.take_beat(beat)
         daemon.follower.note_peer(beat, address)
@@ -261,14 +255,20 @@
 
 def _tell_crashes(daemon: EdgeDaemon) -> None:
     """Tell the others which calls may have ended an upstream: they come back anywhere."""
-    crashes = daemon.relay.quarantine.take_untold()
+    quarantine = daemon.relay.quarantine
+    crashes = [pb.CrashedUpstream(**attrs.asdict(one)) for one in quarantine.take_untold()]
     for start in range(0, len(crashes), CRASHES_PER_DATAGRAM):
-        batch = crashes[start : start + CRASHES_PER_DATAGRAM]
-        told = [pb.CrashedUpstream(**attrs.asdict(crash)) for crash in batch]
-        news = daemon.beliefs.make_news(
-            pb.SharedState(crashes=told), daemon.beliefs.rows.upstreams_revision
-        )
-        daemon.heartbeats.send(news, daemon.beliefs.members.hosts)
+        _announce(daemon, pb.SharedState(crashes=crashes[start : start + CRASHES_PER_DATAGRAM]))
+    cleared = quarantine.take_cleared()
+    for start in range(0, len(cleared), CRASHES_PER_DATAGRAM):
+        _announce(daemon, pb.SharedState(cleared=cleared[start : start + CRASHES_PER_DATAGRAM]))
+
+
+def _announce(daemon: EdgeDaemon, news: pb.SharedState) -> None:
+    """Tell all others what is not in the store."""
+    beliefs = daemon.beliefs
+    beat = beliefs.make_news(news, beliefs.rows.upstreams_revision)
+    daemon.heartbeats.send(beat, beliefs.members.hosts)
 
 
 async def _close_idle(daemon: EdgeDaemon) -> None:
--- a/camphorpath/placement/quarantine.py
+++ b/camphorpath/placement/quarantine.py
@@ -40,6 +40,8 @@
     )
     # Crashes seen here that the other daemons were not told of yet.
     _untold: list[Crash] = attrs.field(factory=list)
+    # Calls that were suspected and answered here, of which the others were not told yet.
+    _cleared: list[bytes] = attrs.field(factory=list)
 
     @property
     def is_empty(self) -> bool:
@@ -60,9 +62,10 @@
         while len(self._crashes) > MAX_CALLS:
             self._crashes.popitem(last=False)
 
-    def note_success(self, digest: bytes) -> None:
-        """Forget the crashes of a call that was answered."""
-        self._crashes.pop(digest, None)
+    def note_success(self, digest: bytes, *, is_told: bool) -> None:
+        """Forget the crashes of a call that was answered; `is_told` if another daemon saw it."""
+        if self._crashes.pop(digest, None) is not None and not is_told:
+            self._cleared.append(digest)
 
     def holds(self, digest: bytes, now: float) -> bool:
         """Return whether a call gets no further upstream for now."""
@@ -86,3 +89,9 @@
         untold = self._untold
         self._untold = []
         return untold
+
+    def take_cleared(self) -> list[bytes]:
+        """Return the calls that the others need not suspect any more, once."""
+        cleared = self._cleared
+        self._cleared = []
+        return cleared
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -20,6 +20,7 @@
 from ..events import Event
 from ..placement.quarantine import Crash
 from ..placement.records import Decision, Placed, WaitingCall
+from ..placement.slots import Slots
 from ..routing import CallKind, Upstream
 from .caller import CallerConnection
 from .context import RelayContext
@@ -146,7 +147,7 @@
             raise SentUnknown(repr(error), step='send', peer=upstream.address) from error
         finally:
             context.pool.release(carrier, is_complete=is_complete)
-        health = context.scheduler.slots[upstream.upstream_id].health
+        health = self._find_slots(upstream).health
         if outcome == FAILED:
             self._fail_upstream(upstream, 'the upstream answered with a failure')
             return outcome
@@ -159,7 +160,8 @@
             )
         health.succeed()
         if not context.quarantine.is_empty:
-            context.quarantine.note_success(identify_call(context.dialect, self.call))
+            digest = identify_call(context.dialect, self.call)
+            context.quarantine.note_success(digest, is_told=False)
         return outcome
 
     async def _exchange(
@@ -204,7 +206,7 @@
             self.context.budget.note_call(call.service, read_lease_clock())
         call.sends += 1
         call.may_have_run = True
-        slots = self.context.scheduler.slots[upstream.upstream_id]
+        slots = self._find_slots(upstream)
         self.context.events.emit(
             Event.REQUEST_SENT,
             call.text_id,
@@ -222,7 +224,7 @@
     async def _read_head(self, carrier: UpstreamConnection, upstream: Upstream) -> UpstreamAnswer:
         call = self.call
         limit_s = None
-        slots = self.context.scheduler.slots[upstream.upstream_id]
+        slots = self._find_slots(upstream)
         running = slots.running.get(call.text_id)
         if running is not None and call.route.is_repeatable and self._can_go_elsewhere():
             limit_s = max(running.first_due - read_lease_clock(), 0)
@@ -246,7 +248,7 @@
         """Take note of what an upstream tells of itself beside its answer."""
         dialect = self.context.dialect
         now = read_lease_clock()
-        slots = self.context.scheduler.slots[upstream.upstream_id]
+        slots = self._find_slots(upstream)
         load = _read_load(find_header(answer.headers, dialect.load))
         if load is not None:
             slots.note_load(load, now, LOAD_HOLD_S)
@@ -311,6 +313,10 @@
         self.call.first_s = waited_s
         self.context.metrics.first_byte.observe({'route': self.call.route.name}, waited_s)
 
+    def _find_slots(self, upstream: Upstream) -> Slots:
+        """Return what is known of an upstream; one that was replaced and left is known no more."""
+        return self.context.scheduler.slots.get(upstream.upstream_id) or Slots(upstream)
+
     # --- after a failure
 
     def _note_failure(self, upstream: Upstream, error: UpstreamError) -> None:
--- a/tests/placement/test_quarantine.py
+++ b/tests/placement/test_quarantine.py
@@ -35,8 +35,17 @@
 def test_call_that_was_answered_is_not_suspected():
     """Guards against a popular request that is refused after some upstreams crashed."""
     quarantine = crash_on('i-1', 'i-2')
-    quarantine.note_success(CALL)
+    quarantine.note_success(CALL, is_told=False)
     assert not crash_on('i-3', quarantine=quarantine).holds(CALL, 1)
+    assert quarantine.take_cleared() == [CALL]
+
+
+def test_call_that_was_answered_elsewhere_is_not_suspected():
+    """Guards against a popular request that only those refuse that did not see its answers."""
+    quarantine = crash_on('i-1', 'i-2', 'i-3')
+    quarantine.note_success(CALL, is_told=True)
+    assert not quarantine.holds(CALL, 1)
+    assert not quarantine.take_cleared()
 
 
 def test_crashes_are_told_once_and_memory_is_bounded():
--- a/tests/relay/test_calls.py
+++ b/tests/relay/test_calls.py
@@ -6,6 +6,7 @@
 import pytest
 
 from camphorpath.placement.budget import RetryBudget
+from camphorpath.placement.ownership import Assignment
 from camphorpath.placement.quarantine import CRASH_LIMIT
 from camphorpath.routing import CallerLimits
 from camphorpath.schema import camphorpath_pb2 as pb
@@ -514,3 +515,33 @@
             assert answers[0][0] == status
 
     run(test)
+
+
+def test_call_at_an_upstream_that_is_replaced_and_leaves_goes_on():
+    """Guards against a daemon that ends, or work given up, when an entry changes below a call."""
+    may_answer = anyio.Event()
+
+    async def behave(upstream, reader, writer):
+        await upstream.read_request(reader)
+        await may_answer.wait()
+        writer.write(make_answer(b'whole'))
+        await writer.drain()
+
+    async def test():
+        async with open_upstream(behave) as one, open_relay(one) as (context, port):
+            answers = []
+
+            async def call():
+                answers.append(await ask(port, make_request(b'/write/x')))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(call)
+                await wait_for(lambda: one.requests)
+                entry = context.scheduler.slots['i-0'].upstream
+                replaced = attrs.evolve(entry, incarnation=9)
+                for listed in ([replaced], []):
+                    context.scheduler.set_upstreams(listed, Assignment({}, {}))
+                may_answer.set()
+            assert answers[0][2] == b'whole'
+
+    run(test)
