Take manifests from the announcer of the region, and ask the store less while it is away

Change: daemons take what they lack from the announcer of their region (an active daemon, on a large machine), then from others, then from the store; while nobody has the store three daemons try and the others ask with one table, up to every 3 s; the limit of age is above what watchers confirm.

--- a/camphorpath/cluster/follower.py
+++ b/camphorpath/cluster/follower.py
@@ -19,22 +19,38 @@
 
 # One change call of a watcher. A connection that has gone silent is noticed a second later; a
 # manifest has to be in force within 2.5 s, and the other watchers announce it meanwhile.
-WATCH_WAIT_S = 2.0
-# A daemon that is told nothing newer than this asks the store itself; in seconds.
-STALE_S = 2.0
+WATCH_WAIT_S = 1.25
+# A daemon that is told nothing newer than this asks the store itself; in seconds. What watchers
+# confirm is younger, their calls and the heartbeats that tell it included.
+STALE_S = 2.3
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 0.6
 # While the store does not answer, a daemon that need not follow it asks again after this time, in
-# seconds; the pause doubles, as a whole fleet may be waiting.
+# seconds; the pause doubles, as a whole fleet may be waiting. Watchers ask more often and announce.
 PROBE_PAUSE_S = 1.0
-MAX_PROBE_PAUSE_S = 1.5
+MAX_PROBE_PAUSE_S = 3.0
 # The part of such times that is drawn, so that a fleet does not ask at the same moment.
-SPREAD = 0.3
+SPREAD = 0.25
 # A peer that is ahead is asked again at most this often, in seconds.
 CATCH_UP_PAUSE_S = 0.05
 TABLES = (MANIFEST_TABLE, UPSTREAM_TABLE)
 
 
+@attrs.frozen
+class _Peer:
+    """A peer that is ahead of this daemon."""
+
+    manifest_revision: int
+    upstreams_revision: int
+    # Watchers announce; they are well connected and not asked by the other regions.
+    has_announced: bool
+    is_near: bool
+
+    def order(self) -> tuple[bool, bool, float]:
+        """Return its place among the peers to ask; all that are behind must not ask the same."""
+        return not self.has_announced, not self.is_near, random.random()
+
+
 @attrs.define(kw_only=True)
 class Follower:
     """Reads of the store by this daemon, and of peers that are ahead."""
@@ -49,9 +65,11 @@
     # Tells all others what changed after a revision of the upstreams.
     announce: Callable[[pb.SharedState, int], None]
     on_hosts: Callable[[Iterable[str]], None]
+    # Whether a zone is in the region of this daemon.
+    is_near: Callable[[str], bool]
     store_up: bool = False
-    # Revisions of manifest and upstreams of peers that are ahead, by control address.
-    _ahead: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+    # Peers that are ahead, by control address.
+    _ahead: dict[str, _Peer] = attrs.field(factory=dict)
     # When the store, or a peer, confirmed what is held here, on the lease clock.
     _confirmed_at: float = -math.inf
     # The same for each table that this daemon reads.
@@ -61,9 +79,14 @@
 
     def note_peer(self, beat: pb.EdgeHeartbeat, address: str) -> None:
         """Compare the revisions of a peer with those held here."""
-        revisions = beat.manifest_revision, beat.upstreams_revision
-        if self._is_behind(revisions):
-            self._ahead[address] = revisions
+        peer = _Peer(
+            beat.manifest_revision,
+            beat.upstreams_revision,
+            beat.HasField('news'),
+            self.is_near(beat.zone),
+        )
+        if self._is_behind(peer):
+            self._ahead[address] = peer
             self._wake.set()
             return
         self._ahead.pop(address, None)
@@ -100,11 +123,9 @@
 
     async def _catch_up(self) -> None:
         """Take what one of the peers that are ahead holds, or ask the store if none answers."""
-        if self._lacks_manifest() and self.store_up:
-            await self._read_manifest()
         while self._drop_caught_up():
-            # All that are behind must not ask the same peer.
-            address = random.choice(list(self._ahead))
+            peers = self._ahead.items()
+            _order, address = min((peer.order(), address) for address, peer in peers)
             self._ahead.pop(address)
             is_taken = await self.take_from(address)
             if not is_taken and not self._ahead:
@@ -112,43 +133,20 @@
 
     def _drop_caught_up(self) -> bool:
         """Forget peers that are not ahead any more; return whether any is left."""
-        for address, revisions in list(self._ahead.items()):
-            if not self._is_behind(revisions):
+        for address, peer in list(self._ahead.items()):
+            if not self._is_behind(peer):
                 self._ahead.pop(address)
         return bool(self._ahead)
 
-    def _lacks_manifest(self) -> bool:
-        return any(manifest > self.rows.manifest.revision for manifest, _ in self._ahead.values())
-
-    async def _read_manifest(self) -> None:
-        """Read a manifest that a peer announced.
-
-        The link of that peer would carry it once for each daemon of the fleet, which takes longer
-        than it may; the store can answer all of them.
-        """
-        try:
-            rows = await self._read_since(MANIFEST_TABLE, self.rows.manifest.revision)
-        except TableDown as error:
-            # The peers are next; one that is ahead has the manifest.
-            self._note_down(error)
-            return
-        self._take_manifest(rows)
-
-    async def _read_since(self, table: str, revision: int) -> Rows:
-        """Return the changes after a revision, or all rows if the history is gone."""
-        try:
-            return await self.store.read_changes(table, revision, 0)
-        except HistoryGone:
-            return await self.store.read_table(table)
-
     def _take_manifest(self, rows: Rows) -> None:
         for row in rows.rows:
             if row.key == MANIFEST_KEY and row.value is not None:
                 self.rows.take_manifest(row.value, row.revision)
 
-    def _is_behind(self, revisions: tuple[int, int]) -> bool:
-        manifest, upstreams = revisions
-        return manifest > self.rows.manifest.revision or upstreams > self.rows.upstreams_revision
+    def _is_behind(self, peer: _Peer) -> bool:
+        if peer.manifest_revision > self.rows.manifest.revision:
+            return True
+        return peer.upstreams_revision > self.rows.upstreams_revision
 
     async def take_from(self, address: str) -> bool:
         """Take the state of one peer; return whether that worked."""
@@ -242,14 +240,14 @@
         answer: peers keep vanished upstreams while any daemon reports that the store is away.
         """
         spread = random.uniform(1 - SPREAD, 1)
-        probe_at = math.inf
-        if failures or not self.store_up:
-            pause_s = min(PROBE_PAUSE_S * 2 ** max(failures - 1, 0), MAX_PROBE_PAUSE_S)
-            probe_at = read_lease_clock() + pause_s * spread
+        pause_s = min(PROBE_PAUSE_S * 2 ** max(failures - 1, 0), MAX_PROBE_PAUSE_S)
+        probe_at = read_lease_clock() + pause_s * spread
         while not self.is_watcher():
-            due_at = probe_at
-            if math.isinf(due_at):
+            if self.store_up:
                 due_at = self._find_confirmed(table) + STALE_S * spread
+            else:
+                # One table is enough to see whether the store is back.
+                due_at = probe_at if table == MANIFEST_TABLE else math.inf
             left_s = due_at - read_lease_clock()
             if left_s <= 0:
                 return
@@ -279,6 +277,7 @@
         if not self.store_up:
             self.store_up = True
             self.events.emit(Event.STORE_REGAINED, failures=failures)
+            self.wake_watch()
 
 
 def _share(rows: Rows) -> list[pb.SharedRow]:
--- a/camphorpath/edge/beliefs.py
+++ b/camphorpath/edge/beliefs.py
@@ -106,6 +106,7 @@
             name=settings.name,
             incarnation=self.incarnation,
             host=settings.host,
+            zone=settings.zone,
             manifest_revision=self.rows.manifest.revision,
             upstreams_revision=self.rows.upstreams_revision,
             store_age=self._state_store_age(),
@@ -202,10 +203,14 @@
 
     def is_watcher(self) -> bool:
         """Return whether this daemon follows the store."""
-        connected = [one.beat.name for one in self.members.known.values() if one.beat.store_up]
-        if self.is_store_up or not connected:
-            connected.append(self.settings.name)
-        return self.settings.name in choose_watchers(self.assignment.actives, connected)
+        own = self.settings.name
+        beats = [member.beat for member in self.members.known.values()]
+        connected = [beat.name for beat in beats if beat.store_up]
+        if self.is_store_up:
+            connected.append(own)
+        # While nobody has the store, a few try and the others ask now and then.
+        names = connected or [own, *(beat.name for beat in beats)]
+        return own in choose_watchers(self.assignment.actives, names)
 
     def share_budget(self) -> float:
         """Return the part of the allowance for repeats that this daemon may use."""
--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -112,6 +112,7 @@
         on_disturbance=lambda: beliefs.view.note_disturbance(read_lease_clock()),
         announce=lambda news, after: heartbeats.send(beliefs.make_news(news, after), members.hosts),
         on_hosts=members.add_hosts,
+        is_near=lambda zone: settings.regions.get(zone) == settings.region,
     )
     return EdgeDaemon(
         settings=settings,
--- a/tests/cluster/test_fleet.py
+++ b/tests/cluster/test_fleet.py
@@ -102,6 +102,7 @@
             on_disturbance=lambda: None,
             announce=lambda news, after: self.group.start_soon(self._tell, name, after),
             on_hosts=lambda hosts: None,
+            is_near=lambda zone: zone == 'near',
         )
 
     def _answer_peer(self, request):
