--- a/camphorpath/relay/context.py
+++ b/camphorpath/relay/context.py
@@ -1,6 +1,7 @@
 """What the calls of a daemon share."""
 
-from collections.abc import Callable
+import contextlib
+from collections.abc import Callable, Iterator
 
 import anyio
 import attrs
@@ -43,7 +44,7 @@
     # The time that this process has left is over.
     is_ending: bool = False
     # Calls in progress that have no final answer yet.
-    scopes: set[anyio.CancelScope] = attrs.field(factory=set)
+    _scopes: set[anyio.CancelScope] = attrs.field(factory=set)
     _idle: anyio.Event = attrs.field(factory=anyio.Event)
 
     @property
@@ -62,10 +63,20 @@
             self._idle.set()
             self._idle = anyio.Event()
 
+    @contextlib.contextmanager
+    def limit_call(self, seconds: float) -> Iterator[None]:
+        """Leave a call after so many seconds, or when the time of this process is over."""
+        with anyio.move_on_after(seconds) as scope:
+            self._scopes.add(scope)
+            try:
+                yield
+            finally:
+                self._scopes.discard(scope)
+
     def end_calls(self) -> None:
         """Give their final answer to the calls in progress."""
         self.is_ending = True
-        for scope in list(self.scopes):
+        for scope in list(self._scopes):
             scope.cancel()
 
     async def wait_idle(self) -> None:
--- a/camphorpath/relay/server.py
+++ b/camphorpath/relay/server.py
@@ -139,8 +139,7 @@
     outcome = ''
     refusal: Refusal | None = None
     leaving = anyio.Event()
-    with anyio.move_on_after(max(call.time_left(), 0)) as scope:
-        context.scopes.add(scope)
+    with context.limit_call(max(call.time_left(), 0)):
         async with anyio.create_task_group() as group:
             group.start_soon(_watch_caller, caller, leaving, group.cancel_scope)
             try:
@@ -150,7 +149,6 @@
             except CallerGone:
                 leaving.set()
             group.cancel_scope.cancel()
-    context.scopes.discard(scope)
     if outcome:
         return outcome
     if leaving.is_set():
