--- a/tests/edge/test_beliefs.py
+++ b/tests/edge/test_beliefs.py
@@ -4,6 +4,7 @@
 from camphorpath.cluster.members import Members
 from camphorpath.edge.beliefs import MAX_NEWS_BYTES, Beliefs
 from camphorpath.edge.settings import Bounds, EdgeSettings
+from camphorpath.placement.ownership import Assignment
 from camphorpath.schema import camphorpath_pb2 as pb
 
 from ..cluster.test_members import make_beat
@@ -50,14 +51,15 @@
 
 
 def test_late_heartbeat_of_an_ended_process_changes_nothing(beliefs):
-    """Guards against slots that are kept for the calls of a process that was replaced."""
+    """Guards against slots that are lent to the calls of a process that was replaced."""
     beliefs.take_beat(make_beat(incarnation='old', host='10.0.0.2'))
     beliefs.take_beat(make_beat(incarnation='new', host='10.0.0.2'))
     late = make_beat(incarnation='old', host='10.0.0.2', sequence=9, waiting={'llm': 3})
     beliefs.take_beat(late)
     assert beliefs.members.known['d1'].beat.incarnation == 'new'
-    loads = beliefs.relay.scheduler.report_loads(1, 0)
-    assert all(not load.borrower for load in loads.values())
+    scheduler = beliefs.relay.scheduler
+    scheduler.set_upstreams([make_upstream(1)], Assignment({}, {'i-1': 'me'}))
+    assert not scheduler.report_loads(1, 0)['i-1'].borrower
 
 
 def test_long_announcement_names_the_revisions_only(beliefs):
