Log how long a daemon was behind and what a manifest weighs

The log told when a manifest was in force, not why it came late: when the daemon first heard of it, how long the way from the peer took and how many bytes came. These tell a late announcement from a slow link. No change of behaviour.

--- a/camphorpath/cluster/follower.py
+++ b/camphorpath/cluster/follower.py
@@ -8,7 +8,7 @@
 import attrs
 import httpx
 
-from ..clocks import read_lease_clock
+from ..clocks import MS_PER_S, read_lease_clock
 from ..errors import HistoryGone, PeerError, TableDown
 from ..events import Event, EventLog
 from ..platform.store import MetadataStore, Rows
@@ -70,6 +70,8 @@
     store_up: bool = False
     # Peers that are ahead, by control address.
     _ahead: dict[str, _Peer] = attrs.field(factory=dict)
+    # Since when this daemon has known that a peer is ahead, on the lease clock; None if none is.
+    _behind_since: float | None = None
     # When the store, or a peer, confirmed what is held here, on the lease clock.
     _confirmed_at: float = -math.inf
     # The same for each table that this daemon reads.
@@ -86,6 +88,8 @@
             self.is_near(beat.zone),
         )
         if self._is_behind(peer):
+            if self._behind_since is None:
+                self._behind_since = read_lease_clock()
             self._ahead[address] = peer
             self._wake.set()
             return
@@ -136,6 +140,8 @@
         for address, peer in list(self._ahead.items()):
             if not self._is_behind(peer):
                 self._ahead.pop(address)
+        if not self._ahead:
+            self._behind_since = None
         return bool(self._ahead)
 
     def _take_manifest(self, rows: Rows) -> None:
@@ -151,6 +157,7 @@
     async def take_from(self, address: str) -> bool:
         """Take the state of one peer; return whether that worked."""
         rows = self.rows
+        asked_at = read_lease_clock()
         try:
             state = await fetch_state(
                 self.peers, address, rows.manifest.revision, rows.upstreams_revision
@@ -158,13 +165,18 @@
         except PeerError as error:
             self.events.emit(Event.BAD_PEER, problem=str(error))
             return False
-        rows.take_state(state, read_lease_clock())
+        now = read_lease_clock()
+        rows.take_state(state, now)
         self.on_hosts(state.hosts)
+        behind_since = asked_at if self._behind_since is None else self._behind_since
         self.events.emit(
             Event.STATE_TAKEN,
             peer=address,
             manifest=rows.manifest.revision,
             upstreams=rows.upstreams_revision,
+            received_bytes=state.ByteSize(),
+            took_ms=round((now - asked_at) * MS_PER_S),
+            behind_ms=round((now - behind_since) * MS_PER_S),
         )
         return True
 
--- a/camphorpath/edge/beliefs.py
+++ b/camphorpath/edge/beliefs.py
@@ -243,7 +243,12 @@
             return
         relay.table = table
         relay.events.emit(
-            Event.MANIFEST_TAKEN, version=table.version, revision=revision, before=current
+            Event.MANIFEST_TAKEN,
+            version=table.version,
+            revision=revision,
+            before=current,
+            routes=len(table.routes),
+            content_bytes=len(content),
         )
 
     def _take_upstream(self, key: str, content: bytes | None, revision: int) -> None:
