Pass on what differs between manifests instead of all of each

Callers got 404 for routes that had been added seconds before, and 401 or 404 where a key or route had moved.

Cause: a daemon that was behind took the manifest in full from a peer, whatever had changed. 1,500 routes are 0.4 MB; a fleet of 195 daemons needs its announcers' links for 3.1 s a change, and changes came every 1.3 s.

Change: daemons keep former manifests up to 4 MiB and pass on the difference from the one that the asking daemon holds, or all of it, deflated. A difference that fits stands in the announcement itself. A checksum of the result guards it; what does not fit or cannot be read is taken from another peer or the store.

--- a/camphorpath/cluster/follower.py
+++ b/camphorpath/cluster/follower.py
@@ -99,7 +99,10 @@
 
     def take_news(self, beat: pb.EdgeHeartbeat, address: str) -> None:
         """Take in what a peer announces; what lacks here is taken from it."""
-        self.rows.take_news(beat.news, beat.news_after, read_lease_clock())
+        try:
+            self.rows.take_news(beat.news, beat.news_after, read_lease_clock())
+        except PeerError as error:
+            self.events.emit(Event.BAD_PEER, problem=str(error))
         self.note_peer(beat, address)
 
     def store_age(self) -> float:
@@ -162,11 +165,11 @@
             state = await fetch_state(
                 self.peers, address, rows.manifest.revision, rows.upstreams_revision
             )
+            now = read_lease_clock()
+            rows.take_state(state, now)
         except PeerError as error:
             self.events.emit(Event.BAD_PEER, problem=str(error))
             return False
-        now = read_lease_clock()
-        rows.take_state(state, now)
         self.on_hosts(state.hosts)
         behind_since = asked_at if self._behind_since is None else self._behind_since
         self.events.emit(
--- a/camphorpath/cluster/shared.py
+++ b/camphorpath/cluster/shared.py
@@ -5,6 +5,7 @@
 import attrs
 
 from ..schema import camphorpath_pb2 as pb
+from .manifests import ManifestHistory
 
 # Removals are passed on for this time, in seconds; a daemon that was away longer gets all rows.
 REMOVAL_KEPT_S = 120.0
@@ -16,7 +17,7 @@
 
     on_manifest: Callable[[bytes, int], None]
     on_upstream: Callable[[str, bytes | None, int], None]
-    manifest: pb.SharedRow = attrs.field(factory=pb.SharedRow)
+    manifest: ManifestHistory = attrs.field(factory=ManifestHistory)
     # By key; removed rows are kept for a while.
     upstreams: dict[str, pb.SharedRow] = attrs.field(factory=dict)
     upstreams_revision: int = 0
@@ -30,7 +31,7 @@
         """Take in a manifest; return whether it is newer."""
         if revision <= self.manifest.revision:
             return False
-        self.manifest = pb.SharedRow(content=content, revision=revision)
+        self.manifest.take(content, revision)
         self.on_manifest(content, revision)
         return True
 
@@ -71,7 +72,7 @@
         """Return what a peer that holds these revisions lacks."""
         state = pb.SharedState(upstreams_revision=self.upstreams_revision)
         if self.manifest.revision > manifest_revision:
-            state.manifest.CopyFrom(self.manifest)
+            state.manifest.CopyFrom(self.manifest.pack(manifest_revision))
         state.is_listing = upstreams_revision < self._forgotten_revision
         for row in self.upstreams.values():
             is_lacking = row.revision > upstreams_revision
@@ -80,9 +81,8 @@
         return state
 
     def take_state(self, state: pb.SharedState, now: float) -> None:
-        """Take in what a peer passed on."""
-        if state.manifest.revision:
-            self.take_manifest(state.manifest.content, state.manifest.revision)
+        """Take in what a peer passed on; raise PeerError."""
+        self._take_packed(state.manifest)
         if state.is_listing:
             live = [row for row in state.upstreams if not row.removed]
             self.take_listing(live, state.upstreams_revision, now)
@@ -93,14 +93,21 @@
         self.is_listed = True
 
     def take_news(self, news: pb.SharedState, after: int, now: float) -> None:
-        """Take in changes that a peer announces; those up to `after` may be unknown here."""
-        if news.manifest.revision:
-            self.take_manifest(news.manifest.content, news.manifest.revision)
+        """Take in changes that a peer announces; those up to `after` may be unknown here.
+
+        Raises PeerError if the manifest cannot be read.
+        """
+        if self.manifest.can_unpack(news.manifest):
+            self._take_packed(news.manifest)
         for row in news.upstreams:
             self.take_upstream(row, now)
         if self.is_listed and after <= self.upstreams_revision:
             self.note_revision(news.upstreams_revision)
 
+    def _take_packed(self, packed: pb.PackedManifest) -> None:
+        if packed.revision > self.manifest.revision:
+            self.take_manifest(self.manifest.unpack(packed), packed.revision)
+
     def expire(self, now: float) -> None:
         """Forget old removals."""
         for key, removed_at in list(self._removed_at.items()):
--- a/tests/cluster/test_follower.py
+++ b/tests/cluster/test_follower.py
@@ -5,6 +5,7 @@
 import httpx
 
 from camphorpath.cluster.follower import STALE_S, Follower
+from camphorpath.cluster.manifests import ManifestHistory
 from camphorpath.cluster.shared import SharedRows
 from camphorpath.errors import HistoryGone, TableDown
 from camphorpath.events import EventLog
@@ -254,7 +255,7 @@
 def test_manifest_is_taken_from_the_announcer_of_the_region():
     """Guards against a fleet that takes a manifest over the slow link of one daemon."""
     asked = []
-    state = pb.SharedState(manifest=pb.SharedRow(content=b'm', revision=7))
+    state = pb.SharedState(manifest=ManifestHistory(7, b'm').pack(0))
 
     def answer(request):
         asked.append(request.url.host)
--- a/tests/edge/test_beliefs.py
+++ b/tests/edge/test_beliefs.py
@@ -64,7 +64,7 @@
 
 def test_long_announcement_names_the_revisions_only(beliefs):
     """Guards against a manifest that goes to the whole fleet over the link of one daemon."""
-    news = pb.SharedState(manifest=pb.SharedRow(content=b'x' * 2000, revision=7))
+    news = pb.SharedState(manifest=pb.PackedManifest(packed=b'x' * 2000, revision=7))
     beliefs.rows.take_manifest(b'x', 7)
     beat = beliefs.make_news(news, 0)
     assert beat.ByteSize() <= MAX_NEWS_BYTES
