Read long answers of the store over small links

Its peer's link was full (ReadTimeout after 1 s, as for 23 others at 25.8 s), so it asked the store; that call was ended after 1 s in all with store_lost (TimeoutError, rows-feed), as for edge-montego-b-11. A manifest of 0.4 MB is more than 0.6 MB as the store sends it and needs about 1 s on a link of 5 Mbit/s.

Cause: the limit of a call counted for the whole transfer, so that no daemon on a small link could read such an answer. The others were told that the store is away, and kept vanished upstreams.

Change: the limit counts for each part of the answer; all together may take 8 s longer.

Result: the test of an answer of 1.75 s fails before and passes now; answers that stop midway or never end are still given up.

--- a/camphorpath/platform/store.py
+++ b/camphorpath/platform/store.py
@@ -19,6 +19,9 @@
 CONNECT_TIMEOUT_S = 0.5
 # A slow store answers a read late instead of never.
 SLOW_TIMEOUT_S = 2.0
+# An answer that goes on arriving may take this much longer, in seconds: a manifest of 4 MB does on
+# a link of 5 Mbit/s.
+MAX_TRANSFER_S = 8.0
 PAGE_ROWS = 500
 MS_PER_S = 1000
 # A channel that has gone silent for good is given up after about this time, in seconds.
@@ -123,9 +126,10 @@
         await self._client.aclose()
 
     async def _get(self, path: str, query: dict[str, str], limit_s: float) -> dict[str, Any]:
+        # Each part of the answer has to come within the limit.
         timeout = httpx.Timeout(limit_s, connect=CONNECT_TIMEOUT_S)
         try:
-            with anyio.fail_after(limit_s):
+            with anyio.fail_after(limit_s + MAX_TRANSFER_S):
                 response = await self._client.get(path, params=query, timeout=timeout)
         except (httpx.HTTPError, OSError, TimeoutError) as error:
             raise TableDown(repr(error), step=path, peer=self._url) from error
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,4 +1,6 @@
+import asyncio
 import base64
+import contextlib
 
 import anyio
 import httpx
@@ -117,3 +119,76 @@
             await store.read_table('t')
 
     run(test, lambda request: httpx.Response(200, content=content))
+
+
+@contextlib.asynccontextmanager
+async def open_store(send):
+    """Serve one answer by `send(writer)` over a real connection; yields its client."""
+
+    async def accept(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        with contextlib.suppress(ConnectionError):
+            await send(writer)
+        writer.close()
+
+    server = await asyncio.start_server(accept, '127.0.0.1', 0)
+    store = MetadataStore('http://{}:{}'.format(*server.sockets[0].getsockname()[:2]))
+    try:
+        yield store
+    finally:
+        await store.close()
+        server.close()
+
+
+ANSWER = orjson.dumps({'rows': [make_row('a', b'x' * 3000)], 'row_version': 2})
+HEAD = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(ANSWER)
+
+
+@pytest.mark.anyio
+async def test_long_answer_over_a_small_link_is_read_to_its_end():
+    """Guards against a store that is taken for lost while a long manifest is on its way."""
+
+    async def send(writer):
+        writer.write(HEAD)
+        for start in range(0, len(ANSWER), 500):
+            writer.write(ANSWER[start : start + 500])
+            await writer.drain()
+            await asyncio.sleep(0.25)
+
+    async with open_store(send) as store:
+        rows = await store.read_changes('t', 1, 0)
+    assert rows.rows[0].value == b'x' * 3000
+
+
+@pytest.mark.anyio
+async def test_answer_that_stops_midway_is_given_up():
+    """Guards against a daemon that waits for a store that has gone silent."""
+
+    async def send(writer):
+        writer.write(HEAD + ANSWER[:500])
+        await asyncio.sleep(5)
+
+    async with open_store(send) as store:
+        began_at = anyio.current_time()
+        with pytest.raises(TableDown):
+            await store.read_changes('t', 1, 0)
+        assert anyio.current_time() - began_at < 2
+
+
+@pytest.mark.anyio
+async def test_answer_that_never_ends_is_given_up(monkeypatch):
+    """Guards against a daemon that follows a store that sends a byte now and then."""
+    monkeypatch.setattr('camphorpath.platform.store.MAX_TRANSFER_S', 1)
+
+    async def send(writer):
+        writer.write(HEAD)
+        for _ in range(30):
+            writer.write(b' ')
+            await writer.drain()
+            await asyncio.sleep(0.2)
+
+    async with open_store(send) as store:
+        began_at = anyio.current_time()
+        with pytest.raises(TableDown):
+            await store.read_changes('t', 1, 0)
+        assert anyio.current_time() - began_at < 4
