Give up a peer that never ends its answer

Change: 3 s for the whole answer, then the next peer.

Result: the new test hangs to its limit on the code before and passes with it.

--- a/camphorpath/cluster/states.py
+++ b/camphorpath/cluster/states.py
@@ -1,5 +1,6 @@
 """Taking the state that a peer holds."""
 
+import anyio
 import httpx
 from google.protobuf.message import DecodeError
 
@@ -7,8 +8,11 @@
 from ..schema import camphorpath_pb2 as pb
 
 STATE_PATH = '/state'
-# A peer answers from memory; the way there and back takes some ms.
+# A peer answers from memory; the way there and back takes some ms. Each part of an answer is
+# waited for so long.
 TIMEOUT_S = 1.0
+# All parts together; a whole manifest of 1,500 routes needs a tenth of a second on a small link.
+MAX_TRANSFER_S = 3.0
 
 
 async def fetch_state(
@@ -17,7 +21,8 @@
     """Return what a peer holds beyond these revisions; raise PeerError."""
     query = {'manifest': str(manifest_revision), 'upstreams': str(upstreams_revision)}
     try:
-        response = await client.get(f'http://{address}{STATE_PATH}', params=query)
+        with anyio.fail_after(MAX_TRANSFER_S):
+            response = await client.get(f'http://{address}{STATE_PATH}', params=query)
         response.raise_for_status()
         return pb.SharedState.FromString(response.content)
     except (httpx.HTTPError, OSError, DecodeError) as error:
--- a/tests/cluster/test_follower.py
+++ b/tests/cluster/test_follower.py
@@ -267,6 +267,26 @@
     assert anyio.run(_measure, lambda: ('b', b'x') in told, *tasks) < 0.5
 
 
+def test_peer_that_never_ends_its_answer_is_given_up(monkeypatch):
+    """Guards against a daemon that stays behind because one peer sends a byte now and then."""
+    monkeypatch.setattr('camphorpath.cluster.states.MAX_TRANSFER_S', 0.2)
+
+    async def answer(request):
+        if request.url.host == '10.0.0.2':
+            await anyio.sleep_forever()
+        return httpx.Response(200, content=make_state(7, 'a').SerializeToString())
+
+    follower, told = make_follower(FakeStore(), transport=httpx.MockTransport(answer))
+
+    async def tell():
+        beat = pb.EdgeHeartbeat(name='d', upstreams_revision=7)
+        follower.note_peer(beat, '10.0.0.2:1')
+        await anyio.sleep(0.05)
+        follower.note_peer(beat, '10.0.0.3:1')
+
+    run_until(lambda: bool(told), follower.follow_peers, tell)
+
+
 def test_manifest_is_taken_from_the_announcer_of_the_region():
     """Guards against a fleet that takes a manifest over the slow link of one daemon."""
     asked = []
