--- a/tests/ui/test_cli.py
+++ b/tests/ui/test_cli.py
@@ -46,3 +46,21 @@
     """Guards against a command that the manual names and the parser does not know."""
     assert main([command, '--help']) == 0
     assert f'camphorpath {command}' in capsys.readouterr().out
+
+
+# What an edge daemon does not use and what would take long to import at each of its starts.
+UNUSED_BY_EDGE = ('camphorpath.daemon', 'camphorpath.ui.serve', 'grpclib', 'hypercorn')
+
+
+def test_edge_imports_no_other_command(tmp_path):
+    """Guards against starts of edge daemons that spend most of their time on other commands."""
+    code = 'import sys\nfrom camphorpath.ui import main\nmain(sys.argv[1:])\nprint(*sys.modules)\n'
+    done = subprocess.run(
+        [sys.executable, '-c', code, 'edge', str(tmp_path / 'none.yaml')],
+        capture_output=True,
+        text=True,
+    )
+    assert 'none.yaml' in done.stderr
+    loaded = done.stdout.split()
+    assert 'camphorpath.edge.daemon' in loaded
+    assert not set(UNUSED_BY_EDGE) & set(loaded)
