Bound the requests that are read ahead over all calls of a connection

A caller that pipelines had up to 64 KiB more kept in memory with each of its answers, without a limit: watch() counted what it read from zero for each call, while what the calls before had read was still unparsed. The count now begins with what is held, so a connection keeps at most MAX_AHEAD_BYTES and one read.

--- a/camphorpath/relay/caller.py
+++ b/camphorpath/relay/caller.py
@@ -13,7 +13,7 @@
 STATUS_TIMEOUT = 408
 STATUS_TOO_LARGE = 413
 STATUS_HEAD_TOO_LARGE = 431
-# Bytes of later requests that are read while one is answered; beyond, the caller has to wait.
+# Bytes of later requests that are kept while one is answered; beyond, the caller has to wait.
 MAX_AHEAD_BYTES = 65536
 # After an answer that ends a connection the caller gets this time to read it and close, in seconds.
 LINGER_S = 1.0
@@ -89,7 +89,7 @@
 
     async def watch(self) -> None:
         """Return when the caller has closed its connection; keep what it sends meanwhile."""
-        ahead = 0
+        ahead = len(self.http.trailing_data[0])
         while ahead < MAX_AHEAD_BYTES:
             try:
                 chunk = await self.connection.receive()
--- a/tests/relay/test_calls.py
+++ b/tests/relay/test_calls.py
@@ -8,6 +8,8 @@
 from camphorpath.placement.budget import RetryBudget
 from camphorpath.placement.ownership import Assignment
 from camphorpath.placement.quarantine import CRASH_LIMIT
+from camphorpath.relay.caller import MAX_AHEAD_BYTES
+from camphorpath.relay.sockets import READ_BYTES
 from camphorpath.routing import CallerLimits
 from camphorpath.schema import camphorpath_pb2 as pb
 
@@ -25,6 +27,14 @@
     wait_for,
 )
 
+# More than the relay reads ahead.
+PIPELINED_BYTES = MAX_AHEAD_BYTES + READ_BYTES + 1024
+
+
+def count_ahead(caller):
+    """Return the bytes of later requests that a connection holds."""
+    return len(caller.http.trailing_data[0])
+
 
 def test_answer_is_passed_on_unchanged():
     """Guards against an answer that lost its status, body or signature."""
@@ -293,6 +303,28 @@
     run(test)
 
 
+def test_requests_read_ahead_are_bounded_over_all_calls_of_a_connection():
+    """Guards against memory that a caller takes with each answer while it pipelines."""
+
+    async def test():
+        replies = [make_answer(attempt=b'%d' % number) for number in range(8)]
+        async with (
+            open_upstream(answer_with(*replies)) as upstream,
+            open_relay(upstream) as (context, port),
+        ):
+            requests = [make_request(attempt=b'%d' % number) for number in range(9)]
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(b''.join(requests) + bytes(8 * PIPELINED_BYTES))
+            for _ in range(8):
+                await read_answer(reader)
+            await wait_for(lambda: len(upstream.requests) == 8)
+            (caller,) = context.connections
+            assert count_ahead(caller) < MAX_AHEAD_BYTES + READ_BYTES
+            writer.close()
+
+    run(test)
+
+
 def test_waiting_call_of_a_caller_that_left_is_not_sent():
     """Guards against work that begins after its caller gave up."""
 
