Notice a caller that leaves behind requests that are not read

A caller that pipelines more than 64 KiB beyond its call and leaves was noticed at the answer or the time limit of the call; its upstream worked on. After MAX_AHEAD_BYTES the relay waited for nothing, as it must not read further.

Now it looks for the end alone: poll for POLLRDHUP tells a close or a reset that has reached the kernel, whatever input is unread. The event loop offers only input and room, and a second epoll would take a descriptor for each such connection, which can run out; so the poll is repeated every CLOSE_CHECK_S. A close that stands behind more input than the receive buffer of the socket takes has not reached this machine and is still seen at the answer only (docs/platform.md, Open).

The tests fail on the code before, where the call ended at its time limit.

--- a/camphorpath/relay/caller.py
+++ b/camphorpath/relay/caller.py
@@ -99,7 +99,7 @@
                 return
             ahead += len(chunk)
             self.http.receive_data(chunk)
-        await anyio.sleep_forever()
+        await self.connection.wait_closing()
 
     async def send_answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a whole answer; raise CallerGone."""
--- a/camphorpath/relay/sockets.py
+++ b/camphorpath/relay/sockets.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import select
 import socket
 import struct
 from collections.abc import Awaitable, Callable
@@ -24,6 +25,9 @@
 # A reset instead of an orderly end.
 LINGER_RESET = struct.pack('ii', 1, 0)
 ACCEPT_PAUSE_S = 0.05
+# A close behind unread input is looked for so often, in seconds: work for a caller that left has to
+# end within half a second.
+CLOSE_CHECK_S = 0.1
 
 
 class Connection:
@@ -69,6 +73,18 @@
             for wait in (anyio.wait_readable, anyio.wait_writable):
                 group.start_soon(self._wait_one, wait, group.cancel_scope)
 
+    async def wait_closing(self) -> None:
+        """Return when the peer has closed or reset the connection; leave its input unread.
+
+        The event loop waits for input or room only, and unread input is there all the time. A poll
+        for the end alone is repeated instead; an epoll of its own would take a descriptor.
+        """
+        closing = select.poll()
+        # Errors and resets are always reported.
+        closing.register(self._sock, select.POLLRDHUP)
+        while not self.is_closed and not closing.poll(0):  # noqa: ASYNC110  no event tells it
+            await anyio.sleep(CLOSE_CHECK_S)
+
     def has_input(self) -> bool:
         """Return whether unread bytes, the end or an error stand at an idle connection."""
         try:
--- a/tests/relay/test_calls.py
+++ b/tests/relay/test_calls.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import socket
 
 import anyio
 import attrs
@@ -9,12 +10,13 @@
 from camphorpath.placement.ownership import Assignment
 from camphorpath.placement.quarantine import CRASH_LIMIT
 from camphorpath.relay.caller import MAX_AHEAD_BYTES
-from camphorpath.relay.sockets import READ_BYTES
-from camphorpath.routing import CallerLimits
+from camphorpath.relay.sockets import LINGER_RESET, READ_BYTES
+from camphorpath.routing import CallerLimits, CallKind
 from camphorpath.schema import camphorpath_pb2 as pb
 
-from ..routing.test_table import make_table
+from ..routing.test_table import make_route, make_table
 from .support import (
+    GUARD_S,
     answer_with,
     ask,
     make_answer,
@@ -27,7 +29,7 @@
     wait_for,
 )
 
-# More than the relay reads ahead.
+# More than the relay reads ahead, and less than it and the receive buffer of its socket take.
 PIPELINED_BYTES = MAX_AHEAD_BYTES + READ_BYTES + 1024
 
 
@@ -303,6 +305,39 @@
     run(test)
 
 
+@pytest.mark.parametrize('is_reset', [False, True])
+def test_caller_that_leaves_behind_unread_requests_is_noticed(is_reset):
+    """Guards against upstreams that work on for a caller that pipelines and is gone."""
+
+    async def test():
+        limits = CallerLimits()
+        async with (
+            open_upstream(stay_silent) as upstream,
+            open_relay(upstream, limits=limits) as (context, port),
+        ):
+            # Its own time limit must not end the call first.
+            route = make_route('/once/', kind=CallKind.STREAM, timeout_s=GUARD_S)
+            context.table = make_table(route, limits=limits)
+            sock = socket.create_connection(('127.0.0.1', port))
+            sock.sendall(make_request(b'/once/x') + bytes(PIPELINED_BYTES))
+            await wait_for(lambda: upstream.requests)
+            (caller,) = context.connections
+            await wait_for(lambda: count_ahead(caller) >= MAX_AHEAD_BYTES)
+            assert not upstream.closed
+            if is_reset:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+            sock.close()
+            await wait_for(lambda: upstream.closed)
+            assert not context.scheduler.slots['i-0'].running
+            assert count_ahead(caller) < MAX_AHEAD_BYTES + READ_BYTES
+            # The end of the call's time closes the upstream too; it must not be what did.
+            await wait_for(lambda: not context.in_progress)
+            told = [record.name for record in context.events.select(pb.TimelineRequest())]
+            assert 'caller_left' in told
+
+    run(test)
+
+
 def test_requests_read_ahead_are_bounded_over_all_calls_of_a_connection():
     """Guards against memory that a caller takes with each answer while it pipelines."""
 
