Forget the hosts of daemons that stopped

Each daemon told every host that it ever heard of, and counted it as a holder of the allowance for repeats, until its own restart: after a replacement of machines the daemons that are left had a smaller part than is theirs, and sent heartbeats to nobody for ever.

The rule that silence alone is no end stays: a daemon that is cut off sends repeats too, and two halves of a cut network keep the allowance only if each counts the other. What proves an end is a last heartbeat that said the daemon stops. Its process ends within the stop limit of the settings, by itself or by the platform, and its last repeats count for one window of the budget; so its host is forgotten after stop_limit_s + retry_window_s of silence. A host that stopped is not named to peers while it is silent and does not come back by what they tell, or the forgetting would be undone by the next state that is taken; a heartbeat of a new process there brings it back.

Not done: a daemon that ended without a stop (its row stays in the store) or whose stopping heartbeats were all lost is still counted. A row that is gone is not used: it is removed at the end of a stop only, which the heartbeats of the seconds before have told, and reading the rows again would cost calls of the store.

The test fails on the code before; taking out any one of the five changed conditions fails a test.

--- a/camphorpath/cluster/members.py
+++ b/camphorpath/cluster/members.py
@@ -1,6 +1,7 @@
 """The other edge daemons, as known from their heartbeats."""
 
 import collections
+import math
 from collections.abc import Iterable
 
 import attrs
@@ -36,8 +37,12 @@
     """The daemons that were heard, by name, and the hosts that are told."""
 
     own_host: str
+    # A host whose daemon was stopping counts for this time after its last heartbeat, in seconds.
+    stopped_counts_s: float = math.inf
     known: dict[str, Member] = attrs.field(factory=dict)
     hosts: set[str] = attrs.field(factory=set)
+    # Hosts whose daemon stopped and is silent, with the instant of its last heartbeat.
+    _stopped: dict[str, float] = attrs.field(factory=dict)
     # Incarnations that were replaced by another one of their name; late heartbeats may still come.
     _ended: collections.deque[str] = attrs.field(
         factory=lambda: collections.deque(maxlen=MAX_ENDED)
@@ -66,12 +71,17 @@
         if known is not None:
             self._ended.append(known.beat.incarnation)
         self.known[beat.name] = Member(beat, now)
+        self._stopped.pop(beat.host, None)
         self.add_host(beat.host)
         return known
 
     def add_host(self, host: str) -> None:
-        """Tell a host of this daemon from now on, if it is an address."""
-        if host != self.own_host and is_address(host):
+        """Tell a host of this daemon from now on, if it is an address and did not stop.
+
+        A host that stopped is told again when a new process there was heard; that others know it,
+        or its row, may be old.
+        """
+        if host != self.own_host and host not in self._stopped and is_address(host):
             self.hosts.add(host)
 
     def add_hosts(self, hosts: Iterable[str]) -> None:
@@ -79,11 +89,24 @@
         for host in hosts:
             self.add_host(host)
 
+    def list_running(self) -> list[str]:
+        """Return the hosts that a peer should tell; one that stopped would be kept there."""
+        return [host for host in self.hosts if host not in self._stopped]
+
     def expire(self, now: float) -> list[Member]:
-        """Drop and return the members that have been silent for too long."""
+        """Drop and return the members that have been silent for too long.
+
+        The hosts of those that stopped are forgotten later. A silent host of any other one is kept:
+        its daemon may be cut off and send repeats all the while.
+        """
         lost = [member for member in self.known.values() if member.due_at() < now]
         for member in lost:
             self.known.pop(member.beat.name)
+            if member.beat.stopping:
+                self._stopped[member.beat.host] = member.heard_at
+        for host, heard_at in self._stopped.items():
+            if now > heard_at + self.stopped_counts_s:
+                self.hosts.discard(host)
         return lost
 
     def shift(self, seconds: float) -> None:
--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -79,7 +79,7 @@
     incarnation = f'{settings.name}-{secrets.token_hex(INCARNATION_BYTES)}'
     events = EventLog(incarnation, capacity=0)
     bounds = settings.bounds
-    members = Members(settings.host)
+    members = Members(settings.host, bounds.stopped_counts_s)
     relay = RelayContext(
         dialect=DIALECT,
         scheduler=Scheduler(name=settings.name, zone=settings.zone, regions=settings.regions),
--- a/camphorpath/edge/pages.py
+++ b/camphorpath/edge/pages.py
@@ -61,7 +61,7 @@
         except ValueError:
             return STATUS_BAD_REQUEST, [], b''
         state = beliefs.rows.collect_since(*revisions)
-        state.hosts.extend([beliefs.settings.host, *beliefs.members.hosts])
+        state.hosts.extend([beliefs.settings.host, *beliefs.members.list_running()])
         return STATUS_OK, [(b'content-type', b'application/protobuf')], state.SerializeToString()
 
     return answer
--- a/camphorpath/edge/settings.py
+++ b/camphorpath/edge/settings.py
@@ -19,6 +19,15 @@
     quota_overshoot: float
     quota_allowance: float
 
+    @property
+    def stopped_counts_s(self) -> float:
+        """The time for which a daemon that stops counts after its last heartbeat.
+
+        Its process may still serve until `stop_limit_s`, and the repeats that it has sent count
+        against the allowance for one window more.
+        """
+        return self.stop_limit_s + self.retry_window_s
+
 
 @attrs.frozen(kw_only=True)
 class EdgeSettings:
--- a/camphorpath/placement/budget.py
+++ b/camphorpath/placement/budget.py
@@ -21,7 +21,8 @@
 def share_allowance(daemons: int, actives: int, *, is_active: bool) -> float:
     """Return the part of the allowance that one daemon may use without asking others.
 
-    `daemons` are all that were ever heard, `actives` those that take calls now.
+    `daemons` are all that may still send repeats, heard now or not, `actives` those that take calls
+    now.
     """
     share = (1 - ACTIVE_PART) / max(daemons, 1)
     return share + ACTIVE_PART / max(actives, 1) if is_active else share
--- a/tests/cluster/test_members.py
+++ b/tests/cluster/test_members.py
@@ -1,3 +1,5 @@
+import pytest
+
 from camphorpath.cluster.members import Members
 from camphorpath.schema import camphorpath_pb2 as pb
 
@@ -62,3 +64,47 @@
     members.observe(make_beat(interval=2), 0)
     assert not members.expire(7)
     assert members.expire(8.1)
+
+
+@pytest.mark.parametrize('stopped_counts_s', [18, 45])
+def test_host_of_a_daemon_that_stopped_is_forgotten(stopped_counts_s):
+    """Guards against heartbeats and shares of the allowance for daemons that are gone for good."""
+    members = Members('me', stopped_counts_s)
+    members.observe(make_beat('d1', host='10.0.0.2', stopping=True), 100)
+    members.expire(100 + stopped_counts_s)
+    assert members.hosts == {'10.0.0.2'}
+    members.expire(100.1 + stopped_counts_s)
+    assert not members.hosts
+
+
+def test_host_of_a_daemon_that_is_only_silent_is_kept():
+    """Guards against a cut network whose halves forget each other and exceed the allowance."""
+    members = Members('me', 18)
+    members.observe(make_beat('d1', host='10.0.0.2'), 100)
+    members.expire(100000)
+    assert not members.known
+    assert members.hosts == {'10.0.0.2'}
+
+
+def test_host_that_stopped_does_not_come_back_by_hearsay():
+    """Guards against peers that pass the host of a daemon that is gone to each other for ever."""
+    members = Members('me', 18)
+    members.observe(make_beat('d1', host='10.0.0.2', stopping=True), 100)
+    assert members.list_running() == ['10.0.0.2']
+    members.expire(110)
+    assert not members.list_running()
+    members.expire(120)
+    members.add_hosts(['10.0.0.2'])
+    assert not members.hosts
+
+
+def test_daemon_that_starts_again_counts_at_once():
+    """Guards against a restarted daemon that is told nothing and has no share."""
+    members = Members('me', 18)
+    members.observe(make_beat('d1', host='10.0.0.2', stopping=True), 100)
+    members.expire(110)
+    members.observe(make_beat('d1', 'again', host='10.0.0.2'), 115)
+    members.expire(119)
+    assert members.list_running() == ['10.0.0.2']
+    members.expire(1000)
+    assert members.hosts == {'10.0.0.2'}
--- a/tests/edge/test_beliefs.py
+++ b/tests/edge/test_beliefs.py
@@ -1,9 +1,11 @@
+import anyio
 import attrs
 import orjson
 import pytest
 
 from camphorpath.cluster.members import Members
 from camphorpath.edge.beliefs import MAX_NEWS_BYTES, Beliefs
+from camphorpath.edge.daemon import build_edge
 from camphorpath.edge.settings import Bounds, EdgeSettings
 from camphorpath.placement.ownership import Assignment
 from camphorpath.placement.scheduler import Scheduler
@@ -170,3 +172,23 @@
     beliefs.take_beat(make_beat(name='d1', host='10.0.0.2', cores=2, sequence=2, stopping=True))
     assert len(told) == 1
     assert beliefs.relay.scheduler.slots['i-0'].owner not in {'', 'd1'}
+
+
+@pytest.mark.parametrize(('stop_limit_s', 'retry_window_s'), [(8, 10), (30, 60)])
+def test_allowance_is_shared_by_daemons_that_may_send_repeats(stop_limit_s, retry_window_s):
+    """Guards against an allowance that daemons which are gone for good hold until a restart.
+
+    One that is cut off holds its share, and one that stopped until its repeats count no more.
+    """
+    bounds = attrs.evolve(BOUNDS, stop_limit_s=stop_limit_s, retry_window_s=retry_window_s)
+    settings = attrs.evolve(SETTINGS, host='127.0.0.1', heartbeat_port=0, bounds=bounds)
+    daemon = build_edge(settings)
+    members = daemon.beliefs.members
+    members.observe(make_beat('cut', host='10.0.0.2'), 100)
+    members.observe(make_beat('stopped', host='10.0.0.3', stopping=True), 100)
+    before = daemon.beliefs.share_budget()
+    members.expire(99 + stop_limit_s + retry_window_s)
+    assert daemon.beliefs.share_budget() == before
+    members.expire(101 + stop_limit_s + retry_window_s)
+    assert daemon.beliefs.share_budget() == pytest.approx(before * 3 / 2)
+    anyio.run(daemon.close)
