Keep the idle time that an upstream states for calls that must not be repeated

Calls that must not be repeated use a connection only if it was idle for at most FRESH_S, one second; the time that the upstream states in Keep-Alive, less a margin, was not looked at for them. Where an upstream states one second, such a call could cross the close of its connection and fail without a repeat. Now the shorter of both times counts.

Measured: with Keep-Alive: timeout=1 the second POST used the first connection on the code before (1 opened) and opens one now (2); the repeatable GET did so before.

--- a/camphorpath/relay/upstream.py
+++ b/camphorpath/relay/upstream.py
@@ -156,7 +156,7 @@
         while idle:
             carrier = idle.pop()
             age = now - carrier.idle_since
-            limit_s = FRESH_S if is_fresh else carrier.keep_s
+            limit_s = min(carrier.keep_s, FRESH_S) if is_fresh else carrier.keep_s
             if age < limit_s and not carrier.connection.has_input():
                 return carrier
             carrier.connection.close()
--- a/tests/relay/test_calls.py
+++ b/tests/relay/test_calls.py
@@ -411,6 +411,27 @@
     run(test)
 
 
+@pytest.mark.parametrize(('path', 'method'), [(b'/read/x', b'GET'), (b'/write/x', b'POST')])
+def test_connection_is_not_used_as_its_upstream_closes_it(path, method):
+    """Guards against a call that must not be repeated and crosses the close of its connection."""
+
+    async def test():
+        replies = [
+            make_answer(attempt=b'%d' % number, extra=b'Keep-Alive: timeout=1\r\n')
+            for number in (1, 2)
+        ]
+        async with (
+            open_upstream(answer_with(*replies)) as upstream,
+            open_relay(upstream) as (context, port),
+        ):
+            for number in (1, 2):
+                request = make_request(path, attempt=b'%d' % number, method=method)
+                assert (await ask(port, request))[0] == 200
+            assert context.pool.opened == 2
+
+    run(test)
+
+
 def test_early_answer_to_a_long_body_is_passed_on():
     """Guards against a relay that hangs because the upstream answered before it read the body."""
 
