Limit connecting by what a route leaves, and give the times of the relay their reasons

A call to an upstream that does not answer the opening packet waited 0.6 s, whatever its route: on a route with a time limit of 0.5 s the call was over before it could go elsewhere, although no byte had left and it may always be sent again. Connecting now takes at most the time limit less the objective of the route, so that what is left is enough to be served elsewhere, between 0.1 s and the 0.6 s of before. 0.6 s stays the most: it is below the second after which the kernel sends a lost opening packet again, and no setting moves that.

The other constants are right as they are and have their unit and reason now: the load that an upstream states, the pause after a call that did not run, the times that connections are kept.

Measured: the limits handed to the connection are 0.6, 0.6, 0.3 and 0.1 s for time limit and objective of 10 and 0.5, 0.8 and 0.145, 0.5 and 0.2, 0.3 and 0.28 s; the code before gave 0.6 s for all, so two of the four tests fail there.

--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -28,7 +28,7 @@
 from .headers import Headers, find_header, select_answer_headers, select_request_headers
 from .intake import MS_PER_S, Call, identify_call
 from .patience import limit_pause
-from .upstream import UpstreamAnswer, UpstreamConnection, read_answer
+from .upstream import UpstreamAnswer, UpstreamConnection, limit_connect, read_answer
 
 SERVED = 'served'
 FAILED = 'failed_at_upstream'
@@ -39,12 +39,16 @@
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_GATEWAY_TIMEOUT = 504
+# Bytes of an answer that is held until it is whole; each call in progress may take them.
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 # Connections that may fail for one call before it is turned away; nothing was sent on them.
 MAX_UNSENT = 4
-# The caller comes back this long after an upstream did not run its call, in seconds.
+# The caller comes back this long after an upstream did not run its call, in seconds. The upstream
+# had more calls than were known here, so when one of them ends is not known either.
 NOT_EXECUTED_RETRY_S = 0.2
-# A load that an upstream stated counts for this time, in seconds.
+# A load that an upstream stated counts for this time, in seconds. An upstream that it shows as full
+# gets no call and so states no newer one; after this time a call finds out. It must outlast the
+# heartbeat interval of the daemons that take calls, which tell theirs: 0.25 s, 1 s at 200 daemons.
 LOAD_HOLD_S = 1.2
 # Bytes of one event of a stream; the longest ones in use have some hundred.
 MAX_EVENT_BYTES = 262144
@@ -138,7 +142,10 @@
 
     async def _attempt(self, upstream: Upstream, waiting: WaitingCall) -> str:
         context = self.context
-        carrier = await context.pool.acquire(upstream, is_fresh=not self.call.route.is_repeatable)
+        route = self.call.route
+        carrier = await context.pool.acquire(
+            upstream, is_fresh=not route.is_repeatable, connect_s=limit_connect(route)
+        )
         is_complete = False
         try:
             outcome = await self._exchange(carrier, upstream, waiting)
--- a/camphorpath/relay/upstream.py
+++ b/camphorpath/relay/upstream.py
@@ -8,17 +8,24 @@
 
 from ..clocks import read_lease_clock
 from ..errors import AnswerTooLarge, NotSent, SentUnknown, Truncated
-from ..routing import Upstream
+from ..routing import Route, Upstream
 from .headers import Headers, find_header
 from .sockets import Connection, open_connection
 
-# Connecting within a region takes a few ms; a lost opening packet is sent again after a second.
+# The most seconds for connecting. The kernel sends a lost opening packet again after one second, of
+# whatever deployment; a call goes elsewhere before that.
 CONNECT_TIMEOUT_S = 0.6
-# Idle connections are kept shorter than upstreams state, as a request may cross their close.
+# The least, several round trips between regions, which take up to 16 ms.
+MIN_CONNECT_TIMEOUT_S = 0.1
+# Idle connections are kept shorter than upstreams state, in seconds: these state whole seconds, and
+# a request may cross their close.
 KEEP_MARGIN_S = 1.0
+# Idle connections to upstreams that state no time, in seconds: servers often close after five.
 USUAL_KEEP_S = 4.0
-# A request that must not be repeated uses only a connection that was busy a moment ago.
+# A request that must not be repeated uses only a connection that was busy a moment ago, in seconds:
+# upstreams that state no time may close earlier than USUAL_KEEP_S, and then the call is lost.
 FRESH_S = 1.0
+# Idle connections that are kept to one upstream; bounds the descriptors that quiet ones hold.
 MAX_IDLE = 16
 # Answers that are not the one asked for, and interim ones, are read off up to these limits; an
 # upstream in trouble may send them without end.
@@ -146,10 +153,12 @@
     opened: int = 0
     _idle: dict[str, list[UpstreamConnection]] = attrs.field(factory=dict)
 
-    async def acquire(self, upstream: Upstream, *, is_fresh: bool) -> UpstreamConnection:
+    async def acquire(
+        self, upstream: Upstream, *, is_fresh: bool, connect_s: float = CONNECT_TIMEOUT_S
+    ) -> UpstreamConnection:
         """Return a connection without a request; `is_fresh`: idle for a moment at most.
 
-        Raises NotSent if none can be opened.
+        Raises NotSent if none can be opened within `connect_s` seconds.
         """
         idle = self._idle.get(upstream.address, [])
         now = read_lease_clock()
@@ -161,7 +170,7 @@
                 return carrier
             carrier.connection.close()
         try:
-            connection = await open_connection(upstream.host, upstream.port, CONNECT_TIMEOUT_S)
+            connection = await open_connection(upstream.host, upstream.port, connect_s)
         except (OSError, TimeoutError) as error:
             raise NotSent(repr(error), step='connect', peer=upstream.address) from error
         self.opened += 1
@@ -190,6 +199,15 @@
                 self._idle.pop(address)
 
 
+def limit_connect(route: Route) -> float:
+    """Return the seconds for connecting after which a call goes elsewhere.
+
+    What is left of its time then is enough to be served there.
+    """
+    left_s = route.timeout_s - route.objective_s
+    return min(max(left_s, MIN_CONNECT_TIMEOUT_S), CONNECT_TIMEOUT_S)
+
+
 async def read_answer(
     carrier: UpstreamConnection, attempt_id: bytes, name: bytes
 ) -> UpstreamAnswer:
--- a/tests/relay/test_calls.py
+++ b/tests/relay/test_calls.py
@@ -9,6 +9,7 @@
 from camphorpath.placement.budget import RetryBudget
 from camphorpath.placement.ownership import Assignment
 from camphorpath.placement.quarantine import CRASH_LIMIT
+from camphorpath.relay import upstream as upstream_module
 from camphorpath.relay.caller import MAX_AHEAD_BYTES
 from camphorpath.relay.sockets import LINGER_RESET, READ_BYTES
 from camphorpath.routing import CallerLimits, CallKind
@@ -252,6 +253,35 @@
     run(test)
 
 
+@pytest.mark.parametrize(
+    ('timeout_s', 'objective_s', 'connect_s'),
+    [(10, 0.5, 0.6), (0.8, 0.145, 0.6), (0.5, 0.2, 0.3), (0.3, 0.28, 0.1)],
+)
+def test_upstream_that_does_not_connect_leaves_time_for_another_one(
+    monkeypatch, timeout_s, objective_s, connect_s
+):
+    """Guards against a call on a route with a short time limit that is held by a dark upstream."""
+    given = []
+
+    async def connect(host, port, limit_s, contact_timeout_s):
+        given.append(limit_s)
+        raise TimeoutError
+
+    monkeypatch.setattr(upstream_module, 'open_connection', connect)
+
+    async def test():
+        async with (
+            open_upstream(answer_with()) as upstream,
+            open_relay(upstream) as (context, port),
+        ):
+            route = make_route('/read/', timeout_s=timeout_s, objective_s=objective_s)
+            context.table = make_table(route)
+            assert (await ask(port, make_request()))[0] == 503
+        assert given[0] == pytest.approx(connect_s)
+
+    run(test)
+
+
 def test_late_second_answer_is_not_given_to_the_next_caller():
     """Guards against an answer to another request on a connection that is used again."""
 
