--- a/tests/relay/test_calls.py
+++ b/tests/relay/test_calls.py
@@ -263,7 +263,7 @@
     """Guards against a call on a route with a short time limit that is held by a dark upstream."""
     given = []
 
-    async def connect(host, port, limit_s, contact_timeout_s):
+    async def connect(host, port, limit_s):
         given.append(limit_s)
         raise TimeoutError
 
