Import no clients of upstreams for two names of headers

Seen: an edge daemon imported camphorpath.upstreams with its calls, orders and connection pools. Cause: relay/headers.py takes the list of connection headers from that package, whose facade imports all clients; the edge daemon uses none of them. Evidence: python3 -X importtime of a start: 25 ms of 685 on a busy machine in camphorpath.upstreams. Change: the list and the function beside it are in hops.py, which both packages import. Measured: the modules loaded by `camphorpath edge` hold no camphorpath.upstreams any more; the test checks that.

--- a/camphorpath/upstreams/headers.py
+++ b/camphorpath/upstreams/headers.py
@@ -1,19 +1,8 @@
 """Which headers pass between callers and upstreams."""
 
+from ..hops import HOP_BY_HOP, read_connection_options
+
 REQUEST_ID_HEADER = b'camphorpath-request-id'
-HOP_BY_HOP = frozenset(
-    (
-        b'connection',
-        b'keep-alive',
-        b'proxy-authenticate',
-        b'proxy-authorization',
-        b'proxy-connection',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'upgrade',
-    )
-)
 # Set anew for each call. Without accept-encoding the answer is not compressed, so that the end of
 # a stream can be recognized in its raw bytes.
 SET_PER_CALL = frozenset(
@@ -42,13 +31,3 @@
         for name, text in raw
         if name.lower() not in dropped
     ]
-
-
-def read_connection_options(raw: list[tuple[bytes, bytes]]) -> set[bytes]:
-    """Return the names of the headers that concern only this connection."""
-    return {
-        option.strip().lower()
-        for name, text in raw
-        if name.lower() == b'connection'
-        for option in text.split(b',')
-    }
--- a/tests/ui/test_cli.py
+++ b/tests/ui/test_cli.py
@@ -49,7 +49,13 @@
 
 
 # What an edge daemon does not use and what would take long to import at each of its starts.
-UNUSED_BY_EDGE = ('camphorpath.daemon', 'camphorpath.ui.serve', 'grpclib', 'hypercorn')
+UNUSED_BY_EDGE = (
+    'camphorpath.daemon',
+    'camphorpath.ui.serve',
+    'camphorpath.upstreams',
+    'grpclib',
+    'hypercorn',
+)
 
 
 def test_edge_imports_no_other_command(tmp_path):
