Count the age of a load report from its poll

What callers see: an upstream that had begun to leave could get calls up to a second longer than load_limit allows. Cause: a report was taken to be as new as its arrival. Change: Upstream.asked_at decides on silence; answered_at remains for what was lost in a restart. Tests for what cannot happen: a new owner has no report and grants nothing, an answer to a poll of a former ownership is dropped (_poll_once), the last good report ends with load_limit when polls fail. Measured: tests/admission/test_leaving.py: test_report_that_comes_late... fails on the code before, the four others pass on both; tests of admission and orders pass.

--- a/camphorpath/admission/owner.py
+++ b/camphorpath/admission/owner.py
@@ -177,7 +177,7 @@
         """Take in the answer of an upstream to a poll asked at `asked_at` (default: now)."""
         asked_at = self._context.clock() if asked_at is None else asked_at
         restarted = upstream.is_restarted(report)
-        refused = state.take_report(upstream, report)
+        refused = state.take_report(upstream, report, asked_at)
         refused += settle_answered(state, upstream, asked_at, restarted=restarted)
         refuse_digests(state, refused)
         state.compare_speeds(upstream.vm.pool)
--- a/camphorpath/admission/service.py
+++ b/camphorpath/admission/service.py
@@ -180,8 +180,8 @@
         for upstream in self.upstreams.values():
             self.pools.setdefault(upstream.vm.pool, []).append(upstream)
 
-    def take_report(self, upstream: Upstream, report: LoadReport) -> list[str]:
-        """Take in the answer to a poll; return the digests that are refused from now on."""
+    def take_report(self, upstream: Upstream, report: LoadReport, asked_at: float) -> list[str]:
+        """Take in the answer to a poll of `asked_at`; return the digests refused from now on."""
         refused = []
         if upstream.is_restarted(report):
             # What was granted since the last poll may run on the new incarnation; where it does
@@ -196,7 +196,7 @@
                 self.remove_running(running)
             upstream.prefixes.clear()
         was_leaving = upstream.is_leaving
-        upstream.take_report(report, self.context.clock())
+        upstream.take_report(report, self.context.clock(), asked_at)
         if upstream.is_leaving and not was_leaving:
             self.context.events.emit(Event.UPSTREAM_LEAVING, '', upstream.name, source='report')
         for orphan in list(upstream.find_gone(self.context.clock())):
--- a/camphorpath/admission/upstream.py
+++ b/camphorpath/admission/upstream.py
@@ -38,12 +38,15 @@
 
     `vm` is the VM's entry in the VM list. `foreign` counts the requests that it reports and that
     this owner did not grant. `reserved_for` is the crash suspect for which it is being emptied.
+    `asked_at` and `answered_at` are the times of the last poll that was answered, on the lease
+    clock: a report can be as old as its question.
     """
 
     vm: Any
     pool: pb.Pool = attrs.field(on_setattr=lambda one, _attribute, pool: one.take_pool(pool))
     running: dict[str, Running] = attrs.field(factory=dict)
     report: LoadReport | None = None
+    asked_at: float = -math.inf
     answered_at: float = -math.inf
     refusing_until: float = -math.inf
     foreign: int = 0
@@ -102,7 +105,7 @@
             return 'leaving'
         if self.report is not None and self.report.draining:
             return 'draining'
-        if now - self.answered_at > load_limit:
+        if now - self.asked_at > load_limit:
             return 'silent'
         if now < self.refusing_until:
             return 'refusing'
@@ -111,7 +114,7 @@
     def is_usable(self, now: float, load_limit: float) -> bool:
         """Return whether the upstream may receive requests."""
         return (
-            now - self.answered_at <= load_limit
+            now - self.asked_at <= load_limit
             and now >= self.refusing_until
             and self.vm.state == 'live'
             and not (self.report is None or self.report.draining)
@@ -151,13 +154,14 @@
         if running.is_alone:
             self.is_exclusive = False
 
-    def take_report(self, report: LoadReport, now: float) -> None:
-        """Join a report with the own grants; it answers a poll of this moment.
+    def take_report(self, report: LoadReport, now: float, asked_at: float) -> None:
+        """Join a report that came now with the own grants; it answers a poll of `asked_at`.
 
         A request of ours that may have run at the time of the report is taken to be in it, so
         only what cannot be ours counts as foreign.
         """
         self.report = report
+        self.asked_at = asked_at
         self.answered_at = now
         earliest, latest = report.as_of - CLOCK_MARGIN_S, report.as_of + CLOCK_MARGIN_S
         ours = sum(running.granted_wall <= latest for running in self.running.values())
--- /dev/null
+++ b/tests/admission/test_leaving.py
@@ -0,0 +1,96 @@
+"""Ways in which the mark of an upstream that leaves could be missed or overwritten."""
+
+import anyio
+import pytest
+
+from camphorpath.upstreams.load import LoadReport
+
+from .fakes import WALL_START_S, Bench
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio'
+
+
+def make_report(now, incarnation='i1', *, draining=False):
+    return LoadReport(
+        incarnation, draining, running=0, waiting=0, tokens=0, as_of=WALL_START_S + now
+    )
+
+
+async def test_report_that_comes_late_is_as_old_as_its_poll():
+    """Guards against grants by a report from before the mark that an owner reads after a pause."""
+    bench = Bench()
+
+    async def read_load(url):
+        report = make_report(bench.now)
+        # The owner is paused here; the upstream begins to leave meanwhile.
+        bench.now += 7
+        return report
+
+    bench.owner._read_load = read_load
+    await bench.owner._poll_once(bench.state, bench.state.upstreams['u1'])
+    bench.enqueue()
+    assert not bench.granted()
+    bench.report('u1', draining=True)
+    assert not bench.granted()
+
+
+async def test_report_that_comes_a_little_late_counts():
+    """Guards against an upstream that is left out because its answers take a second."""
+    bench = Bench()
+    bench.advance(2.9, reports=False)
+
+    async def read_load(url):
+        report = make_report(bench.now)
+        bench.now += 1
+        return report
+
+    bench.owner._read_load = read_load
+    await bench.owner._poll_once(bench.state, bench.state.upstreams['u1'])
+    bench.enqueue()
+    assert bench.granted()
+
+
+async def test_new_owner_grants_nothing_before_a_report():
+    """Guards against a new owner that grants by the VM list alone, which may not show the mark."""
+    bench = Bench()
+    bench.owner._give_up('scribe')
+    bench.owner.refresh()
+    bench.state = bench.owner.services['scribe']
+    bench.register('home-1')
+    bench.now += 3
+    bench.enqueue()
+    bench.owner.run_due()
+    assert not bench.granted()
+    bench.report('u1', draining=True)
+    assert not bench.granted()
+
+
+async def test_last_good_report_ends_when_polls_fail():
+    """Guards against a report without the mark that stays in force while all polls fail."""
+    bench = Bench()
+    bench.advance(3.1, reports=False)
+    bench.enqueue()
+    assert not bench.granted()
+
+
+async def test_poll_of_a_former_ownership_is_not_taken_in():
+    """Guards against an answer to a poll from before a loss of the service, applied after it."""
+    bench = Bench()
+    former = bench.state
+
+    async def read_load(url):
+        bench.owner._give_up('scribe')
+        bench.owner.refresh()
+        await anyio.lowlevel.checkpoint()
+        return make_report(bench.now)
+
+    bench.owner._read_load = read_load
+    await bench.owner._poll_once(former, former.upstreams['u1'])
+    state = bench.owner.services['scribe']
+    assert state is not former
+    assert state.upstreams['u1'].report is None
