Bound the age of a grant by the home's own clock

Cause: a grant was valid for 1 s from its arrival at the home. What held it up before, a stopped owner, a stopped home or the network, did not count. In the test the home got a grant 7 s late and used it. Change: each message of a home carries its lease clock; a grant returns the newest value that the owner had, and is used for at most 1.5 s after it. No clocks of two VMs are compared. A home with waiting requests sends its time after 0.5 s without another message: about 35 bytes a message and owner with frames (estimated, not measured); nothing while nobody waits. An owner of an earlier version sends no time and its grants are valid as before.

--- a/camphorpath/admission/client.py
+++ b/camphorpath/admission/client.py
@@ -19,6 +19,12 @@
 
 REFRESH_INTERVAL_S = 0.1
 RECONNECT_S = 0.2
+# A grant is not used later than this after the newest message of the home that its owner had: a
+# pause of either, or the network, may have held it up. With a report of up to `load_limit` (3 s)
+# this leaves 0.5 s of the 5 s after which a leaving upstream gets nothing, for the lag of reports.
+MAX_GRANT_AGE_S = 1.5
+# How often a home with waiting requests sends something, so that new grants are not taken for old.
+CONFIRM_INTERVAL_S = 0.5
 # The owner's own answer at the deadline is preferred to one of the home, which knows less.
 ANSWER_GRACE_S = 0.25
 DEFAULT_STATUS = 503
@@ -94,6 +100,7 @@
                 for link in self._links.values():
                     if link.is_open and link.registered != link.services:
                         self._register(link)
+                self._confirm_waiting()
                 await anyio.sleep(REFRESH_INTERVAL_S)
 
     def _note_result(self, enqueue: pb.Enqueue, result: int) -> None:
@@ -121,7 +128,8 @@
                 )
             if self._clock() < entry.grant.expires_at:
                 return entry.grant
-            # This process was paused: the owner may have counted the slot as lost meanwhile.
+            # The grant was held up: the owner may have counted the slot as lost meanwhile, or have
+            # learned that the upstream leaves.
             self._return_grant(entry)
             entry.answered = anyio.Event()
             self._place(entry)
@@ -148,8 +156,25 @@
     def _post(self, link: Link, message: pb.AdmissionUp) -> None:
         if link.is_open:
             message.stamp = self._events.clock.stamp()
+            message.sent_at = self._clock()
+            link.posted_at = message.sent_at
             link.post(message)
 
+    def _confirm_waiting(self) -> None:
+        """Send the time to the owners of waiting requests that have heard nothing for a while."""
+        oldest = self._clock() - CONFIRM_INTERVAL_S
+        quiet = [link for link in self._links.values() if link.is_open and link.posted_at <= oldest]
+        if not quiet:
+            return
+        waiting = {
+            entry.link
+            for entry in self._entries.values()
+            if entry.grant is None and entry.refusal is None
+        }
+        for link in quiet:
+            if link in waiting:
+                self._post(link, pb.AdmissionUp())
+
     def _place(self, entry: _Entry) -> None:
         """Register a request with the owner; one without an open stream waits for `_register`."""
         link = self._links.get(self._ownership.find(entry.service).incarnation)
@@ -258,12 +283,16 @@
             return
         if entry.grant is not None or entry.refusal is not None:
             return
+        expires_at = self._clock() + granted.valid_for
+        # An owner of a version before this field sends 0.
+        if granted.heard_at:
+            expires_at = min(expires_at, granted.heard_at + MAX_GRANT_AGE_S)
         entry.grant = Grant(
             granted.request_id,
             granted.upstream,
             granted.upstream_url,
             granted.zone,
-            self._clock() + granted.valid_for,
+            expires_at,
         )
         entry.answered.set()
 
--- a/camphorpath/admission/link.py
+++ b/camphorpath/admission/link.py
@@ -46,6 +46,8 @@
     registered: frozenset[str] = frozenset()
     is_open: bool = False
     is_wanted: bool = True
+    # When the last message was sent, on the lease clock.
+    posted_at: float = 0
     scope: anyio.CancelScope | None = None
     post: Callable[[pb.AdmissionUp], None] = attrs.field(init=False)
 
--- a/camphorpath/admission/session.py
+++ b/camphorpath/admission/session.py
@@ -13,13 +13,17 @@
 
 @attrs.define(eq=False)
 class HomeSession:
-    """One home's stream; `services` are those whose requests the home has registered."""
+    """One home's stream; `services` are those whose requests the home has registered.
+
+    `heard_at` is the time of the home's newest message on the home's own lease clock.
+    """
 
     owner: 'AdmissionOwner'
     info: pb.MemberInfo
     send: Callable[[pb.AdmissionDown], None]
     is_open: bool = True
     services: frozenset[str] = frozenset()
+    heard_at: float = 0
 
     @property
     def incarnation(self) -> str:
@@ -31,6 +35,7 @@
         if not self.is_open:
             return
         self.owner.events.clock.observe(message.stamp)
+        self.heard_at = message.sent_at or self.heard_at
         match message.WhichOneof('message'):
             case 'enqueue':
                 self.owner.enqueue(self, message.enqueue)
@@ -48,7 +53,8 @@
             self.owner.close_home(self)
 
     def grant(self, granted: pb.Granted) -> None:
-        """Send a grant."""
+        """Send a grant with the time by which the home bounds its age."""
+        granted.heard_at = self.heard_at
         self._send(pb.AdmissionDown(granted=granted))
 
     def refuse(self, refused: pb.Refused) -> None:
--- a/tests/admission/test_client.py
+++ b/tests/admission/test_client.py
@@ -7,6 +7,7 @@
 from camphorpath.admission import AdmissionClient, Ticket
 from camphorpath.admission.client import _Entry
 from camphorpath.admission.link import Link, Mailbox
+from camphorpath.clocks import read_lease_clock
 from camphorpath.errors import PeerError, Refusal
 from camphorpath.events import EventLog
 from camphorpath.schema import camphorpath_pb2 as pb
@@ -30,6 +31,9 @@
         self.benches = benches
         self.up = set(benches)
         self.inboxes = {}
+        # Grants on their way while `is_held` is set, with their inboxes.
+        self.held = []
+        self.is_held = False
 
     @contextlib.asynccontextmanager
     async def open_admission(self, address):
@@ -38,11 +42,17 @@
         inbox = self.inboxes[address] = Mailbox()
         session = None
 
+        def deliver(message):
+            if self.is_held and message.HasField('granted'):
+                self.held.append((inbox, message))
+            else:
+                inbox.put(message)
+
         class Stream:
             async def send_message(self, message):
                 nonlocal session
                 if message.HasField('hello'):
-                    session = bench.owner.open_home(message.hello, inbox.put)
+                    session = bench.owner.open_home(message.hello, deliver)
                 else:
                     session.handle(message)
 
@@ -59,6 +69,12 @@
             if session is not None:
                 session.close()
 
+    def let_pass(self):
+        self.is_held = False
+        while self.held:
+            inbox, message = self.held.pop(0)
+            inbox.put(message)
+
     def cut(self, address):
         self.up.discard(address)
         self.inboxes[address].put(None)
@@ -74,7 +90,10 @@
         self.membership = FakeMembership('home-1', fleet=fleet)
         self.membership.peers = self.peers
         self.choose('owner-1')
-        self.client = AdmissionClient(self.membership, None, EventLog('home-1'))
+        self.passed_s = 0
+        self.client = AdmissionClient(
+            self.membership, None, EventLog('home-1'), lambda: read_lease_clock() + self.passed_s
+        )
         self.preempted = []
 
     def choose(self, name):
@@ -300,3 +319,59 @@
     home.peers.open_admission = open_badly
     async with home.running():
         assert (await home.client.acquire(home.ticket('r1'))).upstream == 'u1'
+
+
+async def test_grant_that_was_long_on_its_way_is_not_used():
+    """Guards against a call to an upstream that began to leave while its grant was held up, by a
+    pause of the owner or of the home, or by the network.
+    """
+    home = Home()
+    grants = []
+
+    async def acquire():
+        grants.append(await home.client.acquire(home.ticket('r1')))
+
+    async with home.running() as tasks:
+        home.peers.is_held = True
+        tasks.start_soon(acquire)
+        await until(lambda: home.peers.held)
+        home.passed_s += 7
+        home.benches['owner-1'].report('u1', draining=True)
+        home.peers.let_pass()
+        await until(lambda: grants or 'r1' in home.state('owner-1').queue.entries)
+        assert not grants
+
+
+async def test_grant_after_a_long_wait_is_used_at_once():
+    """Guards against grants that a home returns because it sent nothing while it waited."""
+    home = Home(pool={'slots': 1})
+    grants = []
+
+    async def acquire():
+        grants.append(await home.client.acquire(home.ticket('r2')))
+
+    async with home.running() as tasks:
+        first = home.ticket('r1')
+        await home.client.acquire(first)
+        tasks.start_soon(acquire)
+        await until(lambda: 'r2' in home.state('owner-1').queue.entries)
+        session = home.benches['owner-1'].owner._sessions['home-1']
+        for _ in range(3):
+            before = session.heard_at
+            home.passed_s += 1
+            await until(lambda before=before: session.heard_at >= before + 1)
+        home.client.release(first, pb.Release(request_id='r1'))
+        await until(lambda: grants)
+        # A request that is sent again takes the next number.
+        assert home.state('owner-1').sequence == 2
+
+
+async def test_home_without_waiting_requests_sends_nothing():
+    """Guards against messages without end between daemons that have nothing to say."""
+    home = Home()
+    async with home.running():
+        await home.client.acquire(home.ticket('r1'))
+        heard_at = home.benches['owner-1'].owner._sessions['home-1'].heard_at
+        home.passed_s += 5
+        await anyio.sleep(0.3)
+        assert home.benches['owner-1'].owner._sessions['home-1'].heard_at == heard_at
