Take no report of a former address for the process at the next

What callers see: after the VM list gave an upstream another address, calls went there although that process had not reported. Cause: the report and the time of its poll stayed with the name; a poll under way to the former address was also taken in. If the new process did not answer polls, this lasted up to load_limit, and a mark it had was not seen. Change: a new address makes the upstream silent until a poll of that address is answered; an answer of another address is dropped. The last incarnation stays known, so that a restart is still seen. Measured: both new tests of tests/admission/test_leaving.py fail on the code before; tests of admission and orders pass.

--- a/camphorpath/admission/owner.py
+++ b/camphorpath/admission/owner.py
@@ -278,12 +278,13 @@
 
     async def _poll_once(self, state: ServiceState, upstream: Upstream) -> None:
         report = None
-        asked_at = self._context.clock()
+        asked_at, url = self._context.clock(), upstream.url
         with anyio.move_on_after(state.settings.load_limit):
             try:
-                report = await self._read_load(upstream.url)
+                report = await self._read_load(url)
             except CamphorpathError:
                 report = None
-        # The service may have been given up during the poll.
-        if report is not None and self.services.get(state.name) is state:
+        # The service may have been given up during the poll, or the address have changed.
+        is_current = self.services.get(state.name) is state and upstream.url == url
+        if report is not None and is_current:
             self.take_report(state, upstream, report, asked_at)
--- a/camphorpath/admission/service.py
+++ b/camphorpath/admission/service.py
@@ -1,6 +1,7 @@
 """The requests and upstreams of one service at its admission owner."""
 
 import collections
+import math
 from collections.abc import Collection, Iterator
 from typing import Any
 
@@ -276,6 +277,9 @@
         if upstream is not None:
             if vm.state != upstream.vm.state and vm.state != 'live':
                 self.context.events.emit(Event.UPSTREAM_LEAVING, '', vm.name, source='vm_list')
+            if vm.address != upstream.vm.address:
+                # Another process: what the former one reported says nothing about it.
+                upstream.asked_at = -math.inf
             upstream.vm = vm
             upstream.pool = pool
             return
--- a/tests/admission/test_leaving.py
+++ b/tests/admission/test_leaving.py
@@ -5,7 +5,7 @@
 
 from camphorpath.upstreams.load import LoadReport
 
-from .fakes import WALL_START_S, Bench
+from .fakes import WALL_START_S, Bench, FakeVm
 
 pytestmark = pytest.mark.anyio
 
@@ -94,3 +94,35 @@
     state = bench.owner.services['scribe']
     assert state is not former
     assert state.upstreams['u1'].report is None
+
+
+async def test_report_of_a_former_address_does_not_count_for_the_next():
+    """Guards against grants to a process at a new address by the report of the one before it."""
+    bench = Bench()
+    bench.owner.take_vms([FakeVm('u1', address='127.0.0.1:2')])
+    request_id = bench.enqueue()
+    assert not bench.granted()
+    bench.report('u1', incarnation='i2', draining=True)
+    assert not bench.granted()
+    bench.now += 0.5
+    bench.report('u1', incarnation='i2')
+    assert bench.granted_ids() == [request_id]
+    assert bench.granted()[0].upstream_url == 'http://127.0.0.1:2'
+
+
+async def test_answer_of_a_former_address_is_not_taken_in():
+    """Guards against an answer that was under way when the VM list changed the address."""
+    bench = Bench()
+    upstream = bench.state.upstreams['u1']
+
+    async def read_load(url):
+        report = make_report(bench.now)
+        bench.owner.take_vms([FakeVm('u1', address='127.0.0.1:2')])
+        bench.report('u1', incarnation='i2', draining=True)
+        return report
+
+    bench.owner._read_load = read_load
+    await bench.owner._poll_once(bench.state, upstream)
+    bench.enqueue()
+    assert not bench.granted()
+    assert upstream.report.incarnation == 'i2'
