Log silent upstreams, every way of leaving and the age of the report behind a grant

What callers see: nothing. Operators: event 503 is written, as docs/events.md has it; nothing wrote it before. Cause: UPSTREAM_SILENT was in the catalogue and no code of admission emitted it; 502 was missing where a new owner found a VM leaving already and where a VM left the list. Change: one line for each change to silent or leaving; a grant has report_age_ms, so that a late dispatch can be traced.

--- a/camphorpath/admission/grants.py
+++ b/camphorpath/admission/grants.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+from ..clocks import MS_PER_S
 from ..events import Event
 from ..schema import camphorpath_pb2 as pb
 from .choice import POLICIES, count_uncached, estimate_hold
@@ -176,7 +177,13 @@
     upstream.prefixes.remember(entry.blocks)
     weight = context.view.weights.get(enqueue.customer, 1)
     shares.charge(enqueue.customer, max(entry.tokens, 1), weight)
-    context.events.emit(Event.GRANTED, entry.request_id, upstream.name, tier=enqueue.tier)
+    context.events.emit(
+        Event.GRANTED,
+        entry.request_id,
+        upstream.name,
+        tier=enqueue.tier,
+        report_age_ms=round((now - upstream.asked_at) * MS_PER_S),
+    )
     entry.session.grant(
         pb.Granted(
             request_id=entry.request_id,
--- a/camphorpath/admission/owner.py
+++ b/camphorpath/admission/owner.py
@@ -156,6 +156,7 @@
         for name in self._context.view.services:
             self._find_state(name)
         for state in self.services.values():
+            state.note_silent()
             refuse_digests(state, settle_silent(state))
 
     def take_vms(self, vms: list[Any]) -> None:
--- a/camphorpath/admission/service.py
+++ b/camphorpath/admission/service.py
@@ -172,6 +172,8 @@
         for name, upstream in list(self.upstreams.items()):
             if name in listed:
                 continue
+            if upstream.vm.state == 'live':
+                self._note_leaving(name, 'vm_list')
             upstream.vm = attrs.evolve(upstream.vm, state='leaving')
             if not upstream.running and upstream.loss is None:
                 self.upstreams.pop(name)
@@ -199,11 +201,20 @@
         was_leaving = upstream.is_leaving
         upstream.take_report(report, self.context.clock(), asked_at)
         if upstream.is_leaving and not was_leaving:
-            self.context.events.emit(Event.UPSTREAM_LEAVING, '', upstream.name, source='report')
+            self._note_leaving(upstream.name, 'report')
         for orphan in list(upstream.find_gone(self.context.clock())):
             self.remove_running(orphan)
         return refused
 
+    def note_silent(self) -> None:
+        """Log each upstream once when its last report has become too old for grants."""
+        oldest = self.context.clock() - self.settings.load_limit
+        for upstream in self.upstreams.values():
+            is_silent = upstream.report is not None and upstream.asked_at < oldest
+            if is_silent and not upstream.is_silent:
+                self.context.events.emit(Event.UPSTREAM_SILENT, '', upstream.name)
+            upstream.is_silent = is_silent
+
     def lose_upstream(self, upstream: Upstream, lost: Collection[Running], cause: str) -> list[str]:
         """Record what ran on a crashed upstream as suspects; return the refused digests."""
         self.context.events.emit(
@@ -269,6 +280,9 @@
         start = self.estimate_start(entry)
         return MAX_RETRY_S if start is None else min(max(start, MIN_RETRY_S), MAX_RETRY_S)
 
+    def _note_leaving(self, name: str, source: str) -> None:
+        self.context.events.emit(Event.UPSTREAM_LEAVING, '', name, source=source)
+
     def _take_vm(self, vm: Any) -> None:
         pool = self.context.view.pool(self.name, vm.pool)
         if pool is None:
@@ -276,7 +290,7 @@
         upstream = self.upstreams.get(vm.name)
         if upstream is not None:
             if vm.state != upstream.vm.state and vm.state != 'live':
-                self.context.events.emit(Event.UPSTREAM_LEAVING, '', vm.name, source='vm_list')
+                self._note_leaving(vm.name, 'vm_list')
             if vm.address != upstream.vm.address:
                 # Another process: what the former one reported says nothing about it.
                 upstream.asked_at = -math.inf
@@ -286,6 +300,8 @@
         upstream = Upstream(vm, pool)
         self.upstreams[vm.name] = upstream
         self.context.events.emit(Event.UPSTREAM_FOUND, '', vm.name, pool=vm.pool)
+        if vm.state != 'live':
+            self._note_leaving(vm.name, 'vm_list')
         # Requests that homes registered before the VM list was read.
         for running in self.running.values():
             if running.upstream == vm.name:
--- a/camphorpath/admission/upstream.py
+++ b/camphorpath/admission/upstream.py
@@ -39,7 +39,7 @@
     `vm` is the VM's entry in the VM list. `foreign` counts the requests that it reports and that
     this owner did not grant. `reserved_for` is the crash suspect for which it is being emptied.
     `asked_at` and `answered_at` are the times of the last poll that was answered, on the lease
-    clock: a report can be as old as its question.
+    clock: a report can be as old as its question. `is_silent` is set while the log says so.
     """
 
     vm: Any
@@ -54,6 +54,7 @@
     work_s: float = 0
     prefixes: PrefixMemory = attrs.field(factory=PrefixMemory)
     speed: Speed = attrs.field(factory=Speed)
+    is_silent: bool = False
     is_slow: bool = False
     probe_at: float = 0
     reserved_for: str = ''
--- a/tests/admission/test_leaving.py
+++ b/tests/admission/test_leaving.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 
+from camphorpath.schema import camphorpath_pb2 as pb
 from camphorpath.upstreams.load import LoadReport
 
 from .fakes import WALL_START_S, Bench, FakeVm
@@ -126,3 +127,45 @@
     bench.enqueue()
     assert not bench.granted()
     assert upstream.report.incarnation == 'i2'
+
+
+async def test_silent_upstream_is_logged_once():
+    """Guards against a log that doesn't show why an upstream that is live gets nothing."""
+    bench = Bench()
+    bench.advance(2.5, reports=False)
+    bench.owner.refresh()
+    assert 'upstream_silent' not in bench.event_names()
+    for _ in range(3):
+        bench.advance(1, reports=False)
+        bench.owner.refresh()
+    assert bench.event_names().count('upstream_silent') == 1
+    bench.report('u1')
+    bench.owner.refresh()
+    bench.advance(4, reports=False)
+    bench.owner.refresh()
+    assert bench.event_names().count('upstream_silent') == 2
+
+
+@pytest.mark.parametrize('vms', [[FakeVm('u1', state='leaving')], []], ids=['leaving', 'gone'])
+async def test_vm_that_leaves_the_list_is_logged_once(vms):
+    """Guards against a log that doesn't show since when an owner knows that a VM leaves."""
+    bench = Bench()
+    bench.enqueue()
+    for _ in range(2):
+        bench.owner.take_vms(vms)
+    assert bench.event_names().count('upstream_leaving') == 1
+
+
+async def test_upstream_that_a_new_owner_finds_leaving_is_logged():
+    """Guards against a new owner whose log doesn't show that it knew of a mark."""
+    bench = Bench(vms=(FakeVm('u1', state='leaving'),))
+    assert bench.event_names().count('upstream_leaving') == 1
+
+
+async def test_grant_tells_the_age_of_its_report():
+    """Guards against a grant to a leaving upstream whose log doesn't tell by which report."""
+    bench = Bench()
+    bench.advance(2, reports=False)
+    bench.enqueue()
+    (record,) = (one for one in bench.events.select(pb.TimelineRequest()) if one.name == 'granted')
+    assert record.fields['report_age_ms'] == '2000'
