Treat a stop while a daemon starts as a planned stop

What callers see: nothing; a supervisor saw a planned stop end by the signal (exit code -15) instead of 0. Cause: the handler of SIGTERM was installed after all modules were imported. Change: the entry point installs a handler before it imports the commands, for `serve` only; another command that is stopped has still failed. The time before that, the start of the interpreter, remains.

--- a/camphorpath/ui/__init__.py
+++ b/camphorpath/ui/__init__.py
@@ -1,5 +1,5 @@
 """The command line."""
 
-from .cli import main
+from .start import main
 
 __all__ = ('main',)
--- a/camphorpath/ui/cli.py
+++ b/camphorpath/ui/cli.py
@@ -13,7 +13,7 @@
 COMMANDS = ('serve', 'edge', 'check', 'defaults', 'config', 'status', 'timeline')
 
 
-def main(argv: Sequence[str] | None = None) -> int:
+def run_command(argv: Sequence[str] | None = None) -> int:
     """Run one command and return the exit code: 0 done, 1 command failed, 2 bad input."""
     words = sys.argv[1:] if argv is None else argv
     try:
