Take a load report that stands still for an old one

What callers see: an upstream whose report is no longer renewed, and so never shows that it leaves, got calls as long as it answered polls. Cause: any answer to a poll counted as news, also one with the as_of of the answer before. Change: a report with the as_of of the one before keeps the age of the first; after load_limit without a new one the upstream is silent. The upstream's clock is compared with itself only, and may be set back.

--- a/camphorpath/admission/upstream.py
+++ b/camphorpath/admission/upstream.py
@@ -38,8 +38,9 @@
 
     `vm` is the VM's entry in the VM list. `foreign` counts the requests that it reports and that
     this owner did not grant. `reserved_for` is the crash suspect for which it is being emptied.
-    `asked_at` and `answered_at` are the times of the last poll that was answered, on the lease
-    clock: a report can be as old as its question. `is_silent` is set while the log says so.
+    `asked_at` is the time of the first poll that was answered with the present report, on the lease
+    clock: the report is no newer. `answered_at` is the time of the last answer. `is_silent` is set
+    while the log says so.
     """
 
     vm: Any
@@ -161,8 +162,9 @@
         A request of ours that may have run at the time of the report is taken to be in it, so
         only what cannot be ours counts as foreign.
         """
+        if not self._is_repeated(report):
+            self.asked_at = asked_at
         self.report = report
-        self.asked_at = asked_at
         self.answered_at = now
         earliest, latest = report.as_of - CLOCK_MARGIN_S, report.as_of + CLOCK_MARGIN_S
         ours = sum(running.granted_wall <= latest for running in self.running.values())
@@ -171,6 +173,13 @@
         )
         self.foreign = max(0, report.running + report.waiting - ours)
 
+    def _is_repeated(self, report: LoadReport) -> bool:
+        # An upstream that no longer renews its report answers without saying anything new. Its
+        # clock is compared with itself only; it may have been set back.
+        if self.report is None or self.asked_at == -math.inf or self.is_restarted(report):
+            return False
+        return self.report.as_of == report.as_of
+
     def is_restarted(self, report: LoadReport) -> bool:
         """Return whether a new report is of another incarnation than the last one."""
         return self.report is not None and self.report.incarnation != report.incarnation
--- a/tests/admission/test_leaving.py
+++ b/tests/admission/test_leaving.py
@@ -169,3 +169,27 @@
     bench.enqueue()
     (record,) = (one for one in bench.events.select(pb.TimelineRequest()) if one.name == 'granted')
     assert record.fields['report_age_ms'] == '2000'
+
+
+async def test_report_that_stands_still_is_as_old_as_its_first_poll():
+    """Guards against grants by a report that its upstream no longer renews, which hides a mark."""
+    bench = Bench()
+    written_at = bench.now
+    for _ in range(7):
+        bench.now += 0.5
+        bench.report('u1', lag=bench.now - written_at)
+    request_id = bench.enqueue()
+    assert not bench.granted()
+    assert bench.state_of('u1') == 'silent'
+    bench.report('u1')
+    assert bench.granted_ids() == [request_id]
+
+
+async def test_report_of_a_clock_that_was_set_back_counts():
+    """Guards against an upstream that gets nothing until its clock is where it was before."""
+    bench = Bench()
+    for _ in range(8):
+        bench.now += 0.5
+        bench.report('u1', lag=3600)
+    bench.enqueue()
+    assert bench.granted()
