--- a/tests/placement/replay.py
+++ b/tests/placement/replay.py
@@ -23,6 +23,10 @@
 PAUSE_S = 0.25
 RETURNS = 1
 SETTLE_S = 12
+# Calls of `EXPIRE_TICKS` between two heartbeats of a daemon, as in fleets of few daemons.
+HEARTBEAT_ROUNDS = 5
+# A daemon that is not heard for this time lends nothing, in seconds.
+LENT_S = 1.0
 
 
 @attrs.frozen
@@ -42,6 +46,12 @@
     Kind('answer', 1, 9.6, 2890, 51, 0.6, 6, 2.7),
     Kind('note', 2, 19.2, 1110, 172, 0.5, 15, 0.28),
 )
+# Prompts of which most is a document, on engines with four slots.
+LONG_KINDS = (
+    Kind('draft', 0, 22.5, 13000, 120, 0.6, 8, 5.4),
+    Kind('answer', 1, 10.1, 7000, 52, 0.6, 5, 2.7),
+    Kind('note', 2, 36, 1300, 172, 0.4, 10, 0.24),
+)
 # Long summaries, answers, and verdicts of three events, as a deployment with short calls has them.
 SHORT_KINDS = (
     Kind('draft', 0, 17, 6610, 165, 0.8, 12, 11),
@@ -73,14 +83,19 @@
 
 @attrs.define(eq=False)
 class Engine:
-    """Reads prompts one after the other, during which its streams stand still."""
+    """Reads prompts one after the other, during which its streams stand still.
+
+    Calls beyond its slots wait in order of arrival.
+    """
 
     slowness: float
+    slots: int
     jobs: list = attrs.field(factory=list)
 
     def advance(self, now):
+        served = self.jobs[: self.slots]
         budget = PREFILL_TOKENS_PER_S / self.slowness * TICK_S
-        for job in self.jobs:
+        for job in served:
             read = min(job.unread, budget)
             job.unread -= read
             budget -= read
@@ -88,8 +103,8 @@
                 job.first_at = job.passed_at = now
         if not budget:
             return
-        step_s = STEP_S * self.slowness * (1 + STEP_GROWTH * len(self.jobs))
-        for job in self.jobs:
+        step_s = STEP_S * self.slowness * (1 + STEP_GROWTH * len(served))
+        for job in served:
             if job.first_at is None:
                 continue
             events = job.made // EVENT_TOKENS
@@ -130,6 +145,50 @@
             call.on_decision(Placed(make_upstream(int(upstream_id[2:]))))
 
 
+class Fleet:
+    """Daemons that own an engine each and lend by heartbeat; callers come to any of them."""
+
+    def __init__(self, slots, *, is_lending=True):
+        upstreams = list_upstreams(slots)
+        names = [f'd{number}' for number in range(len(upstreams))]
+        owners = {one.upstream_id: name for one, name in zip(upstreams, names, strict=True)}
+        assignment = Assignment({'r': tuple(names)}, owners)
+        self.schedulers = [Scheduler(name=name, zone='a', regions={}) for name in names]
+        for scheduler in self.schedulers:
+            scheduler.set_upstreams(upstreams, assignment)
+        self.places = random.Random(len(names))
+        self.by_call = {}
+        self.rounds = 0
+        self.is_lending = is_lending
+
+    def submit(self, call, now):
+        scheduler = self.places.choice(self.schedulers)
+        self.by_call[call.call_id] = scheduler
+        scheduler.submit(call, now)
+
+    def note_first_byte(self, upstream_id, call, now):
+        self.by_call[call.call_id].note_first_byte(upstream_id, call, now)
+
+    def release(self, upstream_id, call, now):
+        self.by_call.pop(call.call_id).release(upstream_id, call, now)
+
+    def expire(self, now):
+        self.rounds += 1
+        for number, scheduler in enumerate(self.schedulers):
+            scheduler.expire(now)
+            if self.is_lending and not (self.rounds + number) % HEARTBEAT_ROUNDS:
+                self.tell(scheduler, now)
+
+    def tell(self, sender, now):
+        loads = sender.report_loads(len(self.schedulers) - 1, now)
+        waiting = sender.count_waiting()
+        for scheduler in self.schedulers:
+            if scheduler is not sender:
+                scheduler.take_loads(
+                    sender.name, sender.name, loads, waiting, lent_until=now + LENT_S
+                )
+
+
 @attrs.define
 class Outcome:
     jobs: list
@@ -138,6 +197,9 @@
         found = [job for job in self.jobs if job.kind.name == name]
         return sum(map(check, found)) / len(found)
 
+    def share_served(self):
+        return sum(job.is_done for job in self.jobs) / len(self.jobs)
+
     def credit(self):
         earned = sum(
             job.kind.worth * (1 if job.is_in_time() else LATE_WORTH)
@@ -147,9 +209,13 @@
         return earned / sum(job.kind.worth for job in self.jobs)
 
 
+def list_upstreams(slots):
+    return [make_upstream(number, slots=slots[f'i-{number}']) for number in range(len(slots))]
+
+
 def make_scheduler(slots):
     scheduler = Scheduler(name='me', zone='a', regions={})
-    upstreams = [make_upstream(number, slots=slots[f'i-{number}']) for number in range(len(slots))]
+    upstreams = list_upstreams(slots)
     owners = {one.upstream_id: 'me' for one in upstreams}
     scheduler.set_upstreams(upstreams, Assignment({}, owners))
     return scheduler
@@ -219,7 +285,8 @@
 def replay(make_rule, *, seed, load, slowness, slots=5, lasts_s=10.0, kinds=KINDS):
     """Play arrivals at `load` times the usual rate and return what became of them."""
     random.seed(seed)
-    world = World({f'i-{number}': Engine(slow) for number, slow in enumerate(slowness)})
+    engines = {f'i-{number}': Engine(slow, slots) for number, slow in enumerate(slowness)}
+    world = World(engines)
     rule = make_rule(dict.fromkeys(world.engines, slots))
     jobs = _plan(random.Random(seed), kinds, load * len(slowness) / USUAL_ENGINES, lasts_s)
     for job in jobs:
