Do not answer 404 while the newer manifest is being fetched

A daemon that asks a peer which is ahead forgot this peer first. If no other peer was known to be ahead, the manifest held here counted as current for the whole transfer, up to 3 s, and calls to new routes were answered 404.

The peer that is being asked counts as ahead until its answer was taken or it is given up. The new test fails without this (True instead of False) and passes with it.

--- a/camphorpath/cluster/follower.py
+++ b/camphorpath/cluster/follower.py
@@ -70,6 +70,8 @@
     store_up: bool = False
     # Peers that are ahead, by control address.
     _ahead: dict[str, _Peer] = attrs.field(factory=dict)
+    # The peer that was ahead and is being asked.
+    _asked: _Peer | None = None
     # Since when this daemon has known that a peer is ahead, on the lease clock; None if none is.
     _behind_since: float | None = None
     # When the store, or a peer, confirmed what is held here, on the lease clock.
@@ -114,6 +116,8 @@
         held = self.rows.manifest.revision
         if any(peer.manifest_revision > held for peer in self._ahead.values()):
             return False
+        if self._asked is not None and self._asked.manifest_revision > held:
+            return False
         return self.store_age() <= STALE_S
 
     def doubt(self) -> None:
@@ -140,8 +144,9 @@
         while self._drop_caught_up():
             peers = self._ahead.items()
             _order, address = min((peer.order(), address) for address, peer in peers)
-            self._ahead.pop(address)
+            self._asked = self._ahead.pop(address)
             is_taken = await self.take_from(address)
+            self._asked = None
             if not is_taken and not self._ahead:
                 self.doubt()
 
--- a/tests/cluster/test_follower.py
+++ b/tests/cluster/test_follower.py
@@ -314,3 +314,20 @@
         await wait_for(check, 5)
         group.cancel_scope.cancel()
     return anyio.current_time() - began_at
+
+
+def test_manifest_is_not_current_while_the_newer_one_is_on_its_way():
+    """Guards against 404 by a daemon that waits for the answer of the only peer that is ahead."""
+    follower, _told = make_follower(FakeStore())
+    follower.rows.take_manifest(b'm', 3)
+    follower.note_peer(pb.EdgeHeartbeat(manifest_revision=3, store_age=0.1), '10.0.0.2:1')
+    seen = []
+
+    async def answer(request):
+        seen.append(follower.is_manifest_current())
+        return httpx.Response(503)
+
+    follower.peers = httpx.AsyncClient(transport=httpx.MockTransport(answer))
+    follower.note_peer(pb.EdgeHeartbeat(manifest_revision=5), '10.0.0.3:1')
+    run_until(lambda: bool(seen), follower.follow_peers)
+    assert seen == [False]
