Take the age of an answer of the store from its head

A long answer may take some seconds over a full link. What it told counted as confirmed when its last byte came, here and by heartbeats at the peers, so that a manifest which had been replaced meanwhile counted as current and new routes got 404.

The instant at which the head came counts now. The new test fails without this (an age of 0.0 s right after a transfer of 0.6 s) and passes with it.

--- a/camphorpath/cluster/follower.py
+++ b/camphorpath/cluster/follower.py
@@ -243,7 +243,7 @@
                 await anyio.sleep(random.uniform(MIN_RETRY_S, MAX_RETRY_S))
                 continue
             self._note_up(failures)
-            self._note_read(table)
+            self._note_read(table, rows.answered_at)
             failures = 0
             revision = rows.revision
 
@@ -283,10 +283,9 @@
         """Return when what is held of a table was confirmed, here or at a peer."""
         return max(self._confirmed_at, self._read_at.get(table, -math.inf))
 
-    def _note_read(self, table: str) -> None:
+    def _note_read(self, table: str, answered_at: float) -> None:
         """Take note that the store confirmed what is held of a table."""
-        now = read_lease_clock()
-        self._read_at[table] = now
+        self._read_at[table] = answered_at
         if len(self._read_at) == len(TABLES):
             self._confirmed_at = max(self._confirmed_at, min(self._read_at.values()))
 
--- a/camphorpath/platform/store.py
+++ b/camphorpath/platform/store.py
@@ -10,6 +10,7 @@
 import httpx
 import orjson
 
+from ..clocks import read_lease_clock
 from ..errors import HistoryGone, TableDown, TableUnsure
 from ..transports import make_plain_transport
 from .wire import ROWS_FEED, ROWS_GET, ROWS_WRITE
@@ -51,6 +52,8 @@
 
     rows: list[StoreRow]
     revision: int
+    # When the store began to answer, on the lease clock; the rows may have changed since.
+    answered_at: float = attrs.field(factory=read_lease_clock)
 
 
 class MetadataStore:
@@ -72,16 +75,18 @@
     async def read_table(self, table: str) -> Rows:
         """Return all rows of a table; raise TableDown."""
         rows: list[StoreRow] = []
+        answered_at: float | None = None
         start = ''
         while True:
             query = {'table_name': table, 'part': '', 'max_results': str(PAGE_ROWS)}
             if start:
                 query['range_start'] = start
-            found = await self._get(ROWS_GET, query, SLOW_TIMEOUT_S)
-            page = _decode_rows(found, self._url)
+            found, page_answered_at = await self._get(ROWS_GET, query, SLOW_TIMEOUT_S)
+            page = _decode_rows(found, self._url, page_answered_at)
             rows += page.rows
+            answered_at = page_answered_at if answered_at is None else answered_at
             if not found.get('has_more') or not page.rows:
-                return Rows(rows, page.revision)
+                return Rows(rows, page.revision, answered_at)
             # The smallest key after the last one of the page.
             start = f'{page.rows[-1].key}\0'
 
@@ -95,8 +100,8 @@
             'after_revision': str(after),
             'wait_ms': str(round(wait_s * MS_PER_S)),
         }
-        found = await self._get(ROWS_FEED, query, wait_s + CALL_TIMEOUT_S)
-        return _decode_rows(found, self._url)
+        found, answered_at = await self._get(ROWS_FEED, query, wait_s + CALL_TIMEOUT_S)
+        return _decode_rows(found, self._url, answered_at)
 
     async def write_row(self, table: str, key: str, content: bytes | None) -> None:
         """Write a row, or remove it if the content is None; raise TableDown or TableUnsure."""
@@ -127,12 +132,19 @@
         """Close the connections."""
         await self._client.aclose()
 
-    async def _get(self, path: str, query: dict[str, str], limit_s: float) -> dict[str, Any]:
+    async def _get(
+        self, path: str, query: dict[str, str], limit_s: float
+    ) -> tuple[dict[str, Any], float]:
+        """Return an answer, and when its head came; raise HistoryGone or TableDown."""
         # Each part of the answer has to come within the limit.
         timeout = httpx.Timeout(limit_s, connect=CONNECT_TIMEOUT_S)
         try:
             with anyio.fail_after(limit_s + MAX_TRANSFER_S):
-                response = await self._client.get(path, params=query, timeout=timeout)
+                async with self._client.stream(
+                    'GET', path, params=query, timeout=timeout
+                ) as response:
+                    answered_at = read_lease_clock()
+                    await response.aread()
         except (httpx.HTTPError, OSError, TimeoutError) as error:
             raise TableDown(repr(error), step=path, peer=self._url) from error
         if response.status_code == httpx.codes.GONE:
@@ -140,7 +152,7 @@
         if response.status_code != httpx.codes.OK:
             message = f'the store answered {response.status_code}'
             raise TableDown(message, step=path, peer=self._url)
-        return _decode_object(response.content, path, self._url)
+        return _decode_object(response.content, path, self._url), answered_at
 
 
 def _decode_object(body: bytes, step: str, peer: str) -> dict[str, Any]:
@@ -153,10 +165,10 @@
     return found
 
 
-def _decode_rows(found: dict[str, Any], peer: str) -> Rows:
+def _decode_rows(found: dict[str, Any], peer: str, answered_at: float) -> Rows:
     try:
         rows = [_decode_row(row) for row in found['rows']]
-        return Rows(rows, int(found['row_version']))
+        return Rows(rows, int(found['row_version']), answered_at)
     except (KeyError, TypeError, ValueError) as error:
         raise TableDown(f'unreadable rows: {error!r}', step='read', peer=peer) from error
 
--- a/tests/cluster/test_follower.py
+++ b/tests/cluster/test_follower.py
@@ -9,7 +9,7 @@
 from camphorpath.cluster.shared import SharedRows
 from camphorpath.errors import HistoryGone, TableDown
 from camphorpath.events import EventLog
-from camphorpath.platform.store import Rows, StoreRow
+from camphorpath.platform.store import MetadataStore, Rows, StoreRow
 from camphorpath.schema import camphorpath_pb2 as pb
 
 from ..relay.support import wait_for
@@ -331,3 +331,27 @@
     follower.note_peer(pb.EdgeHeartbeat(manifest_revision=5), '10.0.0.3:1')
     run_until(lambda: bool(seen), follower.follow_peers)
     assert seen == [False]
+
+
+def test_slow_answer_confirms_only_what_was_true_when_it_began():
+    """Guards against 404 by a manifest that was read seconds ago over a full link."""
+
+    async def send_slowly():
+        yield b'{"row_version":1,'
+        await anyio.sleep(0.6)
+        yield b'"rows":[]}'
+
+    def answer(request):
+        return httpx.Response(200, content=send_slowly())
+
+    store = MetadataStore('http://store', httpx.MockTransport(answer))
+    follower, _told = make_follower(store, is_watcher=lambda: False)
+    ages = []
+
+    async def measure_age():
+        await wait_for(lambda: follower.store_age() < math.inf)
+        ages.append(follower.store_age())
+
+    tasks = follower.watch_manifest, follower.watch_upstreams, measure_age
+    run_until(lambda: bool(ages), *tasks)
+    assert ages[0] >= 0.5
