Follow a table from its first page on

A table of more than 500 rows or 1 MB is read in pages, each as of its own moment, and the change feed went on after the revision of the last page. A row of an earlier page that changed in between was never read again: an upstream that had left kept getting calls.

The feed goes on after the revision of the first page. test_pages_are_joined demanded the revision of the last page, which is the fault; it demands that of the first one now. The new test fails without this ([] instead of the removal).

--- a/camphorpath/platform/store.py
+++ b/camphorpath/platform/store.py
@@ -75,18 +75,19 @@
     async def read_table(self, table: str) -> Rows:
         """Return all rows of a table; raise TableDown."""
         rows: list[StoreRow] = []
-        answered_at: float | None = None
+        first: Rows | None = None
         start = ''
         while True:
             query = {'table_name': table, 'part': '', 'max_results': str(PAGE_ROWS)}
             if start:
                 query['range_start'] = start
-            found, page_answered_at = await self._get(ROWS_GET, query, SLOW_TIMEOUT_S)
-            page = _decode_rows(found, self._url, page_answered_at)
+            found, answered_at = await self._get(ROWS_GET, query, SLOW_TIMEOUT_S)
+            page = _decode_rows(found, self._url, answered_at)
             rows += page.rows
-            answered_at = page_answered_at if answered_at is None else answered_at
+            first = first or page
             if not found.get('has_more') or not page.rows:
-                return Rows(rows, page.revision, answered_at)
+                # Rows of the first page may have changed since it was read.
+                return Rows(rows, first.revision, first.answered_at)
             # The smallest key after the last one of the page.
             start = f'{page.rows[-1].key}\0'
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -49,7 +49,27 @@
     async def test(store):
         rows = await store.read_table('t')
         assert [row.key for row in rows.rows] == ['a', 'b']
-        assert rows.revision == 8
+        assert rows.revision == 7
+
+    run(test, answer)
+
+
+def test_change_between_two_pages_is_not_skipped():
+    """Guards against an upstream that left while a long table was read and keeps getting calls."""
+
+    def answer(request):
+        if request.url.path.endswith('rows-feed'):
+            after = int(request.url.params['after_revision'])
+            rows = [make_row('a', revision=8, is_deleted=True)] if after < 8 else []
+            return reply({'rows': rows, 'row_version': 8})
+        if request.url.params.get('range_start') == 'a\0':
+            return reply({'rows': [make_row('b')], 'row_version': 8, 'has_more': False})
+        return reply({'rows': [make_row('a')], 'row_version': 7, 'has_more': True})
+
+    async def test(store):
+        listed = await store.read_table('t')
+        changes = await store.read_changes('t', listed.revision, 0)
+        assert [(row.key, row.value) for row in changes.rows] == [('a', None)]
 
     run(test, answer)
 
