Keep the last former manifest however long it is

The last former manifest is kept at any length. The new test fails without this (base 0 instead of 1).

--- a/camphorpath/cluster/manifests.py
+++ b/camphorpath/cluster/manifests.py
@@ -15,7 +15,8 @@
 DEFLATE_LEVEL = 1
 # Longer than any manifest; peers are not trusted with the memory of this process.
 MAX_MANIFEST_BYTES = 67108864
-# Former manifests are kept up to this sum of their lengths, for peers that still hold them.
+# Former manifests are kept up to this sum of their lengths, and the last one at any length, for
+# peers that still hold them.
 MAX_FORMER_BYTES = 4194304
 # Parts that are compared as wholes: the fields of a JSON document.
 _PARTS = re.compile(rb'[^,]*,|[^,]+')
@@ -110,7 +111,7 @@
         """Take in a newer manifest."""
         if self.revision:
             self._former[self.revision] = self.content
-        while sum(map(len, self._former.values())) > MAX_FORMER_BYTES:
+        while len(self._former) > 1 and sum(map(len, self._former.values())) > MAX_FORMER_BYTES:
             self._former.pop(next(iter(self._former)))
         self._packed.clear()
         self.content = content
--- a/tests/cluster/test_manifests.py
+++ b/tests/cluster/test_manifests.py
@@ -109,3 +109,11 @@
     size = MAX_FORMER_BYTES // 3 + 1
     history = make_history(*(roll_bytes(size + number) for number in range(5)))
     assert [history.pack(revision).base for revision in range(1, 5)] == [0, 0, 3, 4]
+
+
+def test_peer_with_the_last_manifest_gets_the_difference_of_a_very_long_one():
+    """Guards against links that carry all of a manifest at each change once it is long enough."""
+    base = b'1,' + roll_bytes(MAX_FORMER_BYTES // 2).hex().encode()
+    packed = make_history(base, b'2,' + base[2:]).pack(1)
+    assert packed.base == 1
+    assert len(packed.packed) < 100
