Tell a new owner which requests are refused for their crashes

What callers see: a request that had been refused for crashing upstreams crashed one more after a change of the owner. Cause: the counts are in the table; until it answers, the new owner knew from the homes only that the request had lost an upstream, which makes it a suspect that may run alone. It also heard of this after the requests, which it may grant as soon as they come. Change: homes remember refusals for crashes beside lost requests and send both before their requests (message Lost). Between versions: an older owner ignores the message, a newer one no longer reads the list in Registered. Measured: test_next_owner_knows_of_requests_that_are_refused... fails on the code before (granted).

--- a/camphorpath/admission/client.py
+++ b/camphorpath/admission/client.py
@@ -30,8 +30,9 @@
 DEFAULT_STATUS = 503
 # Lost requests that a home remembers; more than run at all upstreams that crash within a minute.
 LOST_KEPT = 200
+CRASHES_REASON = 'crashes_upstreams'
 STATUSES = types.MappingProxyType(
-    {'deadline_exceeded': 504, 'crashes_upstreams': 422, 'unknown_pool': 400}
+    {'deadline_exceeded': 504, CRASHES_REASON: 422, 'unknown_pool': 400}
 )
 
 
@@ -69,8 +70,9 @@
         self._ownership = Ownership(membership)
         self._entries: dict[str, _Entry] = {}
         self._links: dict[str, Link] = {}
-        # Services and digests of requests whose upstreams were lost.
-        self._lost: collections.deque[tuple[str, str]] = collections.deque(maxlen=LOST_KEPT)
+        # Services and digests of requests whose upstreams were lost, and whether an owner has
+        # refused them for it.
+        self._lost: collections.OrderedDict[tuple[str, str], bool] = collections.OrderedDict()
 
     async def acquire(self, ticket: Ticket) -> Grant:
         """Return a grant that is valid now; raises Refusal. A cancelled call withdraws."""
@@ -107,10 +109,15 @@
         """Remember what may have crashed its upstream, for owners that do not know of it."""
         key = enqueue.service, enqueue.digest
         if result == pb.Release.UPSTREAM_LOST and enqueue.digest:
-            self._lost.append(key)
-        elif result == pb.Release.COMPLETE and key in self._lost:
-            kept = [other for other in self._lost if other != key]
-            self._lost = collections.deque(kept, maxlen=LOST_KEPT)
+            self._keep_lost(key, is_refused=self._lost.get(key, False))
+        elif result == pb.Release.COMPLETE:
+            self._lost.pop(key, None)
+
+    def _keep_lost(self, key: tuple[str, str], *, is_refused: bool) -> None:
+        self._lost[key] = is_refused
+        self._lost.move_to_end(key)
+        if len(self._lost) > LOST_KEPT:
+            self._lost.popitem(last=False)
 
     async def _wait(self, entry: _Entry) -> Grant:
         while True:
@@ -194,6 +201,13 @@
 
     def _register(self, link: Link) -> None:
         """Send all requests of the link's services that are not registered on it."""
+        lost = [
+            pb.LostRequest(service=service, digest=digest, refused=is_refused)
+            for (service, digest), is_refused in self._lost.items()
+            if service in link.services
+        ]
+        if lost:
+            self._post(link, pb.AdmissionUp(lost=pb.LostRequests(lost=lost)))
         missing = [
             entry
             for entry in self._entries.values()
@@ -203,12 +217,7 @@
         for entry in sorted(missing, key=lambda entry: entry.grant is None):
             self._send_entry(link, entry)
         link.registered = link.services
-        lost = [
-            pb.LostRequest(service=service, digest=digest)
-            for service, digest in self._lost
-            if service in link.services
-        ]
-        registered = pb.Registered(services=sorted(link.services), lost=lost)
+        registered = pb.Registered(services=sorted(link.services))
         self._post(link, pb.AdmissionUp(registered=registered))
 
     def _choose_links(self, tasks: TaskGroup) -> None:
@@ -300,6 +309,8 @@
         entry = self._entries.get(refused.request_id)
         if entry is None or entry.link is not link or entry.grant is not None:
             return
+        if refused.reason == CRASHES_REASON:
+            self._keep_lost((entry.service, entry.ticket.enqueue.digest), is_refused=True)
         entry.refusal = Refusal(
             refused.reason,
             refused.text,
--- a/camphorpath/admission/losses.py
+++ b/camphorpath/admission/losses.py
@@ -32,12 +32,23 @@
             context.suspects.record(state.name, digest, state.settings.crash_limit, was_alone=False)
 
 
-def suspect_lost(state: ServiceState, lost: Iterable[pb.LostRequest]) -> None:
-    """Treat requests that homes lost as suspects, where the former owner could not record them."""
+def suspect_lost(state: ServiceState, lost: Iterable[pb.LostRequest]) -> list[str]:
+    """Take over what homes know of crashes; return the digests that are refused from now on.
+
+    The former owner may not have written it to the table, or the table may not have answered yet.
+    """
     suspects, limit = state.context.suspects, state.settings.crash_limit
+    refused = []
     for request in lost:
-        if request.service == state.name and not suspects.count(state.name, request.digest):
+        if request.service != state.name:
+            continue
+        count = suspects.count(state.name, request.digest)
+        if request.refused and count < limit:
+            suspects.record(state.name, request.digest, limit, was_alone=True)
+            refused.append(request.digest)
+        elif not count:
             suspects.record(state.name, request.digest, limit, was_alone=False)
+    return refused
 
 
 def has_open_loss(state: ServiceState, entry: Waiting) -> bool:
--- a/camphorpath/admission/owner.py
+++ b/camphorpath/admission/owner.py
@@ -125,6 +125,14 @@
                 withdraw_request(state, session, request_id)
                 return
 
+    def learn_lost(self, lost: pb.LostRequests) -> None:
+        """Take over what a home knows of requests that crashed upstreams."""
+        services = {request.service for request in lost.lost}
+        for service in services:
+            state = self._find_state(service)
+            if state is not None:
+                refuse_digests(state, suspect_lost(state, lost.lost))
+
     def register(self, session: HomeSession, registered: pb.Registered) -> None:
         """Take note that a home has sent all its requests of some services."""
         self.events.emit(Event.HOME_REGISTERED, home=session.incarnation)
@@ -138,7 +146,6 @@
                 session.disown(service)
                 continue
             self._drop_unregistered(state, session)
-            suspect_lost(state, registered.lost)
             dispatch(state)
 
     def refresh(self) -> None:
--- a/camphorpath/admission/session.py
+++ b/camphorpath/admission/session.py
@@ -45,6 +45,8 @@
                 self.owner.withdraw(self, message.withdraw)
             case 'registered':
                 self.owner.register(self, message.registered)
+            case 'lost':
+                self.owner.learn_lost(message.lost)
 
     def close(self) -> None:
         """Remove the home's waiting requests; its running ones stay counted."""
--- a/tests/admission/test_client.py
+++ b/tests/admission/test_client.py
@@ -375,3 +375,28 @@
         home.passed_s += 5
         await anyio.sleep(0.3)
         assert home.benches['owner-1'].owner._sessions['home-1'].heard_at == heard_at
+
+
+async def test_next_owner_knows_of_requests_that_are_refused_for_their_crashes():
+    """Guards against a third upstream lost to a request whose crashes only its last owner knew."""
+    home = Home()
+    async with home.running() as tasks:
+        suspects = home.benches['owner-1'].owner._suspects
+        suspects.record('scribe', 'd1', 2, was_alone=True)
+        with pytest.raises(Refusal) as caught:
+            await home.client.acquire(home.ticket('r1', digest='d1'))
+        assert caught.value.reason == 'crashes_upstreams'
+        home.peers.cut('owner-1')
+        # Sent again before the next owner is known; it cannot read the table.
+        results = []
+
+        async def acquire():
+            try:
+                results.append(await home.client.acquire(home.ticket('r2', digest='d1')))
+            except Refusal as refusal:
+                results.append(refusal.reason)
+
+        tasks.start_soon(acquire)
+        home.choose('owner-2')
+        await until(lambda: results)
+        assert results == ['crashes_upstreams']
