--- a/camphorpath/cluster/watchers.py
+++ b/camphorpath/cluster/watchers.py
@@ -23,7 +23,8 @@
         chosen.extend(near[:1])
     # Daemons that take calls have the larger links.
     taking = {name for group in actives.values() for name in group}
-    for name in sorted(ranked, key=lambda name: name not in taking):
+    ranked.sort(key=lambda name: name not in taking)
+    for name in ranked:
         if len(chosen) >= WATCHERS:
             break
         if name not in chosen:
