Judge the size of a request by the limits in force when it begins

A kept connection took the limits of callers when its previous answer ended, and the one of heads when it was opened. Once a newer manifest allowed longer requests, callers on kept connections still got 413 for the next request and 431 for all that followed, although the daemon held that manifest and counted it as current.

Limits are read at the first byte of a request, and the one of heads is checked here instead of by h11, which keeps its limit. The new test fails without this (413 and 431 instead of 200).

--- a/camphorpath/relay/caller.py
+++ b/camphorpath/relay/caller.py
@@ -1,5 +1,8 @@
 """One connection of a caller: requests in, answers out."""
 
+import sys
+from collections.abc import Callable
+
 import anyio
 import attrs
 import h11
@@ -56,10 +59,13 @@
     # Set when the daemon stops: the next answer is the last one.
     is_last: bool = False
     is_waiting: bool = False
+    # Returns the limits that are in force when a request begins; None if they never change.
+    read_limits: Callable[[], CallerLimits] | None = None
 
     @http.default
     def _make_http(self) -> h11.Connection:
-        return h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.max_head_bytes)
+        # The limit of a head may change while the connection lasts, that of h11 cannot.
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
 
     async def read_request(self) -> CallerRequest | None:
         """Return the next request, or None if the caller closed or stayed idle.
@@ -68,6 +74,8 @@
         """
         if not self.http.trailing_data[0] and not await self._wait_first():
             return None
+        if self.read_limits is not None:
+            self.limits = self.read_limits()
         began_at = anyio.current_time()
         try:
             with anyio.fail_after(self.limits.head_timeout_s):
@@ -179,6 +187,8 @@
                 raise _refuse(str(error), _read_status(error)) from error
             if event is not h11.NEED_DATA:
                 return event
+            if len(self.http.trailing_data[0]) > self.limits.max_head_bytes:
+                raise _refuse('the head is too large', STATUS_HEAD_TOO_LARGE)
             if self.http.they_are_waiting_for_100_continue:
                 await self._send(
                     self.http.send(h11.InformationalResponse(status_code=100, headers=[]))
--- a/camphorpath/relay/server.py
+++ b/camphorpath/relay/server.py
@@ -38,7 +38,7 @@
     """Serve callers until the listener is closed; connections run in `group`."""
 
     async def serve(connection: Connection) -> None:
-        caller = CallerConnection(connection, context.limits)
+        caller = CallerConnection(connection, context.limits, read_limits=lambda: context.limits)
         context.connections.add(caller)
         try:
             await _serve_connection(context, caller)
--- a/tests/relay/test_calls.py
+++ b/tests/relay/test_calls.py
@@ -156,6 +156,33 @@
     run(test)
 
 
+@pytest.mark.parametrize('length', [150, 3000])
+def test_limits_of_a_newer_manifest_hold_on_kept_connections(length):
+    """Guards against 413 and 431 by the manifest that was in force when a connection was opened."""
+
+    async def test():
+        async with open_upstream(answer_with(make_answer())) as upstream:
+            limits = CallerLimits(max_head_bytes=2000, max_body_bytes=100)
+            async with open_relay(upstream, limits=limits) as (context, port):
+                reader, writer = await asyncio.open_connection('127.0.0.1', port)
+                writer.write(make_request(b'/nowhere/x'))
+                assert (await read_answer(reader))[0] == 404
+                # The relay waits for the next request.
+                await anyio.sleep(0.05)
+                context.take_table(make_table(make_route('/read/')))
+                head = b'Long: ' + b'x' * length + b'\r\n'
+                request = make_request(headers=head, body=b'y' * length, method=b'POST')
+                # In two parts, as a head that comes at once is checked elsewhere.
+                writer.write(request[: length // 2 + 1000])
+                await anyio.sleep(0.05)
+                writer.write(request[length // 2 + 1000 :])
+                status, _head, _body = await read_answer(reader)
+                writer.close()
+        assert status == 200
+
+    run(test)
+
+
 async def take_later(context, table):
     await anyio.sleep(0.1)
     context.take_table(table)
