Take in upstreams beside a manifest that cannot be read

A manifest that did not unpack (no base, another checksum) also dropped the rows of upstreams in the same message. An upstream that had left kept getting calls at a daemon that no peer could give a usable difference to, until it reached the store.

The rows are taken in all the same; the error is still reported. The new test fails without this, both for announcements and for answers of peers, and passes with it.

--- a/camphorpath/cluster/shared.py
+++ b/camphorpath/cluster/shared.py
@@ -87,25 +87,29 @@
         return state
 
     def take_state(self, state: pb.SharedState, now: float) -> None:
-        """Take in what a peer passed on; raise PeerError."""
-        self._take_packed(state.manifest)
-        if state.is_listing:
-            live = [row for row in state.upstreams if not row.removed]
-            self.take_listing(live, state.upstreams_revision, now)
-            return
-        self.take_changes(state.upstreams, state.upstreams_revision, now)
-        self.is_listed = True
+        """Take in what a peer passed on; raise PeerError if the manifest cannot be read."""
+        try:
+            self._take_packed(state.manifest)
+        finally:
+            if state.is_listing:
+                live = [row for row in state.upstreams if not row.removed]
+                self.take_listing(live, state.upstreams_revision, now)
+            else:
+                self.take_changes(state.upstreams, state.upstreams_revision, now)
+                self.is_listed = True
 
     def take_news(self, news: pb.SharedState, after: int, now: float) -> None:
         """Take in changes that a peer announces; those up to `after` may be unknown here.
 
         Raises PeerError if the manifest cannot be read.
         """
-        if self.manifest.can_unpack(news.manifest):
-            self._take_packed(news.manifest)
-        is_complete = self.is_listed and after <= self.upstreams_revision
-        revision = news.upstreams_revision if is_complete else self.upstreams_revision
-        self.take_changes(news.upstreams, revision, now)
+        try:
+            if self.manifest.can_unpack(news.manifest):
+                self._take_packed(news.manifest)
+        finally:
+            is_complete = self.is_listed and after <= self.upstreams_revision
+            revision = news.upstreams_revision if is_complete else self.upstreams_revision
+            self.take_changes(news.upstreams, revision, now)
 
     def expire(self, now: float) -> None:
         """Forget old removals."""
--- a/tests/cluster/test_shared.py
+++ b/tests/cluster/test_shared.py
@@ -1,4 +1,7 @@
+import pytest
+
 from camphorpath.cluster.shared import SharedRows
+from camphorpath.errors import PeerError
 from camphorpath.schema import camphorpath_pb2 as pb
 
 
@@ -71,3 +74,20 @@
     behind.rows.take_state(ahead.rows.collect_since(0, 1), 1000)
     assert behind.told[-1] == ('a', None, 2)
     assert not ahead.rows.collect_since(0, 2).upstreams
+
+
+@pytest.mark.parametrize('is_announced', [False, True])
+def test_manifest_that_cannot_be_read_hides_no_upstreams(is_announced):
+    """Guards against an upstream that left and gets calls as a manifest beside it is broken."""
+    log = Log()
+    log.rows.take_listing([make_row('a', 1)], 1, 0)
+    state = pb.SharedState(upstreams=[make_row('a', 2, removed=True)], upstreams_revision=2)
+    state.manifest.revision = 5
+    state.manifest.packed = b'no deflate stream'
+    with pytest.raises(PeerError):
+        if is_announced:
+            log.rows.take_news(state, 1, 1)
+        else:
+            log.rows.take_state(state, 1)
+    assert log.told[-1] == ('a', None, 2)
+    assert log.rows.upstreams_revision == 2
