Limit answers of the store and of peers by their length

A first state of 4,200 upstreams needs 2.2 s alone on a link of 5 Mbit/s (calculated); with calls beside it the daemon would give up and begin again. 8 s more for the store held up a daemon for as long whose store sends a byte now and then.

Change: one function reads such answers; they have to go on arriving at 64 KiB/s after the limit of the call.

--- a/camphorpath/cluster/states.py
+++ b/camphorpath/cluster/states.py
@@ -1,19 +1,15 @@
 """Taking the state that a peer holds."""
 
-import anyio
 import httpx
 from google.protobuf.message import DecodeError
 
 from ..errors import PeerError
 from ..schema import camphorpath_pb2 as pb
-from ..transports import make_plain_transport
+from ..transports import get_whole, make_plain_transport
 
 STATE_PATH = '/state'
-# A peer answers from memory; the way there and back takes some ms. Each part of an answer is
-# waited for so long.
+# A peer answers from memory; the way there and back takes some ms.
 TIMEOUT_S = 1.0
-# All parts together; a whole manifest of 1,500 routes needs a tenth of a second on a small link.
-MAX_TRANSFER_S = 3.0
 
 
 async def fetch_state(
@@ -22,12 +18,14 @@
     """Return what a peer holds beyond these revisions; raise PeerError."""
     query = {'manifest': str(manifest_revision), 'upstreams': str(upstreams_revision)}
     try:
-        with anyio.fail_after(MAX_TRANSFER_S):
-            response = await client.get(f'http://{address}{STATE_PATH}', params=query)
-        response.raise_for_status()
-        return pb.SharedState.FromString(response.content)
+        answer = await get_whole(
+            client, f'http://{address}{STATE_PATH}', query, httpx.Timeout(TIMEOUT_S)
+        )
+        if answer.status == httpx.codes.OK:
+            return pb.SharedState.FromString(answer.content)
     except (httpx.HTTPError, OSError, DecodeError) as error:
         raise PeerError(repr(error), step='fetch_state', peer=address) from error
+    raise PeerError(f'the peer answered {answer.status}', step='fetch_state', peer=address)
 
 
 def read_revisions(query: str) -> tuple[int, int]:
--- a/camphorpath/platform/store.py
+++ b/camphorpath/platform/store.py
@@ -12,7 +12,7 @@
 
 from ..clocks import read_lease_clock
 from ..errors import HistoryGone, TableDown, TableUnsure
-from ..transports import make_plain_transport
+from ..transports import get_whole, make_plain_transport
 from .wire import ROWS_FEED, ROWS_GET, ROWS_WRITE
 
 # Longer than a store call takes while the store is healthy (a few ms), shorter than the time in
@@ -21,9 +21,6 @@
 CONNECT_TIMEOUT_S = 0.5
 # A slow store answers a read late instead of never.
 SLOW_TIMEOUT_S = 2.0
-# An answer that goes on arriving may take this much longer, in seconds: a manifest of 4 MB does on
-# a link of 5 Mbit/s.
-MAX_TRANSFER_S = 8.0
 PAGE_ROWS = 500
 MS_PER_S = 1000
 # A channel that has gone silent for good is given up after about this time, in seconds.
@@ -137,23 +134,17 @@
         self, path: str, query: dict[str, str], limit_s: float
     ) -> tuple[dict[str, Any], float]:
         """Return an answer, and when its head came; raise HistoryGone or TableDown."""
-        # Each part of the answer has to come within the limit.
         timeout = httpx.Timeout(limit_s, connect=CONNECT_TIMEOUT_S)
         try:
-            with anyio.fail_after(limit_s + MAX_TRANSFER_S):
-                async with self._client.stream(
-                    'GET', path, params=query, timeout=timeout
-                ) as response:
-                    answered_at = read_lease_clock()
-                    await response.aread()
+            answer = await get_whole(self._client, path, query, timeout)
         except (httpx.HTTPError, OSError, TimeoutError) as error:
             raise TableDown(repr(error), step=path, peer=self._url) from error
-        if response.status_code == httpx.codes.GONE:
+        if answer.status == httpx.codes.GONE:
             raise HistoryGone('the history was dropped', step=path, peer=self._url)
-        if response.status_code != httpx.codes.OK:
-            message = f'the store answered {response.status_code}'
+        if answer.status != httpx.codes.OK:
+            message = f'the store answered {answer.status}'
             raise TableDown(message, step=path, peer=self._url)
-        return _decode_object(response.content, path, self._url), answered_at
+        return _decode_object(answer.content, path, self._url), answer.answered_at
 
 
 def _decode_object(body: bytes, step: str, peer: str) -> dict[str, Any]:
--- a/camphorpath/transports.py
+++ b/camphorpath/transports.py
@@ -1,12 +1,48 @@
-"""Transports of HTTP clients that meet plain HTTP only."""
+"""What HTTP clients share that meet plain HTTP only."""
 
 import ssl
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
+import anyio
+import attrs
 import httpx
 
+from .clocks import read_lease_clock
+
 SocketOption = tuple[int, int, int]
 
+# An answer has to go on arriving at this rate, in bytes a second: a tenth of the smallest link in
+# use, 5 Mbit/s, which calls share.
+LEAST_RATE = 65536.0
+
+
+@attrs.frozen
+class WholeAnswer:
+    """An answer that was read to its end."""
+
+    status: int
+    content: bytes
+    # When its head came, on the lease clock; what it tells may be outdated by the end.
+    answered_at: float
+
+
+async def get_whole(
+    client: httpx.AsyncClient, url: str, query: Mapping[str, str], timeout: httpx.Timeout
+) -> WholeAnswer:
+    """Return the answer to a GET; each part has to come within the read timeout.
+
+    Raises what httpx raises, and TimeoutError if the answer takes longer than the read timeout and
+    its length, at LEAST_RATE, allow.
+    """
+    content = bytearray()
+    with anyio.fail_after(timeout.read) as scope:
+        async with client.stream('GET', url, params=query, timeout=timeout) as response:
+            answered_at = read_lease_clock()
+            async for chunk in response.aiter_bytes():
+                content += chunk
+                scope.deadline += len(chunk) / LEAST_RATE
+    return WholeAnswer(response.status_code, bytes(content), answered_at)
+
 
 def make_plain_transport(socket_options: Sequence[SocketOption] = ()) -> httpx.AsyncHTTPTransport:
     """Return a transport without certificates: a call to an address with TLS fails.
