Log the rate limit that an upstream states

An answer with a limit counts from its arrival, one without from the send of its request, as answers overtake each other. An answer with status 421 comes from another upstream at the address and says nothing.

--- a/camphorpath/placement/slots.py
+++ b/camphorpath/placement/slots.py
@@ -6,6 +6,7 @@
 
 from ..routing import Upstream
 from .health import Health
+from .rate_limits import RateLimit
 from .records import WaitingCall
 from .speed import Speed
 
@@ -55,6 +56,7 @@
     unaccounted_until: float = 0
     # The upstream asked this daemon to send no calls before this instant.
     backoff_until: float = -math.inf
+    rate_limit: RateLimit = attrs.field(factory=RateLimit)
 
     def count_free(self, now: float) -> int:
         """Return the number of slots that this daemon may still use; negative if overused."""
--- a/camphorpath/platform/wire.py
+++ b/camphorpath/platform/wire.py
@@ -19,6 +19,7 @@
     not_run=b'x-not-executed',
     load=b'x-runner-load',
     leaving=b'server-leaving',
+    rate_limit=b'server-limit',
     reserved=frozenset(
         (
             b'x-expected-version',
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -234,6 +234,7 @@
             expected_first_ms=round(slots.speed.estimate_first_byte(call.prompt_tokens) * MS_PER_S),
             is_owner=slots.is_owner,
             manifest=self.context.routing_table.version if self.context.routing_table else 0,
+            rate_limit=slots.rate_limit.rate,
         )
 
     async def _read_head(self, conn: UpstreamConnection, upstream: Upstream) -> UpstreamAnswer:
@@ -271,6 +272,7 @@
             slots.record_load(load, now, LOAD_REPORT_TTL_S)
         if find_header(answer.headers, header_names.leaving) == FLAG_SET:
             self.context.on_leaving(upstream)
+        self._apply_rate_limit(slots, answer)
         backoff_s = _read_backoff(answer)
         if backoff_s > 0:
             slots.back_off(now, backoff_s)
@@ -278,6 +280,31 @@
                 Event.UPSTREAM_RESTS, self.call.text_id, upstream.upstream_id, seconds=backoff_s
             )
 
+    def _apply_rate_limit(self, slots: Slots, answer: UpstreamAnswer) -> None:
+        """Apply the rate limit that an answer states, or its end if the answer states none."""
+        header_names = self.context.header_names
+        text = find_header(answer.headers, header_names.rate_limit)
+        running = slots.running.get(self.call.text_id)
+        # Status 421 comes from another upstream at this address.
+        is_foreign = answer.status == STATUS_MISDIRECTED
+        if is_foreign or running is None:
+            return
+        rate, stated_at = _read_rate(text), read_lease_clock()
+        if rate is None and not text and find_header(answer.headers, header_names.signature):
+            rate, stated_at = math.inf, running.sent_at
+        if rate is None:
+            return
+        before = slots.rate_limit.rate
+        if slots.rate_limit.record(rate, stated_at):
+            self.context.events.emit(
+                Event.UPSTREAM_LIMITED,
+                self.call.text_id,
+                slots.upstream.upstream_id,
+                rate=rate,
+                before=before,
+                source='answer',
+            )
+
     async def _relay_buffered(self, answer: UpstreamAnswer) -> str:
         body = await answer.read_all(MAX_ANSWER_BYTES)
         is_failure = answer.status >= STATUS_SERVER_ERROR
@@ -435,6 +462,15 @@
     return int(counts[0]) + int(counts[1])
 
 
+def _read_rate(text: bytes) -> float | None:
+    """Return the requests per second in a rate limit header; None if it has no valid rate."""
+    try:
+        rate = float(text)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
+
+
 def _read_backoff(answer: UpstreamAnswer) -> float:
     """Return the seconds for which an upstream asks for no calls; 0 if it does not ask."""
     if answer.status != STATUS_UNAVAILABLE:
--- a/camphorpath/relay/header_names.py
+++ b/camphorpath/relay/header_names.py
@@ -24,5 +24,7 @@
     load: bytes
     # Whether the upstream is leaving.
     leaving: bytes
+    # Requests per second that the upstream takes from all daemons together.
+    rate_limit: bytes
     # Removed from requests of callers, as only the relay may set them.
     reserved: frozenset[bytes]
--- a/tests/relay/support.py
+++ b/tests/relay/support.py
@@ -37,6 +37,7 @@
     not_run=b'not-run',
     load=b'load',
     leaving=b'leaving',
+    rate_limit=b'rate-limit',
     reserved=frozenset((b'reserved',)),
 )
 ROUTES = (
