Keep to the request rate that an upstream states in its answers

What callers saw: nothing.

The slots of the upstream were filled as before; its owner alone exceeded the limit.

Change: the newest statement counts, an answer without one ends it. The owner of an upstream holds a token bucket at the stated rate, starts it empty, and sends only with a token. Borrowers need a token that the owner lends to them by name in its heartbeat: while the limit holds, slots are not lent. Daemons whose calls wait or were refused lately get a share of the tokens by their demand. Statements travel in heartbeats with their age, so an owner learns what a borrower was told, and a new owner knows the limit and starts without tokens. The expected wait of a call counts the stated rates where all upstreams of a service state one, so that callers are refused at once and told when to return.

--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -7,6 +7,7 @@
 import attrs
 
 from ..clocks import read_lease_clock
+from ..cluster.loads import decode_load, encode_load
 from ..cluster.members import Member, Members
 from ..cluster.shared import SharedRows
 from ..cluster.watchers import choose_watchers
@@ -15,7 +16,6 @@
 from ..placement.budget import share_allowance
 from ..placement.ownership import Assignment, Candidate, assign_owners, choose_actives
 from ..placement.quarantine import Crash
-from ..placement.records import Load
 from ..platform.entries import decode_upstream
 from ..platform.manifest import decode_manifest
 from ..relay.context import RelayContext
@@ -103,9 +103,10 @@
             store_age=self._encode_store_age(),
         )
         borrowers = max(sum(len(names) for names in self.assignment.actives.values()) - 1, 1)
-        loads = self.relay.scheduler.report_loads(borrowers, read_lease_clock())
-        for upstream_id, load in loads.items():
-            heartbeat.loads.append(pb.UpstreamLoad(upstream=upstream_id, **attrs.asdict(load)))
+        now = read_lease_clock()
+        heartbeat.refused.update(self.relay.scheduler.count_refused(now))
+        for upstream_id, load in self.relay.scheduler.report_loads(borrowers, now).items():
+            heartbeat.loads.append(encode_load(upstream_id, load, now))
         return heartbeat
 
     def make_announcement(self, changes: pb.SharedState, after: int) -> pb.EdgeHeartbeat:
@@ -148,17 +149,23 @@
         if not heartbeat.store_up:
             self.view.mark_store_unstable(now)
         self.relay.quota.apply_report(heartbeat.incarnation, dict(heartbeat.used))
-        loads = {
-            load.upstream: Load(load.in_flight, load.lent, load.borrower, load.factor)
-            for load in heartbeat.loads
-        }
-        self.relay.scheduler.apply_loads(
+        loads = {load.upstream: decode_load(load, now) for load in heartbeat.loads}
+        limited = self.relay.scheduler.apply_loads(
             heartbeat.name,
             heartbeat.incarnation,
             loads,
             heartbeat.waiting,
+            refused=heartbeat.refused,
             lent_until=member.lost_at(),
         )
+        for slots in limited:
+            self.relay.events.emit(
+                Event.UPSTREAM_LIMITED,
+                '',
+                slots.upstream.upstream_id,
+                rate=slots.rate_limit.rate,
+                source=heartbeat.name,
+            )
         if _list_assignment_inputs(member) != inputs_before:
             self.reassign()
 
--- a/camphorpath/placement/rate_limits.py
+++ b/camphorpath/placement/rate_limits.py
@@ -4,30 +4,129 @@
 
 import attrs
 
+# An upstream that states a lower rate still gets calls at this one: only answers tell when the
+# limit ends.
+MIN_RATE_PER_S = 0.1
+# Requests that may be sent at once after a pause, as seconds of the rate. The owner and the
+# borrowers may each have as many unused ones.
+BURST_S = 0.5
+# Daemons that do not own an upstream report its statement for this time; it exceeds the interval
+# of their heartbeats.
+NEWS_S = 10.0
+
+
+@attrs.frozen
+class RateStatement:
+    """What an upstream said about the rate that it takes from all daemons together."""
+
+    # Requests per second; infinite if the upstream ended its limit.
+    rate: float
+    # When it said so, on the lease clock.
+    stated_at: float
+
 
 @attrs.define
 class RateLimit:
-    """The newest statement of an upstream on the rate that it takes from all daemons together."""
+    """The newest statement of an upstream, and the requests that its owner may send or lend.
+
+    Only the owner counts: a token allows one request, by the owner itself or by the daemon to which
+    the owner lends it.
+    """
 
-    # Requests per second; infinite while the upstream states no limit.
-    rate: float = math.inf
-    # Instant of the newest statement, on the lease clock; none counts before the first limit.
-    stated_at: float = -math.inf
+    # None before the first limit.
+    statement: RateStatement | None = None
+    # Whether another daemon reported it.
+    is_from_peer: bool = False
+    # Share of the new tokens that is lent to daemons with waiting calls.
+    lent_share: float = 0
+    _tokens: float = 0
+    _lendable: float = 0
+    # None until a new owner counts its tokens.
+    _filled_at: float | None = None
+
+    @property
+    def rate(self) -> float:
+        """Requests per second; infinite while the upstream states no limit."""
+        return self.statement.rate if self.statement else math.inf
 
     @property
     def is_limited(self) -> bool:
         """Whether the upstream states a limit."""
-        return math.isfinite(self.rate)
+        return self.statement is not None and math.isfinite(self.statement.rate)
+
+    @property
+    def fill_rate(self) -> float:
+        """Requests per second that all daemons together send; infinite without a limit."""
+        return max(self.rate, MIN_RATE_PER_S)
+
+    @property
+    def burst(self) -> float:
+        """The most requests that are sent at once."""
+        return max(1, self.fill_rate * BURST_S)
 
-    def record(self, rate: float, stated_at: float) -> bool:
-        """Apply a statement if it is the newest; return whether the rate changed.
+    def record(self, statement: RateStatement, *, is_from_peer: bool) -> bool:
+        """Apply a statement if it is the newest; return whether the rate changed."""
+        if self.statement is None and math.isinf(statement.rate):
+            return False
+        if self.statement is not None and statement.stated_at < self.statement.stated_at:
+            return False
+        before = self.rate
+        self.statement = statement
+        self.is_from_peer = is_from_peer
+        if math.isinf(before):
+            self.discard_tokens()
+            self._filled_at = statement.stated_at
+        return self.rate != before
 
-        An infinite rate ends a limit. As answers can overtake each other, an answer without a limit
-        is dated by the send of its request, and one with a limit by its arrival.
-        """
-        if stated_at < self.stated_at or (rate == math.inf and not self.is_limited):
+    def is_news(self, now: float) -> bool:
+        """Return whether this daemon itself was told of the rate lately and should pass it on."""
+        if self.statement is None or self.is_from_peer:
             return False
-        self.stated_at = stated_at
-        is_changed = rate != self.rate
-        self.rate = rate
-        return is_changed
+        return now < self.statement.stated_at + NEWS_S
+
+    def discard_tokens(self) -> None:
+        """Start without tokens, as it is not known what was sent lately."""
+        self._tokens = 0
+        self._lendable = 0
+        self._filled_at = None
+
+    def count_tokens(self, now: float) -> int:
+        """Return how many requests the owner may send now."""
+        self._fill(now)
+        return math.floor(self._tokens)
+
+    def expects_token(self, at: float) -> bool:
+        """Return whether the owner may send a request at a later instant."""
+        tokens, _lendable = self._compute_tokens(at)
+        return tokens >= 1
+
+    def take_token(self, now: float) -> None:
+        """Count a request that the owner sends."""
+        self._fill(now)
+        self._tokens -= 1
+
+    def take_lendable(self, most: int, now: float) -> int:
+        """Take and return the tokens to lend now, at most `most`."""
+        self._fill(now)
+        lent = max(min(math.floor(self._lendable), most), 0)
+        self._lendable -= lent
+        return lent
+
+    def _fill(self, now: float) -> None:
+        tokens, lendable = self._compute_tokens(now)
+        self._tokens = tokens
+        self._lendable = lendable
+        self._filled_at = now
+
+    def _compute_tokens(self, at: float) -> tuple[float, float]:
+        """Return the tokens to send and to lend; the surplus of one goes to the other."""
+        elapsed_s = 0 if self._filled_at is None else max(at - self._filled_at, 0)
+        added = elapsed_s * self.fill_rate
+        tokens = self._tokens + added * (1 - self.lent_share)
+        lendable = self._lendable + added * self.lent_share
+        surplus = max(tokens - self.burst, 0)
+        missing = max(lendable - self.burst, 0)
+        return (
+            min(tokens - surplus + missing, self.burst),
+            min(lendable - missing + surplus, self.burst),
+        )
--- a/camphorpath/placement/records.py
+++ b/camphorpath/placement/records.py
@@ -6,6 +6,7 @@
 import attrs
 
 from ..routing import Upstream
+from .rate_limits import RateStatement
 
 
 @attrs.frozen
@@ -34,12 +35,14 @@
     """Load of one upstream as a daemon reports it to the others."""
 
     in_flight: int
-    # Slots that the owner lends.
+    # Slots that the owner lends; while the upstream states a rate limit, calls for one send each.
     lent: int = 0
     # The only daemon that may use the lent slots; empty for all.
     borrower: str = ''
     # Time to the first byte relative to the default, as measured by the owner.
     factor: float = 1.0
+    # What the upstream said about its rate; None if the daemon has nothing to report.
+    rate: RateStatement | None = None
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -4,6 +4,7 @@
 decisions are delivered through `WaitingCall.on_decision`.
 """
 
+import collections
 import math
 import statistics
 from collections.abc import Iterable, Mapping
@@ -43,11 +44,16 @@
 
     queue: CallQueue = attrs.field(factory=CallQueue)
     release_times: list[float] = attrs.field(factory=list)
+    refusal_times: list[float] = attrs.field(factory=list)
     # Instant of the last arrival by rank of the route.
     last_arrival_at: dict[int, float] = attrs.field(factory=dict)
     # Its factor is the median of the upstreams' factors.
     median_speed: Speed = attrs.field(factory=Speed)
 
+    def count_refused(self, now: float) -> int:
+        """Return how many calls were refused within the last RATE_WINDOW_S seconds."""
+        return sum(1 for refused_at in self.refusal_times if refused_at > now - RATE_WINDOW_S)
+
 
 @attrs.define(kw_only=True)
 class Scheduler:
@@ -62,8 +68,10 @@
     _reported_upstreams: dict[str, frozenset[str]] = attrs.field(factory=dict)
     # Names of other daemons and their waiting calls by service, by incarnation of the daemon.
     _waiting_elsewhere: dict[str, tuple[str, dict[str, int]]] = attrs.field(factory=dict)
-    # Whether callers are directed to this daemon.
-    _is_active: bool = False
+    # The same for calls that were refused in the last seconds at services with rate limits.
+    _refused_elsewhere: dict[str, tuple[str, dict[str, int]]] = attrs.field(factory=dict)
+    # Names of the daemons to which callers are directed.
+    _actives: list[str] = attrs.field(factory=list)
     # Load reports made so far; rotates the borrowers.
     _report_count: int = 0
     # Upstreams that are not leaving, by service.
@@ -72,7 +80,7 @@
 
     def set_upstreams(self, upstreams: Iterable[Upstream], assignment: Assignment) -> None:
         """Replace the registered upstreams and their owners."""
-        self._is_active = assignment.is_active(self.name)
+        self._actives = sorted(name for names in assignment.actives.values() for name in names)
         listed = {upstream.upstream_id: upstream for upstream in upstreams}
         for upstream_id, upstream in listed.items():
             known = self.slots.get(upstream_id)
@@ -81,8 +89,8 @@
                 known = Slots(upstream)
                 self.slots[upstream_id] = known
             known.upstream = upstream
-            known.owner = assignment.owners.get(upstream_id, '')
-            known.is_owner = known.owner == self.name
+            owner = assignment.owners.get(upstream_id, '')
+            known.assign(owner, is_owner=owner == self.name)
         for upstream_id in set(self.slots) - set(listed):
             self._remove_upstream(upstream_id)
         self._slots_by_service = {}
@@ -97,14 +105,18 @@
         loads: Mapping[str, Load],
         waiting: Mapping[str, int],
         *,
+        refused: Mapping[str, int] | None = None,
         lent_until: float = math.inf,
-    ) -> None:
-        """Apply the load report of another daemon and its waiting calls by service.
+    ) -> list[Slots]:
+        """Apply the load report of another daemon, its waiting and refused calls by service.
 
         Slots that it lends may be used up to the instant `lent_until`: a daemon that was suspended
-        or is partitioned from the owner must not go on using them.
+        or is partitioned from the owner must not go on using them. Returns the upstreams of which
+        the report states another rate limit.
         """
+        limited = []
         self._waiting_elsewhere[incarnation] = name, dict(waiting)
+        self._refused_elsewhere[incarnation] = name, dict(refused or {})
         for upstream_id in self._reported_upstreams.get(incarnation, frozenset()) - loads.keys():
             known_slots = self.slots.get(upstream_id)
             if known_slots is not None:
@@ -115,18 +127,18 @@
             if slots is None:
                 continue
             slots.peer_in_flight[incarnation] = load.in_flight
+            if load.rate is not None and slots.record_rate(load.rate, is_from_peer=True):
+                limited.append(slots)
             if slots.owner == name:
-                # A daemon that is not active has few calls and reports too seldom to be chosen as
-                # borrower, so it may use slots that are lent to another daemon.
-                may_borrow = not self._is_active or load.borrower in {'', self.name}
-                slots.lent = load.lent if may_borrow else 0
-                slots.lent_until = lent_until
+                slots.borrow(load, self.name, lent_until, is_active=self.name in self._actives)
                 slots.speed.factor = load.factor or slots.speed.factor
+        return limited
 
     def remove_daemon(self, incarnation: str) -> None:
         """Drop the reported loads of a daemon that has stopped or was lost."""
         self._reported_upstreams.pop(incarnation, None)
         self._waiting_elsewhere.pop(incarnation, None)
+        self._refused_elsewhere.pop(incarnation, None)
         for slots in self.slots.values():
             slots.peer_in_flight.pop(incarnation, None)
 
@@ -140,19 +152,17 @@
         self._report_count += 1
         loads = {}
         for number, (upstream_id, slots) in enumerate(self.slots.items()):
+            rate = slots.rate_limit.statement
+            turn = number + self._report_count
             if not slots.is_owner:
-                if slots.running:
-                    loads[upstream_id] = Load(len(slots.running))
+                if slots.running or slots.rate_limit.is_news(now):
+                    loads[upstream_id] = Load(len(slots.running), rate=rate)
                 continue
-            lent = self._count_lendable(slots, now)
-            borrower = ''
-            names = self._list_waiting_daemons(slots.upstream.service) if lent else []
-            if names:
-                borrower = names[(number + self._report_count) % len(names)]
-            elif borrower_count > 1:
-                # Several daemons may borrow at the same moment.
-                lent = (lent + 1) // 2
-            loads[upstream_id] = Load(len(slots.running), lent, borrower, slots.speed.factor)
+            if slots.rate_limit.is_limited:
+                lent, borrower = self._lend_requests(slots, turn, now)
+            else:
+                lent, borrower = self._lend_slots(slots, turn, borrower_count, now)
+            loads[upstream_id] = Load(len(slots.running), lent, borrower, slots.speed.factor, rate)
         return loads
 
     def count_waiting(self) -> dict[str, int]:
@@ -163,6 +173,18 @@
             if service.queue.calls
         }
 
+    def count_refused(self, now: float) -> dict[str, int]:
+        """Return the number of calls refused in the last seconds, by service with rate limits."""
+        counts = {}
+        for name, group in self._slots_by_service.items():
+            service = self._services.get(name)
+            if service is None or not any(slots.rate_limit.is_limited for slots in group):
+                continue
+            count = service.count_refused(now)
+            if count:
+                counts[name] = count
+        return counts
+
     def submit(self, call: WaitingCall, now: float) -> None:
         """Place a call at an upstream, queue it, or refuse it."""
         service = self._services.setdefault(call.service, _ServiceState())
@@ -192,6 +214,7 @@
         wait_s = self._estimate_wait(service, call, now)
         if now + wait_s > call.wait_until:
             service.queue.remove(call)
+            service.refusal_times.append(now)
             call.on_decision(make_refusal('queue_full', wait_s, call, now, waiting))
 
     def withdraw(self, call: WaitingCall) -> None:
@@ -215,7 +238,7 @@
     def release(self, upstream_id: str, call: WaitingCall, now: float) -> None:
         """Free the slot of a call and dispatch waiting calls."""
         slots = self.slots.get(upstream_id)
-        running = slots.running.pop(call.call_id, None) if slots else None
+        running = slots.release(call.call_id) if slots else None
         if running is None:
             return
         slots.health.cancel_probe()
@@ -226,8 +249,6 @@
         service.release_times.append(now)
         cost_s = slots.estimate_occupancy(call, now - running.sent_at)
         service.queue.record_release(call.rank, cost_s if running.has_first_byte else None)
-        if not slots.is_owner:
-            slots.lent += 1
         self.dispatch_waiting(now)
 
     def dispatch_waiting(self, now: float) -> None:
@@ -247,10 +268,16 @@
                 for released_at in service.release_times
                 if released_at > now - RATE_WINDOW_S
             ]
+            service.refusal_times = [
+                refused_at
+                for refused_at in service.refusal_times
+                if refused_at > now - RATE_WINDOW_S
+            ]
             for call in list(service.queue.calls):
                 if now < call.wait_until:
                     continue
                 service.queue.remove(call)
+                service.refusal_times.append(now)
                 wait_s = self._estimate_wait(service, call, now)
                 waiting = len(service.queue.calls)
                 call.on_decision(make_refusal('waited_too_long', wait_s, call, now, waiting))
@@ -260,14 +287,50 @@
         service = self._services.get(slots.upstream.service)
         if service is not None and service.queue.calls:
             return 0
-        if (
-            slots.upstream.is_leaving
-            or now < slots.backoff_until
-            or not slots.health.accepts_call(now)
-        ):
+        if not slots.may_lend(now):
             return 0
         return max(slots.count_free(now) - 1, 0)
 
+    def _lend_slots(
+        self, slots: Slots, turn: int, borrower_count: int, now: float
+    ) -> tuple[int, str]:
+        """Return how many slots of an upstream are lent, and to which daemon; '' for all."""
+        lent = self._count_lendable(slots, now)
+        names = self._list_waiting_daemons(slots.upstream.service) if lent else []
+        if names:
+            return lent, names[turn % len(names)]
+        if borrower_count > 1:
+            # Several daemons may borrow at the same moment.
+            return (lent + 1) // 2, ''
+        return lent, ''
+
+    def _lend_requests(self, slots: Slots, turn: int, now: float) -> tuple[int, str]:
+        """Return how many requests of a rate-limited upstream are lent, and to which daemon.
+
+        Daemons with calls that wait or were refused lately get a share by the number of these
+        calls, one daemon at a time. Without any, other active daemons get what this one leaves.
+        """
+        service = slots.upstream.service
+        demand = self._count_demand_elsewhere(service)
+        state = self._services.get(service)
+        own_demand = len(state.queue.calls) + state.count_refused(now) if state else 0
+        total = sum(demand.values())
+        slots.rate_limit.lent_share = total / (total + own_demand + 1)
+        names = sorted(demand) or [name for name in self._actives if name != self.name]
+        if not names or not slots.may_lend(now):
+            return 0, ''
+        lent = slots.rate_limit.take_lendable(slots.count_free_slots(now), now)
+        return lent, names[turn % len(names)]
+
+    def _count_demand_elsewhere(self, service: str) -> collections.Counter[str]:
+        """Return the calls that wait or were refused lately, by name of the other daemon."""
+        demand: collections.Counter[str] = collections.Counter()
+        for reports in (self._waiting_elsewhere, self._refused_elsewhere):
+            for name, counts in reports.values():
+                if counts.get(service):
+                    demand[name] += counts[service]
+        return demand
+
     def _list_waiting_daemons(self, service: str) -> list[str]:
         """Return the names of other daemons at which calls of a service wait."""
         return sorted(
@@ -374,7 +437,7 @@
     def _count_reserved(self, service: str) -> int:
         """Return how many slots of a service are reserved for urgent calls."""
         group = self._slots_by_service.get(service, ())
-        owned = sum(slots.upstream.slots for slots in group if slots.is_owner)
+        owned = sum(slots.burst for slots in group if slots.is_owner)
         return math.floor(owned * RESERVED_SHARE)
 
     def _estimate_cost(self, call: WaitingCall, slots: Slots, starts_at: float) -> float:
@@ -403,9 +466,18 @@
         recent = sum(
             1 for released_at in service.release_times if released_at > now - RATE_WINDOW_S
         )
-        if not recent:
-            return DEFAULT_WAIT_S * ahead
-        return ahead * RATE_WINDOW_S / recent
+        wait_s = ahead * RATE_WINDOW_S / recent if recent else DEFAULT_WAIT_S * ahead
+        # Calls may have ended lately that were sent before the limits were known.
+        return max(wait_s, ahead / self._sum_rates(call.service))
+
+    def _sum_rates(self, service: str) -> float:
+        """Return the requests per second that the upstreams of a service take together."""
+        rates: float = 0
+        for slots in self._slots_by_service.get(service, ()):
+            if not slots.rate_limit.is_limited:
+                return math.inf
+            rates += slots.rate_limit.fill_rate
+        return rates or math.inf
 
     def _place(self, call: WaitingCall, slots: Slots, now: float) -> None:
         slots.occupy(call, now)
--- a/camphorpath/placement/slots.py
+++ b/camphorpath/placement/slots.py
@@ -6,8 +6,8 @@
 
 from ..routing import Upstream
 from .health import Health
-from .rate_limits import RateLimit
-from .records import WaitingCall
+from .rate_limits import RateLimit, RateStatement
+from .records import Load, WaitingCall
 from .speed import Speed
 
 # An upstream counts as unresponsive while a call has no byte of an answer after this many times the
@@ -58,10 +58,24 @@
     backoff_until: float = -math.inf
     rate_limit: RateLimit = attrs.field(factory=RateLimit)
 
+    @property
+    def burst(self) -> int:
+        """The most calls that this daemon may send to an idle upstream at once."""
+        if not self.rate_limit.is_limited:
+            return self.upstream.slots
+        return min(self.upstream.slots, math.floor(self.rate_limit.burst))
+
     def count_free(self, now: float) -> int:
-        """Return the number of slots that this daemon may still use; negative if overused."""
+        """Return the number of calls that this daemon may send now; negative if overused."""
         if not self.is_owner:
             return self.lent if now <= self.lent_until else 0
+        free = self.count_free_slots(now)
+        if self.rate_limit.is_limited:
+            return min(free, self.rate_limit.count_tokens(now))
+        return free
+
+    def count_free_slots(self, now: float) -> int:
+        """Return the number of unused slots of an owned upstream; negative if overused."""
         peer_in_flight = sum(self.peer_in_flight.values())
         if now < self.unaccounted_until:
             peer_in_flight = max(peer_in_flight, self.unaccounted_calls)
@@ -77,6 +91,14 @@
         """Return whether a waiting call may count on a slot at the instant `starts_at`."""
         if self.is_unresponsive(now) or starts_at < self.backoff_until:
             return False
+        if self.rate_limit.is_limited and not self.rate_limit.expects_token(starts_at):
+            return False
+        return self.health.accepts_call(now)
+
+    def may_lend(self, now: float) -> bool:
+        """Return whether the owner may lend the upstream to other daemons now."""
+        if self.upstream.is_leaving or now < self.backoff_until:
+            return False
         return self.health.accepts_call(now)
 
     def record_load(self, total: int, now: float, ttl_s: float) -> None:
@@ -121,3 +143,42 @@
         self.health.record_send(now)
         if not self.is_owner:
             self.lent -= 1
+        elif self.rate_limit.is_limited:
+            self.rate_limit.take_token(now)
+
+    def release(self, call_id: str) -> RunningCall | None:
+        """Free the slot of a call and return it; None if it holds none."""
+        running = self.running.pop(call_id, None)
+        # With a rate limit a borrowed slot is for one call.
+        if running is not None and not self.is_owner and not self.rate_limit.is_limited:
+            self.lent += 1
+        return running
+
+    def record_rate(self, statement: RateStatement, *, is_from_peer: bool) -> bool:
+        """Apply a statement on the rate of the upstream; return whether the rate changed."""
+        was_limited = self.rate_limit.is_limited
+        is_changed = self.rate_limit.record(statement, is_from_peer=is_from_peer)
+        if self.rate_limit.is_limited and not was_limited:
+            # They were lent before the owner knew of the limit.
+            self.lent = 0
+        return is_changed
+
+    def assign(self, owner: str, *, is_owner: bool) -> None:
+        """Set the owner; a new one does not know what was sent to the upstream before."""
+        if is_owner and not self.is_owner:
+            self.rate_limit.discard_tokens()
+        self.owner = owner
+        self.is_owner = is_owner
+
+    def borrow(self, load: Load, name: str, lent_until: float, *, is_active: bool) -> None:
+        """Apply what the owner lends to the daemon `name` up to the instant `lent_until`."""
+        self.lent_until = lent_until
+        if self.rate_limit.is_limited:
+            # The owner may not know of the limit yet; then it lends slots instead of requests.
+            knows_limit = load.rate is not None and math.isfinite(load.rate.rate)
+            self.lent = load.lent if knows_limit and load.borrower == name else 0
+            return
+        # A daemon that is not active has few calls and reports too seldom to be chosen as borrower,
+        # so it may use slots that are lent to another daemon.
+        may_borrow = not is_active or load.borrower in {'', name}
+        self.lent = load.lent if may_borrow else 0
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -19,6 +19,7 @@
 )
 from ..events import Event
 from ..placement.quarantine import Crash
+from ..placement.rate_limits import RateStatement
 from ..placement.records import Decision, Placed, WaitingCall
 from ..placement.slots import Slots
 from ..routing import CallKind, Upstream
@@ -294,14 +295,12 @@
             rate, stated_at = math.inf, running.sent_at
         if rate is None:
             return
-        before = slots.rate_limit.rate
-        if slots.rate_limit.record(rate, stated_at):
+        if slots.record_rate(RateStatement(rate, stated_at), is_from_peer=False):
             self.context.events.emit(
                 Event.UPSTREAM_LIMITED,
                 self.call.text_id,
                 slots.upstream.upstream_id,
                 rate=rate,
-                before=before,
                 source='answer',
             )
 
--- a/tests/relay/test_rate_limits.py
+++ b/tests/relay/test_rate_limits.py
@@ -1,8 +1,12 @@
+import anyio
 import pytest
 from loguru import logger
 
 from .support import answer_with, ask, make_answer, make_request, open_relay, open_upstream, run
 
+# Longer than the rates that the upstreams state leave between two calls.
+CALL_INTERVAL_S = 0.1
+
 
 @pytest.fixture
 def limit_records():
@@ -37,6 +41,7 @@
         async with open_upstream(answer_with(*answers)) as upstream, open_relay(upstream) as relay:
             for number in range(1, len(answers) + 1):
                 await ask(relay[1], make_request(attempt=b'%d' % number))
+                await anyio.sleep(CALL_INTERVAL_S)
 
     run(test)
     assert limit_records == [20, 12.5, float('inf')]
@@ -52,6 +57,7 @@
             for number in (1, 2):
                 status, _head, _body = await ask(relay[1], make_request(attempt=b'%d' % number))
                 assert status == 200
+                await anyio.sleep(CALL_INTERVAL_S)
 
     run(test)
     assert limit_records == ([20, float('inf')] if not text else [20])
