Do not apply the headers of an answer with status 421

Callers saw an upstream left out or rested for no reason of its own. An answer with 421 comes from another upstream at a reused address. Its statements that it leaves, how loaded it is, for how long it wants no calls and which rate it takes were applied to the upstream that the call was meant for, and the first of these was announced to all daemons.

Found while looking for other statements in answers that are lost or reach the wrong place. The new test failed before: the upstream was marked as leaving.

--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -265,6 +265,9 @@
 
     def _apply_answer_headers(self, upstream: Upstream, answer: UpstreamAnswer) -> None:
         """Apply the load, planned stop and backoff that an upstream states in its headers."""
+        if answer.status == STATUS_MISDIRECTED:
+            # Another upstream at this address answered.
+            return
         header_names = self.context.header_names
         now = read_lease_clock()
         slots = self._find_slots(upstream)
@@ -286,9 +289,7 @@
         header_names = self.context.header_names
         text = find_header(answer.headers, header_names.rate_limit)
         running = slots.running.get(self.call.text_id)
-        # Status 421 comes from another upstream at this address.
-        is_foreign = answer.status == STATUS_MISDIRECTED
-        if is_foreign or running is None:
+        if running is None:
             return
         rate, stated_at = _read_rate(text), read_lease_clock()
         if rate is None and not text and find_header(answer.headers, header_names.signature):
--- a/tests/relay/test_rate_limits.py
+++ b/tests/relay/test_rate_limits.py
@@ -47,6 +47,29 @@
     assert limit_records == [20, 12.5, float('inf')]
 
 
+def test_statements_of_another_upstream_are_not_applied(limit_records):
+    """Guards against an upstream that is left out for what the next one at its address says."""
+    leaving = []
+
+    async def test():
+        extra = b'Rate-Limit: 1\r\nLeaving: 1\r\nLoad: 9,9,4\r\nRetry-After: 9\r\n'
+        answers = [
+            make_answer(status=b'421 Misdirected Request', extra=extra),
+            make_answer(attempt=b'2'),
+        ]
+        async with open_upstream(answer_with(*answers)) as upstream, open_relay(upstream) as relay:
+            context, port = relay
+            context.on_leaving = leaving.append
+            status, _head, _body = await ask(port, make_request(b'/write/x'))
+            assert status == 503
+            status, _head, _body = await ask(port, make_request(attempt=b'2'))
+            assert status == 200
+
+    run(test)
+    assert not leaving
+    assert not limit_records
+
+
 @pytest.mark.parametrize('text', [b'', b'many', b'nan', b'inf', b'-1'])
 def test_unreadable_limit_is_no_statement(text, limit_records):
     """Guards against a call that fails, or an upstream that is left out, for a malformed header."""
