Log a peer's report of a rate limit only when it begins or ends

An upstream may state another rate in each answer; each daemon would have logged each of them for each peer. Also tests that a statement keeps its age on its way between daemons, and that a report without one says nothing.

--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -150,7 +150,7 @@
             self.view.mark_store_unstable(now)
         self.relay.quota.apply_report(heartbeat.incarnation, dict(heartbeat.used))
         loads = {load.upstream: decode_load(load, now) for load in heartbeat.loads}
-        limited = self.relay.scheduler.apply_loads(
+        changed = self.relay.scheduler.apply_loads(
             heartbeat.name,
             heartbeat.incarnation,
             loads,
@@ -159,7 +159,7 @@
             now=now,
             lent_until=member.lost_at(),
         )
-        for slots in limited:
+        for slots in changed:
             self.relay.events.emit(
                 Event.UPSTREAM_LIMITED,
                 '',
--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -113,9 +113,9 @@
 
         Slots that it lends may be used up to the instant `lent_until`: a daemon that was suspended
         or is partitioned from the owner must not go on using them. Returns the upstreams of which
-        the report states another rate limit.
+        the rate limit began or ended with the report.
         """
-        limited = []
+        changed = []
         self._waiting_elsewhere[incarnation] = name, dict(waiting)
         self._refused_elsewhere[incarnation] = name, dict(refused or {})
         for upstream_id in self._reported_upstreams.get(incarnation, frozenset()) - loads.keys():
@@ -128,13 +128,16 @@
             if slots is None:
                 continue
             slots.peer_in_flight[incarnation] = load.in_flight
-            if load.rate is not None and slots.record_rate(load.rate, is_from_peer=True):
-                limited.append(slots)
+            was_limited = slots.rate_limit.is_limited
+            if load.rate is not None:
+                slots.record_rate(load.rate, is_from_peer=True)
+            if slots.rate_limit.is_limited != was_limited:
+                changed.append(slots)
             if slots.owner == name:
                 is_active = self.name in self._actives
                 slots.borrow(load, self.name, now, lent_until, is_active=is_active)
                 slots.speed.factor = load.factor or slots.speed.factor
-        return limited
+        return changed
 
     def remove_daemon(self, incarnation: str) -> None:
         """Drop the reported loads of a daemon that has stopped or was lost."""
--- /dev/null
+++ b/tests/cluster/test_loads.py
@@ -0,0 +1,25 @@
+import math
+
+import pytest
+
+from camphorpath.cluster.loads import decode_load, encode_load
+from camphorpath.placement.rate_limits import RateStatement
+from camphorpath.placement.records import Load
+from camphorpath.schema import camphorpath_pb2 as pb
+
+
+@pytest.mark.parametrize('rate', [0.0, 0.3, 40.0, math.inf])
+def test_statement_keeps_its_age_on_the_way(rate):
+    """Guards against an old statement that replaces a newer one because a peer repeats it."""
+    load = Load(2, 1, 'me', 0.5, RateStatement(rate, stated_at=100))
+    message = pb.UpstreamLoad.FromString(encode_load('i-1', load, 103).SerializeToString())
+    received = decode_load(message, 5003)
+    assert received.rate.stated_at == 5000
+    assert math.isinf(received.rate.rate) == math.isinf(rate)
+    assert received.rate.rate >= rate
+    assert (received.in_flight, received.lent, received.borrower) == (2, 1, 'me')
+
+
+def test_report_without_a_statement_says_nothing_of_the_rate():
+    """Guards against a daemon of an older version that ends the limit of an upstream."""
+    assert decode_load(pb.UpstreamLoad(upstream='i-1', in_flight=1), 5).rate is None
--- a/tests/edge/test_state.py
+++ b/tests/edge/test_state.py
@@ -2,6 +2,7 @@
 import attrs
 import orjson
 import pytest
+from loguru import logger
 
 from camphorpath.cluster.members import Members
 from camphorpath.edge.daemon import build_edge
@@ -211,3 +212,18 @@
         await daemon.close()
 
     anyio.run(test)
+
+
+def test_limit_that_a_peer_reports_is_logged_when_it_begins_and_ends(state):
+    """Guards against a line in the log of every daemon for each rate that an upstream states."""
+    records = []
+    handler = logger.add(lambda message: records.append(message.record))
+    state.apply_heartbeat(make_heartbeat(host='10.0.0.2'))
+    state.relay.scheduler.set_upstreams([make_upstream(1)], Assignment({}, {'i-1': 'd1'}))
+    for sequence, per_s in enumerate([1.5, 1.4, 1.3, 0], start=2):
+        load = pb.UpstreamLoad(upstream='i-1', rate=pb.RateStatement(per_s=per_s))
+        heartbeat = make_heartbeat(sequence=sequence, host='10.0.0.2', loads=[load])
+        state.apply_heartbeat(heartbeat)
+    logger.remove(handler)
+    lines = [record['extra'] for record in records if record['message'] == 'upstream_limited']
+    assert [(line['rate'], line['source']) for line in lines] == [('1.5', 'd1'), ('inf', 'd1')]
