Lend the requests of a rate-limited upstream to several daemons at once

One heartbeat lent all requests to one daemon. Of a rate of 40 a second before 40 daemons less than 28 were used: the daemon could not use so many before they were lost, and more than half a second of the rate was not kept between heartbeats that come each second.

A heartbeat now deals the requests one at a time to the daemons by their demand, and keeps a second of the rate to lend. The new test failed before.

--- a/camphorpath/cluster/loads.py
+++ b/camphorpath/cluster/loads.py
@@ -15,6 +15,7 @@
         lent=load.lent,
         borrower=load.borrower,
         factor=load.factor,
+        lent_requests=load.lent_requests,
     )
     if load.rate is not None:
         is_limited = math.isfinite(load.rate.rate)
@@ -32,4 +33,11 @@
     if message.HasField('rate'):
         stated_at = now - max(message.rate.age, 0)
         rate = RateStatement(message.rate.per_s or math.inf, stated_at)
-    return Load(message.in_flight, message.lent, message.borrower, message.factor, rate)
+    return Load(
+        message.in_flight,
+        message.lent,
+        message.borrower,
+        message.factor,
+        rate,
+        dict(message.lent_requests),
+    )
--- a/camphorpath/placement/rate_limits.py
+++ b/camphorpath/placement/rate_limits.py
@@ -1,15 +1,18 @@
 """The rates of requests that upstreams allow, as they state them in their answers."""
 
 import math
+from collections.abc import Mapping
 
 import attrs
 
 # An upstream that states a lower rate still gets calls at this one: only answers tell when the
 # limit ends.
 MIN_RATE_PER_S = 0.1
-# Requests that may be sent at once after a pause, as seconds of the rate. The owner and the
-# borrowers may each have as many unused ones.
+# Requests that the owner may send at once after a pause, as seconds of the rate.
 BURST_S = 0.5
+# Requests that may be kept to lend, as seconds of the rate; the interval of the heartbeats that lend
+# them is up to a second in fleets of 200 daemons.
+LENDABLE_S = 1.0
 # Daemons that do not own an upstream report its statement for this time; it exceeds the interval
 # of their heartbeats.
 NEWS_S = 10.0
@@ -105,11 +108,22 @@
         self._fill(now)
         self._tokens -= 1
 
-    def take_lendable(self, most: int, now: float) -> int:
-        """Take and return the tokens to lend now, at most `most`."""
+    def lend(self, demand: Mapping[str, float], most: int, now: float) -> dict[str, int]:
+        """Take up to `most` tokens and return them by the name of the daemon that gets them.
+
+        Each daemon gets at most its demand; they are dealt one at a time in the order of `demand`.
+        """
         self._fill(now)
-        lent = max(min(math.floor(self._lendable), most), 0)
-        self._lendable -= lent
+        available = min(math.floor(self._lendable), most)
+        lent: dict[str, int] = {}
+        names = list(demand)
+        while names and available > 0:
+            name = names.pop(0)
+            lent[name] = lent.get(name, 0) + 1
+            available -= 1
+            if lent[name] < demand[name]:
+                names.append(name)
+        self._lendable -= sum(lent.values())
         return lent
 
     def _fill(self, now: float) -> None:
@@ -125,8 +139,9 @@
         tokens = self._tokens + added * (1 - self.lent_share)
         lendable = self._lendable + added * self.lent_share
         surplus = max(tokens - self.burst, 0)
-        missing = max(lendable - self.burst, 0)
+        max_lendable = max(1, self.fill_rate * LENDABLE_S)
+        excess = max(lendable - max_lendable, 0)
         return (
-            min(tokens - surplus + missing, self.burst),
-            min(lendable - missing + surplus, self.burst),
+            min(tokens - surplus + excess, self.burst),
+            min(lendable - excess + surplus, max_lendable),
         )
--- a/camphorpath/placement/records.py
+++ b/camphorpath/placement/records.py
@@ -1,7 +1,7 @@
 """Calls that wait for a slot, and the decisions on them."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import attrs
 
@@ -35,7 +35,7 @@
     """Load of one upstream as a daemon reports it to the others."""
 
     in_flight: int
-    # Slots that the owner lends; while the upstream states a rate limit, calls for one send each.
+    # Slots that the owner lends.
     lent: int = 0
     # The only daemon that may use the lent slots; empty for all.
     borrower: str = ''
@@ -43,6 +43,8 @@
     factor: float = 1.0
     # What the upstream said about its rate; None if the daemon has nothing to report.
     rate: RateStatement | None = None
+    # Requests that the owner lends while a rate limit holds, by name of the daemon.
+    lent_requests: Mapping[str, int] = attrs.field(factory=dict)
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -163,11 +163,15 @@
                 if slots.running or slots.rate_limit.is_news(now):
                     loads[upstream_id] = Load(len(slots.running), rate=rate)
                 continue
+            lent, borrower = 0, ''
+            lent_requests: dict[str, int] = {}
             if slots.rate_limit.is_limited:
-                lent, borrower = self._lend_requests(slots, turn, now)
+                lent_requests = self._lend_requests(slots, turn, now)
             else:
                 lent, borrower = self._lend_slots(slots, turn, borrower_count, now)
-            loads[upstream_id] = Load(len(slots.running), lent, borrower, slots.speed.factor, rate)
+            loads[upstream_id] = Load(
+                len(slots.running), lent, borrower, slots.speed.factor, rate, lent_requests
+            )
         return loads
 
     def count_waiting(self) -> dict[str, int]:
@@ -309,23 +313,26 @@
             return (lent + 1) // 2, ''
         return lent, ''
 
-    def _lend_requests(self, slots: Slots, turn: int, now: float) -> tuple[int, str]:
-        """Return how many requests of a rate-limited upstream are lent, and to which daemon.
+    def _lend_requests(self, slots: Slots, turn: int, now: float) -> dict[str, int]:
+        """Return the requests of a rate-limited upstream that are lent, by name of the daemon.
 
         Daemons with calls that wait or were refused lately get a share by the number of these
-        calls, one daemon at a time. Without any, other active daemons get what this one leaves.
+        calls. Without any, the other active daemons get what this one leaves.
         """
         service = slots.upstream.service
-        demand = self._count_demand_elsewhere(service)
+        demand: dict[str, float] = dict(self._count_demand_elsewhere(service))
         state = self._services.get(service)
         own_demand = len(state.queue.calls) + state.count_refused(now) if state else 0
         total = sum(demand.values())
         slots.rate_limit.lent_share = total / (total + own_demand + 1)
-        names = sorted(demand) or [name for name in self._actives if name != self.name]
-        if not names or not slots.may_lend(now):
-            return 0, ''
-        lent = slots.rate_limit.take_lendable(slots.count_free_slots(now), now)
-        return lent, names[turn % len(names)]
+        if not slots.may_lend(now):
+            return {}
+        if not demand:
+            demand = dict.fromkeys((name for name in self._actives if name != self.name), math.inf)
+        names = sorted(demand)
+        first = turn % max(len(names), 1)
+        ordered = {name: demand[name] for name in names[first:] + names[:first]}
+        return slots.rate_limit.lend(ordered, slots.count_free_slots(now), now)
 
     def _count_demand_elsewhere(self, service: str) -> collections.Counter[str]:
         """Return the calls that wait or were refused lately, by name of the other daemon."""
--- a/camphorpath/placement/slots.py
+++ b/camphorpath/placement/slots.py
@@ -187,11 +187,11 @@
         self.lent_until = lent_until
 
     def _borrow_requests(self, load: Load, name: str, now: float, lent_until: float) -> None:
-        # The owner may not know of the limit yet; then it lends slots instead of requests.
-        knows_limit = load.rate is not None and math.isfinite(load.rate.rate)
-        if not knows_limit or load.borrower != name:
+        # An owner that does not know of the limit yet lends slots instead.
+        lent = load.lent_requests.get(name, 0)
+        if not lent:
             return
-        # What was lent before remains when the next requests are lent to another daemon.
+        # What was lent before remains when the next requests are lent to other daemons.
         left = self.lent if now <= self.lent_until else 0
-        self.lent = max(left, load.lent)
+        self.lent = max(left, lent)
         self.lent_until = min(lent_until, now + LENT_REQUEST_TTL_S)
--- a/tests/cluster/test_loads.py
+++ b/tests/cluster/test_loads.py
@@ -1,5 +1,6 @@
 import math
 
+import attrs
 import pytest
 
 from camphorpath.cluster.loads import decode_load, encode_load
@@ -11,13 +12,13 @@
 @pytest.mark.parametrize('rate', [0.0, 0.3, 40.0, math.inf])
 def test_statement_keeps_its_age_on_the_way(rate):
     """Guards against an old statement that replaces a newer one because a peer repeats it."""
-    load = Load(2, 1, 'me', 0.5, RateStatement(rate, stated_at=100))
+    load = Load(2, 1, 'me', 0.5, RateStatement(rate, stated_at=100), {'d2': 3})
     message = pb.UpstreamLoad.FromString(encode_load('i-1', load, 103).SerializeToString())
     received = decode_load(message, 5003)
     assert received.rate.stated_at == 5000
     assert math.isinf(received.rate.rate) == math.isinf(rate)
     assert received.rate.rate >= rate
-    assert (received.in_flight, received.lent, received.borrower) == (2, 1, 'me')
+    assert attrs.evolve(received, rate=None) == attrs.evolve(load, rate=None)
 
 
 def test_report_without_a_statement_says_nothing_of_the_rate():
--- a/tests/placement/test_rate_limits.py
+++ b/tests/placement/test_rate_limits.py
@@ -166,6 +166,15 @@
     assert min(fleet.served.get(name, 0) for name in fleet.names) >= 0.1 * rate * 18
 
 
+@pytest.mark.parametrize('heartbeat_s', [0.25, 1.0])
+def test_many_daemons_use_a_high_rate(heartbeat_s):
+    """Guards against an upstream that idles as one of many daemons was lent all of its rate."""
+    fleet = make_fleet(40, 40, heartbeat_s)
+    fleet.play(8, calls_per_s=3)
+    assert len(fleet.list_sends(4)) >= 0.7 * 40 * 4
+    assert count_most(fleet.list_sends(1.0), WINDOW_S) <= compute_bound(40)
+
+
 @pytest.mark.parametrize('seed', range(5))
 def test_new_owner_does_not_start_with_a_burst(seed):
     """Guards against an upstream that gets its rate twice around the loss of its owner."""
