--- a/camphorpath/placement/rate_limits.py
+++ b/camphorpath/placement/rate_limits.py
@@ -10,8 +10,8 @@
 MIN_RATE_PER_S = 0.1
 # Requests that the owner may send at once after a pause, as seconds of the rate.
 BURST_S = 0.5
-# Requests that may be kept to lend, as seconds of the rate; the interval of the heartbeats that lend
-# them is up to a second in fleets of 200 daemons.
+# Requests that may be kept to lend, as seconds of the rate; heartbeats, which lend them, come each
+# second in fleets of 200 daemons.
 LENDABLE_S = 1.0
 # Daemons that do not own an upstream report its statement for this time; it exceeds the interval
 # of their heartbeats.
