Read statements on rates only from the loads that have one

Each daemon decodes hundreds of loads a second; nearly none states a rate. The field is named rate_statement, as load.rate.rate told little.

--- a/camphorpath/cluster/heartbeats.py
+++ b/camphorpath/cluster/heartbeats.py
@@ -87,6 +87,7 @@
     numbers = [heartbeat.cores, heartbeat.interval, heartbeat.store_age, *heartbeat.used.values()]
     numbers.extend(load.factor for load in heartbeat.loads)
     for load in heartbeat.loads:
-        numbers.extend((load.rate.per_s, load.rate.age))
+        if load.HasField('rate_statement'):
+            numbers.extend((load.rate_statement.per_s, load.rate_statement.age))
     is_sane = all(map(math.isfinite, numbers)) and 0 <= heartbeat.interval <= MAX_INTERVAL_S
     return heartbeat if is_sane else None
--- a/camphorpath/cluster/loads.py
+++ b/camphorpath/cluster/loads.py
@@ -15,12 +15,13 @@
         lent=load.lent,
         borrower=load.borrower,
         factor=load.factor,
-        lent_requests=load.lent_requests,
     )
-    if load.rate is not None:
-        is_limited = math.isfinite(load.rate.rate)
-        message.rate.per_s = max(load.rate.rate, MIN_RATE_PER_S) if is_limited else 0
-        message.rate.age = now - load.rate.stated_at
+    statement = load.rate_statement
+    if statement is not None:
+        is_limited = math.isfinite(statement.rate)
+        message.rate_statement.per_s = max(statement.rate, MIN_RATE_PER_S) if is_limited else 0
+        message.rate_statement.age = now - statement.stated_at
+        message.lent_requests.update(load.lent_requests)
     return message
 
 
@@ -29,15 +30,17 @@
 
     The time on the way is not known; it makes a statement on the rate look younger.
     """
-    rate = None
-    if message.HasField('rate'):
-        stated_at = now - max(message.rate.age, 0)
-        rate = RateStatement(message.rate.per_s or math.inf, stated_at)
+    if not message.HasField('rate_statement'):
+        # Most loads have none, and a daemon reads hundreds in a second.
+        return Load(message.in_flight, message.lent, message.borrower, message.factor)
+    statement = RateStatement(
+        message.rate_statement.per_s or math.inf, now - max(message.rate_statement.age, 0)
+    )
     return Load(
         message.in_flight,
         message.lent,
         message.borrower,
         message.factor,
-        rate,
+        statement,
         dict(message.lent_requests),
     )
--- a/camphorpath/placement/records.py
+++ b/camphorpath/placement/records.py
@@ -1,6 +1,7 @@
 """Calls that wait for a slot, and the decisions on them."""
 
 import math
+import types
 from collections.abc import Callable, Mapping
 
 import attrs
@@ -42,9 +43,9 @@
     # Time to the first byte relative to the default, as measured by the owner.
     factor: float = 1.0
     # What the upstream said about its rate; None if the daemon has nothing to report.
-    rate: RateStatement | None = None
+    rate_statement: RateStatement | None = None
     # Requests that the owner lends while a rate limit holds, by name of the daemon.
-    lent_requests: Mapping[str, int] = attrs.field(factory=dict)
+    lent_requests: Mapping[str, int] = types.MappingProxyType({})
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -129,8 +129,8 @@
                 continue
             slots.peer_in_flight[incarnation] = load.in_flight
             was_limited = slots.rate_limit.is_limited
-            if load.rate is not None:
-                slots.record_rate(load.rate, is_from_peer=True)
+            if load.rate_statement is not None:
+                slots.record_rate(load.rate_statement, is_from_peer=True)
             if slots.rate_limit.is_limited != was_limited:
                 changed.append(slots)
             if slots.owner == name:
@@ -157,11 +157,11 @@
         self._report_count += 1
         loads = {}
         for number, (upstream_id, slots) in enumerate(self.slots.items()):
-            rate = slots.rate_limit.statement
+            statement = slots.rate_limit.statement
             turn = number + self._report_count
             if not slots.is_owner:
                 if slots.running or slots.rate_limit.is_news(now):
-                    loads[upstream_id] = Load(len(slots.running), rate=rate)
+                    loads[upstream_id] = Load(len(slots.running), rate_statement=statement)
                 continue
             lent, borrower = 0, ''
             lent_requests: dict[str, int] = {}
@@ -170,7 +170,7 @@
             else:
                 lent, borrower = self._lend_slots(slots, turn, borrower_count, now)
             loads[upstream_id] = Load(
-                len(slots.running), lent, borrower, slots.speed.factor, rate, lent_requests
+                len(slots.running), lent, borrower, slots.speed.factor, statement, lent_requests
             )
         return loads
 
--- a/camphorpath/placement/slots.py
+++ b/camphorpath/placement/slots.py
@@ -16,8 +16,8 @@
 UNRESPONSIVE_MIN_S = 0.9
 # Longer backoffs that an upstream asks for are cut to this time.
 MAX_BACKOFF_S = 300.0
-# Time within which a request that the owner of a rate-limited upstream lent has to be sent; those
-# that are still unused add to the ones of the next seconds.
+# A request that the owner of a rate-limited upstream lent has to be sent within this time. Those
+# that are kept for longer could be sent beside the ones of the following seconds.
 LENT_REQUEST_TTL_S = 1.0
 
 
--- a/tests/cluster/test_heartbeats.py
+++ b/tests/cluster/test_heartbeats.py
@@ -66,8 +66,16 @@
         {'interval': -1.0},
         {'used': {'acme': math.nan}},
         {'loads': [pb.UpstreamLoad(upstream='i-1', factor=math.inf)]},
-        {'loads': [pb.UpstreamLoad(upstream='i-1', rate=pb.RateStatement(per_s=math.nan))]},
-        {'loads': [pb.UpstreamLoad(upstream='i-1', rate=pb.RateStatement(age=-math.inf))]},
+        {
+            'loads': [
+                pb.UpstreamLoad(upstream='i-1', rate_statement=pb.RateStatement(per_s=math.nan))
+            ]
+        },
+        {
+            'loads': [
+                pb.UpstreamLoad(upstream='i-1', rate_statement=pb.RateStatement(age=-math.inf))
+            ]
+        },
     ],
 )
 def test_heartbeats_with_invalid_values_are_dropped(fields):
--- a/tests/cluster/test_loads.py
+++ b/tests/cluster/test_loads.py
@@ -15,12 +15,12 @@
     load = Load(2, 1, 'me', 0.5, RateStatement(rate, stated_at=100), {'d2': 3})
     message = pb.UpstreamLoad.FromString(encode_load('i-1', load, 103).SerializeToString())
     received = decode_load(message, 5003)
-    assert received.rate.stated_at == 5000
-    assert math.isinf(received.rate.rate) == math.isinf(rate)
-    assert received.rate.rate >= rate
-    assert attrs.evolve(received, rate=None) == attrs.evolve(load, rate=None)
+    assert received.rate_statement.stated_at == 5000
+    assert math.isinf(received.rate_statement.rate) == math.isinf(rate)
+    assert received.rate_statement.rate >= rate
+    assert attrs.evolve(received, rate_statement=None) == attrs.evolve(load, rate_statement=None)
 
 
 def test_report_without_a_statement_says_nothing_of_the_rate():
     """Guards against a daemon of an older version that ends the limit of an upstream."""
-    assert decode_load(pb.UpstreamLoad(upstream='i-1', in_flight=1), 5).rate is None
+    assert decode_load(pb.UpstreamLoad(upstream='i-1', in_flight=1), 5).rate_statement is None
--- a/tests/edge/test_state.py
+++ b/tests/edge/test_state.py
@@ -221,7 +221,7 @@
     state.apply_heartbeat(make_heartbeat(host='10.0.0.2'))
     state.relay.scheduler.set_upstreams([make_upstream(1)], Assignment({}, {'i-1': 'd1'}))
     for sequence, per_s in enumerate([1.5, 1.4, 1.3, 0], start=2):
-        load = pb.UpstreamLoad(upstream='i-1', rate=pb.RateStatement(per_s=per_s))
+        load = pb.UpstreamLoad(upstream='i-1', rate_statement=pb.RateStatement(per_s=per_s))
         heartbeat = make_heartbeat(sequence=sequence, host='10.0.0.2', loads=[load])
         state.apply_heartbeat(heartbeat)
     logger.remove(handler)
