Keep the rate limit of an upstream whose entry lapses

Entries lapse together during an outage of the store, and come back. The limit was dropped with the entry at all daemons at once, so that the upstream got a burst until its next answer: 5 requests in a second at a limit of 1.4, in the new test, which failed before. The limit is kept for a minute after its last statement, unless the upstream starts again.

--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -15,6 +15,7 @@
 from .costs import estimate_cost
 from .ownership import Assignment
 from .queue import CallQueue, make_refusal
+from .rate_limits import RateLimit
 from .records import Load, Placed, WaitingCall
 from .slots import Slots
 from .speed import Speed
@@ -29,6 +30,9 @@
 NO_UPSTREAM_WAIT_S = 0.7
 # The rate at which slots become free is measured over this window.
 RATE_WINDOW_S = 2.0
+# Rate limits of removed upstreams are kept for this time after the last statement: entries that
+# lapse during an outage of the store come back.
+REMOVED_LIMIT_RETENTION_S = 60.0
 # Share of the owned slots that is reserved for more urgent calls if such calls arrived within the
 # last URGENT_WINDOW_S seconds. Slots are held for long and calls are not preempted.
 RESERVED_SHARE = 0.2
@@ -77,6 +81,8 @@
     # Upstreams that are not leaving, by service.
     _slots_by_service: dict[str, list[Slots]] = attrs.field(factory=dict)
     _speeds_updated_at: float = 0
+    # Rate limits of removed upstreams, by id and incarnation.
+    _removed_limits: dict[tuple[str, int], RateLimit] = attrs.field(factory=dict)
 
     def set_upstreams(self, upstreams: Iterable[Upstream], assignment: Assignment) -> None:
         """Replace the registered upstreams and their owners."""
@@ -87,6 +93,7 @@
             if known is None or known.upstream.incarnation != upstream.incarnation:
                 self._record_ended_calls(known)
                 known = Slots(upstream)
+                known.rate_limit = self._removed_limits.get(upstream.key, known.rate_limit)
                 self.slots[upstream_id] = known
             known.upstream = upstream
             owner = assignment.owners.get(upstream_id, '')
@@ -271,6 +278,9 @@
         if now >= self._speeds_updated_at + SPEED_UPDATE_INTERVAL_S:
             self._update_speeds(now)
         self.dispatch_waiting(now)
+        for key, limit in list(self._removed_limits.items()):
+            if limit.statement.stated_at < now - REMOVED_LIMIT_RETENTION_S:
+                self._removed_limits.pop(key)
         for service in self._services.values():
             service.release_times = [
                 released_at
@@ -364,6 +374,9 @@
             slots.upstream = attrs.evolve(slots.upstream, is_leaving=True)
         else:
             self.slots.pop(upstream_id)
+            if slots.rate_limit.is_limited:
+                # The entry may only have lapsed.
+                self._removed_limits[slots.upstream.key] = slots.rate_limit
 
     def _dispatch_service(self, service: _ServiceState, now: float) -> None:
         usable = self._list_usable(service.queue.calls[0].service, now)
--- a/camphorpath/routing/records.py
+++ b/camphorpath/routing/records.py
@@ -101,6 +101,11 @@
     # Changes when the process restarts under the same id.
     incarnation: int = 0
 
+    @property
+    def key(self) -> tuple[str, int]:
+        """Id and incarnation."""
+        return self.upstream_id, self.incarnation
+
     @property
     def address(self) -> str:
         """Address as `host:port`."""
--- a/tests/placement/test_rate_limits.py
+++ b/tests/placement/test_rate_limits.py
@@ -199,6 +199,23 @@
     assert scheduler.slots['i-1'].count_free(fleet.now + 1 / 8) == 1
 
 
+def test_limit_outlives_a_lapse_of_the_entry():
+    """Guards against a burst to a limited upstream after its entry in the store lapsed."""
+    fleet = make_fleet(1.4, 3)
+    fleet.play(5, calls_per_s=10)
+    for scheduler in fleet.schedulers.values():
+        scheduler.set_upstreams([], Assignment({'r': tuple(fleet.names)}, {}))
+    fleet.play(1, calls_per_s=10)
+    fleet.set_owner(fleet.owner)
+    returned_at = fleet.now
+    fleet.play(1, calls_per_s=10)
+    assert len(fleet.list_sends(returned_at)) <= 2
+    restarted = attrs.evolve(make_upstream(1, slots=SLOTS), incarnation=7)
+    scheduler = fleet.schedulers[fleet.owner]
+    scheduler.set_upstreams([restarted], Assignment({}, {'i-1': fleet.owner}))
+    assert not scheduler.slots['i-1'].rate_limit.is_limited
+
+
 def test_end_of_a_limit_reaches_all_daemons():
     """Guards against an upstream that recovered and is still spared."""
     fleet = make_fleet(1.4, 4)
