--- a/camphorpath/placement/rate_limits.py
+++ b/camphorpath/placement/rate_limits.py
@@ -12,10 +12,10 @@
 BURST_S = 0.5
 # Requests that may be kept to lend, as seconds of the rate; heartbeats, which lend them, come each
 # second in fleets of 200 daemons.
-LENDABLE_S = 1.0
+MAX_LENDABLE_S = 1.0
 # Daemons that do not own an upstream report its statement for this time; it exceeds the interval
 # of their heartbeats.
-NEWS_S = 10.0
+REPORT_S = 10.0
 
 
 @attrs.frozen
@@ -81,11 +81,11 @@
             self._filled_at = statement.stated_at
         return self.rate != before
 
-    def is_news(self, now: float) -> bool:
-        """Return whether this daemon itself was told of the rate lately and should pass it on."""
+    def should_report(self, now: float) -> bool:
+        """Return whether this daemon heard the statement itself, and lately."""
         if self.statement is None or self.is_from_peer:
             return False
-        return now < self.statement.stated_at + NEWS_S
+        return now < self.statement.stated_at + REPORT_S
 
     def discard_tokens(self) -> None:
         """Start without tokens, as it is not known what was sent lately."""
@@ -108,13 +108,13 @@
         self._fill(now)
         self._tokens -= 1
 
-    def lend(self, demand: Mapping[str, float], most: int, now: float) -> dict[str, int]:
-        """Take up to `most` tokens and return them by the name of the daemon that gets them.
+    def lend(self, demand: Mapping[str, float], max_count: int, now: float) -> dict[str, int]:
+        """Take up to `max_count` tokens and return them by the name of the daemon that gets them.
 
         Each daemon gets at most its demand; they are dealt one at a time in the order of `demand`.
         """
         self._fill(now)
-        available = min(math.floor(self._lendable), most)
+        available = min(math.floor(self._lendable), max_count)
         lent: dict[str, int] = {}
         names = list(demand)
         while names and available > 0:
@@ -139,7 +139,7 @@
         tokens = self._tokens + added * (1 - self.lent_share)
         lendable = self._lendable + added * self.lent_share
         surplus = max(tokens - self.burst, 0)
-        max_lendable = max(1, self.fill_rate * LENDABLE_S)
+        max_lendable = max(1, self.fill_rate * MAX_LENDABLE_S)
         excess = max(lendable - max_lendable, 0)
         return (
             min(tokens - surplus + excess, self.burst),
--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -167,7 +167,7 @@
             statement = slots.rate_limit.statement
             turn = number + self._report_count
             if not slots.is_owner:
-                if slots.running or slots.rate_limit.is_news(now):
+                if slots.running or slots.rate_limit.should_report(now):
                     loads[upstream_id] = Load(len(slots.running), rate_statement=statement)
                 continue
             lent, borrower = 0, ''
--- a/tests/edge/test_rate_limits.py
+++ b/tests/edge/test_rate_limits.py
@@ -75,3 +75,22 @@
         assert limited.count_most(WINDOW_S) <= BOUND
 
     run(test)
+
+
+def test_limit_outlives_the_loss_of_its_owner():
+    """Guards against daemons that forget the limit of an upstream with the daemon that owned it."""
+
+    async def test():
+        limited = LimitedUpstream()
+        async with open_upstream(limited.handle) as upstream, open_fleet(upstream) as daemons:
+            await call_each(daemons, 2)
+            daemons[0].is_stopped = True
+            lost_at = anyio.current_time()
+            counts = await call_each(daemons[1:], WINDOW_S)
+        assert limited.count_most(WINDOW_S) <= BOUND
+        # The loss is noticed after a second, and the new owner starts without requests.
+        served = [at for at in limited.arrivals if at > lost_at]
+        assert len(served) >= LIMIT_PER_S
+        assert counts[200] >= LIMIT_PER_S
+
+    run(test)
