--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -93,7 +93,7 @@
             if known is None or known.upstream.incarnation != upstream.incarnation:
                 self._record_ended_calls(known)
                 known = Slots(upstream)
-                known.rate_limit = self._removed_limits.get(upstream.key, known.rate_limit)
+                known.rate_limit = self._removed_limits.pop(upstream.key, known.rate_limit)
                 self.slots[upstream_id] = known
             known.upstream = upstream
             owner = assignment.owners.get(upstream_id, '')
--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -10,9 +10,8 @@
 from camphorpath.edge.state import DaemonState
 from camphorpath.relay.server import serve_calls
 from camphorpath.relay.sockets import open_listener
-from camphorpath.routing import Upstream
 
-from ..relay.support import make_context
+from ..relay.support import make_context, make_entries
 from .test_state import SETTINGS
 
 REGIONS = {'a': 'region-a', 'b': 'region-b', 'c': 'region-c'}
@@ -88,20 +87,9 @@
 
 
 @contextlib.asynccontextmanager
-async def open_fleet(*upstreams, slots=4):
+async def open_fleet(*upstreams):
     """Serve callers at one daemon in each of three regions; all upstreams are in the first."""
-    entries = [
-        Upstream(
-            upstream_id=f'i-{number}',
-            service='llm',
-            host=upstream.host,
-            port=upstream.port,
-            zone='a',
-            slots=slots,
-            is_leaving=False,
-        )
-        for number, upstream in enumerate(upstreams)
-    ]
+    entries = make_entries(upstreams)
     daemons = []
     async with anyio.create_task_group() as group:
         for zone in REGIONS:
--- a/tests/placement/test_rate_limits.py
+++ b/tests/placement/test_rate_limits.py
@@ -30,6 +30,21 @@
     return max(sum(1 for at in times if start <= at < start + window_s) for start in times)
 
 
+def make_call(call_id, now, on_decision):
+    return WaitingCall(
+        call_id=call_id,
+        service='llm',
+        rank=(0, 0),
+        arrived_at=now,
+        objective_at=now + 0.8,
+        wait_until=now + 1.0,
+        deadline=now + 5,
+        prompt_tokens=100,
+        output_tokens=10,
+        on_decision=on_decision,
+    )
+
+
 @attrs.define
 class LimitedFleet:
     """Daemons before one upstream that states a rate in each answer, in simulated time."""
@@ -70,18 +85,7 @@
                 self.sends.append((self.now, name))
                 self._running.append((self.now + ANSWER_S, name, call))
 
-        call = WaitingCall(
-            call_id=call_id,
-            service='llm',
-            rank=(0, 0),
-            arrived_at=self.now,
-            objective_at=self.now + 0.8,
-            wait_until=self.now + 1.0,
-            deadline=self.now + 5,
-            prompt_tokens=100,
-            output_tokens=10,
-            on_decision=decide,
-        )
+        call = make_call(call_id, self.now, decide)
         self.schedulers[name].submit(call, self.now)
 
     def lose(self, name):
@@ -263,18 +267,7 @@
     fleet = make_fleet(0.25, 1)
     fleet.play(2.5, calls_per_s=5)
     refused = []
-    call = WaitingCall(
-        call_id='late',
-        service='llm',
-        rank=(0, 0),
-        arrived_at=fleet.now,
-        objective_at=fleet.now + 0.8,
-        wait_until=fleet.now + 1,
-        deadline=fleet.now + 12,
-        prompt_tokens=100,
-        output_tokens=10,
-        on_decision=refused.append,
-    )
+    call = make_call('late', fleet.now, refused.append)
     fleet.schedulers['d00'].submit(call, fleet.now)
     assert refused[0].reason == 'queue_full'
     assert refused[0].expected_wait_s >= 1 / 0.25
--- a/tests/relay/support.py
+++ b/tests/relay/support.py
@@ -140,9 +140,9 @@
     return head % (status, attempt, SIGNED, extra, len(body)) + body
 
 
-def make_context(upstreams, limits=None):
-    scheduler = Scheduler(name='me', zone='a', regions={})
-    entries = [
+def make_entries(upstreams):
+    """Return the registered entries of scripted upstreams, all in zone 'a'."""
+    return [
         Upstream(
             upstream_id=f'i-{number}',
             service='llm',
@@ -154,6 +154,11 @@
         )
         for number, upstream in enumerate(upstreams)
     ]
+
+
+def make_context(upstreams, limits=None):
+    scheduler = Scheduler(name='me', zone='a', regions={})
+    entries = make_entries(upstreams)
     owners = {entry.upstream_id: 'me' for entry in entries}
     scheduler.set_upstreams(entries, Assignment({}, owners))
     for number, entry in enumerate(entries):
