End a limit at borrowers whose owner never heard of it

Callers of such a borrower lost the use of an upstream: the owner was lost, a newly started daemon became the owner after the limit had ended, and so had nothing to report, while the borrower spared the upstream for good and never heard of the end. A statement that was not repeated for 10 s is dropped now when the owner reports none. Found in the last reading of the change; the new test failed before.

--- a/camphorpath/placement/rate_limits.py
+++ b/camphorpath/placement/rate_limits.py
@@ -87,6 +87,11 @@
             return False
         return now < self.statement.stated_at + REPORT_S
 
+    def expire(self, now: float) -> None:
+        """Forget a statement that was not repeated for REPORT_S seconds."""
+        if self.statement is not None and now >= self.statement.stated_at + REPORT_S:
+            self.statement = None
+
     def discard_tokens(self) -> None:
         """Start without tokens, as it is not known what was sent lately."""
         self._tokens = 0
--- a/camphorpath/placement/slots.py
+++ b/camphorpath/placement/slots.py
@@ -177,6 +177,9 @@
         self, load: Load, name: str, now: float, lent_until: float, *, is_active: bool
     ) -> None:
         """Apply what the owner lends to the daemon `name` up to the instant `lent_until`."""
+        if load.rate_statement is None:
+            # The owner sends to the upstream, so it would know of a limit that still holds.
+            self.rate_limit.expire(now)
         if self.rate_limit.is_limited:
             self._borrow_requests(load, name, now, lent_until)
             return
--- a/tests/placement/test_rate_limits.py
+++ b/tests/placement/test_rate_limits.py
@@ -203,6 +203,22 @@
     assert scheduler.slots['i-1'].count_free(fleet.now + 1 / 8) == 1
 
 
+def test_limit_that_the_owner_never_heard_of_ends_at_borrowers():
+    """Guards against a borrower that keeps a limit for good as its end reached another daemon."""
+    fleet = make_fleet(1.4, 3)
+    fleet.play(5, calls_per_s=10)
+    fleet.lose(fleet.owner)
+    fleet.rate = 0
+    fleet.names.append('new')
+    fleet.schedulers['new'] = Scheduler(name='new', zone='a', regions={'a': 'r'})
+    fleet._heartbeats_at['new'] = fleet.now
+    fleet.set_owner('new')
+    fleet.play(12, calls_per_s=10)
+    assert not any(
+        scheduler.slots['i-1'].rate_limit.is_limited for scheduler in fleet.schedulers.values()
+    )
+
+
 def test_limit_outlives_a_lapse_of_the_entry():
     """Guards against a burst to a limited upstream after its entry in the store lapsed."""
     fleet = make_fleet(1.4, 3)
