Log the prompt parts and the progress of lost calls

On call, nobody could tell which of the calls that were lost at an upstream had a prompt part in common, nor whether their answers had begun. attempt_failed has both now.

--- a/camphorpath/platform/wire.py
+++ b/camphorpath/platform/wire.py
@@ -12,6 +12,7 @@
     key=b'x-key',
     tokens=b'x-token-count',
     length_hint=b'x-length-hint',
+    prompt_parts=b'x-prompt-prefix',
     last_event_id=b'last-event-id',
     customer=b'x-tenant',
     expected_upstream=b'x-expected-runner',
--- a/camphorpath/relay/acceptance.py
+++ b/camphorpath/relay/acceptance.py
@@ -38,6 +38,8 @@
 NEWER_MANIFEST_WAIT_S = 0.3
 # By then, a daemon with an old manifest has the newer one or has asked the store.
 NOT_CURRENT_RETRY_AFTER_S = 0.5
+# Further parts of a prompt are ignored, as callers choose their number.
+MAX_SHARED_PARTS = 16
 # Another daemon accepts the call at once.
 STOPPING_RETRY_AFTER_S = 0.1
 
@@ -57,6 +59,8 @@
     output_tokens: float
     # Units that the call takes from the quota of its customer.
     units: float
+    # Ids of the parts of its prompt that other calls may share, in order.
+    shared_parts: tuple[bytes, ...] = ()
     # Attempts that may have reached an upstream.
     send_count: int = 0
     # Whether an upstream may have run it.
@@ -159,6 +163,7 @@
         prompt_tokens=prompt or 0,
         output_tokens=_estimate_output(request.headers, header_names, output),
         units=customer.count_units(tokens) if customer else 0,
+        shared_parts=_read_shared_parts(request.headers, header_names),
     )
     _check_quarantine(context, call, now)
     _check_quota(context, call, now)
@@ -224,6 +229,12 @@
         return None, 0
 
 
+def _read_shared_parts(headers: Headers, header_names: HeaderNames) -> tuple[bytes, ...]:
+    """Return the ids of the parts of a prompt, without the last one, which is of one call only."""
+    parts = find_header(headers, header_names.prompt_parts).split(b',')[:-1]
+    return tuple(part.partition(b':')[0].strip() for part in parts[:MAX_SHARED_PARTS])
+
+
 def _estimate_output(headers: Headers, header_names: HeaderNames, highest: float) -> float:
     try:
         return min(float(find_header(headers, header_names.length_hint)), highest)
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -384,6 +384,8 @@
             error=str(error),
             attempt=self.call.send_count,
             may_have_run=self.call.may_have_run,
+            events=self.splitter.event_count,
+            shared_parts=b','.join(self.call.shared_parts).decode('latin-1'),
         )
 
     def _fail_upstream(self, upstream: Upstream, problem: str, *, is_certain: bool = False) -> None:
--- a/camphorpath/relay/header_names.py
+++ b/camphorpath/relay/header_names.py
@@ -14,6 +14,8 @@
     # "<prompt tokens>,<highest number of output tokens>"
     tokens: bytes
     length_hint: bytes
+    # The parts of the prompt in order: "<id>:<tokens>,...". Calls share all but the last.
+    prompt_parts: bytes
     last_event_id: bytes
     # Set by the relay for the upstream.
     customer: bytes
--- a/tests/relay/support.py
+++ b/tests/relay/support.py
@@ -30,6 +30,7 @@
     key=b'key',
     tokens=b'tokens',
     length_hint=b'hint',
+    prompt_parts=b'parts',
     last_event_id=b'last-event-id',
     customer=b'customer',
     expected_upstream=b'expected',
