Count crashes of upstreams by the parts of prompts

The class of the fault: an identity that is too narrow for what it stands for.

Each lost call whose answer had not begun now counts for its shared prompt parts, too. What the calls of three crashed upstreams have in common is held back, less the parts of which a call was answered lately: the crashing calls share their first part with sound ones. Calls that wait, and repeats, are checked before each send.

Tests of the quarantine follow its new interface; they check what they did before and more.

--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -56,8 +56,10 @@
 # answers the calls that are still in progress.
 STOP_MARGIN_S = 0.4
 INCARNATION_SUFFIX_BYTES = 4
-# This many digests fit in an announcement.
+# This many digests of cleared calls and parts fit in an announcement.
 MAX_ANNOUNCED_DIGEST_COUNT = 16
+# The same for crashes, each with the digests of several prompt parts.
+MAX_ANNOUNCED_CRASH_COUNT = 4
 
 
 @attrs.define(kw_only=True)
@@ -269,12 +271,12 @@
 
 
 def _announce_crashes(daemon: EdgeDaemon) -> None:
-    """Announce which calls may have crashed an upstream: they may be repeated at any daemon."""
+    """Announce which calls may have crashed an upstream: ones like them may come at any daemon."""
     quarantine = daemon.relay.quarantine
     crashes = [pb.CrashedUpstream(**attrs.asdict(crash)) for crash in quarantine.drain_crashes()]
-    for start in range(0, len(crashes), MAX_ANNOUNCED_DIGEST_COUNT):
+    for start in range(0, len(crashes), MAX_ANNOUNCED_CRASH_COUNT):
         _announce(
-            daemon, pb.SharedState(crashes=crashes[start : start + MAX_ANNOUNCED_DIGEST_COUNT])
+            daemon, pb.SharedState(crashes=crashes[start : start + MAX_ANNOUNCED_CRASH_COUNT])
         )
     cleared = quarantine.drain_cleared()
     for start in range(0, len(cleared), MAX_ANNOUNCED_DIGEST_COUNT):
--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -14,8 +14,8 @@
 from ..errors import PlatformError
 from ..events import Event
 from ..placement.budget import share_allowance
+from ..placement.crashes import Crash
 from ..placement.ownership import Assignment, Candidate, assign_owners, choose_actives
-from ..placement.quarantine import Crash
 from ..platform.entries import decode_upstream
 from ..platform.manifest import decode_manifest
 from ..relay.context import RelayContext
@@ -176,10 +176,10 @@
             self.mark_leaving(leaving.upstream, leaving.incarnation, heartbeat.name)
         quarantine = self.relay.quarantine
         for crash in heartbeat.news.crashes:
-            reported = Crash(crash.digest, crash.upstream)
+            reported = Crash(crash.digest, crash.upstream, frozenset(crash.parts))
             quarantine.record_crash(reported, read_lease_clock(), is_from_peer=True)
         for digest in heartbeat.news.cleared:
-            quarantine.record_success(digest, is_from_peer=True)
+            quarantine.apply_cleared(digest, read_lease_clock())
 
     def expire(self) -> None:
         """Remove members without recent heartbeats, and upstreams whose grace period is over."""
--- /dev/null
+++ b/camphorpath/placement/crashes.py
@@ -0,0 +1,51 @@
+"""Crashes of upstreams, and what the calls that may have caused them have in common."""
+
+import hashlib
+from collections.abc import Iterable
+
+import attrs
+
+DIGEST_BYTES = 12
+
+
+def digest_call(target: bytes, key: bytes, body: bytes) -> bytes:
+    """Return a digest that is equal for repetitions of a call."""
+    parts = b'%d %d ' % (len(target), len(key)) + target + key + body
+    return hashlib.blake2b(parts, digest_size=DIGEST_BYTES).digest()
+
+
+def digest_parts(service: str, part_ids: Iterable[bytes]) -> frozenset[bytes]:
+    """Return the digests of the prompt parts of a call, which differ between services."""
+    prefix = f'{len(service)} {service}'.encode()
+    return frozenset(
+        hashlib.blake2b(prefix + part_id, digest_size=DIGEST_BYTES).digest() for part_id in part_ids
+    )
+
+
+@attrs.frozen
+class Crash:
+    """A call and the incarnation of an upstream that crashed while running it."""
+
+    digest: bytes
+    upstream: str
+    # Digests of its prompt parts; empty if its answer had begun, as a part that crashes upstreams
+    # does so before that.
+    parts: frozenset[bytes] = frozenset()
+
+
+@attrs.frozen
+class Pattern:
+    """What calls have in common that crash upstreams."""
+
+    # Digest of the only call to which the pattern applies; empty for any call.
+    digest: bytes
+    # Digests of prompt parts that a call must all have.
+    parts: frozenset[bytes]
+
+    def matches(self, digest: bytes, parts: frozenset[bytes]) -> bool:
+        """Return whether a call has the pattern."""
+        return self.digest in {b'', digest} and self.parts <= parts
+
+    def covers(self, other: 'Pattern') -> bool:
+        """Return whether each call with the other pattern has this one, too."""
+        return self.matches(other.digest, other.parts)
--- a/camphorpath/relay/acceptance.py
+++ b/camphorpath/relay/acceptance.py
@@ -8,7 +8,7 @@
 
 from ..clocks import read_lease_clock
 from ..errors import Refusal
-from ..placement.quarantine import digest_call
+from ..placement.crashes import digest_call, digest_parts
 from ..placement.queue import choose_retry_after
 from ..routing import Customer, Route, RoutingTable
 from .caller import CallerRequest
@@ -72,6 +72,8 @@
 
     # Equal for repetitions of a call; empty until it is needed.
     digest: bytes = b''
+    # Digests of `shared_parts`.
+    part_digests: frozenset[bytes] = frozenset()
 
     @property
     def text_id(self) -> str:
@@ -152,29 +154,34 @@
     arrived_at = now - max(anyio.current_time() - request.first_byte_at, 0)
     prompt, output = _read_tokens(request.headers, header_names)
     tokens = None if prompt is None else prompt + output
+    service = _choose_service(route.targets)
+    shared_parts = _read_shared_parts(request.headers, header_names)
     call = Call(
         attempt_id=find_header(request.headers, header_names.attempt_id),
         request=request,
         route=route,
-        service=_choose_service(route.targets),
+        service=service,
         customer=customer,
         arrived_at=arrived_at,
         deadline=arrived_at + min(_read_deadline(request.headers, header_names), route.timeout_s),
         prompt_tokens=prompt or 0,
         output_tokens=_estimate_output(request.headers, header_names, output),
         units=customer.count_units(tokens) if customer else 0,
-        shared_parts=_read_shared_parts(request.headers, header_names),
+        shared_parts=shared_parts,
+        part_digests=digest_parts(service, shared_parts),
     )
-    _check_quarantine(context, call, now)
+    check_quarantine(context, call)
     _check_quota(context, call, now)
     return call
 
 
-def _check_quarantine(context: RelayContext, call: Call, now: float) -> None:
+def check_quarantine(context: RelayContext, call: Call) -> None:
+    """Raise Refusal if a call must not be sent to further upstreams at present."""
     if context.quarantine.is_empty:
         return
-    if context.quarantine.is_quarantined(get_call_digest(context.header_names, call), now):
-        raise Refusal('crashes_upstreams', 'identical calls crashed several upstreams')
+    digest = get_call_digest(context.header_names, call)
+    if context.quarantine.is_quarantined(digest, call.part_digests):
+        raise Refusal('crashes_upstreams', 'calls like this one crashed several upstreams')
 
 
 def get_call_digest(header_names: HeaderNames, call: Call) -> bytes:
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -18,12 +18,12 @@
     UpstreamError,
 )
 from ..events import Event
-from ..placement.quarantine import Crash
+from ..placement.crashes import Crash
 from ..placement.rate_limits import RateStatement
 from ..placement.records import Decision, Placed, WaitingCall
 from ..placement.slots import Slots
 from ..routing import CallKind, Upstream
-from .acceptance import MS_PER_S, Call, get_call_digest
+from .acceptance import MS_PER_S, Call, check_quarantine, get_call_digest
 from .caller import CallerConnection
 from .context import RelayContext
 from .events import EventSplitter
@@ -54,6 +54,9 @@
 LOAD_REPORT_TTL_S = 1.2
 # Largest event of a stream; the longest ones in use have a few hundred bytes.
 MAX_EVENT_BYTES = 262144
+# A prompt part that crashes upstreams does so when an answer begins: after this many parts of a
+# stream the prompt is known as sound.
+SOUND_ANSWER_PARTS = 2
 RETRY_AFTER = b'retry-after'
 # Value of a header that serves as a flag.
 FLAG_SET = b'1'
@@ -77,6 +80,8 @@
     has_answer_started: bool = False
     unsent_attempts: int = 0
     _last_part_at: float = 0
+    # Parts of a streamed answer that arrived from the current upstream, each of whole events.
+    _received_parts: int = 0
 
     async def serve(self) -> str:
         """Relay an answer to the caller and return its outcome.
@@ -86,7 +91,9 @@
         failure: UpstreamError | None = None
         while True:
             upstream, waiting = await self._wait_for_slot(failure)
+            self._received_parts = 0
             try:
+                self._check_quarantine(failure)
                 return await self._attempt(upstream, waiting)
             except UpstreamError as error:
                 failure = error
@@ -126,6 +133,15 @@
         )
         raise Refusal(decision.reason, message, retry_after_s=decision.retry_after_s)
 
+    def _check_quarantine(self, failure: UpstreamError | None) -> None:
+        """Raise Refusal if calls like this one crashed several upstreams since it was accepted."""
+        try:
+            check_quarantine(self.context, self.call)
+        except Refusal as refusal:
+            if failure is not None and self.call.may_have_run:
+                raise self._make_final_refusal(failure) from refusal
+            raise
+
     def _make_waiting_call(
         self, decide: Callable[[Decision], None], *, is_retry: bool
     ) -> WaitingCall:
@@ -175,9 +191,9 @@
                 failures=health.failures,
             )
         health.record_success()
+        context.quarantine.record_answer(self.call.part_digests, read_lease_clock())
         if not context.quarantine.is_empty:
-            digest = get_call_digest(context.header_names, self.call)
-            context.quarantine.record_success(digest, is_from_peer=False)
+            context.quarantine.record_success(get_call_digest(context.header_names, self.call))
         return outcome
 
     async def _exchange(
@@ -323,6 +339,7 @@
             async for chunk in answer.chunks():
                 whole = splitter.feed(chunk)
                 if whole:
+                    self._count_received_part()
                     await self._send_part(answer, whole)
                     # Only whole events count as progress.
                     scope.deadline = anyio.current_time() + self._get_event_timeout()
@@ -342,6 +359,11 @@
             slots.speed.record_answer(read_lease_clock() - started_at, events * TOKENS_PER_EVENT)
         return SERVED
 
+    def _count_received_part(self) -> None:
+        self._received_parts += 1
+        if self._received_parts == SOUND_ANSWER_PARTS:
+            self.context.quarantine.record_answer(self.call.part_digests, read_lease_clock())
+
     async def _send_part(self, answer: UpstreamAnswer, part: bytes) -> None:
         now = read_lease_clock()
         if self.has_answer_started:
@@ -371,11 +393,7 @@
         self._fail_upstream(upstream, error.message, is_certain=is_certain)
         if isinstance(error, (SentUnknown, Truncated)) and error.__cause__ is not None:
             # The connection was lost; the call may have crashed the upstream.
-            crash = Crash(
-                get_call_digest(self.context.header_names, self.call),
-                f'{upstream.upstream_id}/{upstream.incarnation}',
-            )
-            self.context.quarantine.record_crash(crash, read_lease_clock(), is_from_peer=False)
+            self._record_crash(upstream)
         self.context.metrics.attempts.inc({'result': type(error).__name__})
         self.context.events.emit(
             Event.ATTEMPT_FAILED,
@@ -388,6 +406,14 @@
             shared_parts=b','.join(self.call.shared_parts).decode('latin-1'),
         )
 
+    def _record_crash(self, upstream: Upstream) -> None:
+        crash = Crash(
+            get_call_digest(self.context.header_names, self.call),
+            f'{upstream.upstream_id}/{upstream.incarnation}',
+            frozenset() if self._received_parts else self.call.part_digests,
+        )
+        self.context.quarantine.record_crash(crash, read_lease_clock(), is_from_peer=False)
+
     def _fail_upstream(self, upstream: Upstream, problem: str, *, is_certain: bool = False) -> None:
         slots = self.context.scheduler.slots.get(upstream.upstream_id)
         if slots is None:
--- a/tests/placement/test_quarantine.py
+++ b/tests/placement/test_quarantine.py
@@ -1,13 +1,25 @@
+import pytest
+
+from camphorpath.placement.crashes import Crash, digest_call, digest_parts
 from camphorpath.placement.quarantine import (
+    ANSWER_RETENTION_S,
     CRASH_LIMIT,
     CRASH_RETENTION_S,
-    MAX_TRACKED_CALLS,
-    Crash,
+    MAX_CRASHES,
     Quarantine,
-    digest_call,
 )
 
 CALL_DIGEST = digest_call(b'/x', b'key', b'body')
+NO_PARTS = frozenset()
+
+
+def make_parts(*names):
+    return digest_parts('llm', names)
+
+
+FIRST_PART = make_parts(b'first')
+CRASHING_PART = make_parts(b'bad')
+CRASHING_PROMPT = FIRST_PART | CRASHING_PART
 
 
 def record_crashes_on(*upstreams, quarantine=None):
@@ -17,48 +29,141 @@
     return quarantine
 
 
+def record_calls(*prompts, quarantine=None, first=0):
+    """Record a crash of a new upstream by a different call for each prompt."""
+    quarantine = quarantine or Quarantine()
+    for number, parts in enumerate(prompts, start=first):
+        crash = Crash(b'call-%d' % number, f'i-{number}', parts)
+        quarantine.record_crash(crash, 0, is_from_peer=False)
+    return quarantine
+
+
 def test_call_that_crashes_several_upstreams_is_quarantined():
-    """Guards against one call that crashes all upstreams of a service one after the other."""
-    assert not record_crashes_on('i-1', 'i-2').is_quarantined(CALL_DIGEST, 1)
+    """Guards against a repeated call that crashes one upstream after the other."""
+    assert not record_crashes_on('i-1', 'i-2').is_quarantined(CALL_DIGEST, NO_PARTS)
     quarantine = record_crashes_on('i-1', 'i-2', 'i-3')
-    assert quarantine.is_quarantined(CALL_DIGEST, 1)
-    assert not quarantine.is_quarantined(digest_call(b'/x', b'other', b'body'), 1)
+    assert quarantine.is_quarantined(CALL_DIGEST, NO_PARTS)
+    assert not quarantine.is_quarantined(digest_call(b'/x', b'other', b'body'), NO_PARTS)
     quarantine.expire(CRASH_RETENTION_S + 1)
+    assert not quarantine.is_quarantined(CALL_DIGEST, NO_PARTS)
     assert quarantine.is_empty
 
 
-def test_crash_reported_several_times_counts_once():
+def test_repeated_crash_report_of_an_upstream_counts_once():
     """Guards against quarantine because of a single upstream, reported by several daemons."""
-    assert not record_crashes_on(*['i-1'] * CRASH_LIMIT).is_quarantined(CALL_DIGEST, 1)
+    quarantine = record_crashes_on(*['i-1'] * CRASH_LIMIT)
+    assert not quarantine.is_quarantined(CALL_DIGEST, NO_PARTS)
 
 
-def test_answered_call_is_cleared():
-    """Guards against refusing a frequent request that ran while some upstreams crashed."""
+def test_success_clears_earlier_crashes():
+    """Guards against quarantine of a sound call whose connections broke for other reasons."""
     quarantine = record_crashes_on('i-1', 'i-2')
-    quarantine.record_success(CALL_DIGEST, is_from_peer=False)
-    assert not record_crashes_on('i-3', quarantine=quarantine).is_quarantined(CALL_DIGEST, 1)
+    quarantine.record_success(CALL_DIGEST)
+    assert not record_crashes_on('i-3', quarantine=quarantine).is_quarantined(CALL_DIGEST, NO_PARTS)
     assert quarantine.drain_cleared() == [CALL_DIGEST]
 
 
-def test_call_answered_at_another_daemon_is_cleared():
-    """Guards against refusing a frequent request at daemons that did not see its answers."""
+def test_success_at_another_daemon_clears_crashes():
+    """Guards against calls that only the daemon that served them last sends on."""
     quarantine = record_crashes_on('i-1', 'i-2', 'i-3')
-    quarantine.record_success(CALL_DIGEST, is_from_peer=True)
-    assert not quarantine.is_quarantined(CALL_DIGEST, 1)
+    quarantine.apply_cleared(CALL_DIGEST, 0)
+    assert not quarantine.is_quarantined(CALL_DIGEST, NO_PARTS)
     assert not quarantine.drain_cleared()
 
 
-def test_crashes_are_announced_once_and_memory_is_bounded():
-    """Guards against crashes that daemons announce to each other again, and unbounded memory."""
+def test_crashes_are_announced_once_and_bounded():
+    """Guards against daemons that announce each other's crashes endlessly, and against growth."""
     quarantine = record_crashes_on('i-1')
     quarantine.record_crash(Crash(CALL_DIGEST, 'i-2'), 0, is_from_peer=True)
     assert [crash.upstream for crash in quarantine.drain_crashes()] == ['i-1']
     assert not quarantine.drain_crashes()
-    for number in range(MAX_TRACKED_CALLS + 10):
+    for number in range(MAX_CRASHES + CRASH_LIMIT):
         quarantine.record_crash(Crash(b'%d' % number, 'i-1'), 0, is_from_peer=True)
-    assert len(quarantine.list_suspects()) == MAX_TRACKED_CALLS
+    assert quarantine.crash_count == MAX_CRASHES
+
+
+def test_different_calls_with_a_crashing_part_are_quarantined():
+    """Guards against different calls that crash upstreams by one part that they share."""
+    prompts = [make_parts(b'first-%d' % number, b'bad') for number in range(CRASH_LIMIT)]
+    quarantine = record_calls(*prompts[1:])
+    assert not quarantine.is_quarantined(b'call-9', CRASHING_PART)
+    record_calls(prompts[0], quarantine=quarantine, first=CRASH_LIMIT)
+    assert quarantine.is_quarantined(b'call-9', CRASHING_PROMPT)
+    assert not quarantine.is_quarantined(b'call-9', FIRST_PART)
+    assert not quarantine.is_quarantined(b'call-9', prompts[0] - CRASHING_PART)
+
+
+@pytest.mark.parametrize('answered_first', [True, False])
+def test_sound_calls_that_share_a_part_with_crashing_ones_are_served(answered_first):
+    """Guards against quarantine of the parts that all crashing calls share with sound ones."""
+    quarantine = Quarantine()
+    if answered_first:
+        quarantine.record_answer(FIRST_PART, 0)
+    record_calls(*[CRASHING_PROMPT] * CRASH_LIMIT, quarantine=quarantine)
+    assert quarantine.is_quarantined(b'call-9', CRASHING_PROMPT)
+    assert not quarantine.is_quarantined(b'call-9', FIRST_PART)
+    quarantine.record_answer(FIRST_PART, 1)
+    assert not quarantine.is_quarantined(b'call-9', FIRST_PART)
+    assert quarantine.is_quarantined(b'call-9', make_parts(b'other', b'bad'))
+
+
+def test_calls_lost_beside_a_crashing_one_are_not_quarantined():
+    """Guards against quarantine of sound calls that ran at the upstreams that others crashed."""
+    beside = make_parts(b'beside')
+    quarantine = Quarantine()
+    for number in range(2 * CRASH_LIMIT):
+        for digest, parts in ((b'bad-%d', CRASHING_PROMPT), (b'sound-%d', beside | FIRST_PART)):
+            crash = Crash(digest % number, f'i-{number}', parts)
+            quarantine.record_crash(crash, 0, is_from_peer=False)
+    assert quarantine.is_quarantined(b'call-9', CRASHING_PROMPT)
+    assert not quarantine.is_quarantined(b'call-9', FIRST_PART)
+
+
+def test_repeats_of_one_crashing_call_do_not_hide_the_part():
+    """Guards against a quarantine of the first call only, which its caller and retries repeat."""
+    quarantine = Quarantine()
+    quarantine.record_answer(FIRST_PART, 0)
+    for number in range(CRASH_LIMIT):
+        crash = Crash(b'call-1', f'i-{number}', CRASHING_PROMPT)
+        quarantine.record_crash(crash, 0, is_from_peer=True)
+    assert quarantine.is_quarantined(b'call-1', CRASHING_PROMPT)
+    assert not quarantine.is_quarantined(b'call-2', CRASHING_PROMPT)
+    quarantine.record_crash(Crash(b'call-2', 'i-9', CRASHING_PROMPT), 0, is_from_peer=True)
+    assert quarantine.is_quarantined(b'call-3', CRASHING_PROMPT)
+
+
+def test_crash_of_all_upstreams_does_not_quarantine_common_parts():
+    """Guards against refusing all calls after a power failure of the upstreams."""
+    quarantine = Quarantine()
+    quarantine.record_answer(FIRST_PART, 0)
+    record_calls(*[FIRST_PART] * 4 * CRASH_LIMIT, quarantine=quarantine)
+    assert not quarantine.is_quarantined(b'call-9', FIRST_PART)
+    quarantine.expire(ANSWER_RETENTION_S)
+    record_calls(*[FIRST_PART] * CRASH_LIMIT, quarantine=quarantine, first=100)
+    assert quarantine.is_quarantined(b'call-9', FIRST_PART)
+
+
+def test_answer_with_a_quarantined_part_clears_it_everywhere():
+    """Guards against a sound part that stays in quarantine after it was answered."""
+    quarantine = record_calls(*[CRASHING_PART] * CRASH_LIMIT)
+    peer = record_calls(*[CRASHING_PART] * CRASH_LIMIT)
+    quarantine.record_answer(CRASHING_PART, 1)
+    cleared = quarantine.drain_cleared()
+    assert frozenset(cleared) == CRASHING_PART
+    for digest in cleared:
+        peer.apply_cleared(digest, 1)
+    for daemon in (quarantine, peer):
+        assert not daemon.is_quarantined(b'call-9', CRASHING_PART)
+    assert not peer.drain_cleared()
+
+
+def test_crash_after_the_answer_began_does_not_count_for_parts():
+    """Guards against quarantine of parts whose calls were being answered at a crash."""
+    quarantine = record_calls(*[NO_PARTS] * 2 * CRASH_LIMIT)
+    assert not quarantine.is_quarantined(b'call-9', FIRST_PART)
 
 
-def test_digest_separates_the_parts_of_a_call():
-    """Guards against different calls with the same digest."""
-    assert digest_call(b'/xk', b'ey', b'') != digest_call(b'/x', b'key', b'')
+def test_same_part_of_another_service_is_not_quarantined():
+    """Guards against refusing calls to upstreams that run another model."""
+    quarantine = record_calls(*[CRASHING_PART] * CRASH_LIMIT)
+    assert not quarantine.is_quarantined(b'call-9', digest_parts('other', [b'bad']))
