Pass the quarantine on in heartbeats and keep it in the metadata store

Announcements were the only way.

Now each heartbeat has the patterns of quarantined calls with the age of the last crash, and a row of the store has them for a start of all daemons. A part that was answered anywhere is cleared everywhere, also by a daemon that hears of it later. Calls are held back for half an hour after the last crash instead of a minute, and one daemon sends single calls as probes: after 30 s, and twice as long after each that crashes. The new tests failed before, as nothing of it existed; the retention in an older test follows the design.

--- a/camphorpath/cluster/heartbeats.py
+++ b/camphorpath/cluster/heartbeats.py
@@ -89,5 +89,6 @@
     for load in heartbeat.loads:
         if load.HasField('rate_statement'):
             numbers.extend((load.rate_statement.per_s, load.rate_statement.age))
+    numbers.extend(calls.age for calls in heartbeat.quarantined)
     is_sane = all(map(math.isfinite, numbers)) and 0 <= heartbeat.interval <= MAX_INTERVAL_S
     return heartbeat if is_sane else None
--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -37,6 +37,7 @@
     make_metrics_handler,
     make_readiness_handler,
 )
+from .quarantine import QuarantineSync
 from .settings import EdgeSettings
 from .state import DaemonState
 
@@ -56,10 +57,6 @@
 # answers the calls that are still in progress.
 STOP_MARGIN_S = 0.4
 INCARNATION_SUFFIX_BYTES = 4
-# This many digests of cleared calls and parts fit in an announcement.
-MAX_ANNOUNCED_DIGEST_COUNT = 16
-# The same for crashes, each with the digests of several prompt parts.
-MAX_ANNOUNCED_CRASH_COUNT = 4
 
 
 @attrs.define(kw_only=True)
@@ -72,6 +69,7 @@
     follower: Follower
     store: MetadataStore
     heartbeats: HeartbeatSocket
+    quarantine: QuarantineSync
     peers: httpx.AsyncClient
 
     async def close(self) -> None:
@@ -123,6 +121,7 @@
         on_hosts=members.add_hosts,
         is_same_region=lambda zone: settings.regions.get(zone) == settings.region,
     )
+    relay.is_prober = state.is_prober
     relay.is_current = follower.is_manifest_current
     state.read_store_age = follower.store_age
     return EdgeDaemon(
@@ -132,6 +131,7 @@
         follower=follower,
         store=store,
         heartbeats=heartbeats,
+        quarantine=QuarantineSync(relay, state, heartbeats, store),
         peers=peers,
     )
 
@@ -160,6 +160,7 @@
                 _register_member,
             ):
                 group.start_soon(task, daemon)
+            group.start_soon(daemon.quarantine.write_rows)
             group.start_soon(daemon.heartbeats.receive, _make_receiver(daemon))
             relay.events.emit(
                 Event.DAEMON_STARTED,
@@ -266,30 +267,7 @@
             daemon.follower.mark_unconfirmed()
         last = now
         daemon.relay.scheduler.expire(now)
-        daemon.relay.quarantine.expire(now)
-        _announce_crashes(daemon)
-
-
-def _announce_crashes(daemon: EdgeDaemon) -> None:
-    """Announce which calls may have crashed an upstream: ones like them may come at any daemon."""
-    quarantine = daemon.relay.quarantine
-    crashes = [pb.CrashedUpstream(**attrs.asdict(crash)) for crash in quarantine.drain_crashes()]
-    for start in range(0, len(crashes), MAX_ANNOUNCED_CRASH_COUNT):
-        _announce(
-            daemon, pb.SharedState(crashes=crashes[start : start + MAX_ANNOUNCED_CRASH_COUNT])
-        )
-    cleared = quarantine.drain_cleared()
-    for start in range(0, len(cleared), MAX_ANNOUNCED_DIGEST_COUNT):
-        _announce(
-            daemon, pb.SharedState(cleared=cleared[start : start + MAX_ANNOUNCED_DIGEST_COUNT])
-        )
-
-
-def _announce(daemon: EdgeDaemon, changes: pb.SharedState) -> None:
-    """Send changes that are not in the store to all other daemons."""
-    state = daemon.state
-    announcement = state.make_announcement(changes, state.rows.upstreams_revision)
-    daemon.heartbeats.send(announcement, state.members.hosts)
+        daemon.quarantine.update(now)
 
 
 async def _close_idle_upstream_connections(daemon: EdgeDaemon) -> None:
@@ -299,7 +277,7 @@
 
 
 async def _register_member(daemon: EdgeDaemon) -> None:
-    """Write the member row of this daemon, and read those of the others once."""
+    """Write the member row of this daemon; read those of the others and the quarantine once."""
     settings = daemon.settings
     content = orjson.dumps({'host': settings.host, 'zone': settings.zone})
     is_written = False
@@ -308,6 +286,7 @@
             if not is_written:
                 await daemon.store.write_row(MEMBER_TABLE, settings.name, content)
                 is_written = True
+            await daemon.quarantine.read_rows()
             rows = await daemon.store.read_table(MEMBER_TABLE)
         except (TableUnavailable, TableOutcomeUnknown):
             # The write is idempotent and can be repeated.
--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -9,12 +9,14 @@
 from ..clocks import read_lease_clock
 from ..cluster.loads import decode_load, encode_load
 from ..cluster.members import Member, Members
+from ..cluster.quarantine import decode_quarantined, encode_quarantined, make_row_key
 from ..cluster.shared import SharedRows
 from ..cluster.watchers import choose_watchers
 from ..errors import PlatformError
 from ..events import Event
+from ..hashing import rendezvous_score
 from ..placement.budget import share_allowance
-from ..placement.crashes import Crash
+from ..placement.crashes import Crash, Pattern
 from ..placement.ownership import Assignment, Candidate, assign_owners, choose_actives
 from ..platform.entries import decode_upstream
 from ..platform.manifest import decode_manifest
@@ -107,6 +109,7 @@
         heartbeat.refused.update(self.relay.scheduler.count_refused(now))
         for upstream_id, load in self.relay.scheduler.report_loads(borrowers, now).items():
             heartbeat.loads.append(encode_load(upstream_id, load, now))
+        heartbeat.quarantined.extend(self._encode_quarantined(now))
         return heartbeat
 
     def make_announcement(self, changes: pb.SharedState, after: int) -> pb.EdgeHeartbeat:
@@ -128,6 +131,15 @@
             heartbeat.news.SetInParent()
         return heartbeat
 
+    def make_quarantine_announcement(self) -> pb.EdgeHeartbeat:
+        """Return the announcement of the latest patterns of quarantined calls that fit."""
+        heartbeat = self.make_announcement(pb.SharedState(), self.rows.upstreams_revision)
+        for quarantined in reversed(self._encode_quarantined(read_lease_clock())):
+            if heartbeat.ByteSize() + quarantined.ByteSize() > MAX_ANNOUNCEMENT_BYTES:
+                break
+            heartbeat.quarantined.append(quarantined)
+        return heartbeat
+
     def apply_heartbeat(self, heartbeat: pb.EdgeHeartbeat) -> None:
         """Update members, loads and quota from the heartbeat of another daemon."""
         if heartbeat.name == self.settings.name:
@@ -146,6 +158,7 @@
             self.relay.events.emit(
                 Event.MEMBER_JOINED, member=heartbeat.incarnation, address=heartbeat.callers_address
             )
+        self._adopt_quarantined(heartbeat)
         if not heartbeat.store_up:
             self.view.mark_store_unstable(now)
         self.relay.quota.apply_report(heartbeat.incarnation, dict(heartbeat.used))
@@ -180,6 +193,7 @@
             quarantine.record_crash(reported, read_lease_clock(), is_from_peer=True)
         for digest in heartbeat.news.cleared:
             quarantine.apply_cleared(digest, read_lease_clock())
+        self._adopt_quarantined(heartbeat)
 
     def expire(self) -> None:
         """Remove members without recent heartbeats, and upstreams whose grace period is over."""
@@ -242,6 +256,16 @@
         is_active = self.assignment.is_active(self.settings.name)
         return share_allowance(len(self.members.hosts) + 1, actives, is_active=is_active)
 
+    def is_prober(self, pattern: Pattern) -> bool:
+        """Return whether this daemon tries whether calls with a pattern still crash upstreams.
+
+        One of the daemons that take calls does it, so that few calls are sent.
+        """
+        names = [name for group in self.assignment.actives.values() for name in group]
+        key = make_row_key(pattern)
+        best = max(names, key=lambda name: rendezvous_score(key, name), default='')
+        return best == self.settings.name
+
     def list_addresses(self, zone: str, region: str) -> list[str]:
         """Return the addresses of the daemons that a caller in a zone should connect to.
 
@@ -321,6 +345,16 @@
         if self._has_upstream_changes:
             self.reassign()
 
+    def _encode_quarantined(self, now: float) -> list[pb.QuarantinedCalls]:
+        return [encode_quarantined(shared) for shared in self.relay.quarantine.share_patterns(now)]
+
+    def _adopt_quarantined(self, heartbeat: pb.EdgeHeartbeat) -> None:
+        now = read_lease_clock()
+        for message in heartbeat.quarantined:
+            shared = decode_quarantined(message)
+            if shared is not None:
+                self.relay.quarantine.adopt(shared, now)
+
     def _encode_store_age(self) -> float:
         """Return the store age for a heartbeat; -1 if the state was never confirmed."""
         age_s = self.read_store_age()
--- a/camphorpath/placement/crashes.py
+++ b/camphorpath/placement/crashes.py
@@ -1,25 +1,22 @@
 """Crashes of upstreams, and what the calls that may have caused them have in common."""
 
-import hashlib
 from collections.abc import Iterable
 
 import attrs
 
-DIGEST_BYTES = 12
+from ..hashing import digest_bytes
 
 
 def digest_call(target: bytes, key: bytes, body: bytes) -> bytes:
     """Return a digest that is equal for repetitions of a call."""
     parts = b'%d %d ' % (len(target), len(key)) + target + key + body
-    return hashlib.blake2b(parts, digest_size=DIGEST_BYTES).digest()
+    return digest_bytes(parts)
 
 
 def digest_parts(service: str, part_ids: Iterable[bytes]) -> frozenset[bytes]:
     """Return the digests of the prompt parts of a call, which differ between services."""
     prefix = f'{len(service)} {service}'.encode()
-    return frozenset(
-        hashlib.blake2b(prefix + part_id, digest_size=DIGEST_BYTES).digest() for part_id in part_ids
-    )
+    return frozenset(digest_bytes(prefix + part_id) for part_id in part_ids)
 
 
 @attrs.frozen
@@ -49,3 +46,14 @@
     def covers(self, other: 'Pattern') -> bool:
         """Return whether each call with the other pattern has this one, too."""
         return self.matches(other.digest, other.parts)
+
+
+@attrs.frozen
+class QuarantinedPattern:
+    """A pattern of quarantined calls, as daemons pass it on to each other."""
+
+    pattern: Pattern
+    # Seconds since the last crash.
+    age_s: float
+    # Calls with the pattern that were sent since, each of which crashed another upstream.
+    failed_probes: int = 0
--- a/camphorpath/placement/quarantine.py
+++ b/camphorpath/placement/quarantine.py
@@ -2,7 +2,8 @@
 
 A call may crash every upstream that runs it, because of its whole content or because of one part of
 its prompt that it shares with calls that are otherwise different. Such calls may come at any
-daemon. After a few crashes they are not sent to further upstreams.
+daemon. After a few crashes they are not sent to further upstreams, but for single ones that show
+whether they still crash upstreams.
 
 An upstream that crashes takes all of its calls with it, and calls with a crashing part share their
 other parts with sound calls. So a part is suspected only if no call with it was answered lately,
@@ -10,43 +11,81 @@
 """
 
 import collections
+import math
 
 import attrs
 
-from .crashes import Crash, Pattern
+from .crashes import Crash, Pattern, QuarantinedPattern
 
 # Upstreams that calls with the same pattern may crash before they are quarantined.
 CRASH_LIMIT = 3
 # Crashes are counted for this time; a crashed upstream restarts within seconds.
 CRASH_RETENTION_S = 60.0
 MAX_CRASHES = 1000
+# A pattern is kept for this time after the last crash.
+PATTERN_RETENTION_S = 1800.0
+# Time from the last crash to a call that is sent as a probe; it doubles with each failed probe.
+PROBE_INTERVAL_S = 30.0
+MAX_PROBE_DOUBLINGS = 6
+# After this time without an outcome another call may be sent as a probe.
+PROBE_TIMEOUT_S = 15.0
+# Patterns that daemons pass on to each other, the latest ones; bounds the size of heartbeats.
+MAX_SHARED_PATTERNS = 16
 # A part of which a call was answered within this time is not suspected.
 ANSWER_RETENTION_S = 60.0
 MAX_ANSWERED_PARTS = 5000
 
 
+@attrs.define
+class _Hold:
+    """Since when calls with a pattern are held back."""
+
+    crashed_at: float
+    failed_probes: int = 0
+    probed_at: float = -math.inf
+
+    def may_probe(self, now: float) -> bool:
+        """Return whether a call may be sent as a probe."""
+        doublings = min(self.failed_probes, MAX_PROBE_DOUBLINGS)
+        probe_at = self.crashed_at + PROBE_INTERVAL_S * 2**doublings
+        return now >= max(probe_at, self.probed_at + PROBE_TIMEOUT_S)
+
+
+@attrs.frozen
+class PatternChange:
+    """A pattern that was added or removed because of what this daemon saw itself."""
+
+    pattern: Pattern
+    is_added: bool
+
+
 @attrs.define
 class Quarantine:
     """Recent crashes, the patterns of quarantined calls, and the parts that are known as sound."""
 
     _crashes: dict[Crash, float] = attrs.field(factory=dict)
-    # Instant of the last crash by pattern.
-    _patterns: dict[Pattern, float] = attrs.field(factory=dict)
-    # Instant of the last answer by digest of a part; the oldest first.
+    # The pattern with the last crash is the last one.
+    _patterns: dict[Pattern, _Hold] = attrs.field(factory=dict)
+    # Instant of the last answer by digest of a part, or of a call that was suspected; the oldest
+    # first.
     _answered_at: collections.OrderedDict[bytes, float] = attrs.field(
         factory=collections.OrderedDict
     )
     # Crashes seen by this daemon that were not announced to the others yet.
     _unannounced_crashes: list[Crash] = attrs.field(factory=list)
-    # Suspected calls and parts that were answered here, not announced to the others yet.
-    _unannounced_cleared: list[bytes] = attrs.field(factory=list)
+    # Suspected calls and parts that were answered here, not announced to the others yet; a dict as
+    # an ordered set.
+    _unannounced_cleared: dict[bytes, None] = attrs.field(factory=dict)
+    _changes: list[PatternChange] = attrs.field(factory=list)
 
     @property
     def is_empty(self) -> bool:
         """Whether nothing is suspected."""
         return not (self._crashes or self._patterns)
 
-    def record_crash(self, crash: Crash, now: float, *, is_from_peer: bool) -> None:
+    def record_crash(
+        self, crash: Crash, now: float, *, is_from_peer: bool, is_probe: bool = False
+    ) -> None:
         """Count a crash; `is_from_peer` if another daemon announced it.
 
         Connections also break for other reasons, so calls are quarantined only after crashes of
@@ -54,60 +93,105 @@
         """
         self._crashes.pop(crash, None)
         self._crashes[crash] = now
+        self._answered_at.pop(crash.digest, None)
         if len(self._crashes) > MAX_CRASHES:
             self._crashes.pop(next(iter(self._crashes)))
         if not is_from_peer:
             self._unannounced_crashes.append(crash)
         pattern = self._find_pattern(crash.digest, crash.parts)
-        if pattern is not None and not pattern.digest:
-            self._patterns[pattern] = now
-            return
-        self._add_patterns(now)
+        if pattern is not None:
+            hold = self._patterns.pop(pattern)
+            self._patterns[pattern] = hold
+            hold.crashed_at = now
+            hold.failed_probes += is_probe
+        if pattern is None or pattern.digest:
+            self._add_patterns(now, is_from_peer=is_from_peer)
 
     def record_answer(self, parts: frozenset[bytes], now: float) -> None:
         """Record that an upstream went on answering a call, which clears its prompt parts."""
         for part in parts:
             self._clear_part(part, now, is_from_peer=False)
 
-    def record_success(self, digest: bytes) -> None:
+    def record_success(self, digest: bytes, now: float) -> None:
         """Clear a call that was answered completely."""
-        self._clear_call(digest, is_from_peer=False)
+        self._clear_call(digest, now, is_from_peer=False)
 
     def apply_cleared(self, digest: bytes, now: float) -> None:
         """Clear a call or a part, as another daemon announced it."""
-        self._clear_call(digest, is_from_peer=True)
+        self._clear_call(digest, now, is_from_peer=True)
         self._clear_part(digest, now, is_from_peer=True)
 
     def is_quarantined(self, digest: bytes, parts: frozenset[bytes]) -> bool:
         """Return whether a call must not be sent to further upstreams at present."""
         return self._find_pattern(digest, parts) is not None
 
+    def find_probe_pattern(
+        self, digest: bytes, parts: frozenset[bytes], now: float
+    ) -> Pattern | None:
+        """Return the pattern of which a call may be sent as a probe, or None."""
+        found = [pattern for pattern in self._patterns if pattern.matches(digest, parts)]
+        if len(found) == 1 and self._patterns[found[0]].may_probe(now):
+            return found[0]
+        return None
+
+    def start_probe(self, pattern: Pattern, now: float) -> None:
+        """Record that a call with a pattern is sent as a probe."""
+        self._patterns[pattern].probed_at = now
+
     @property
     def crash_count(self) -> int:
         """The number of crashes that are remembered."""
         return len(self._crashes)
 
-    def list_patterns(self) -> list[Pattern]:
-        """Return the patterns of the quarantined calls."""
-        return list(self._patterns)
+    def share_patterns(self, now: float) -> list[QuarantinedPattern]:
+        """Return the patterns to pass on to other daemons."""
+        return [
+            QuarantinedPattern(pattern, now - hold.crashed_at, hold.failed_probes)
+            for pattern, hold in list(self._patterns.items())[-MAX_SHARED_PATTERNS:]
+        ]
+
+    def adopt(self, shared: QuarantinedPattern, now: float) -> None:
+        """Apply a pattern that another daemon or the metadata store has.
+
+        Parts of which a call was answered lately are left out, and announced as cleared.
+        """
+        pattern = shared.pattern
+        crashed_at = now - shared.age_s
+        hold = self._patterns.get(pattern)
+        if hold is not None:
+            hold.crashed_at = max(hold.crashed_at, crashed_at)
+            hold.failed_probes = max(hold.failed_probes, shared.failed_probes)
+            return
+        cleared = {
+            trait for trait in (pattern.digest, *pattern.parts) if trait in self._answered_at
+        }
+        self._unannounced_cleared.update(dict.fromkeys(cleared))
+        rest = Pattern(pattern.digest, pattern.parts - cleared)
+        is_void = pattern.digest in cleared or not (rest.digest or rest.parts)
+        if is_void or crashed_at <= now - PATTERN_RETENTION_S:
+            return
+        self._add_pattern(rest, _Hold(crashed_at, shared.failed_probes), is_from_peer=True)
 
-    def expire(self, now: float) -> None:
-        """Remove what is older than its retention time."""
+    def expire(self, now: float) -> list[Pattern]:
+        """Remove what is older than its retention time; return the removed patterns."""
         for crash, crashed_at in list(self._crashes.items()):
             if crashed_at > now - CRASH_RETENTION_S:
                 break
             self._crashes.pop(crash)
-        for pattern, crashed_at in list(self._patterns.items()):
-            if crashed_at <= now - CRASH_RETENTION_S:
-                self._patterns.pop(pattern)
         while self._answered_at:
             part, answered_at = next(iter(self._answered_at.items()))
-            if (
-                answered_at > now - ANSWER_RETENTION_S
-                and len(self._answered_at) <= MAX_ANSWERED_PARTS
-            ):
-                return
+            is_recent = answered_at > now - ANSWER_RETENTION_S
+            if is_recent and len(self._answered_at) <= MAX_ANSWERED_PARTS:
+                break
             self._answered_at.pop(part)
+        expired = [
+            pattern
+            for pattern, hold in self._patterns.items()
+            if hold.crashed_at <= now - PATTERN_RETENTION_S
+        ]
+        for pattern in expired:
+            self._patterns.pop(pattern)
+        return expired
 
     def drain_crashes(self) -> list[Crash]:
         """Remove and return the crashes to announce to the other daemons."""
@@ -117,10 +201,19 @@
 
     def drain_cleared(self) -> list[bytes]:
         """Remove and return the digests of calls and parts that are no longer suspected."""
-        cleared = self._unannounced_cleared
-        self._unannounced_cleared = []
+        cleared = list(self._unannounced_cleared)
+        self._unannounced_cleared = {}
         return cleared
 
+    def drain_changes(self) -> list[PatternChange]:
+        """Remove and return the patterns that were added or removed because of what was seen here.
+
+        Those that follow from reports of other daemons are left out.
+        """
+        changes = self._changes
+        self._changes = []
+        return changes
+
     def _find_pattern(self, digest: bytes, parts: frozenset[bytes]) -> Pattern | None:
         for pattern in self._patterns:
             if pattern.matches(digest, parts):
@@ -131,15 +224,17 @@
         """Return the parts of which no call was answered lately."""
         return frozenset(part for part in parts if part not in self._answered_at)
 
-    def _add_patterns(self, now: float) -> None:
+    def _add_patterns(self, now: float, *, is_from_peer: bool) -> None:
         """Add the patterns that explain enough of the crashes that no other pattern explains."""
         candidates = self._find_candidates()
         while candidates:
-            self._add_pattern(max(candidates, key=_count_conditions), now)
+            pattern = max(candidates, key=_count_conditions)
+            self._add_pattern(pattern, _Hold(now), is_from_peer=is_from_peer)
             candidates = self._find_candidates()
         for pattern in list(self._patterns):
             if pattern.digest and self._has_crash_of_another_call(pattern):
-                self._add_pattern(Pattern(b'', pattern.parts), now)
+                wider = Pattern(b'', pattern.parts)
+                self._add_pattern(wider, _Hold(now), is_from_peer=is_from_peer)
 
     def _has_crash_of_another_call(self, pattern: Pattern) -> bool:
         """Return whether another call with the parts of a pattern of a single call has crashed."""
@@ -172,24 +267,35 @@
         parts = self._list_suspected(frozenset.intersection(*(crash.parts for crash in crashes)))
         return Pattern(digests.pop() if len(digests) == 1 else b'', parts)
 
-    def _add_pattern(self, pattern: Pattern, now: float) -> None:
+    def _add_pattern(self, pattern: Pattern, hold: _Hold, *, is_from_peer: bool) -> None:
         """Add a pattern in place of the ones that it covers, unless another one covers it."""
         if any(other.covers(pattern) for other in self._patterns):
             return
         for other in list(self._patterns):
             if pattern.covers(other):
-                self._patterns.pop(other)
-        self._patterns[pattern] = now
+                self._remove_pattern(other, is_from_peer=is_from_peer)
+        self._patterns[pattern] = hold
+        if not is_from_peer:
+            self._changes.append(PatternChange(pattern, is_added=True))
+
+    def _remove_pattern(self, pattern: Pattern, *, is_from_peer: bool) -> _Hold:
+        if not is_from_peer:
+            self._changes.append(PatternChange(pattern, is_added=False))
+        return self._patterns.pop(pattern)
 
-    def _clear_call(self, digest: bytes, *, is_from_peer: bool) -> None:
+    def _clear_call(self, digest: bytes, now: float, *, is_from_peer: bool) -> None:
         crashes = [crash for crash in self._crashes if crash.digest == digest]
         patterns = [pattern for pattern in self._patterns if pattern.digest == digest]
         for crash in crashes:
             self._crashes.pop(crash)
         for pattern in patterns:
-            self._patterns.pop(pattern)
-        if (crashes or patterns) and not is_from_peer:
-            self._unannounced_cleared.append(digest)
+            self._remove_pattern(pattern, is_from_peer=is_from_peer)
+        if not (crashes or patterns):
+            return
+        # A peer that misses the announcement will pass the pattern on.
+        self._answered_at[digest] = now
+        if not is_from_peer:
+            self._unannounced_cleared[digest] = None
 
     def _clear_part(self, part: bytes, now: float, *, is_from_peer: bool) -> None:
         is_suspected = part not in self._answered_at and self._is_suspected(part)
@@ -197,15 +303,16 @@
         self._answered_at[part] = now
         if not is_suspected:
             return
-        for pattern, crashed_at in list(self._patterns.items()):
+        for pattern in list(self._patterns):
             if part not in pattern.parts:
                 continue
-            self._patterns.pop(pattern)
+            hold = self._remove_pattern(pattern, is_from_peer=is_from_peer)
             rest = pattern.parts - {part}
             if rest or pattern.digest:
-                self._add_pattern(Pattern(pattern.digest, rest), crashed_at)
+                wider = Pattern(pattern.digest, rest)
+                self._add_pattern(wider, hold, is_from_peer=is_from_peer)
         if not is_from_peer:
-            self._unannounced_cleared.append(part)
+            self._unannounced_cleared[part] = None
 
     def _is_suspected(self, part: bytes) -> bool:
         return any(part in crash.parts for crash in self._crashes) or any(
--- a/camphorpath/relay/acceptance.py
+++ b/camphorpath/relay/acceptance.py
@@ -39,7 +39,7 @@
 # By then, a daemon with an old manifest has the newer one or has asked the store.
 NOT_CURRENT_RETRY_AFTER_S = 0.5
 # Further parts of a prompt are ignored, as callers choose their number.
-MAX_SHARED_PARTS = 16
+MAX_SHARED_PARTS = 8
 # Another daemon accepts the call at once.
 STOPPING_RETRY_AFTER_S = 0.1
 
@@ -72,6 +72,8 @@
 
     # Equal for repetitions of a call; empty until it is needed.
     digest: bytes = b''
+    # Sent although calls like it are in quarantine, to see whether they still crash upstreams.
+    is_probe: bool = False
     # Digests of `shared_parts`.
     part_digests: frozenset[bytes] = frozenset()
 
@@ -170,18 +172,27 @@
         shared_parts=shared_parts,
         part_digests=digest_parts(service, shared_parts),
     )
-    check_quarantine(context, call)
+    check_quarantine(context, call, now)
     _check_quota(context, call, now)
     return call
 
 
-def check_quarantine(context: RelayContext, call: Call) -> None:
-    """Raise Refusal if a call must not be sent to further upstreams at present."""
-    if context.quarantine.is_empty:
+def check_quarantine(context: RelayContext, call: Call, now: float) -> None:
+    """Raise Refusal if a call must not be sent to further upstreams at present.
+
+    Marks the call as a probe if it may be sent as one.
+    """
+    quarantine = context.quarantine
+    if quarantine.is_empty or call.is_probe:
         return
     digest = get_call_digest(context.header_names, call)
-    if context.quarantine.is_quarantined(digest, call.part_digests):
+    if not quarantine.is_quarantined(digest, call.part_digests):
+        return
+    pattern = quarantine.find_probe_pattern(digest, call.part_digests, now)
+    if pattern is None or not context.is_prober(pattern):
         raise Refusal('crashes_upstreams', 'calls like this one crashed several upstreams')
+    quarantine.start_probe(pattern, now)
+    call.is_probe = True
 
 
 def get_call_digest(header_names: HeaderNames, call: Call) -> bytes:
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -136,7 +136,7 @@
     def _check_quarantine(self, failure: UpstreamError | None) -> None:
         """Raise Refusal if calls like this one crashed several upstreams since it was accepted."""
         try:
-            check_quarantine(self.context, self.call)
+            check_quarantine(self.context, self.call, read_lease_clock())
         except Refusal as refusal:
             if failure is not None and self.call.may_have_run:
                 raise self._make_final_refusal(failure) from refusal
@@ -191,9 +191,11 @@
                 failures=health.failures,
             )
         health.record_success()
-        context.quarantine.record_answer(self.call.part_digests, read_lease_clock())
+        now = read_lease_clock()
+        context.quarantine.record_answer(self.call.part_digests, now)
         if not context.quarantine.is_empty:
-            context.quarantine.record_success(get_call_digest(context.header_names, self.call))
+            digest = get_call_digest(context.header_names, self.call)
+            context.quarantine.record_success(digest, now)
         return outcome
 
     async def _exchange(
@@ -412,7 +414,10 @@
             f'{upstream.upstream_id}/{upstream.incarnation}',
             frozenset() if self._received_parts else self.call.part_digests,
         )
-        self.context.quarantine.record_crash(crash, read_lease_clock(), is_from_peer=False)
+        self.context.quarantine.record_crash(
+            crash, read_lease_clock(), is_from_peer=False, is_probe=self.call.is_probe
+        )
+        self.call.is_probe = False
 
     def _fail_upstream(self, upstream: Upstream, problem: str, *, is_certain: bool = False) -> None:
         slots = self.context.scheduler.slots.get(upstream.upstream_id)
--- a/camphorpath/relay/context.py
+++ b/camphorpath/relay/context.py
@@ -8,6 +8,7 @@
 
 from ..events import EventLog
 from ..placement.budget import RetryBudget
+from ..placement.crashes import Pattern
 from ..placement.quarantine import Quarantine
 from ..placement.quota import QuotaLedger
 from ..placement.scheduler import Scheduler
@@ -34,6 +35,8 @@
     get_budget_share: Callable[[], float]
     # Called for an upstream whose answer states that it is leaving.
     on_leaving: Callable[[Upstream], None] = lambda upstream: None
+    # Returns whether this daemon may send a call with a pattern that is in quarantine as a probe.
+    is_prober: Callable[[Pattern], bool] = lambda pattern: True
     # None before the first manifest is received.
     routing_table: RoutingTable | None = None
     # Returns whether `routing_table` is of the newest manifest, as far as this daemon knows.
--- /dev/null
+++ b/tests/edge/test_quarantine.py
@@ -0,0 +1,225 @@
+import anyio
+import attrs
+import pytest
+
+from camphorpath.clocks import read_lease_clock
+from camphorpath.cluster.members import Members
+from camphorpath.cluster.quarantine import decode_row, encode_row, make_row_key
+from camphorpath.edge.quarantine import MAX_ANNOUNCED_CRASHES, QuarantineSync
+from camphorpath.edge.state import MAX_ANNOUNCEMENT_BYTES, DaemonState
+from camphorpath.errors import TableUnavailable
+from camphorpath.placement.crashes import Crash, Pattern, QuarantinedPattern, digest_parts
+from camphorpath.placement.ownership import Assignment
+from camphorpath.placement.quarantine import CRASH_LIMIT, PATTERN_RETENTION_S
+from camphorpath.platform.store import Rows, StoreRow
+from camphorpath.relay.acceptance import MAX_SHARED_PARTS
+from camphorpath.schema import camphorpath_pb2 as pb
+
+from ..relay.support import make_context
+from .test_state import SETTINGS
+
+FIRST_PART = digest_parts('llm', [b'first'])
+CRASHING_PART = digest_parts('llm', [b'bad'])
+PATTERN = Pattern(b'', CRASHING_PART)
+
+
+@attrs.define
+class StoredRows:
+    """A store with one table, which can be away."""
+
+    rows: dict = attrs.field(factory=dict)
+    is_up: bool = True
+    writes: int = 0
+
+    async def write_row(self, _table, key, content):
+        if not self.is_up:
+            raise TableUnavailable('away', step='write', peer='store')
+        self.writes += 1
+        self.rows[key] = content
+
+    async def read_table(self, _table):
+        return Rows([StoreRow(key, value, 1) for key, value in self.rows.items() if value], 1)
+
+
+@attrs.define
+class Datagrams:
+    """Keeps the datagrams that a daemon sends."""
+
+    sent: list = attrs.field(factory=list)
+
+    def send(self, heartbeat, _hosts):
+        self.sent.append(heartbeat)
+
+
+def make_sync(name='me', store=None):
+    settings = attrs.evolve(SETTINGS, name=name)
+    relay = make_context(())
+    state = DaemonState(
+        settings=settings, incarnation=f'{name}-1', relay=relay, members=Members(settings.host)
+    )
+    return QuarantineSync(relay, state, Datagrams(), store or StoredRows())
+
+
+def record_crashes(sync, count=CRASH_LIMIT, parts=CRASHING_PART):
+    for number in range(count):
+        crash = Crash(b'call-%d' % number, f'i-{number}', parts)
+        sync.relay.quarantine.record_crash(crash, read_lease_clock(), is_from_peer=False)
+
+
+def is_held_back(sync, parts=CRASHING_PART):
+    return sync.relay.quarantine.is_quarantined(b'call-9', parts)
+
+
+async def write_rows(sync):
+    with anyio.move_on_after(0.05):
+        await sync.write_rows()
+
+
+def deliver_heartbeat(sender, receiver):
+    receiver.state.apply_heartbeat(sender.state.make_heartbeat())
+
+
+def deliver_announcements(sender, receiver):
+    for heartbeat in sender.heartbeats.sent:
+        decoded = pb.EdgeHeartbeat.FromString(heartbeat.SerializeToString())
+        receiver.state.apply_announcement(decoded)
+    sender.heartbeats.sent.clear()
+
+
+def test_daemon_that_missed_the_crashes_learns_of_the_quarantine():
+    """Guards against crashes by a daemon that started later, was cut off or lost datagrams."""
+    first, second, third = make_sync('d1'), make_sync('d2'), make_sync('d3')
+    record_crashes(first)
+    deliver_heartbeat(first, second)
+    assert is_held_back(second)
+    assert not is_held_back(second, FIRST_PART)
+    deliver_heartbeat(second, third)
+    assert is_held_back(third)
+
+
+def test_crashes_at_different_daemons_are_counted_together():
+    """Guards against a part that may crash a few upstreams at each daemon."""
+    daemons = [make_sync(f'd{number}') for number in range(CRASH_LIMIT)]
+    for number, sync in enumerate(daemons):
+        crash = Crash(b'call-%d' % number, f'i-{number}', FIRST_PART | CRASHING_PART)
+        sync.relay.quarantine.record_answer(FIRST_PART, read_lease_clock())
+        sync.relay.quarantine.record_crash(crash, read_lease_clock(), is_from_peer=False)
+        sync.update(read_lease_clock())
+        for other in daemons:
+            if other is not sync:
+                for heartbeat in sync.heartbeats.sent:
+                    other.state.apply_announcement(heartbeat)
+    assert all(is_held_back(sync) for sync in daemons)
+    assert not any(is_held_back(sync, FIRST_PART) for sync in daemons)
+
+
+def test_part_that_was_answered_elsewhere_is_cleared_everywhere():
+    """Guards against daemons that pass a quarantine on after the part was answered."""
+    holding, answering = make_sync('d1'), make_sync('d2')
+    record_crashes(holding)
+    answering.relay.quarantine.record_answer(CRASHING_PART, read_lease_clock())
+    deliver_heartbeat(holding, answering)
+    assert not is_held_back(answering)
+    answering.update(read_lease_clock())
+    deliver_announcements(answering, holding)
+    assert not is_held_back(holding)
+    deliver_heartbeat(holding, answering)
+    answering.update(read_lease_clock())
+    assert not answering.heartbeats.sent
+
+
+def test_announced_crashes_fit_in_a_datagram():
+    """Guards against announcements without their content, as it is too long."""
+    sync = make_sync()
+    parts = digest_parts('llm', [b'%d' % number for number in range(MAX_SHARED_PARTS)])
+    for number in range(2 * MAX_ANNOUNCED_CRASHES):
+        crash = Crash(b'%012d' % number, f'i-{number:012d}/1796416560000', parts)
+        sync.relay.quarantine.record_crash(crash, read_lease_clock(), is_from_peer=False)
+    sync.update(read_lease_clock())
+    crashes = sum(len(heartbeat.news.crashes) for heartbeat in sync.heartbeats.sent)
+    assert crashes == 2 * MAX_ANNOUNCED_CRASHES
+    assert sync.heartbeats.sent[-1].quarantined
+    assert all(sent.ByteSize() <= MAX_ANNOUNCEMENT_BYTES for sent in sync.heartbeats.sent)
+
+
+def test_quarantine_outlives_a_loss_of_all_daemons():
+    """Guards against crashing upstreams again after all daemons were killed at once."""
+
+    async def test():
+        store = StoredRows()
+        sync = make_sync(store=store)
+        record_crashes(sync)
+        sync.update(read_lease_clock())
+        await write_rows(sync)
+        started = make_sync('d2', store)
+        await started.read_rows()
+        assert is_held_back(started)
+        started.relay.quarantine.record_answer(CRASHING_PART, read_lease_clock())
+        started.update(read_lease_clock())
+        await write_rows(started)
+        assert store.rows == {make_row_key(PATTERN): None}
+
+    anyio.run(test)
+
+
+def test_quarantine_is_stored_after_an_outage_of_the_store(monkeypatch):
+    """Guards against a row that is never written because the store was away at the crash."""
+    monkeypatch.setattr('camphorpath.edge.quarantine.RETRY_DELAY_S', 0.01)
+
+    async def test():
+        store = StoredRows(is_up=False)
+        sync = make_sync(store=store)
+        record_crashes(sync)
+        sync.update(read_lease_clock())
+        await write_rows(sync)
+        assert not store.rows
+        store.is_up = True
+        await write_rows(sync)
+        assert store.rows == {make_row_key(PATTERN): encode_row(PATTERN)}
+        assert store.writes == 1
+
+    anyio.run(test)
+
+
+def test_expired_quarantine_leaves_no_row():
+    """Guards against rows that stay in the store for ever."""
+
+    async def test():
+        store = StoredRows({make_row_key(PATTERN): encode_row(PATTERN)})
+        sync = make_sync(store=store)
+        sync.state.assignment = Assignment({'r': ('me',)})
+        await sync.read_rows()
+        sync.update(read_lease_clock() + PATTERN_RETENTION_S + 1)
+        await write_rows(sync)
+        assert store.rows == {make_row_key(PATTERN): None}
+
+    anyio.run(test)
+
+
+@pytest.mark.parametrize(
+    'content', [b'', b'[]', b'{}', b'\xff', b'{"digest": "", "parts": []}', b'{"digest": 1}']
+)
+def test_unreadable_rows_are_skipped(content):
+    """Guards against a row that keeps a daemon from starting or makes it refuse all calls."""
+    assert decode_row(content) is None
+
+
+def test_pattern_that_matches_all_calls_is_not_taken():
+    """Guards against a message that makes a daemon refuse all calls."""
+    sync = make_sync()
+    heartbeat = make_sync('d2').state.make_heartbeat()
+    heartbeat.quarantined.add(age=1)
+    sync.state.apply_heartbeat(heartbeat)
+    assert not is_held_back(sync)
+
+
+def test_shared_age_survives_the_way_over_several_daemons():
+    """Guards against a quarantine that daemons keep alive by passing it on."""
+    first, second = make_sync('d1'), make_sync('d2')
+    now = read_lease_clock()
+    first.relay.quarantine.adopt(QuarantinedPattern(PATTERN, age_s=PATTERN_RETENTION_S - 1), now)
+    deliver_heartbeat(first, second)
+    for sync in (first, second):
+        assert is_held_back(sync)
+        sync.relay.quarantine.expire(now + 2)
+        assert not is_held_back(sync)
--- a/tests/placement/test_quarantine.py
+++ b/tests/placement/test_quarantine.py
@@ -6,6 +6,9 @@
     CRASH_LIMIT,
     CRASH_RETENTION_S,
     MAX_CRASHES,
+    PATTERN_RETENTION_S,
+    PROBE_INTERVAL_S,
+    PROBE_TIMEOUT_S,
     Quarantine,
 )
 
@@ -45,6 +48,8 @@
     assert quarantine.is_quarantined(CALL_DIGEST, NO_PARTS)
     assert not quarantine.is_quarantined(digest_call(b'/x', b'other', b'body'), NO_PARTS)
     quarantine.expire(CRASH_RETENTION_S + 1)
+    assert quarantine.is_quarantined(CALL_DIGEST, NO_PARTS)
+    quarantine.expire(PATTERN_RETENTION_S + 1)
     assert not quarantine.is_quarantined(CALL_DIGEST, NO_PARTS)
     assert quarantine.is_empty
 
@@ -58,7 +63,7 @@
 def test_success_clears_earlier_crashes():
     """Guards against quarantine of a sound call whose connections broke for other reasons."""
     quarantine = record_crashes_on('i-1', 'i-2')
-    quarantine.record_success(CALL_DIGEST)
+    quarantine.record_success(CALL_DIGEST, 0)
     assert not record_crashes_on('i-3', quarantine=quarantine).is_quarantined(CALL_DIGEST, NO_PARTS)
     assert quarantine.drain_cleared() == [CALL_DIGEST]
 
@@ -167,3 +172,34 @@
     """Guards against refusing calls to upstreams that run another model."""
     quarantine = record_calls(*[CRASHING_PART] * CRASH_LIMIT)
     assert not quarantine.is_quarantined(b'call-9', digest_parts('other', [b'bad']))
+
+
+def test_single_calls_probe_whether_upstreams_still_crash():
+    """Guards against a part that is never tried again, and against probes that come too often."""
+    quarantine = record_calls(*[CRASHING_PART] * CRASH_LIMIT)
+
+    def find(now):
+        return quarantine.find_probe_pattern(b'call-9', CRASHING_PART, now)
+
+    assert find(PROBE_INTERVAL_S - 1) is None
+    pattern = find(PROBE_INTERVAL_S)
+    quarantine.start_probe(pattern, PROBE_INTERVAL_S)
+    assert find(PROBE_INTERVAL_S + 1) is None
+    assert find(PROBE_INTERVAL_S + PROBE_TIMEOUT_S) == pattern
+    crash = Crash(b'call-9', 'i-9', CRASHING_PART)
+    crashed_at = PROBE_INTERVAL_S + 1
+    quarantine.record_crash(crash, crashed_at, is_from_peer=False, is_probe=True)
+    assert find(crashed_at + 2 * PROBE_INTERVAL_S - 1) is None
+    assert find(crashed_at + 2 * PROBE_INTERVAL_S) == pattern
+
+
+def test_probe_that_another_daemon_sent_is_known():
+    """Guards against a new prober that tries again at once."""
+    quarantine, other = Quarantine(), Quarantine()
+    record_calls(*[CRASHING_PART] * CRASH_LIMIT, quarantine=quarantine)
+    crash = Crash(b'call-9', 'i-9', CRASHING_PART)
+    quarantine.record_crash(crash, 0, is_from_peer=False, is_probe=True)
+    for shared in quarantine.share_patterns(0):
+        other.adopt(shared, 0)
+    assert other.find_probe_pattern(b'call-9', CRASHING_PART, 2 * PROBE_INTERVAL_S - 1) is None
+    assert other.find_probe_pattern(b'call-9', CRASHING_PART, 2 * PROBE_INTERVAL_S) is not None
