Give up calls at once when calls like them are quarantined

Handlers now watch the quarantine: waiting calls are refused as not run, calls that were sent and have no part of an answer are cancelled at the upstream and get 502. Answers that have begun go on. The new tests fail without the change.

--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -354,6 +354,7 @@
             shared = decode_quarantined(message)
             if shared is not None:
                 self.relay.quarantine.adopt(shared, now)
+        self.relay.recheck_quarantine()
 
     def _encode_store_age(self) -> float:
         """Return the store age for a heartbeat; -1 if the state was never confirmed."""
--- a/camphorpath/placement/quarantine.py
+++ b/camphorpath/placement/quarantine.py
@@ -77,6 +77,8 @@
     # an ordered set.
     _unannounced_cleared: dict[bytes, None] = attrs.field(factory=dict)
     _changes: list[PatternChange] = attrs.field(factory=list)
+    # Patterns that were added since the start.
+    added_count: int = 0
 
     @property
     def is_empty(self) -> bool:
@@ -275,6 +277,7 @@
             if pattern.covers(other):
                 self._remove_pattern(other, is_from_peer=is_from_peer)
         self._patterns[pattern] = hold
+        self.added_count += 1
         if not is_from_peer:
             self._changes.append(PatternChange(pattern, is_added=True))
 
--- a/camphorpath/relay/acceptance.py
+++ b/camphorpath/relay/acceptance.py
@@ -33,6 +33,7 @@
 MAX_LOGGED_PATH_CHARS = 100
 # The reason of a refusal that does not hold if there is a newer manifest.
 NOT_CURRENT = 'manifest_not_current'
+CRASHES_UPSTREAMS = 'crashes_upstreams'
 # A call with an unknown route or key waits for a newer manifest; an announced one arrives within
 # this time.
 NEWER_MANIFEST_WAIT_S = 0.3
@@ -190,7 +191,7 @@
         return
     pattern = quarantine.find_probe_pattern(digest, call.part_digests, now)
     if pattern is None or not context.is_prober(pattern):
-        raise Refusal('crashes_upstreams', 'calls like this one crashed several upstreams')
+        raise Refusal(CRASHES_UPSTREAMS, 'calls like this one crashed several upstreams')
     quarantine.start_probe(pattern, now)
     call.is_probe = True
 
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -23,7 +23,13 @@
 from ..placement.records import Decision, Placed, WaitingCall
 from ..placement.slots import Slots
 from ..routing import CallKind, Upstream
-from .acceptance import MS_PER_S, Call, check_quarantine, get_call_digest
+from .acceptance import (
+    CRASHES_UPSTREAMS,
+    MS_PER_S,
+    Call,
+    check_quarantine,
+    get_call_digest,
+)
 from .caller import CallerConnection
 from .context import RelayContext
 from .events import EventSplitter
@@ -88,12 +94,18 @@
 
         Raises Refusal or CallerDisconnected.
         """
+        with anyio.CancelScope() as scope:
+            with self.context.watch_quarantine(lambda: self._cancel_if_quarantined(scope)):
+                return await self._send_until_answered()
+        raise self._refuse_quarantined()
+
+    async def _send_until_answered(self) -> str:
         failure: UpstreamError | None = None
         while True:
             upstream, waiting = await self._wait_for_slot(failure)
             self._received_parts = 0
             try:
-                self._check_quarantine(failure)
+                check_quarantine(self.context, self.call, read_lease_clock())
                 return await self._attempt(upstream, waiting)
             except UpstreamError as error:
                 failure = error
@@ -133,14 +145,20 @@
         )
         raise Refusal(decision.reason, message, retry_after_s=decision.retry_after_s)
 
-    def _check_quarantine(self, failure: UpstreamError | None) -> None:
-        """Raise Refusal if calls like this one crashed several upstreams since it was accepted."""
+    def _cancel_if_quarantined(self, scope: anyio.CancelScope) -> None:
+        """Give the call up if calls like it are in quarantine and no answer has begun."""
+        if self._received_parts:
+            return
         try:
             check_quarantine(self.context, self.call, read_lease_clock())
-        except Refusal as refusal:
-            if failure is not None and self.call.may_have_run:
-                raise self._make_final_refusal(failure) from refusal
-            raise
+        except Refusal:
+            scope.cancel()
+
+    def _refuse_quarantined(self) -> Refusal:
+        message = 'calls like this one crashed several upstreams'
+        if self.call.may_have_run:
+            return Refusal(CRASHES_UPSTREAMS, message, status=STATUS_BAD_GATEWAY)
+        return Refusal(CRASHES_UPSTREAMS, message)
 
     def _make_waiting_call(
         self, decide: Callable[[Decision], None], *, is_retry: bool
@@ -418,6 +436,7 @@
             crash, read_lease_clock(), is_from_peer=False, is_probe=self.call.is_probe
         )
         self.call.is_probe = False
+        self.context.recheck_quarantine()
 
     def _fail_upstream(self, upstream: Upstream, problem: str, *, is_certain: bool = False) -> None:
         slots = self.context.scheduler.slots.get(upstream.upstream_id)
--- a/camphorpath/relay/context.py
+++ b/camphorpath/relay/context.py
@@ -51,6 +51,9 @@
     is_cancelling: bool = False
     # Cancel scopes of the calls without a final answer.
     _scopes: set[anyio.CancelScope] = attrs.field(factory=set)
+    # Called when more calls are in quarantine.
+    _quarantine_watchers: set[Callable[[], None]] = attrs.field(factory=set)
+    _checked_pattern_count: int = 0
     _idle: anyio.Event = attrs.field(factory=anyio.Event)
     _routing_table_replaced: anyio.Event = attrs.field(factory=anyio.Event)
 
@@ -90,6 +93,23 @@
             finally:
                 self._scopes.discard(scope)
 
+    @contextlib.contextmanager
+    def watch_quarantine(self, check: Callable[[], None]) -> Iterator[None]:
+        """Call `check` whenever more calls are in quarantine."""
+        self._quarantine_watchers.add(check)
+        try:
+            yield
+        finally:
+            self._quarantine_watchers.discard(check)
+
+    def recheck_quarantine(self) -> None:
+        """Call the watchers of the quarantine if patterns were added since the last time."""
+        if self.quarantine.added_count == self._checked_pattern_count:
+            return
+        self._checked_pattern_count = self.quarantine.added_count
+        for check in list(self._quarantine_watchers):
+            check()
+
     def cancel_calls(self) -> None:
         """Cancel the calls in progress, so that they get a final answer."""
         self.is_cancelling = True
--- a/tests/relay/test_crashing_parts.py
+++ b/tests/relay/test_crashing_parts.py
@@ -1,8 +1,14 @@
+import asyncio
 import contextlib
 
+import anyio
 import attrs
+import pytest
 
+from camphorpath.clocks import read_lease_clock
+from camphorpath.placement.crashes import Crash, digest_parts
 from camphorpath.placement.ownership import Assignment
+from camphorpath.placement.quarantine import CRASH_LIMIT
 
 from .support import (
     ask,
@@ -12,9 +18,12 @@
     open_relay,
     open_upstream,
     run,
+    stay_unresponsive,
+    wait_for,
 )
-from .test_streams import HEAD
+from .test_streams import HEAD, make_chunk, make_event, read_events
 
+PART_DIGESTS = digest_parts('llm', [b'10', b'bad'])
 UPSTREAM_COUNT = 4
 CALL_COUNT = 12
 # Crashes after which no further call with the part may reach an upstream.
@@ -93,3 +102,94 @@
             assert await ask_with_parts(port, CALL_COUNT + 1, SOUND) == 200
 
     run(test)
+
+
+def quarantine_part(context):
+    """Record crashes by other calls with the crashing part."""
+    for number in range(CRASH_LIMIT):
+        crash = Crash(b'call-%d' % number, f'other-{number}', PART_DIGESTS)
+        context.quarantine.record_crash(crash, read_lease_clock(), is_from_peer=True)
+    context.recheck_quarantine()
+
+
+def test_waiting_calls_with_a_crashing_part_are_refused_at_once():
+    """Guards against calls that were accepted before the quarantine and crash upstreams later."""
+
+    async def test():
+        async with (
+            open_upstream(stay_unresponsive) as upstream,
+            open_relay(upstream) as (context, port),
+            anyio.create_task_group() as group,
+        ):
+            slots = context.scheduler.slots['i-0'].upstream.slots
+            for attempt in range(slots):
+                group.start_soon(ask_with_parts, port, attempt, SOUND)
+            await wait_for(lambda: len(upstream.requests) == slots)
+            statuses = []
+
+            async def call():
+                statuses.append(await ask_with_parts(port, 100, CRASHING % 1))
+
+            group.start_soon(call)
+            await wait_for(lambda: context.scheduler.count_waiting())
+            quarantine_part(context)
+            with anyio.fail_after(0.2):
+                await wait_for(lambda: statuses)
+            assert statuses == [503]
+            assert not context.scheduler.count_waiting()
+            assert len(upstream.requests) == slots
+            group.cancel_scope.cancel()
+
+    run(test)
+
+
+@pytest.mark.parametrize('path', [b'/once/x', b'/stream/x', b'/read/x'])
+def test_sent_calls_with_a_crashing_part_are_given_up_before_they_begin(path):
+    """Guards against calls that wait at an upstream for their turn to crash it."""
+
+    async def test():
+        async with (
+            open_upstream(stay_unresponsive) as upstream,
+            open_relay(upstream) as (context, port),
+            anyio.create_task_group() as group,
+        ):
+            statuses = []
+
+            async def call():
+                statuses.append(await ask_with_parts(port, 100, CRASHING % 1, path))
+
+            group.start_soon(call)
+            await wait_for(lambda: upstream.requests)
+            quarantine_part(context)
+            with anyio.fail_after(0.2):
+                await wait_for(lambda: statuses and upstream.closed_count)
+            assert statuses == [502]
+            assert not context.scheduler.slots['i-0'].running
+
+    run(test)
+
+
+def test_answer_that_has_begun_is_not_cut_off_by_a_quarantine():
+    """Guards against cutting sound streams when a part of their prompts is suspected."""
+    goes_on = anyio.Event()
+
+    async def handle(upstream, reader, writer):
+        await upstream.read_request(reader)
+        writer.write(HEAD + make_chunk(make_event(1)))
+        await goes_on.wait()
+        writer.write(make_chunk(make_event(2)) + b'0\r\n\r\n')
+        await writer.drain()
+
+    async def test():
+        async with open_upstream(handle) as upstream, open_relay(upstream) as (context, port):
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(make_request(b'/once/x', headers=b'Parts: 10:60,bad:80,1:2\r\n'))
+            await reader.readuntil(b'data: e1\n\n')
+            quarantine_part(context)
+            goes_on.set()
+            received = await reader.readuntil(b'0\r\n\r\n')
+            writer.close()
+            assert read_events(received) == [b'data: e2']
+            assert not context.quarantine.is_quarantined(b'', PART_DIGESTS)
+
+    run(test)
