Take a stream that ends inside an event for broken off

Callers got half an event at the end of a stream that looked complete, when an upstream ended it there with its connection or with the last chunk; a stream without a length that ended before its first event became an empty answer. The relay trusted the framing alone, and the end of the connection is an end there. Such an answer is broken off now: resumed where the route allows it, cut off otherwise, and counted as a crash of the upstream.

--- a/camphorpath/errors.py
+++ b/camphorpath/errors.py
@@ -93,6 +93,10 @@
     """The answer of the upstream began and broke off."""
 
 
+class EndedEarly(Truncated):
+    """The answer ended with its connection where it cannot be complete."""
+
+
 class NotExecuted(UpstreamError):
     """The upstream reported that it did not run the request."""
 
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -10,6 +10,7 @@
 from ..clocks import read_lease_clock
 from ..errors import (
     AnswerTooLarge,
+    EndedEarly,
     NotExecuted,
     NotSent,
     Refusal,
@@ -370,7 +371,9 @@
             raise Truncated(
                 'no event within the stall timeout', step='receive_body', peer=answer.peer
             )
-        if not self.has_answer_started or splitter.partial:
+        self._check_stream_end(answer)
+        if not self.has_answer_started:
+            # Neither events nor marked as such: an answer of another kind.
             await self._send_part(answer, splitter.pop_partial())
         await self.caller.end_stream()
         slots = self.context.scheduler.slots.get(upstream.upstream_id)
@@ -379,6 +382,17 @@
             slots.speed.record_answer(read_lease_clock() - started_at, events * TOKENS_PER_EVENT)
         return SERVED
 
+    def _check_stream_end(self, answer: UpstreamAnswer) -> None:
+        """Raise EndedEarly if a stream that has ended cannot be complete."""
+        has_events = self._received_parts > 0
+        if self.splitter.partial.strip():
+            is_broken = has_events or answer.is_event_stream or not answer.has_length
+        else:
+            is_broken = not (has_events or answer.has_length)
+        if is_broken:
+            message = 'the stream ended inside an event or before the first one'
+            raise EndedEarly(message, step='receive_body', peer=answer.peer)
+
     def _count_received_part(self) -> None:
         self._received_parts += 1
         if self._received_parts == SOUND_ANSWER_PARTS:
@@ -411,8 +425,8 @@
         # A refused connection means that nothing listens; a timeout may be a lost packet.
         is_certain = isinstance(error, NotSent) and not isinstance(error.__cause__, TimeoutError)
         self._fail_upstream(upstream, error.message, is_certain=is_certain)
-        if isinstance(error, (SentUnknown, Truncated)) and error.__cause__ is not None:
-            # The connection was lost; the call may have crashed the upstream.
+        if _is_connection_lost(error):
+            # The call may have crashed the upstream.
             self._record_crash(upstream)
         self.context.metrics.attempts.inc({'result': type(error).__name__})
         self.context.events.emit(
@@ -506,6 +520,13 @@
         self.context.scheduler.release(upstream.upstream_id, waiting, read_lease_clock())
 
 
+def _is_connection_lost(error: UpstreamError) -> bool:
+    """Return whether the connection ended, rather than that the answer was refused or too late."""
+    if isinstance(error, EndedEarly):
+        return True
+    return isinstance(error, (SentUnknown, Truncated)) and error.__cause__ is not None
+
+
 def _read_load(text: bytes) -> int | None:
     """Return the number of running and waiting calls in a load header; None if it has none."""
     counts = text.split(b',')
--- a/camphorpath/relay/upstream.py
+++ b/camphorpath/relay/upstream.py
@@ -7,7 +7,7 @@
 import h11
 
 from ..clocks import read_lease_clock
-from ..errors import AnswerTooLarge, NotSent, SentUnknown, Truncated
+from ..errors import AnswerTooLarge, EndedEarly, NotSent, SentUnknown, Truncated
 from ..routing import Route, Upstream
 from .headers import Headers, find_header
 from .sockets import Connection, open_connection
@@ -129,6 +129,18 @@
     _conn: UpstreamConnection
     is_complete: bool = False
 
+    @property
+    def has_length(self) -> bool:
+        """Whether the end of the body is marked; otherwise it ends with the connection."""
+        names = {name for name, _text in self.headers}
+        return bool(names & {b'content-length', b'transfer-encoding'})
+
+    @property
+    def is_event_stream(self) -> bool:
+        """Whether the headers say that the body is a stream of server-sent events."""
+        media_type = find_header(self.headers, b'content-type').partition(b';')[0]
+        return media_type.strip().lower() == b'text/event-stream'
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives; raise Truncated if it is incomplete."""
         while True:
@@ -142,7 +154,7 @@
             if isinstance(event, h11.EndOfMessage):
                 self.is_complete = True
                 return
-            raise Truncated(
+            raise EndedEarly(
                 'connection closed before the end of the answer',
                 step='receive_body',
                 peer=self.peer,
