Find the crashes of a call or part by an index

Each answer and each crash walked over all crashes of the last minute, and a daemon hears of those of all others.

Parts count as answered only by a success: an upstream that rejects a call early has not begun an answer, and a crashing part would count as sound. That test failed before.

--- a/camphorpath/placement/crashes.py
+++ b/camphorpath/placement/crashes.py
@@ -29,6 +29,11 @@
     # does so before that.
     parts: frozenset[bytes] = frozenset()
 
+    @property
+    def traits(self) -> tuple[bytes, ...]:
+        """The digests of the call and of its prompt parts."""
+        return (self.digest, *self.parts)
+
 
 @attrs.frozen
 class Pattern:
--- a/camphorpath/placement/quarantine.py
+++ b/camphorpath/placement/quarantine.py
@@ -63,7 +63,10 @@
 class Quarantine:
     """Recent crashes, the patterns of quarantined calls, and the parts that are known as sound."""
 
+    # Instants of the crashes, the latest one last.
     _crashes: dict[Crash, float] = attrs.field(factory=dict)
+    # The crashes by digest of their call and of each part; dicts as ordered sets.
+    _crashes_by_trait: dict[bytes, dict[Crash, None]] = attrs.field(factory=dict)
     # The pattern with the last crash is the last one.
     _patterns: dict[Pattern, _Hold] = attrs.field(factory=dict)
     # Instant of the last answer by digest of a part, or of a call that was suspected; the oldest
@@ -77,6 +80,8 @@
     # an ordered set.
     _unannounced_cleared: dict[bytes, None] = attrs.field(factory=dict)
     _changes: list[PatternChange] = attrs.field(factory=list)
+    # Upstreams with a crash that a pattern explains; None if it has to be determined anew.
+    _explained: set[str] | None = None
     # Patterns that were added since the start.
     added_count: int = 0
 
@@ -93,11 +98,13 @@
         Connections also break for other reasons, so calls are quarantined only after crashes of
         several upstreams without a success in between.
         """
-        self._crashes.pop(crash, None)
+        self._forget_crash(crash)
         self._crashes[crash] = now
+        for trait in crash.traits:
+            self._crashes_by_trait.setdefault(trait, {})[crash] = None
         self._answered_at.pop(crash.digest, None)
         if len(self._crashes) > MAX_CRASHES:
-            self._crashes.pop(next(iter(self._crashes)))
+            self._forget_crash(next(iter(self._crashes)))
         if not is_from_peer:
             self._unannounced_crashes.append(crash)
         pattern = self._find_pattern(crash.digest, crash.parts)
@@ -106,8 +113,9 @@
             self._patterns[pattern] = hold
             hold.crashed_at = now
             hold.failed_probes += is_probe
+            self._list_explained().add(crash.upstream)
         if pattern is None or pattern.digest:
-            self._add_patterns(now, is_from_peer=is_from_peer)
+            self._add_patterns(crash, now, is_from_peer=is_from_peer)
 
     def record_answer(self, parts: frozenset[bytes], now: float) -> None:
         """Record that an upstream went on answering a call, which clears its prompt parts."""
@@ -179,7 +187,7 @@
         for crash, crashed_at in list(self._crashes.items()):
             if crashed_at > now - CRASH_RETENTION_S:
                 break
-            self._crashes.pop(crash)
+            self._forget_crash(crash)
         while self._answered_at:
             part, answered_at = next(iter(self._answered_at.items()))
             is_recent = answered_at > now - ANSWER_RETENTION_S
@@ -192,7 +200,7 @@
             if hold.crashed_at <= now - PATTERN_RETENTION_S
         ]
         for pattern in expired:
-            self._patterns.pop(pattern)
+            self._remove_pattern(pattern, is_from_peer=True)
         return expired
 
     def drain_crashes(self) -> list[Crash]:
@@ -226,13 +234,22 @@
         """Return the parts of which no call was answered lately."""
         return frozenset(part for part in parts if part not in self._answered_at)
 
-    def _add_patterns(self, now: float, *, is_from_peer: bool) -> None:
-        """Add the patterns that explain enough of the crashes that no other pattern explains."""
-        candidates = self._find_candidates()
+    def _forget_crash(self, crash: Crash) -> None:
+        if self._crashes.pop(crash, None) is None:
+            return
+        for trait in crash.traits:
+            crashes = self._crashes_by_trait[trait]
+            crashes.pop(crash)
+            if not crashes:
+                self._crashes_by_trait.pop(trait)
+
+    def _add_patterns(self, crash: Crash, now: float, *, is_from_peer: bool) -> None:
+        """Add the patterns that explain the latest crash and enough earlier ones."""
+        candidates = self._find_candidates(crash)
         while candidates:
             pattern = max(candidates, key=_count_conditions)
             self._add_pattern(pattern, _Hold(now), is_from_peer=is_from_peer)
-            candidates = self._find_candidates()
+            candidates = self._find_candidates(crash)
         for pattern in list(self._patterns):
             if pattern.digest and self._has_crash_of_another_call(pattern):
                 wider = Pattern(b'', pattern.parts)
@@ -240,28 +257,37 @@
 
     def _has_crash_of_another_call(self, pattern: Pattern) -> bool:
         """Return whether another call with the parts of a pattern of a single call has crashed."""
-        return bool(pattern.parts) and any(
-            crash.digest != pattern.digest and pattern.parts <= crash.parts
-            for crash in self._crashes
+        if not pattern.parts:
+            return False
+        crashes = self._crashes_by_trait.get(next(iter(pattern.parts)), {})
+        return any(
+            crash.digest != pattern.digest and pattern.parts <= crash.parts for crash in crashes
         )
 
-    def _find_candidates(self) -> list[Pattern]:
-        explained = {
-            crash.upstream
-            for crash in self._crashes
-            if self._find_pattern(crash.digest, crash.parts) is not None
-        }
-        by_trait: dict[bytes, list[Crash]] = {}
-        for crash in self._crashes:
-            if crash.upstream in explained:
+    def _find_candidates(self, latest: Crash) -> list[Pattern]:
+        """Return the patterns of the latest crash that explain enough crashes of several upstreams.
+
+        Crashes of upstreams that another pattern explains do not count.
+        """
+        candidates = []
+        for trait in (latest.digest, *self._list_suspected(latest.parts)):
+            crashes = list(self._crashes_by_trait.get(trait, ()))
+            if len(crashes) < CRASH_LIMIT:
                 continue
-            for trait in (crash.digest, *self._list_suspected(crash.parts)):
-                by_trait.setdefault(trait, []).append(crash)
-        return [
-            self._find_common(crashes)
-            for crashes in by_trait.values()
-            if len({crash.upstream for crash in crashes}) >= CRASH_LIMIT
-        ]
+            explained = self._list_explained()
+            crashes = [crash for crash in crashes if crash.upstream not in explained]
+            if len({crash.upstream for crash in crashes}) >= CRASH_LIMIT:
+                candidates.append(self._find_common(crashes))
+        return candidates
+
+    def _list_explained(self) -> set[str]:
+        if self._explained is None:
+            self._explained = {
+                crash.upstream
+                for crash in self._crashes
+                if self._find_pattern(crash.digest, crash.parts) is not None
+            }
+        return self._explained
 
     def _find_common(self, crashes: list[Crash]) -> Pattern:
         """Return what the calls of several crashes have in common."""
@@ -277,6 +303,7 @@
             if pattern.covers(other):
                 self._remove_pattern(other, is_from_peer=is_from_peer)
         self._patterns[pattern] = hold
+        self._explained = None
         self.added_count += 1
         if not is_from_peer:
             self._changes.append(PatternChange(pattern, is_added=True))
@@ -284,13 +311,16 @@
     def _remove_pattern(self, pattern: Pattern, *, is_from_peer: bool) -> _Hold:
         if not is_from_peer:
             self._changes.append(PatternChange(pattern, is_added=False))
+        self._explained = None
         return self._patterns.pop(pattern)
 
     def _clear_call(self, digest: bytes, now: float, *, is_from_peer: bool) -> None:
-        crashes = [crash for crash in self._crashes if crash.digest == digest]
+        crashes = [
+            crash for crash in self._crashes_by_trait.get(digest, ()) if crash.digest == digest
+        ]
         patterns = [pattern for pattern in self._patterns if pattern.digest == digest]
         for crash in crashes:
-            self._crashes.pop(crash)
+            self._forget_crash(crash)
         for pattern in patterns:
             self._remove_pattern(pattern, is_from_peer=is_from_peer)
         if not (crashes or patterns):
@@ -318,7 +348,7 @@
             self._unannounced_cleared[part] = None
 
     def _is_suspected(self, part: bytes) -> bool:
-        return any(part in crash.parts for crash in self._crashes) or any(
+        return part in self._crashes_by_trait or any(
             part in pattern.parts for pattern in self._patterns
         )
 
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -210,11 +210,9 @@
                 failures=health.failures,
             )
         health.record_success()
-        now = read_lease_clock()
-        context.quarantine.record_answer(self.call.part_digests, now)
         if not context.quarantine.is_empty:
             digest = get_call_digest(context.header_names, self.call)
-            context.quarantine.record_success(digest, now)
+            context.quarantine.record_success(digest, read_lease_clock())
         return outcome
 
     async def _exchange(
@@ -347,6 +345,8 @@
         is_failure = answer.status >= STATUS_SERVER_ERROR
         if is_failure and self.call.route.is_repeatable and self._can_send_again():
             raise Truncated(f'status {answer.status}', step='receive_head', peer=answer.peer)
+        if answer.status < STATUS_REDIRECT:
+            self._record_sound_parts()
         self._record_first_part()
         await self.caller.send_answer(answer.status, select_answer_headers(answer.headers), body)
         return FAILED if is_failure else SERVED
@@ -372,6 +372,7 @@
                 'no event within the stall timeout', step='receive_body', peer=answer.peer
             )
         self._check_stream_end(answer)
+        self._record_sound_parts()
         if not self.has_answer_started:
             # Neither events nor marked as such: an answer of another kind.
             await self._send_part(answer, splitter.pop_partial())
@@ -396,7 +397,10 @@
     def _count_received_part(self) -> None:
         self._received_parts += 1
         if self._received_parts == SOUND_ANSWER_PARTS:
-            self.context.quarantine.record_answer(self.call.part_digests, read_lease_clock())
+            self._record_sound_parts()
+
+    def _record_sound_parts(self) -> None:
+        self.context.quarantine.record_answer(self.call.part_digests, read_lease_clock())
 
     async def _send_part(self, answer: UpstreamAnswer, part: bytes) -> None:
         now = read_lease_clock()
--- a/tests/relay/test_crashing_parts.py
+++ b/tests/relay/test_crashing_parts.py
@@ -11,6 +11,7 @@
 from camphorpath.placement.quarantine import CRASH_LIMIT
 
 from .support import (
+    answer_with,
     ask,
     make_answer,
     make_entries,
@@ -193,3 +194,19 @@
             assert not context.quarantine.is_quarantined(b'', PART_DIGESTS)
 
     run(test)
+
+
+def test_error_of_an_upstream_does_not_clear_a_part():
+    """Guards against a crashing part that counts as sound as an upstream rejected a call early."""
+
+    async def test():
+        reply = make_answer(status=b'413 Too Large', attempt=b'100')
+        async with (
+            open_upstream(answer_with(reply)) as upstream,
+            open_relay(upstream) as (context, port),
+        ):
+            assert await ask_with_parts(port, 100, CRASHING % 1) == 413
+            quarantine_part(context)
+            assert context.quarantine.is_quarantined(b'', PART_DIGESTS)
+
+    run(test)
