Keep rows of the quarantine from extending it, and answers from being cut off by it

Each start of a daemon read the rows of the store with the age 0 and passed it on, which put off the probes and the end of a quarantine at each restart; rows now count as of unknown age and are not passed on. And a call that was being answered was cancelled if calls like it were quarantined meanwhile: only an answer in events counted as begun. Both new tests failed before.

--- a/camphorpath/edge/quarantine.py
+++ b/camphorpath/edge/quarantine.py
@@ -14,7 +14,7 @@
 from ..cluster.quarantine import decode_row, encode_row, make_row_key
 from ..errors import TableOutcomeUnknown, TableUnavailable
 from ..events import Event
-from ..placement.crashes import Pattern, QuarantinedPattern
+from ..placement.crashes import Pattern
 from ..platform.store import MetadataStore
 from ..relay.context import RelayContext
 from ..schema import camphorpath_pb2 as pb
@@ -79,7 +79,7 @@
         for row in (await self.store.read_table(TABLE)).rows:
             pattern = decode_row(row.value)
             if pattern is not None:
-                self.relay.quarantine.adopt(QuarantinedPattern(pattern, age_s=0), now)
+                self.relay.quarantine.adopt_stored(pattern, now)
 
     async def write_rows(self) -> None:
         """Write the queued rows until cancelled."""
--- a/camphorpath/placement/quarantine.py
+++ b/camphorpath/placement/quarantine.py
@@ -43,6 +43,8 @@
     crashed_at: float
     failed_probes: int = 0
     probed_at: float = -math.inf
+    # Read from the metadata store, which does not tell when the last crash was.
+    is_from_store: bool = False
 
     def may_probe(self, now: float) -> bool:
         """Return whether a call may be sent as a probe."""
@@ -112,6 +114,7 @@
             hold = self._patterns.pop(pattern)
             self._patterns[pattern] = hold
             hold.crashed_at = now
+            hold.is_from_store = False
             hold.failed_probes += is_probe
             self._list_explained().add(crash.upstream)
         if pattern is None or pattern.digest:
@@ -158,29 +161,27 @@
         return [
             QuarantinedPattern(pattern, now - hold.crashed_at, hold.failed_probes)
             for pattern, hold in list(self._patterns.items())[-MAX_SHARED_PATTERNS:]
+            if not hold.is_from_store
         ]
 
-    def adopt(self, shared: QuarantinedPattern, now: float) -> None:
-        """Apply a pattern that another daemon or the metadata store has.
+    def adopt_stored(self, pattern: Pattern, now: float) -> None:
+        """Apply a pattern of the metadata store, unless it is known."""
+        if pattern in self._patterns:
+            return
+        self._adopt(pattern, _Hold(now, is_from_store=True))
 
-        Parts of which a call was answered lately are left out, and announced as cleared.
-        """
+    def adopt(self, shared: QuarantinedPattern, now: float) -> None:
+        """Apply a pattern that another daemon has."""
         pattern = shared.pattern
         crashed_at = now - shared.age_s
         hold = self._patterns.get(pattern)
-        if hold is not None:
+        if hold is not None and not hold.is_from_store:
             hold.crashed_at = max(hold.crashed_at, crashed_at)
             hold.failed_probes = max(hold.failed_probes, shared.failed_probes)
             return
-        cleared = {
-            trait for trait in (pattern.digest, *pattern.parts) if trait in self._answered_at
-        }
-        self._unannounced_cleared.update(dict.fromkeys(cleared))
-        rest = Pattern(pattern.digest, pattern.parts - cleared)
-        is_void = pattern.digest in cleared or not (rest.digest or rest.parts)
-        if is_void or crashed_at <= now - PATTERN_RETENTION_S:
-            return
-        self._add_pattern(rest, _Hold(crashed_at, shared.failed_probes), is_from_peer=True)
+        if crashed_at > now - PATTERN_RETENTION_S:
+            self._patterns.pop(pattern, None)
+            self._adopt(pattern, _Hold(crashed_at, shared.failed_probes))
 
     def expire(self, now: float) -> list[Pattern]:
         """Remove what is older than its retention time; return the removed patterns."""
@@ -224,6 +225,20 @@
         self._changes = []
         return changes
 
+    def _adopt(self, pattern: Pattern, hold: _Hold) -> None:
+        """Add a pattern without the parts of which a call was answered lately.
+
+        These are announced as cleared.
+        """
+        cleared = {
+            trait for trait in (pattern.digest, *pattern.parts) if trait in self._answered_at
+        }
+        self._unannounced_cleared.update(dict.fromkeys(cleared))
+        rest = Pattern(pattern.digest, pattern.parts - cleared)
+        if pattern.digest in cleared or not (rest.digest or rest.parts):
+            return
+        self._add_pattern(rest, hold, is_from_peer=True)
+
     def _find_pattern(self, digest: bytes, parts: frozenset[bytes]) -> Pattern | None:
         for pattern in self._patterns:
             if pattern.matches(digest, parts):
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -89,6 +89,8 @@
     _last_part_at: float = 0
     # Parts of a streamed answer that arrived from the current upstream, each of whole events.
     _received_parts: int = 0
+    # Whether an answer of the current upstream is being passed on.
+    _is_relaying: bool = False
 
     async def serve(self) -> str:
         """Relay an answer to the caller and return its outcome.
@@ -105,6 +107,7 @@
         while True:
             upstream, waiting = await self._wait_for_slot(failure)
             self._received_parts = 0
+            self._is_relaying = False
             try:
                 check_quarantine(self.context, self.call, read_lease_clock())
                 return await self._attempt(upstream, waiting)
@@ -148,7 +151,7 @@
 
     def _cancel_if_quarantined(self, scope: anyio.CancelScope) -> None:
         """Give the call up if calls like it are in quarantine and no answer has begun."""
-        if self._received_parts:
+        if self._is_relaying:
             return
         try:
             check_quarantine(self.context, self.call, read_lease_clock())
@@ -345,6 +348,7 @@
         is_failure = answer.status >= STATUS_SERVER_ERROR
         if is_failure and self.call.route.is_repeatable and self._can_send_again():
             raise Truncated(f'status {answer.status}', step='receive_head', peer=answer.peer)
+        self._is_relaying = True
         if answer.status < STATUS_REDIRECT:
             self._record_sound_parts()
         self._record_first_part()
@@ -372,6 +376,7 @@
                 'no event within the stall timeout', step='receive_body', peer=answer.peer
             )
         self._check_stream_end(answer)
+        self._is_relaying = True
         self._record_sound_parts()
         if not self.has_answer_started:
             # Neither events nor marked as such: an answer of another kind.
@@ -395,6 +400,7 @@
             raise EndedEarly(message, step='receive_body', peer=answer.peer)
 
     def _count_received_part(self) -> None:
+        self._is_relaying = True
         self._received_parts += 1
         if self._received_parts == SOUND_ANSWER_PARTS:
             self._record_sound_parts()
--- a/tests/edge/test_quarantine.py
+++ b/tests/edge/test_quarantine.py
@@ -223,3 +223,23 @@
         assert is_held_back(sync)
         sync.relay.quarantine.expire(now + 2)
         assert not is_held_back(sync)
+
+
+def test_row_does_not_make_the_last_crash_look_later():
+    """Guards against a quarantine that each start of a daemon extends."""
+
+    async def test():
+        store = StoredRows({make_row_key(PATTERN): encode_row(PATTERN)})
+        running, started = make_sync('d1', store), make_sync('d2', store)
+        now = read_lease_clock()
+        age_s = PATTERN_RETENTION_S - 1
+        running.relay.quarantine.adopt(QuarantinedPattern(PATTERN, age_s), now)
+        await started.read_rows()
+        deliver_heartbeat(started, running)
+        deliver_heartbeat(running, started)
+        for sync in (running, started):
+            assert is_held_back(sync)
+            sync.relay.quarantine.expire(now + 2)
+            assert not is_held_back(sync)
+
+    anyio.run(test)
--- a/tests/relay/test_crashing_parts.py
+++ b/tests/relay/test_crashing_parts.py
@@ -1,12 +1,13 @@
 import asyncio
 import contextlib
+import socket
 
 import anyio
 import attrs
 import pytest
 
 from camphorpath.clocks import read_lease_clock
-from camphorpath.placement.crashes import Crash, digest_parts
+from camphorpath.placement.crashes import Crash, digest_call, digest_parts
 from camphorpath.placement.ownership import Assignment
 from camphorpath.placement.quarantine import CRASH_LIMIT
 
@@ -210,3 +211,31 @@
             assert context.quarantine.is_quarantined(b'', PART_DIGESTS)
 
     run(test)
+
+
+def test_plain_answer_is_delivered_although_calls_like_it_are_quarantined_meanwhile():
+    """Guards against an answer that is cut off by a quarantine while its caller reads it."""
+    # More than the buffers of the sockets hold, so that sending it takes until it is read.
+    body = b'x' * (4 * 1024 * 1024 - 1)
+
+    async def test():
+        plain_socket = socket.socket()
+        plain_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        plain_socket.setblocking(False)
+        async with (
+            open_upstream(answer_with(make_answer(body))) as upstream,
+            open_relay(upstream) as (context, port),
+        ):
+            await asyncio.get_running_loop().sock_connect(plain_socket, ('127.0.0.1', port))
+            reader, writer = await asyncio.open_connection(sock=plain_socket, limit=4096)
+            writer.write(make_request(b'/read/x'))
+            await reader.readuntil(b'\r\n\r\n')
+            assert context.in_progress
+            for number in range(CRASH_LIMIT):
+                crash = Crash(digest_call(b'/read/x', b'', b''), f'other-{number}')
+                context.quarantine.record_crash(crash, read_lease_clock(), is_from_peer=True)
+            context.recheck_quarantine()
+            assert await reader.readexactly(len(body)) == body
+            writer.close()
+
+    run(test)
