Let an answer clear only the prompt parts that its call has

Found by the new test of a fleet: all crashing calls and sound ones had the same content and other prompt parts, each sound answer cleared the crashes of that content, and 10 to 27 upstreams crashed where eight are tolerated. An answer says nothing of parts that its call did not have; crashes with such parts stay.

--- a/camphorpath/placement/quarantine.py
+++ b/camphorpath/placement/quarantine.py
@@ -330,10 +330,17 @@
         return self._patterns.pop(pattern)
 
     def _clear_call(self, digest: bytes, now: float, *, is_from_peer: bool) -> None:
+        # A call with the same content but other prompt parts says nothing of these parts.
         crashes = [
-            crash for crash in self._crashes_by_trait.get(digest, ()) if crash.digest == digest
+            crash
+            for crash in self._crashes_by_trait.get(digest, ())
+            if crash.digest == digest and not self._list_suspected(crash.parts)
+        ]
+        patterns = [
+            pattern
+            for pattern in self._patterns
+            if pattern.digest == digest and not self._list_suspected(pattern.parts)
         ]
-        patterns = [pattern for pattern in self._patterns if pattern.digest == digest]
         for crash in crashes:
             self._forget_crash(crash)
         for pattern in patterns:
--- a/tests/edge/fleet.py
+++ b/tests/edge/fleet.py
@@ -7,6 +7,7 @@
 
 from camphorpath.clocks import read_lease_clock
 from camphorpath.cluster.members import Members
+from camphorpath.edge.quarantine import QuarantineSync
 from camphorpath.edge.state import DaemonState
 from camphorpath.relay.server import serve_calls
 from camphorpath.relay.sockets import open_listener
@@ -19,13 +20,30 @@
 TIMER_INTERVAL_S = 0.02
 
 
+@attrs.define
+class Datagrams:
+    """Keeps the datagrams that a daemon sends."""
+
+    sent: list = attrs.field(factory=list)
+
+    def send(self, heartbeat, _hosts):
+        self.sent.append(heartbeat)
+
+
 @attrs.define
 class RunningDaemon:
-    """One daemon of the fleet; those that are stopped send no heartbeats."""
+    """One daemon of the fleet; those that are stopped send and receive no heartbeats."""
 
     state: DaemonState
     port: int
     is_stopped: bool = False
+    datagrams: Datagrams = attrs.field(factory=Datagrams)
+    quarantine: QuarantineSync = attrs.field(init=False)
+
+    @quarantine.default
+    def _make_quarantine(self):
+        # The rows are not written in these tests, so there is no store.
+        return QuarantineSync(self.state.relay, self.state, self.datagrams, None)
 
     @property
     def name(self):
@@ -79,11 +97,26 @@
         await anyio.sleep(HEARTBEAT_INTERVAL_S)
 
 
+def deliver_announcements(daemons):
+    """Deliver what the running daemons announced to all others."""
+    running = [daemon for daemon in daemons if not daemon.is_stopped]
+    for sender in running:
+        for announcement in sender.datagrams.sent:
+            for receiver in running:
+                if receiver is not sender:
+                    receiver.state.apply_announcement(announcement)
+    for daemon in daemons:
+        daemon.datagrams.sent.clear()
+
+
 async def _run_timers(daemons):
     while True:
         await anyio.sleep(TIMER_INTERVAL_S)
+        now = read_lease_clock()
         for daemon in daemons:
-            daemon.state.relay.scheduler.expire(read_lease_clock())
+            daemon.state.relay.scheduler.expire(now)
+            daemon.quarantine.update(now)
+        deliver_announcements(daemons)
 
 
 @contextlib.asynccontextmanager
--- a/tests/edge/test_quarantine.py
+++ b/tests/edge/test_quarantine.py
@@ -16,6 +16,7 @@
 from camphorpath.schema import camphorpath_pb2 as pb
 
 from ..relay.support import make_context
+from .fleet import Datagrams
 from .test_state import SETTINGS
 
 FIRST_PART = digest_parts('llm', [b'first'])
@@ -41,16 +42,6 @@
         return Rows([StoreRow(key, value, 1) for key, value in self.rows.items() if value], 1)
 
 
-@attrs.define
-class Datagrams:
-    """Keeps the datagrams that a daemon sends."""
-
-    sent: list = attrs.field(factory=list)
-
-    def send(self, heartbeat, _hosts):
-        self.sent.append(heartbeat)
-
-
 def make_sync(name='me', store=None):
     settings = attrs.evolve(SETTINGS, name=name)
     relay = make_context(())
--- a/tests/placement/test_quarantine.py
+++ b/tests/placement/test_quarantine.py
@@ -203,3 +203,15 @@
         other.adopt(shared, 0)
     assert other.find_probe_pattern(b'call-9', CRASHING_PART, 2 * PROBE_INTERVAL_S - 1) is None
     assert other.find_probe_pattern(b'call-9', CRASHING_PART, 2 * PROBE_INTERVAL_S) is not None
+
+
+def test_answer_with_other_parts_does_not_clear_a_crashing_part():
+    """Guards against a crashing part that a call with the same content, but sound parts clears."""
+    quarantine = Quarantine()
+    for number in range(CRASH_LIMIT):
+        crash = Crash(CALL_DIGEST, f'i-{number}', CRASHING_PROMPT)
+        quarantine.record_crash(crash, 0, is_from_peer=False)
+    quarantine.record_answer(FIRST_PART, 1)
+    quarantine.record_success(CALL_DIGEST, 1)
+    assert quarantine.is_quarantined(CALL_DIGEST, CRASHING_PROMPT)
+    assert not quarantine.is_quarantined(CALL_DIGEST, FIRST_PART)
--- a/tests/relay/test_crashing_parts.py
+++ b/tests/relay/test_crashing_parts.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import re
 import socket
 
 import anyio
@@ -26,6 +27,7 @@
 from .test_streams import HEAD, make_chunk, make_event, read_events
 
 PART_DIGESTS = digest_parts('llm', [b'10', b'bad'])
+ATTEMPT = re.compile(rb'\r\nattempt: (\S+)')
 UPSTREAM_COUNT = 4
 CALL_COUNT = 12
 # Crashes after which no further call with the part may reach an upstream.
@@ -47,7 +49,7 @@
     async def handle(upstream, reader, writer):
         while True:
             head = await upstream.read_request(reader)
-            attempt = head.partition(b'Attempt: ')[2].split(b'\r\n')[0]
+            attempt = ATTEMPT.search(head.lower()).group(1)
             if part in head:
                 crashes.count += 1
                 writer.write(HEAD.replace(b'Attempt: 1', b'Attempt: ' + attempt))
