--- a/tests/placement/test_quarantine.py
+++ b/tests/placement/test_quarantine.py
@@ -1,6 +1,14 @@
+import hypothesis
 import pytest
-
-from camphorpath.placement.crashes import Crash, digest_call, digest_parts
+from hypothesis import strategies
+
+from camphorpath.placement.crashes import (
+    Crash,
+    Pattern,
+    QuarantinedPattern,
+    digest_call,
+    digest_parts,
+)
 from camphorpath.placement.quarantine import (
     ANSWER_RETENTION_S,
     CRASH_LIMIT,
@@ -215,3 +223,42 @@
     quarantine.record_success(CALL_DIGEST, 1)
     assert quarantine.is_quarantined(CALL_DIGEST, CRASHING_PROMPT)
     assert not quarantine.is_quarantined(CALL_DIGEST, FIRST_PART)
+
+
+CALLS = strategies.sampled_from([b'call-1', b'call-2', b'call-3'])
+PARTS = strategies.frozensets(strategies.sampled_from([b'p', b'q', b'r']), max_size=3)
+UPSTREAMS = strategies.sampled_from(['i-1', 'i-2', 'i-3', 'i-4', 'i-5'])
+EVENTS = strategies.one_of(
+    strategies.tuples(strategies.just('crash'), CALLS, PARTS, UPSTREAMS, strategies.booleans()),
+    strategies.tuples(strategies.just('answer'), CALLS, PARTS),
+    strategies.tuples(strategies.just('cleared'), strategies.sampled_from([b'p', b'call-1'])),
+    strategies.tuples(strategies.just('adopt'), strategies.just(b'') | CALLS, PARTS),
+)
+
+
+def apply_event(quarantine, event, now):
+    kind, *fields = event
+    if kind == 'crash':
+        call, parts, upstream, is_from_peer = fields
+        quarantine.record_crash(Crash(call, upstream, parts), now, is_from_peer=is_from_peer)
+    elif kind == 'answer':
+        quarantine.record_answer(fields[1], now)
+        quarantine.record_success(fields[0], now)
+    elif kind == 'cleared':
+        quarantine.apply_cleared(fields[0], now)
+    elif any(fields):
+        quarantine.adopt(QuarantinedPattern(Pattern(*fields), age_s=1), now)
+
+
+@hypothesis.given(events=strategies.lists(EVENTS, max_size=40))
+def test_quarantine_holds_back_only_what_no_answer_has_cleared(events):
+    """Guards against patterns of all calls, and of parts or calls that were just answered."""
+    quarantine = Quarantine()
+    for now, event in enumerate(events, start=1):
+        apply_event(quarantine, event, now)
+        if event[0] == 'answer':
+            assert not quarantine.is_quarantined(event[1], event[2])
+        for shared in quarantine.share_patterns(now):
+            assert shared.pattern.digest or shared.pattern.parts
+    quarantine.expire(len(events) + PATTERN_RETENTION_S)
+    assert quarantine.is_empty
