Log answers that were cut after their start

Change: event answer_cut (309) with the reason, the events so far, how long the upstream had been silent and the time left; outcome "cut" in camphorpath_answers_total. No logic is changed: the connection is reset as before.

--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -492,6 +492,10 @@
         share = self.context.get_budget_share()
         return self.context.budget.try_acquire(call.service, read_lease_clock(), share)
 
+    def quiet_s(self) -> float:
+        """Return the seconds since the last part of the answer; 0 before the first one."""
+        return read_lease_clock() - self._last_part_at if self.has_answer_started else 0
+
     def _get_event_timeout(self) -> float:
         """Return the seconds without an event after which to resume elsewhere; inf for never."""
         if not (self.call.route.is_resumable and self._can_retry_elsewhere()):
--- a/camphorpath/relay/server.py
+++ b/camphorpath/relay/server.py
@@ -25,6 +25,7 @@
 
 PageAnswer = tuple[int, Headers, bytes]
 CALLER_LEFT_OUTCOME = 'caller_left'
+CUT_OUTCOME = 'cut'
 DEADLINE_REASON = 'deadline_exceeded'
 STOPPING_REASON = 'daemon_stopping'
 # A newer manifest may allow larger requests.
@@ -183,11 +184,12 @@
     caller = handler.caller
     if not handler.has_answer_started and call.customer is not None and not call.may_have_run:
         context.quota.refund(call.customer, call.units)
-    _log_refusal(context, call.text_id, call.route.name, refusal)
     if handler.has_answer_started or not caller.can_answer:
+        _log_cut(context, handler, refusal)
         # A reset, so that the incomplete answer is not taken for a complete one.
         caller.connection.close(reset=True)
         raise CallerDisconnected('the answer was cut off after its start', step='relay')
+    _log_refusal(context, call.text_id, call.route.name, refusal)
     await caller.send_answer(*render_refusal(refusal))
 
 
@@ -226,5 +228,23 @@
     )
 
 
+def _log_cut(context: RelayContext, handler: CallHandler, refusal: Refusal) -> None:
+    call = handler.call
+    context.metrics.answers.inc({'route': call.route.name, 'outcome': CUT_OUTCOME})
+    context.events.emit(
+        Event.ANSWER_CUT,
+        call.text_id,
+        refusal.peer,
+        reason=refusal.reason,
+        detail=refusal.message,
+        events=handler.splitter.event_count,
+        quiet_ms=round(handler.quiet_s() * MS_PER_S),
+        attempts=call.send_count,
+        left_ms=round(call.time_left() * MS_PER_S),
+        route=call.route.name,
+        manifest=context.routing_table.version if context.routing_table else 0,
+    )
+
+
 def _log_accept_error(error: OSError) -> None:
     logger.warning('cannot accept connection: {}', error)
