Do not take a slow caller for a silent upstream

What callers saw: one that read nothing for 1.2 s or more got a stream with a hole: the rest of a part that was half sent was dropped, and the stream went on from another upstream behind it. Cause: the time limit for the next event also covered passing the event on. When it ended, it cancelled the send in the middle. Change: only reading is limited; events are sent outside of the limit. The deadline of the call still ends both.

--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -360,21 +360,11 @@
         splitter = self.splitter
         splitter.pop_partial()
         before = splitter.event_count
-        with anyio.move_on_after(self._get_event_timeout()) as scope:
-            async for chunk in answer.chunks():
-                whole = splitter.feed(chunk)
-                if whole:
-                    self._count_received_part()
-                    await self._send_part(answer, whole)
-                    # Only whole events count as progress.
-                    scope.deadline = anyio.current_time() + self._get_event_timeout()
-                elif len(splitter.partial) > MAX_EVENT_BYTES:
-                    message = f'an event of the stream exceeds {MAX_EVENT_BYTES} bytes'
-                    raise AnswerTooLarge(message, step='receive_body', peer=answer.peer)
-        if not answer.is_complete:
-            raise Truncated(
-                'no event within the stall timeout', step='receive_body', peer=answer.peer
-            )
+        while not answer.is_complete:
+            events = await self._read_events(answer)
+            if events:
+                self._count_received_part()
+                await self._send_part(answer, events)
         self._check_stream_end(answer)
         self._is_relaying = True
         self._record_sound_parts()
@@ -383,11 +373,35 @@
             await self._send_part(answer, splitter.pop_partial())
         await self.caller.end_stream()
         slots = self.context.scheduler.slots.get(upstream.upstream_id)
-        events = splitter.event_count - before
-        if slots is not None and events:
-            slots.speed.record_answer(read_lease_clock() - started_at, events * TOKENS_PER_EVENT)
+        event_count = splitter.event_count - before
+        if slots is not None and event_count:
+            tokens = event_count * TOKENS_PER_EVENT
+            slots.speed.record_answer(read_lease_clock() - started_at, tokens)
         return SERVED
 
+    async def _read_events(self, answer: UpstreamAnswer) -> bytes:
+        """Return the next whole events of a stream, empty at its end; raise Truncated at a stall.
+
+        Sending them is not part of the time limit: a slow caller is no reason to leave an upstream.
+        """
+        with anyio.move_on_after(self._get_event_timeout()):
+            return await self._read_whole_events(answer)
+        raise Truncated('no event within the stall timeout', step='receive_body', peer=answer.peer)
+
+    async def _read_whole_events(self, answer: UpstreamAnswer) -> bytes:
+        """Return the next whole events of a stream, empty at its end.
+
+        Waits on while only parts of an event arrive.
+        """
+        while not answer.is_complete:
+            events = self.splitter.feed(await answer.read_chunk())
+            if events:
+                return events
+            if len(self.splitter.partial) > MAX_EVENT_BYTES:
+                message = f'an event of the stream exceeds {MAX_EVENT_BYTES} bytes'
+                raise AnswerTooLarge(message, step='receive_body', peer=answer.peer)
+        return b''
+
     def _check_stream_end(self, answer: UpstreamAnswer) -> None:
         """Raise EndedEarly if a stream that has ended cannot be complete."""
         has_events = self._received_parts > 0
--- a/camphorpath/relay/upstream.py
+++ b/camphorpath/relay/upstream.py
@@ -1,7 +1,6 @@
 """Pooled HTTP/1.1 connections to upstreams."""
 
 import re
-from collections.abc import AsyncIterator
 
 import attrs
 import h11
@@ -141,30 +140,29 @@
         media_type = find_header(self.headers, b'content-type').partition(b';')[0]
         return media_type.strip().lower() == b'text/event-stream'
 
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body as it arrives; raise Truncated if it is incomplete."""
-        while True:
-            try:
-                event = await self._conn.read_event()
-            except (OSError, h11.RemoteProtocolError) as error:
-                raise Truncated(repr(error), step='receive_body', peer=self.peer) from error
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-                continue
-            if isinstance(event, h11.EndOfMessage):
-                self.is_complete = True
-                return
-            raise EndedEarly(
-                'connection closed before the end of the answer',
-                step='receive_body',
-                peer=self.peer,
-            )
+    async def read_chunk(self) -> bytes:
+        """Return the next bytes of the body, empty at its end; raise Truncated if it is incomplete.
+
+        No bytes are lost if it is cancelled.
+        """
+        try:
+            event = await self._conn.read_event()
+        except (OSError, h11.RemoteProtocolError) as error:
+            raise Truncated(repr(error), step='receive_body', peer=self.peer) from error
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            self.is_complete = True
+            return b''
+        raise EndedEarly(
+            'connection closed before the end of the answer', step='receive_body', peer=self.peer
+        )
 
     async def read_all(self, max_bytes: int) -> bytes:
         """Return the whole body; raise Truncated, or AnswerTooLarge above `max_bytes`."""
         parts = bytearray()
-        async for chunk in self.chunks():
-            parts += chunk
+        while not self.is_complete:
+            parts += await self.read_chunk()
             if len(parts) > max_bytes:
                 message = f'the answer exceeds {max_bytes} bytes'
                 raise AnswerTooLarge(message, step='receive_body', peer=self.peer)
