Leave a silent upstream only once another one takes the call

Cause: at the stall timeout (1.2 s for care-note) the relay closed its connection first and then looked for a slot, a retry in the budget and an upstream that takes the call. Where one of them was missing nothing was left to answer with. Class of fault: giving up what one has before its replacement is certain. Change: while an upstream is silent, the relay goes on reading and asks for a slot and a retry beside it. A stream is sent to the other upstream with the old connection kept for up to 0.2 s, until the head of the answer; if the other one does not take it, the old one goes on.

--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -1,7 +1,9 @@
 """Serves one call: waits for a slot, sends it to upstreams and relays the answer."""
 
+import functools
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import anyio
 import attrs
@@ -21,7 +23,7 @@
 from ..events import Event
 from ..placement.crashes import Crash
 from ..placement.rate_limits import RateStatement
-from ..placement.records import Decision, Placed, WaitingCall
+from ..placement.records import Decision, Placed, Refused, WaitingCall
 from ..placement.slots import Slots
 from ..routing import CallKind, Upstream
 from .acceptance import (
@@ -38,6 +40,8 @@
 from .stalls import get_stall_timeout
 from .upstream import UpstreamAnswer, UpstreamConnection, get_connect_timeout, read_answer
 
+Answer = TypeVar('Answer')
+
 SERVED = 'served'
 FAILED = 'failed_at_upstream'
 STATUS_OK = 200
@@ -67,6 +71,11 @@
 RETRY_AFTER = b'retry-after'
 # Value of a header that serves as a flag.
 FLAG_SET = b'1'
+# While an upstream is silent and no other one is free, a slot is asked for at this interval.
+REPLACEMENT_INTERVAL_S = 0.25
+# Longest time for which a stream is kept open at a silent upstream after it was sent to another
+# one. Full upstreams refuse within milliseconds; both must not run it for long.
+MAX_OVERLAP_S = 0.2
 # Assumed, as streams do not state it; only the relative speeds of upstreams matter.
 TOKENS_PER_EVENT = 4
 
@@ -75,6 +84,21 @@
     """No byte of the answer arrived before the time at which another upstream should be tried."""
 
 
+@attrs.define(eq=False)
+class Attempt:
+    """The slot of a call at an upstream, and its send there."""
+
+    upstream: Upstream
+    waiting: WaitingCall
+    # None before the call is sent.
+    conn: UpstreamConnection | None = None
+    # Whether the call may have run before this attempt.
+    ran_before: bool = False
+    # None before the head of the answer is read.
+    answer: UpstreamAnswer | None = None
+    is_complete: bool = False
+
+
 @attrs.define(eq=False)
 class CallHandler:
     """Serves one call and holds its state meanwhile."""
@@ -91,36 +115,57 @@
     _received_parts: int = 0
     # Whether an answer of the current upstream is being passed on.
     _is_relaying: bool = False
+    # The attempt that replaces the current one, whose upstream is silent.
+    _replacement: Attempt | None = None
 
     async def serve(self) -> str:
         """Relay an answer to the caller and return its outcome.
 
         Raises Refusal or CallerDisconnected.
         """
-        with anyio.CancelScope() as scope:
-            with self.context.watch_quarantine(lambda: self._cancel_if_quarantined(scope)):
-                return await self._send_until_answered()
+        try:
+            with anyio.CancelScope() as scope:
+                with self.context.watch_quarantine(lambda: self._cancel_if_quarantined(scope)):
+                    return await self._send_until_answered()
+        finally:
+            self._discard_replacement()
         raise self._refuse_quarantined()
 
     async def _send_until_answered(self) -> str:
         failure: UpstreamError | None = None
         while True:
-            upstream, waiting = await self._wait_for_slot(failure)
+            attempt = self._replacement or await self._wait_for_slot(failure)
+            self._replacement = None
             self._received_parts = 0
             self._is_relaying = False
             try:
                 check_quarantine(self.context, self.call, read_lease_clock())
-                return await self._attempt(upstream, waiting)
+                return await self._run(attempt)
             except UpstreamError as error:
                 failure = error
-                self._record_failure(upstream, error)
-                if not self._may_retry(error):
+                self._record_failure(attempt.upstream, error)
+                # The retry of a replacement was charged when it got its slot.
+                if self._replacement is None and not self._may_retry(error):
                     raise self._make_final_refusal(error) from error
             finally:
-                self._release(upstream, waiting)
+                self._end_attempt(attempt)
+
+    async def _wait_for_slot(self, failure: UpstreamError | None) -> Attempt:
+        """Return an attempt with a slot; raise Refusal if the scheduler grants none."""
+        granted = await self._request_slot(is_retry=failure is not None)
+        if isinstance(granted, Attempt):
+            waited_s = read_lease_clock() - self.call.arrived_at
+            self.context.metrics.waits.observe({}, waited_s)
+            return granted
+        if failure is not None and self.call.may_have_run:
+            raise self._make_final_refusal(failure)
+        message = (
+            f'next slot expected in {granted.expected_wait_s} s, {granted.waiting} calls waiting'
+        )
+        raise Refusal(granted.reason, message, retry_after_s=granted.retry_after_s)
 
-    async def _wait_for_slot(self, failure: UpstreamError | None) -> tuple[Upstream, WaitingCall]:
-        """Return the upstream of the granted slot; raise Refusal if the scheduler grants none."""
+    async def _request_slot(self, *, is_retry: bool) -> Attempt | Refused:
+        """Return an attempt with a slot, or why the scheduler grants none."""
         decisions: list[Decision] = []
         decided = anyio.Event()
 
@@ -128,26 +173,78 @@
             decisions.append(decision)
             decided.set()
 
-        waiting = self._make_waiting_call(decide, is_retry=failure is not None)
+        waiting = self._make_waiting_call(decide, is_retry=is_retry)
         self.context.scheduler.submit(waiting, read_lease_clock())
         try:
             await decided.wait()
         except BaseException:
             self.context.scheduler.withdraw(waiting)
             if decisions and isinstance(decisions[0], Placed):
-                self._release(decisions[0].upstream, waiting)
+                self._end_attempt(Attempt(decisions[0].upstream, waiting))
             raise
         decision = decisions[0]
         if isinstance(decision, Placed):
-            waited_s = read_lease_clock() - self.call.arrived_at
-            self.context.metrics.waits.observe({}, waited_s)
-            return decision.upstream, waiting
-        if failure is not None and self.call.may_have_run:
-            raise self._make_final_refusal(failure)
-        message = (
-            f'next slot expected in {decision.expected_wait_s} s, {decision.waiting} calls waiting'
-        )
-        raise Refusal(decision.reason, message, retry_after_s=decision.retry_after_s)
+            return Attempt(decision.upstream, waiting)
+        return decision
+
+    async def _acquire_replacement(self, scope: anyio.CancelScope) -> None:
+        """Get a slot at another upstream and a retry from the budget, and cancel `scope` then.
+
+        Asks again at intervals while there is none.
+        """
+        while True:
+            granted = await self._request_slot(is_retry=True) if self._may_replace() else None
+            if isinstance(granted, Attempt):
+                self._replacement = granted
+                if self._charge_retry():
+                    scope.cancel()
+                    return
+                self._return_replacement()
+            await anyio.sleep(REPLACEMENT_INTERVAL_S)
+
+    def _may_replace(self) -> bool:
+        """Return whether the call may be sent to another upstream while its upstream is silent."""
+        if self.unsent_attempts >= MAX_UNSENT_ATTEMPTS or not self._can_retry_elsewhere():
+            return False
+        quarantine = self.context.quarantine
+        if quarantine.is_empty:
+            return True
+        digest = get_call_digest(self.context.header_names, self.call)
+        return not quarantine.is_quarantined(digest, self.call.part_digests)
+
+    def _return_replacement(self) -> None:
+        """End a replacement that was not used; its upstream may be chosen again."""
+        if self._replacement is not None:
+            self.tried_upstreams.discard(self._replacement.upstream.upstream_id)
+            self._discard_replacement()
+
+    def _discard_replacement(self) -> None:
+        replacement = self._replacement
+        if replacement is not None:
+            self._replacement = None
+            self._end_attempt(replacement)
+
+    async def _read_or_replace(self, read: Callable[[], Awaitable[Answer]]) -> Answer | None:
+        """Return what `read` returns, or None once the attempt has a replacement.
+
+        A silent upstream may go on at any time, so it is not given up before. If `read` raises
+        UpstreamError, there may be a replacement too.
+        """
+        found: Answer | None = None
+        failure: Exception | None = None
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._acquire_replacement, group.cancel_scope)
+            try:
+                found = await read()
+            except (UpstreamError, OSError, h11.LocalProtocolError) as error:
+                # Raised inside the task group, it would become a part of an exception group.
+                failure = error
+            group.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        if found is not None:
+            self._return_replacement()
+        return found
 
     def _cancel_if_quarantined(self, scope: anyio.CancelScope) -> None:
         """Give the call up if calls like it are in quarantine and no answer has begun."""
@@ -187,20 +284,19 @@
             excluded=self.tried_upstreams,
         )
 
-    async def _attempt(self, upstream: Upstream, waiting: WaitingCall) -> str:
-        context = self.context
-        route = self.call.route
-        conn = await context.pool.acquire(
-            upstream, is_recent=not route.is_repeatable, connect_s=get_connect_timeout(route)
-        )
-        is_complete = False
+    async def _run(self, attempt: Attempt) -> str:
+        """Send the call, unless that was done, and relay the answer; return the outcome."""
+        upstream = attempt.upstream
         try:
-            outcome = await self._exchange(conn, upstream, waiting)
-            is_complete = True
+            if attempt.conn is None:
+                await self._send(attempt)
+            if attempt.answer is None:
+                self._accept_head(attempt, await self._read_head(attempt))
+            outcome = await self._relay(attempt)
+            attempt.is_complete = True
         except (OSError, h11.LocalProtocolError) as error:
             raise SentUnknown(repr(error), step='send', peer=upstream.address) from error
-        finally:
-            context.pool.release(conn, is_complete=is_complete)
+        context = self.context
         health = self._find_slots(upstream).health
         if outcome == FAILED:
             self._fail_upstream(upstream, 'the upstream answered with a server error')
@@ -218,26 +314,43 @@
             context.quarantine.record_success(digest, read_lease_clock())
         return outcome
 
-    async def _exchange(
-        self, conn: UpstreamConnection, upstream: Upstream, waiting: WaitingCall
-    ) -> str:
-        conn.send(self._build_request(upstream), self.call.request.body)
-        ran_before = self.call.may_have_run
+    async def _send(self, attempt: Attempt) -> None:
+        route = self.call.route
+        upstream = attempt.upstream
+        attempt.conn = await self.context.pool.acquire(
+            upstream, is_recent=not route.is_repeatable, connect_s=get_connect_timeout(route)
+        )
+        attempt.ran_before = self.call.may_have_run
+        attempt.conn.send(self._build_request(upstream), self.call.request.body)
         self._record_send(upstream)
-        answer = await self._read_head(conn, upstream)
+
+    def _accept_head(self, attempt: Attempt, answer: UpstreamAnswer) -> None:
+        """Apply the head of an answer; raise UpstreamError if it cannot be relayed."""
+        upstream = attempt.upstream
         self._apply_answer_headers(upstream, answer)
-        self._check_executed(upstream, answer, ran_before=ran_before)
+        self._check_executed(upstream, answer, ran_before=attempt.ran_before)
         is_failure = answer.status >= STATUS_SERVER_ERROR
         self.context.scheduler.record_first_byte(
-            upstream.upstream_id, waiting, read_lease_clock(), is_failure=is_failure
+            upstream.upstream_id, attempt.waiting, read_lease_clock(), is_failure=is_failure
         )
         if self.has_answer_started and answer.status != STATUS_OK:
             message = f'resuming a stream failed with status {answer.status}'
             raise Truncated(message, step='receive_head', peer=upstream.address)
+        attempt.answer = answer
+
+    async def _relay(self, attempt: Attempt) -> str:
+        answer = attempt.answer
         if self.call.route.kind is CallKind.STREAM and answer.status == STATUS_OK:
-            return await self._relay_stream(upstream, answer)
+            return await self._relay_stream(attempt.upstream, answer)
         return await self._relay_buffered(answer)
 
+    def _end_attempt(self, attempt: Attempt) -> None:
+        """Free the slot of an attempt and keep or close its connection."""
+        context = self.context
+        if attempt.conn is not None:
+            context.pool.release(attempt.conn, is_complete=attempt.is_complete)
+        context.scheduler.release(attempt.upstream.upstream_id, attempt.waiting, read_lease_clock())
+
     def _build_request(self, upstream: Upstream) -> h11.Request:
         call = self.call
         header_names = self.context.header_names
@@ -276,16 +389,26 @@
             rate_limit=slots.rate_limit.rate,
         )
 
-    async def _read_head(self, conn: UpstreamConnection, upstream: Upstream) -> UpstreamAnswer:
+    async def _read_head(self, attempt: Attempt) -> UpstreamAnswer:
+        """Return the head of the answer; raise HeadTimeout once there is a replacement."""
         call = self.call
+        upstream = attempt.upstream
+        read = functools.partial(self._read_answer, attempt)
         limit_s = None
-        slots = self._find_slots(upstream)
-        running = slots.running.get(call.text_id)
+        running = self._find_slots(upstream).running.get(call.text_id)
         if running is not None and call.route.is_repeatable and self._can_retry_elsewhere():
             limit_s = max(running.first_byte_timeout_at - read_lease_clock(), 0)
         with anyio.move_on_after(limit_s):
-            return await read_answer(conn, call.attempt_id, self.context.header_names.attempt_id)
-        raise HeadTimeout('no byte of an answer', step='receive_head', peer=upstream.address)
+            return await read()
+        answer = await self._read_or_replace(read)
+        if answer is None:
+            raise HeadTimeout('no byte of an answer', step='receive_head', peer=upstream.address)
+        return answer
+
+    async def _read_answer(self, attempt: Attempt) -> UpstreamAnswer:
+        return await read_answer(
+            attempt.conn, self.call.attempt_id, self.context.header_names.attempt_id
+        )
 
     def _check_executed(
         self, upstream: Upstream, answer: UpstreamAnswer, *, ran_before: bool
@@ -380,13 +503,38 @@
         return SERVED
 
     async def _read_events(self, answer: UpstreamAnswer) -> bytes:
-        """Return the next whole events of a stream, empty at its end; raise Truncated at a stall.
+        """Return the next whole events of a stream, empty at its end.
 
-        Sending them is not part of the time limit: a slow caller is no reason to leave an upstream.
+        Raises Truncated after a stall, once another upstream resumes the stream. the
+        events is not part of the time limit: a slow caller is no reason to leave an upstream.
         """
+        read = functools.partial(self._read_whole_events, answer)
         with anyio.move_on_after(self._get_event_timeout()):
-            return await self._read_whole_events(answer)
-        raise Truncated('no event within the stall timeout', step='receive_body', peer=answer.peer)
+            return await read()
+        while True:
+            events = await self._read_or_replace(read)
+            if events is not None:
+                return events
+            if await self._resume_elsewhere():
+                message = 'no event within the stall timeout'
+                raise Truncated(message, step='receive_body', peer=answer.peer)
+
+    async def _resume_elsewhere(self) -> bool:
+        """Send a stream to the upstream of the replacement; return whether that takes it.
+
+        The connection to the silent upstream stays open meanwhile, as the other one may be full.
+        """
+        replacement = self._replacement
+        try:
+            await self._send(replacement)
+            with anyio.move_on_after(MAX_OVERLAP_S):
+                self._accept_head(replacement, await self._read_answer(replacement))
+        except UpstreamError as error:
+            self.unsent_attempts += isinstance(error, NotSent)
+            self._record_failure(replacement.upstream, error)
+            self._discard_replacement()
+            return False
+        return True
 
     async def _read_whole_events(self, answer: UpstreamAnswer) -> bytes:
         """Return the next whole events of a stream, empty at its end.
@@ -503,8 +651,12 @@
             return False
         if not isinstance(error, NotExecuted) and not call.route.is_repeatable:
             return False
+        return self._charge_retry()
+
+    def _charge_retry(self) -> bool:
+        """Take a retry from the budget; return whether there was one."""
         share = self.context.get_budget_share()
-        return self.context.budget.try_acquire(call.service, read_lease_clock(), share)
+        return self.context.budget.try_acquire(self.call.service, read_lease_clock(), share)
 
     def quiet_s(self) -> float:
         """Return the seconds since the last part of the answer; 0 before the first one."""
@@ -544,9 +696,6 @@
             )
         return Refusal('upstream_failed', error.message, status=STATUS_BAD_GATEWAY, peer=error.peer)
 
-    def _release(self, upstream: Upstream, waiting: WaitingCall) -> None:
-        self.context.scheduler.release(upstream.upstream_id, waiting, read_lease_clock())
-
 
 def _is_connection_lost(error: UpstreamError) -> bool:
     """Return whether the connection ended, rather than that the answer was refused or too late."""
--- a/camphorpath/relay/upstream.py
+++ b/camphorpath/relay/upstream.py
@@ -43,6 +43,8 @@
     keep_alive_s: float = DEFAULT_KEEP_ALIVE_S
     idle_since: float = 0
     was_used: bool = False
+    # Whether the body of an answer to an earlier request is being skipped.
+    is_skipping: bool = False
     _request: h11.Request | None = None
     _unsent: bytes = b''
 
@@ -82,8 +84,10 @@
     async def skip_answer(self) -> None:
         """Skip the body of an answer to an earlier request, whose head was read.
 
-        Raises OSError, or h11.RemoteProtocolError if it is incomplete or too long.
+        If it is cancelled, it has to be called again. Raises OSError, or h11.RemoteProtocolError if
+        the answer is incomplete or too long.
         """
+        self.is_skipping = True
         event: object = None
         skipped = 0
         while not isinstance(event, h11.EndOfMessage):
@@ -106,6 +110,7 @@
             self.http.receive_data(rest)
         if is_closed:
             self.http.receive_data(b'')
+        self.is_skipping = False
 
     def make_reusable(self) -> bool:
         """Prepare for the next request; return whether the connection can be reused."""
@@ -239,7 +244,8 @@
 async def read_answer(conn: UpstreamConnection, attempt_id: bytes, name: bytes) -> UpstreamAnswer:
     """Return the answer to the request that was sent on a connection.
 
-    Raises SentUnknown if the connection is lost or carries no valid answer to it.
+    Raises SentUnknown if the connection is lost or carries no valid answer to it. It may be called
+    again after it was cancelled.
 
     An answer with another attempt id in the header `name` belongs to an earlier request and is
     skipped. An answer without one is accepted only on a new connection.
@@ -256,6 +262,8 @@
 async def _read_matching_head(
     conn: UpstreamConnection, attempt_id: bytes, name: bytes
 ) -> h11.Response:
+    if conn.is_skipping:
+        await conn.skip_answer()
     for _ in range(MAX_SKIPPED_HEADS):
         event = await conn.read_event()
         if isinstance(event, h11.InformationalResponse):
