Give up calls whose answer has not begun at once, as before

A refusal is an answer, so LOST does not ask for more; streams that have begun keep their upstream until another one takes them.

--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -227,8 +227,8 @@
     async def _read_or_replace(self, read: Callable[[], Awaitable[Answer]]) -> Answer | None:
         """Return what `read` returns, or None once the attempt has a replacement.
 
-        A silent upstream may go on at any time, so it is not given up before. If `read` raises
-        UpstreamError, there may be a replacement too.
+        The upstream of an answer that has begun may go on at any time, so it is not left before. If
+        `read` raises UpstreamError, there may be a replacement too.
         """
         found: Answer | None = None
         failure: Exception | None = None
@@ -390,7 +390,11 @@
         )
 
     async def _read_head(self, attempt: Attempt) -> UpstreamAnswer:
-        """Return the head of the answer; raise HeadTimeout once there is a replacement."""
+        """Return the head of the answer.
+
+        Raises HeadTimeout if it is late: the call can still be refused, so it gives up its slot. If
+        it resumes a stream, it keeps the slot until there is a replacement.
+        """
         call = self.call
         upstream = attempt.upstream
         read = functools.partial(self._read_answer, attempt)
@@ -400,7 +404,7 @@
             limit_s = max(running.first_byte_timeout_at - read_lease_clock(), 0)
         with anyio.move_on_after(limit_s):
             return await read()
-        answer = await self._read_or_replace(read)
+        answer = await self._read_or_replace(read) if self.has_answer_started else None
         if answer is None:
             raise HeadTimeout('no byte of an answer', step='receive_head', peer=upstream.address)
         return answer
