Check the ranges of all numbers and texts of an entry

Other operators saw processes that ended again and again, or stopped following the list, after another writer left one odd entry: deeply nested, a number too large, a port out of range. It happens here. An address with port 70000 was taken, and the first call for it raised OverflowError in connect(), which is no OSError and ended the daemon; a host with a null raised TypeError there, a host name meant a blocking look-up. A port of 5,000 digits raised ValueError in the decoder, in the task that follows the store. 10**18 slots did not fit the heartbeat (ValueError: value out of range), a start of 1e300 not the message of a leaving upstream; both ended the daemon. An id with control characters cannot be sent in a header. Deeply nested entries were rejected before, too. The manifest had the same fault: a version of 1e300, or limits and time limits of that size, were taken.

What was noted of an odd entry is forgotten when it is removed. The check of addresses moved out of the cluster package.

An entry with a fraction of a slot, which was rounded, counts as odd now.

--- a/camphorpath/cluster/heartbeats.py
+++ b/camphorpath/cluster/heartbeats.py
@@ -8,8 +8,8 @@
 
 from google.protobuf.message import DecodeError
 
+from ..addresses import is_ipv4_address
 from ..schema import camphorpath_pb2 as pb
-from .addresses import is_ipv4_address
 
 MAX_DATAGRAM_BYTES = 60000
 # Datagrams that are read in one go before other tasks run.
--- a/camphorpath/cluster/members.py
+++ b/camphorpath/cluster/members.py
@@ -6,9 +6,9 @@
 
 import attrs
 
+from ..addresses import is_ipv4_address
 from ..placement.ownership import Candidate
 from ..schema import camphorpath_pb2 as pb
-from .addresses import is_ipv4_address
 
 # Most heartbeats per second that one daemon may receive if all members are active, that is take
 # calls, or if all are idle. Intervals grow with the fleet to keep to this.
--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -306,6 +306,7 @@
         if content is not None:
             self._put_upstream(key, content, revision)
             return
+        self._invalid_checksums.pop(key, None)
         # Any removal is a change: while the store is unstable, the view may restore upstreams that
         # were removed shortly before.
         self._has_upstream_changes = True
--- a/camphorpath/platform/fields.py
+++ b/camphorpath/platform/fields.py
@@ -3,14 +3,30 @@
 from collections.abc import Mapping
 from typing import Any
 
+import orjson
+
 from ..errors import PlatformError
 
+SIGNED_BITS = 63
+# Peers are sent signed 64-bit integers.
+MAX_NUMBER = 2**SIGNED_BITS - 1
+MAX_NAME_CHARS = 200
+
+
+def decode_fields(text: bytes) -> 'Fields':
+    """Return the fields of a JSON object; raise PlatformError if the text is anything else."""
+    try:
+        document = orjson.loads(text)
+    except orjson.JSONDecodeError as error:
+        raise PlatformError(f'not valid JSON: {error}', step='decode') from error
+    return Fields(document, '')
+
 
 class Fields:
     """An object in a decoded document.
 
-    The methods that return a field raise PlatformError with its path if it has a wrong type; `text`
-    and `number` without a default do so too if it is missing.
+    The methods that return a field raise PlatformError with its path if it has a wrong type or is
+    out of range; `text`, `name` and numbers without a default do so too if it is missing.
     """
 
     def __init__(self, document: Any, path: str) -> None:
@@ -27,13 +43,29 @@
             raise self._make_error(name, 'is missing or not a non-empty string')
         return found
 
+    def name(self, name: str) -> str:
+        """Return a non-empty printable string of at most MAX_NAME_CHARS characters."""
+        found = self.text(name)
+        if len(found) > MAX_NAME_CHARS or not found.isprintable():
+            raise self._make_error(name, 'is too long or has control characters')
+        return found
+
     def number(self, name: str, default: float | None = None) -> float:
-        """Return a number of at least 0; `default` if it is missing."""
+        """Return a number from 0 to MAX_NUMBER; `default` if it is missing."""
         found = self._document.get(name, default)
-        if isinstance(found, bool) or not isinstance(found, int | float) or found < 0:
-            raise self._make_error(name, 'is not a number of at least 0')
+        if isinstance(found, bool) or not isinstance(found, int | float):
+            raise self._make_error(name, 'is not a number')
+        if not 0 <= found <= MAX_NUMBER:
+            raise self._make_error(name, 'is out of range')
         return found
 
+    def whole(self, name: str, default: int | None = None, *, highest: int = MAX_NUMBER) -> int:
+        """Return a whole number from 0 to `highest`; `default` if it is missing."""
+        found = self.number(name, default)
+        if found > highest or found != int(found):
+            raise self._make_error(name, f'is not a whole number up to {highest}')
+        return int(found)
+
     def flag(self, name: str) -> bool:
         """Return a boolean; false if it is missing."""
         found = self._document.get(name, False)
--- a/camphorpath/platform/manifest.py
+++ b/camphorpath/platform/manifest.py
@@ -2,11 +2,9 @@
 
 import math
 
-import orjson
-
 from ..errors import PlatformError
 from ..routing import CallerLimits, CallKind, Customer, Route, RoutingTable, Service
-from .fields import Fields
+from .fields import Fields, decode_fields
 from .wire import CALL_KINDS
 
 MS_PER_S = 1000
@@ -15,11 +13,7 @@
 
 def decode_manifest(text: bytes) -> RoutingTable:
     """Return the routing table of a manifest; raise PlatformError that names an invalid field."""
-    try:
-        document = orjson.loads(text)
-    except orjson.JSONDecodeError as error:
-        raise PlatformError(f'the manifest is not valid JSON: {error}', step='decode') from error
-    fields = Fields(document, '')
+    fields = decode_fields(text)
     services = [_decode_service(entry) for entry in fields.objects('services')]
     return RoutingTable(
         version=int(fields.number('version')),
--- a/tests/cluster/test_addresses.py
+++ b/tests/test_addresses.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from camphorpath.cluster.addresses import is_ipv4_address
+from camphorpath.addresses import is_ipv4_address
 
 HOSTS = (
     *(
