Read the rows of a table although one of them is odd

A row without a value, with one that is no text or not ASCII, without a key or without a row_version made the whole answer of the store count as an outage, for as long as the row was listed: no daemon followed the upstreams, or the manifest, any more. A row that is no object raised AttributeError, and a row_version of 1e30 or a key that is no text did not fit the row that peers are sent; these ended the daemon.

Each row is now decoded on its own. One whose value cannot be read gets an empty one, which the reader rejects and logs with its key; one without a valid revision counts as new as the answer; one without a key is left out, counted, and logged. The answer as a whole needs a list and a revision within 64 bits.

--- a/camphorpath/cluster/follower.py
+++ b/camphorpath/cluster/follower.py
@@ -263,6 +263,9 @@
         self, rows: Rows, handle_rows: Callable[[Rows], None], *, is_first: bool = False
     ) -> None:
         """Apply rows and announce what is new, except for the first rows after the start."""
+        if rows.skipped_count:
+            problem = f'{rows.skipped_count} rows have no key'
+            self.events.emit(Event.UPSTREAM_ENTRY_INVALID, problem=problem)
         held = self.rows
         manifest, upstreams = held.manifest.revision, held.upstreams_revision
         handle_rows(rows)
--- a/camphorpath/platform/store.py
+++ b/camphorpath/platform/store.py
@@ -1,7 +1,6 @@
 """Client of the platform's metadata store."""
 
 import base64
-import binascii
 import socket
 from typing import Any
 
@@ -13,6 +12,7 @@
 from ..clocks import read_lease_clock
 from ..errors import HistoryCompacted, TableOutcomeUnknown, TableUnavailable
 from ..transports import fetch_complete, make_plain_transport
+from .fields import MAX_NUMBER
 from .wire import ROWS_FEED, ROWS_GET, ROWS_WRITE
 
 # Longer than a call to a healthy store takes (a few ms), shorter than the time within which a
@@ -37,7 +37,10 @@
 
 @attrs.frozen
 class StoreRow:
-    """A row of a table; `value` is None if the row was removed."""
+    """A row of a table.
+
+    `value` is None if the row was removed, and empty if it cannot be read.
+    """
 
     key: str
     value: bytes | None
@@ -52,6 +55,8 @@
     revision: int
     # When the headers of the answer arrived, on the lease clock; rows may have changed since.
     answered_at: float = attrs.field(factory=read_lease_clock)
+    # Rows without a valid key, which are left out.
+    skipped_count: int = 0
 
 
 class MetadataStore:
@@ -73,6 +78,7 @@
     async def read_table(self, table: str) -> Rows:
         """Return all rows of a table; raise TableUnavailable."""
         rows: list[StoreRow] = []
+        skipped_count = 0
         first: Rows | None = None
         start = ''
         while True:
@@ -82,10 +88,11 @@
             found, answered_at = await self._get(ROWS_GET, query, READ_TIMEOUT_S)
             page = _decode_rows(found, self._url, answered_at)
             rows += page.rows
+            skipped_count += page.skipped_count
             first = first or page
             if not found.get('has_more') or not page.rows:
                 # The revision is that of the first page, as its rows may have changed since.
-                return Rows(rows, first.revision, first.answered_at)
+                return Rows(rows, first.revision, first.answered_at, skipped_count)
             # The smallest possible key after the last one of the page.
             start = f'{page.rows[-1].key}\0'
 
@@ -168,19 +175,42 @@
 
 
 def _decode_rows(found: dict[str, Any], peer: str, answered_at: float) -> Rows:
+    """Return the rows of an answer; raise TableUnavailable if it has no list or no revision.
+
+    Other writers may leave any row, which must not make the others unreadable.
+    """
+    documents = found.get('rows')
+    revision = _decode_revision(found.get('row_version'))
+    if not isinstance(documents, list) or revision is None:
+        raise TableUnavailable('the answer has no rows or no revision', step='read', peer=peer)
+    decoded = [_decode_row(document, revision) for document in documents]
+    rows = [row for row in decoded if row is not None]
+    return Rows(rows, revision, answered_at, len(decoded) - len(rows))
+
+
+def _decode_row(document: Any, newest: int) -> StoreRow | None:
+    """Return a row, or None if it has no key; without a valid revision it gets the newest one."""
+    if not isinstance(document, dict) or not isinstance(document.get('key'), str):
+        return None
+    revision = _decode_revision(document.get('row_version'))
+    return StoreRow(
+        key=document['key'],
+        value=None if document.get('is_deleted') else _decode_value(document.get('value')),
+        revision=newest if revision is None else revision,
+    )
+
+
+def _decode_value(text: Any) -> bytes:
     try:
-        rows = [_decode_row(row) for row in found['rows']]
-        return Rows(rows, int(found['row_version']), answered_at)
-    except (KeyError, TypeError, ValueError) as error:
-        raise TableUnavailable(f'cannot decode rows: {error!r}', step='read', peer=peer) from error
+        return base64.b64decode(text)
+    except (TypeError, ValueError):
+        # The reader of the row rejects the empty value and logs its key.
+        return b''
 
 
-def _decode_row(row: dict[str, Any]) -> StoreRow:
-    if row.get('is_deleted'):
-        return StoreRow(row['key'], None, int(row['row_version']))
+def _decode_revision(found: Any) -> int | None:
     try:
-        content = base64.b64decode(row['value'])
-    except binascii.Error:
-        # An invalid row must not make the others unreadable. Its empty value is rejected later.
-        content = b''
-    return StoreRow(row['key'], content, int(row['row_version']))
+        revision = int(found)
+    except (TypeError, ValueError, OverflowError):
+        return None
+    return revision if 0 <= revision <= MAX_NUMBER else None
--- a/tests/edge/test_odd_entries.py
+++ b/tests/edge/test_odd_entries.py
@@ -144,6 +144,28 @@
     run(test)
 
 
+@pytest.mark.parametrize(
+    'fields', [{'value': None}, {'value': 'é'}, {'value': 5}, {'key': None}, {'row_version': 1e30}]
+)
+def test_odd_row_hides_no_change(fields):
+    """Guards against daemons that stop following the upstreams for one row that cannot be read."""
+
+    async def test():
+        store = OddStore()
+        store.put(
+            make_raw_row('a', make_entry('10.0.0.1:1')),
+            {**make_raw_row('odd', make_entry('10.0.0.2:1')), **fields},
+        )
+        async with open_daemon(store) as (state, _port):
+            await wait_for(lambda: '10.0.0.1:1' in get_addresses(state), 3)
+            store.put(make_raw_row('b', make_entry('10.0.0.3:1')))
+            await wait_for(lambda: '10.0.0.3:1' in get_addresses(state), 3)
+            store.put(make_raw_row('a', b'', is_deleted=True))
+            await wait_for(lambda: '10.0.0.1:1' not in get_addresses(state), 3)
+
+    run(test)
+
+
 def test_odd_entry_is_logged_once():
     """Guards against a line in the log for each rewrite of an odd entry."""
     records = []
