Read the row of another daemon with the checked accessor

A start reads the rows in which daemons state their hosts, and rendered whatever the field was as text. A list nested 1,000 to 1,024 deep is decoded but cannot be rendered: RecursionError ended the daemon at each start, while the row was there. The host is now read as any other field, and the row skipped if it has none.

The new test plays six odd contents of such a row and of a row of the quarantine. One of the twelve cases failed before, the nested host; the rows of the quarantine were safe.

--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -16,11 +16,12 @@
 from ..cluster.heartbeats import HeartbeatSocket
 from ..cluster.members import Members
 from ..cluster.state_transfer import make_state_client
-from ..errors import TableOutcomeUnknown, TableUnavailable
+from ..errors import PlatformError, TableOutcomeUnknown, TableUnavailable
 from ..events import Event, EventLog
 from ..placement.budget import RetryBudget
 from ..placement.quota import QuotaBounds, QuotaLedger
 from ..placement.scheduler import Scheduler
+from ..platform.fields import decode_fields
 from ..platform.store import MetadataStore
 from ..platform.wire import HEADER_NAMES
 from ..relay.context import RelayContext
@@ -299,8 +300,8 @@
 
 def _read_host(content: bytes | None) -> str:
     try:
-        return str(orjson.loads(content or b'{}').get('host', ''))
-    except (orjson.JSONDecodeError, AttributeError):
+        return decode_fields(content or b'').text('host')
+    except PlatformError:
         # Skips unreadable rows: the empty host is not a valid address.
         return ''
 
