Decode answers of the platform and of upstreams with a bounded depth

Daemons of `camphorpath serve` read the table, the VM list and the control answers of upstreams with the decoder of the standard library, which raises RecursionError for deep nesting; nobody caught that, and it ended the daemon. A VM list with an entry that is no object raised AttributeError, and fields of another type were taken as they came. All of these use the decoder now that rejects nesting as invalid JSON, and the fields of a VM are strings.

The VM list is still read completely or not at all.

--- a/camphorpath/platform/table.py
+++ b/camphorpath/platform/table.py
@@ -6,6 +6,7 @@
 
 import anyio
 import httpx
+import orjson
 
 from ..clocks import read_lease_clock
 from ..errors import PlatformError, TableOutcomeUnknown, TableUnavailable
@@ -154,7 +155,7 @@
             problem = f'the table answered with status {response.status_code}'
             kind = TableUnavailable if _states_no_effect(response) else TableOutcomeUnknown
             raise self._record_failure(kind, problem, path)
-        answer = parse(response.json())
+        answer = parse(orjson.loads(response.content))
         self._mark_up()
         return answer
 
@@ -180,7 +181,7 @@
     if response.status_code != httpx.codes.SERVICE_UNAVAILABLE:
         return False
     try:
-        return response.json().get('applied') is False
+        return orjson.loads(response.content).get('applied') is False
     except (ValueError, AttributeError):
         return False
 
--- a/camphorpath/platform/vms.py
+++ b/camphorpath/platform/vms.py
@@ -3,6 +3,7 @@
 import anyio
 import attrs
 import httpx
+import orjson
 
 from ..errors import PlatformError
 from ..events import Event, EventLog
@@ -10,7 +11,7 @@
 from .records import Json, Vm
 
 READ_TIMEOUT_S = 5.0
-READ_ERRORS = (httpx.HTTPError, OSError, ValueError, TypeError, KeyError)
+READ_ERRORS = (httpx.HTTPError, OSError, ValueError, TypeError, KeyError, AttributeError)
 ROLES = frozenset(('entry', 'upstream'))
 STATES = frozenset(('live', 'leaving'))
 
@@ -58,13 +59,16 @@
         with anyio.fail_after(READ_TIMEOUT_S):
             response = await self._client.get('/vms')
         response.raise_for_status()
-        return [_read_vm(document) for document in response.json()['vms']]
+        return [_read_vm(document) for document in orjson.loads(response.content)['vms']]
 
 
 def _read_vm(document: Json) -> Vm:
     # Unknown fields, which a newer platform may send, are ignored.
     names = {field.name for field in attrs.fields(Vm)}
-    vm = Vm(**{name: text for name, text in document.items() if name in names})
+    texts = {name: text for name, text in document.items() if name in names}
+    if not all(isinstance(text, str) for text in texts.values()):
+        raise TypeError('a field of a VM is not a string')
+    vm = Vm(**texts)
     if vm.role not in ROLES or vm.state not in STATES:
         raise ValueError(f'VM {vm.name} has an unknown role or state: {vm.role!r}, {vm.state!r}')
     return vm
--- a/camphorpath/upstreams/json_requests.py
+++ b/camphorpath/upstreams/json_requests.py
@@ -5,6 +5,7 @@
 
 import anyio
 import httpx
+import orjson
 
 from ..errors import UpstreamError
 from .calls import Call, open_call, read_whole
@@ -54,7 +55,7 @@
 
 def _parse_object(text: bytes, step: str, peer: str) -> dict[str, Any]:
     try:
-        document = json.loads(text)
+        document = orjson.loads(text)
     except ValueError as error:
         raise make_answer_error('not JSON', step, peer) from error
     if not isinstance(document, dict):
--- a/tests/platform/test_others.py
+++ b/tests/platform/test_others.py
@@ -2,6 +2,7 @@
 
 import anyio
 import httpx
+import orjson
 import pytest
 
 from camphorpath.errors import PlatformError
@@ -64,3 +65,32 @@
             assert (await client.post('/admin/faults', json={'no': 1})).status_code == 400
         process.terminate()
         assert await process.wait() == 0
+
+
+DEEP = b'[' * 1020 + b']' * 1020
+VALID_VM = {'name': 'a', 'role': 'entry', 'address': '127.0.0.1:1'}
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'',
+        b'[]',
+        b'{"vms": 5}',
+        b'{"vms": [5]}',
+        b'{"vms": [null]}',
+        b'{"vms": [{"name": "a"}]}',
+        b'{"vms": [%s]}' % DEEP,
+        b'[' * 100_000,
+        orjson.dumps({'vms': [{**VALID_VM, 'address': 5}]}),
+        orjson.dumps({'vms': [{**VALID_VM, 'state': []}]}),
+        orjson.dumps({'vms': [{**VALID_VM, 'zone': 1e300}]}),
+    ],
+)
+async def test_odd_vm_list_is_a_platform_error(events, body):
+    """Guards against an odd entry of the VM list that ends the daemon that reads it."""
+    transport = httpx.MockTransport(lambda request: httpx.Response(200, content=body))
+    vms = VmList(pb.Platform(vm_list_url='http://platform'), events, transport)
+    with pytest.raises(PlatformError):
+        await vms.read()
+    await vms.close()
--- a/tests/platform/test_table.py
+++ b/tests/platform/test_table.py
@@ -1,3 +1,4 @@
+import httpx
 import pytest
 
 from camphorpath.errors import TableOutcomeUnknown, TableUnavailable
@@ -121,3 +122,15 @@
     await table.read('a')
     assert draws == [(0, table_module.RECOVERY_SPREAD_S)] * 2
     await table.close()
+
+
+@pytest.mark.parametrize('status', [200, 503])
+@pytest.mark.parametrize('body', [b'', b'[]', b'{"kvs": [5]}', b'[' * 100_000, b'[' * 1020])
+async def test_odd_answer_is_an_outage(events, status, body):
+    """Guards against an answer of the table that ends the daemon, such as a deeply nested one."""
+    transport = httpx.MockTransport(lambda request: httpx.Response(status, content=body))
+    settings = pb.Platform(table_url='http://platform', table_timeout=1)
+    table = Table(settings, events, transport=transport)
+    with pytest.raises(TableUnavailable):
+        await table.read('a')
+    await table.close()
--- a/tests/upstreams/test_control.py
+++ b/tests/upstreams/test_control.py
@@ -134,6 +134,21 @@
     run(check)
 
 
+@pytest.mark.parametrize(
+    'body', [b'[' * 100_000, b'{"running": %s}' % (b'9' * 5000), b'{"running": 1e400}', b'\xff']
+)
+def test_load_report_that_cannot_be_decoded_is_an_error(body):
+    """Guards against a deeply nested report, or a number too large, that ends the daemon."""
+
+    async def check():
+        raw = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s' % (len(body), body)
+        async with serve_raw(raw) as (url, _), make_client() as client:
+            with pytest.raises(UpstreamError):
+                await read_load(client, url)
+
+    run(check)
+
+
 def test_load_poll_of_hanging_upstream_times_out():
     """Guards against a load poll that waits for ever."""
 
