Take odd numbers of tokens that a caller states for not stated

A caller that states its tokens as nan, infinite, 1e308 or below zero got them into the sums of its customer's quota: the sum became nan or infinite, and peers drop heartbeats with such numbers, so that this daemon would count as lost to all others until it restarts; a number below zero gave units back. Without a key, such a call, or one whose length hint is nan, was never placed: 503 at its deadline, with free slots.

Numbers of tokens count up to MAX_TOKENS and as not stated otherwise, and a deadline that is nan, too. Found while looking for other readers of numbers that somebody else writes.

--- a/camphorpath/relay/acceptance.py
+++ b/camphorpath/relay/acceptance.py
@@ -1,5 +1,6 @@
 """Turns a request into a call: route, customer, service, deadline and size in tokens."""
 
+import math
 import random
 from collections.abc import Sequence
 
@@ -41,6 +42,8 @@
 NOT_CURRENT_RETRY_AFTER_S = 0.5
 # Further parts of a prompt are ignored, as callers choose their number.
 MAX_SHARED_PARTS = 8
+# More tokens than any model takes or returns; larger numbers count as not stated.
+MAX_TOKENS = 10_000_000
 # Another daemon accepts the call at once.
 STOPPING_RETRY_AFTER_S = 0.1
 
@@ -232,20 +235,34 @@
 
 
 def _read_deadline(headers: Headers, header_names: HeaderNames) -> float:
+    """Return the seconds that a caller waits; infinite if it does not state them."""
     text = find_header(headers, header_names.deadline_ms)
     try:
-        return max(float(text) / MS_PER_S, 0) if text else float('inf')
+        left_s = float(text) / MS_PER_S
     except ValueError:
-        return float('inf')
+        return math.inf
+    return math.inf if math.isnan(left_s) else max(left_s, 0)
 
 
 def _read_tokens(headers: Headers, header_names: HeaderNames) -> tuple[float | None, float]:
     """Return the prompt tokens (None if not stated) and the highest number of output tokens."""
-    prompt, _, output = find_header(headers, header_names.tokens).partition(b',')
+    stated, _, highest = find_header(headers, header_names.tokens).partition(b',')
+    prompt, output = _read_token_count(stated), _read_token_count(highest or b'0')
+    if prompt is None or output is None:
+        return None, 0
+    return prompt, output
+
+
+def _read_token_count(text: bytes) -> float | None:
+    """Return a number of tokens up to MAX_TOKENS; None if the text is none.
+
+    Others, such as nan, would spoil the quota and the averages into which they are added.
+    """
     try:
-        return float(prompt), float(output or 0)
+        count = float(text)
     except ValueError:
-        return None, 0
+        return None
+    return count if 0 <= count <= MAX_TOKENS else None
 
 
 def _read_shared_parts(headers: Headers, header_names: HeaderNames) -> tuple[bytes, ...]:
@@ -255,7 +272,5 @@
 
 
 def _estimate_output(headers: Headers, header_names: HeaderNames, highest: float) -> float:
-    try:
-        return min(float(find_header(headers, header_names.length_hint)), highest)
-    except ValueError:
-        return highest * ASSUMED_OUTPUT_SHARE
+    count = _read_token_count(find_header(headers, header_names.length_hint))
+    return highest * ASSUMED_OUTPUT_SHARE if count is None else min(count, highest)
