Read numbers in the headers of an answer within bounds

An answer with a Keep-Alive time or a load of thousands of digits ended the daemon that read it, with all its connections (LOST). Cause: int() of a header of any length (ValueError above 4,300 digits, OverflowError for a float). Change: both headers are matched up to six digits; longer numbers count as not stated.

--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -2,6 +2,7 @@
 
 import functools
 import math
+import re
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -69,6 +70,8 @@
 # stream the prompt is known as sound.
 SOUND_ANSWER_PARTS = 2
 RETRY_AFTER = b'retry-after'
+# Running and waiting calls; longer numbers count as not stated.
+LOAD = re.compile(rb'([0-9]{1,6}),([0-9]{1,6})(?:,|$)')
 # Value of a header that serves as a flag.
 FLAG_SET = b'1'
 # While an upstream is silent and no other one is free, a slot is asked for at this interval.
@@ -710,10 +713,8 @@
 
 def _read_load(text: bytes) -> int | None:
     """Return the number of running and waiting calls in a load header; None if it has none."""
-    counts = text.split(b',')
-    if len(counts) < 2 or not (counts[0].isdigit() and counts[1].isdigit()):
-        return None
-    return int(counts[0]) + int(counts[1])
+    found = LOAD.match(text)
+    return None if found is None else int(found.group(1)) + int(found.group(2))
 
 
 def _read_rate(text: bytes) -> float | None:
--- a/camphorpath/relay/upstream.py
+++ b/camphorpath/relay/upstream.py
@@ -30,7 +30,8 @@
 # send them without end.
 MAX_SKIPPED_HEADS = 16
 MAX_SKIPPED_BODY_BYTES = 1024 * 1024
-KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d+)')
+# Longer numbers count as not stated.
+KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=([0-9]{1,6})(?![0-9])')
 
 
 @attrs.define(eq=False)
--- a/tests/relay/test_odd_numbers.py
+++ b/tests/relay/test_odd_numbers.py
@@ -1,4 +1,4 @@
-"""Numbers out of range that callers state in headers."""
+"""Numbers out of range that callers and upstreams state in headers."""
 
 import math
 
@@ -63,6 +63,23 @@
     run(test)
 
 
+@pytest.mark.parametrize('number', [*NUMBERS, b'9' * 5000])
+@pytest.mark.parametrize(
+    'header', [b'Keep-Alive: timeout=%b', b'Load: %b,%b,4', b'Retry-After: %b', b'Rate-Limit: %b']
+)
+def test_odd_number_in_an_answer_ends_no_daemon(header, number):
+    """Guards against one answer of an upstream that ends a daemon with all its connections."""
+
+    async def test():
+        extra = header.replace(b'%b', number) + b'\r\n'
+        async with open_upstream(answer_with(make_answer(extra=extra))) as upstream:
+            async with open_relay(upstream) as (_context, port):
+                status, _head, _body = await ask(port, make_request())
+        assert status == 200
+
+    run(test)
+
+
 @hypothesis.given(st.binary(max_size=12) | st.floats().map(lambda number: str(number).encode()))
 def test_any_stated_number_is_in_range(text):
     """Guards against a number of a caller that is no number, or too large to count with."""
