--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -2,7 +2,6 @@
 
 import functools
 import math
-import re
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -39,6 +38,7 @@
 from .events import EventSplitter
 from .headers import Headers, find_header, select_answer_headers, select_request_headers
 from .stalls import get_stall_timeout
+from .statements import read_backoff, read_load, read_rate
 from .upstream import UpstreamAnswer, UpstreamConnection, get_connect_timeout, read_answer
 
 Answer = TypeVar('Answer')
@@ -50,7 +50,6 @@
 STATUS_MISDIRECTED = 421
 STATUS_SERVER_ERROR = 500
 STATUS_BAD_GATEWAY = 502
-STATUS_UNAVAILABLE = 503
 STATUS_GATEWAY_TIMEOUT = 504
 # Largest answer that is buffered before it is relayed; each call in progress may take as much.
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
@@ -69,9 +68,6 @@
 # A prompt part that crashes upstreams does so when an answer begins: after this many parts of a
 # stream the prompt is known as sound.
 SOUND_ANSWER_PARTS = 2
-RETRY_AFTER = b'retry-after'
-# Running and waiting calls; longer numbers count as not stated.
-LOAD = re.compile(rb'([0-9]{1,6}),([0-9]{1,6})(?:,|$)')
 # Value of a header that serves as a flag.
 FLAG_SET = b'1'
 # While an upstream is silent and no other one is free, a slot is asked for at this interval.
@@ -439,13 +435,13 @@
         header_names = self.context.header_names
         now = read_lease_clock()
         slots = self._find_slots(upstream)
-        load = _read_load(find_header(answer.headers, header_names.load))
+        load = read_load(find_header(answer.headers, header_names.load))
         if load is not None:
             slots.record_load(load, now, LOAD_REPORT_TTL_S)
         if find_header(answer.headers, header_names.leaving) == FLAG_SET:
             self.context.on_leaving(upstream)
         self._apply_rate_limit(slots, answer)
-        backoff_s = _read_backoff(answer)
+        backoff_s = read_backoff(answer.status, answer.headers)
         if backoff_s > 0:
             slots.back_off(now, backoff_s)
             self.context.events.emit(
@@ -459,7 +455,7 @@
         running = slots.running.get(self.call.text_id)
         if running is None:
             return
-        rate, stated_at = _read_rate(text), read_lease_clock()
+        rate, stated_at = read_rate(text), read_lease_clock()
         if rate is None and not text and find_header(answer.headers, header_names.signature):
             rate, stated_at = math.inf, running.sent_at
         if rate is None:
@@ -512,8 +508,8 @@
     async def _read_events(self, answer: UpstreamAnswer) -> bytes:
         """Return the next whole events of a stream, empty at its end.
 
-        Raises Truncated after a stall, once another upstream resumes the stream. the
-        events is not part of the time limit: a slow caller is no reason to leave an upstream.
+        Raises Truncated after a stall, once another upstream resumes the stream. The time limit
+        does not cover sending the events: a slow caller is no reason to leave an upstream.
         """
         read = functools.partial(self._read_whole_events, answer)
         with anyio.move_on_after(self._get_event_timeout()):
@@ -544,9 +540,9 @@
         return True
 
     async def _read_whole_events(self, answer: UpstreamAnswer) -> bytes:
-        """Return the next whole events of a stream, empty at its end.
+        """Return the next whole events of a stream, empty at its end; wait while one is incomplete.
 
-        Waits on while only parts of an event arrive.
+        Raises Truncated, or AnswerTooLarge for an event of more than MAX_EVENT_BYTES.
         """
         while not answer.is_complete:
             events = self.splitter.feed(await answer.read_chunk())
@@ -711,33 +707,6 @@
     return isinstance(error, (SentUnknown, Truncated)) and error.__cause__ is not None
 
 
-def _read_load(text: bytes) -> int | None:
-    """Return the number of running and waiting calls in a load header; None if it has none."""
-    found = LOAD.match(text)
-    return None if found is None else int(found.group(1)) + int(found.group(2))
-
-
-def _read_rate(text: bytes) -> float | None:
-    """Return the requests per second in a rate limit header; None if it has no valid rate."""
-    try:
-        rate = float(text)
-    except ValueError:
-        return None
-    return rate if math.isfinite(rate) and rate >= 0 else None
-
-
-def _read_backoff(answer: UpstreamAnswer) -> float:
-    """Return the seconds for which an upstream asks for no calls; 0 if it does not ask."""
-    if answer.status != STATUS_UNAVAILABLE:
-        return 0
-    try:
-        seconds = float(find_header(answer.headers, RETRY_AFTER) or 0)
-    except ValueError:
-        # Dates are ignored; the deployments send seconds.
-        return 0
-    return seconds if math.isfinite(seconds) else 0
-
-
 def render_refusal(refusal: Refusal) -> tuple[int, Headers, bytes]:
     """Return the HTTP status, headers and body of a refusal."""
     headers: Headers = [(b'content-type', b'text/plain; charset=utf-8')]
--- /dev/null
+++ b/camphorpath/relay/statements.py
@@ -0,0 +1,38 @@
+"""Reads what upstreams state about themselves in the headers of their answers."""
+
+import math
+import re
+
+from .headers import Headers, find_header
+
+STATUS_UNAVAILABLE = 503
+RETRY_AFTER = b'retry-after'
+# Running and waiting calls; longer numbers count as not stated.
+LOAD = re.compile(rb'([0-9]{1,6}),([0-9]{1,6})(?:,|$)')
+
+
+def read_load(text: bytes) -> int | None:
+    """Return the number of running and waiting calls in a load header; None if it has none."""
+    found = LOAD.match(text)
+    return None if found is None else int(found.group(1)) + int(found.group(2))
+
+
+def read_rate(text: bytes) -> float | None:
+    """Return the requests per second in a rate limit header; None if it has no valid rate."""
+    try:
+        rate = float(text)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
+
+
+def read_backoff(status: int, headers: Headers) -> float:
+    """Return the seconds for which an upstream asks for no calls; 0 if it does not ask."""
+    if status != STATUS_UNAVAILABLE:
+        return 0
+    try:
+        seconds = float(find_header(headers, RETRY_AFTER) or 0)
+    except ValueError:
+        # Dates are ignored; the deployments send seconds.
+        return 0
+    return seconds if math.isfinite(seconds) else 0
