Relay the server error of an upstream if the call cannot be repeated

What callers saw: 502 without a word instead of the upstream's own answer, when a repeatable call got 500 and no retry was granted (budget used up, no free slot). Change: it is kept, and relayed if all else ends in a refusal.

--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -98,6 +98,15 @@
     is_complete: bool = False
 
 
+@attrs.frozen
+class FailedAnswer:
+    """The complete answer of an upstream that failed; relayed if no other upstream answers."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
 @attrs.define(eq=False)
 class CallHandler:
     """Serves one call and holds its state meanwhile."""
@@ -114,6 +123,7 @@
     _received_parts: int = 0
     # Whether an answer of the current upstream is being passed on.
     _is_relaying: bool = False
+    _failed_answer: FailedAnswer | None = None
     # The attempt that replaces the current one, whose upstream is silent.
     _replacement: Attempt | None = None
 
@@ -131,6 +141,17 @@
         raise self._refuse_quarantined()
 
     async def _send_until_answered(self) -> str:
+        """Try upstreams one after the other; relay a server error if there is nothing better."""
+        try:
+            return await self._try_upstreams()
+        except Refusal:
+            failed = self._failed_answer
+            if failed is None or self.has_answer_started:
+                raise
+        await self.caller.send_answer(failed.status, failed.headers, failed.body)
+        return FAILED
+
+    async def _try_upstreams(self) -> str:
         failure: UpstreamError | None = None
         while True:
             attempt = self._replacement or await self._wait_for_slot(failure)
@@ -471,14 +492,16 @@
 
     async def _relay_buffered(self, answer: UpstreamAnswer) -> str:
         body = await answer.read_all(MAX_ANSWER_BYTES)
+        headers = select_answer_headers(answer.headers)
         is_failure = answer.status >= STATUS_SERVER_ERROR
         if is_failure and self.call.route.is_repeatable and self._can_send_again():
+            self._failed_answer = FailedAnswer(answer.status, headers, body)
             raise Truncated(f'status {answer.status}', step='receive_head', peer=answer.peer)
         self._is_relaying = True
         if answer.status < STATUS_REDIRECT:
             self._record_sound_parts()
         self._record_first_part()
-        await self.caller.send_answer(answer.status, select_answer_headers(answer.headers), body)
+        await self.caller.send_answer(answer.status, headers, body)
         return FAILED if is_failure else SERVED
 
     async def _relay_stream(self, upstream: Upstream, answer: UpstreamAnswer) -> str:
--- a/tests/relay/test_calls.py
+++ b/tests/relay/test_calls.py
@@ -293,6 +293,28 @@
     run(test)
 
 
+@pytest.mark.parametrize(
+    ('allowance', 'others'), [(0, 1), (100, 0)], ids=['no_retry_budget', 'no_other_upstream']
+)
+def test_server_error_is_relayed_if_the_call_cannot_be_repeated(allowance, others):
+    """Guards against replacing the answer of an upstream when no retry is granted."""
+    failed = make_answer(b'why', b'500 Error')
+
+    async def test():
+        async with contextlib.AsyncExitStack() as stack:
+            replies = [failed, *[make_answer(b'other')] * others]
+            upstreams = [
+                await stack.enter_async_context(open_upstream(answer_with(reply)))
+                for reply in replies
+            ]
+            context, port = await stack.enter_async_context(open_relay(*upstreams))
+            context.budget = RetryBudget(ratio=0, window_s=10, allowance=allowance)
+            status, _head, body = await ask(port, make_request())
+        assert (status, body) == (500, b'why')
+
+    run(test)
+
+
 def test_upstream_that_cannot_be_reached_is_skipped():
     """Guards against failing a call of which no byte was sent."""
 
