Contain an unexpected error in the call, connection or page where it arises

Seen by callers: an unexpected error in one call ended the daemon, and with it all connections and the calls in progress on them.

Cause: the tasks of connections run in the task group of the daemon; only CallerDisconnected, and for pages Refusal and h11 errors, were caught in them.

Change: a call that fails is answered 503 with Retry-After if it certainly did not run, 502 if it may have; it is reset if its answer has begun. Other errors reset their connection only, a page answers 500. Each is logged as internal_error (106) with the places it passed through.

--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -189,7 +189,7 @@
         (f'{settings.host}:{METRICS_PORT}', make_metrics_handler(daemon.relay)),
     )
     for address, handle in handlers:
-        group.start_soon(serve_pages, open_listener(address), handle, group)
+        group.start_soon(serve_pages, open_listener(address), handle, group, daemon.relay.events)
     group.start_soon(serve_calls, daemon.relay, open_listener(settings.callers_address), group)
 
 
--- a/camphorpath/relay/server.py
+++ b/camphorpath/relay/server.py
@@ -9,10 +9,19 @@
 from loguru import logger
 
 from ..errors import CallerDisconnected, Refusal
-from ..events import Event
+from ..events import Event, EventLog
+from ..internal_errors import log_internal_error
 from ..routing import CallerLimits
 from .acceptance import MS_PER_S, Call, accept_current_call, refuse_by_manifest
-from .call import FAILED, SERVED, STATUS_GATEWAY_TIMEOUT, CallHandler, render_refusal
+from .call import (
+    FAILED,
+    SERVED,
+    STATUS_BAD_GATEWAY,
+    STATUS_GATEWAY_TIMEOUT,
+    STATUS_SERVER_ERROR,
+    CallHandler,
+    render_refusal,
+)
 from .caller import (
     STATUS_HEAD_TOO_LARGE,
     STATUS_TOO_LARGE,
@@ -28,6 +37,9 @@
 CUT_OUTCOME = 'cut'
 DEADLINE_REASON = 'deadline_exceeded'
 STOPPING_REASON = 'daemon_stopping'
+FAILURE_REASON = 'internal_error'
+# Another daemon may be in another state and serve the call.
+FAILURE_RETRY_AFTER_S = 0.2
 # A newer manifest may allow larger requests.
 SIZE_LIMIT_STATUSES = frozenset((STATUS_TOO_LARGE, STATUS_HEAD_TOO_LARGE))
 UPSTREAM_OUTCOMES = frozenset((SERVED, FAILED))
@@ -46,6 +58,9 @@
         except CallerDisconnected:
             # No answer is possible; the end of a call in progress was logged.
             return
+        except Exception as error:
+            # An error of one connection must not end those of all callers.
+            log_internal_error(context.events, error)
         finally:
             context.connections.discard(caller)
             connection.close(reset=True)
@@ -57,15 +72,26 @@
     listener: socket.socket,
     answer: Callable[[CallerRequest], Awaitable[PageAnswer]],
     group: anyio.abc.TaskGroup,
+    events: EventLog,
 ) -> None:
     """Serve pages until the listener is closed; the tasks of connections run in `group`."""
 
+    async def answer_or_fail(request: CallerRequest) -> PageAnswer:
+        try:
+            return await answer(request)
+        except Exception as error:
+            log_internal_error(events, error)
+            return STATUS_SERVER_ERROR, [], b''
+
     async def serve(connection: Connection) -> None:
+        caller = CallerConnection(connection, CallerLimits())
         try:
-            await _serve_page_connection(CallerConnection(connection, CallerLimits()), answer)
+            await _serve_page_connection(caller, answer_or_fail)
         except (CallerDisconnected, Refusal, h11.ProtocolError):
             # Pages have no state to clean up after a malformed request.
             return
+        except Exception as error:
+            log_internal_error(events, error)
         finally:
             connection.close(reset=True)
 
@@ -121,7 +147,7 @@
     context: RelayContext, caller: CallerConnection, request: CallerRequest
 ) -> None:
     try:
-        call = await accept_current_call(context, request)
+        call = await _accept(context, request)
     except Refusal as refusal:
         # The route is unknown, or was not looked up.
         attempt_id = dict(request.headers).get(context.header_names.attempt_id, b'')
@@ -144,6 +170,17 @@
     )
 
 
+async def _accept(context: RelayContext, request: CallerRequest) -> Call:
+    """Return the call of a request; raise Refusal if it is not accepted or cannot be read."""
+    try:
+        return await accept_current_call(context, request)
+    except Refusal:
+        raise
+    except Exception as error:
+        log_internal_error(context.events, error)
+        raise _make_failure_refusal(may_have_run=False) from error
+
+
 async def _serve_call(context: RelayContext, caller: CallerConnection, call: Call) -> str:
     """Serve a call and return its outcome; raise CallerDisconnected if its caller has left."""
     handler = CallHandler(context, call, caller)
@@ -159,6 +196,9 @@
                 refusal = error
             except CallerDisconnected:
                 caller_left.set()
+            except Exception as error:
+                log_internal_error(context.events, error, call.text_id)
+                refusal = _make_failure_refusal(may_have_run=call.may_have_run)
             group.cancel_scope.cancel()
     if outcome:
         return outcome
@@ -209,6 +249,14 @@
     return Refusal(reason, 'no slot before the time limit', retry_after_s=0)
 
 
+def _make_failure_refusal(*, may_have_run: bool) -> Refusal:
+    """Return the refusal of a call that failed with an unexpected error."""
+    message = 'unexpected error in this daemon'
+    if may_have_run:
+        return Refusal(FAILURE_REASON, message, status=STATUS_BAD_GATEWAY)
+    return Refusal(FAILURE_REASON, message, retry_after_s=FAILURE_RETRY_AFTER_S)
+
+
 def _elapsed_ms(call: Call) -> int:
     return round((call.deadline - call.arrived_at - call.time_left()) * MS_PER_S)
 
