Close idle connections of callers without reading what crosses the close

Seen by callers: a request that was sent as its idle connection was closed got neither an answer nor a reset that says that it was not read; the log has no line of it. One that may run only once could not be repeated.

Cause: at the idle timeout the relay shut down its sending side, as after an answer, and read and dropped input for up to a second. Input that had arrived before the timeout, but not been seen by the task yet, was dropped as well. The timeout was that of the manifest at the time of the last request.

Change: at the idle timeout the connection is closed at once, unless input is pending, which is served, or the current manifest allows a longer time. The lingering close stays where an answer was sent.

--- a/camphorpath/relay/caller.py
+++ b/camphorpath/relay/caller.py
@@ -75,8 +75,7 @@
         """
         if not self.http.trailing_data[0] and not await self._wait_for_first_byte():
             return None
-        if self.read_limits is not None:
-            self.limits = self.read_limits()
+        self.limits = self._get_current_limits()
         first_byte_at = anyio.current_time()
         try:
             with anyio.fail_after(self.limits.head_timeout_s):
@@ -153,6 +152,8 @@
         The kernel resets a socket that is closed with unread input, and the caller may lose the
         answer.
         """
+        if self.connection.is_closed:
+            return
         if self.http.our_state in {h11.SEND_BODY, h11.SEND_RESPONSE}:
             self.connection.close(reset=True)
             return
@@ -170,18 +171,36 @@
             return b''
 
     async def _wait_for_first_byte(self) -> bool:
-        """Wait for the first byte of a request; return whether one came."""
+        """Wait for the first byte of a request; return whether one came.
+
+        At the idle timeout, closes the connection without reading on: a caller may repeat a request
+        that crosses the close only if it was not read.
+        """
         self.is_idle = True
         try:
-            with anyio.move_on_after(self.limits.idle_timeout_s):
-                chunk = await self.connection.receive()
-                self.http.receive_data(chunk)
-                return bool(chunk)
+            chunk = await self._receive_until_idle_timeout()
         except OSError:
             return False
         finally:
             self.is_idle = False
-        return False
+        if chunk is None:
+            self.connection.close()
+            return False
+        self.http.receive_data(chunk)
+        return bool(chunk)
+
+    async def _receive_until_idle_timeout(self) -> bytes | None:
+        idle_since = anyio.current_time()
+        while True:
+            left_s = idle_since + self.limits.idle_timeout_s - anyio.current_time()
+            if left_s <= 0 and not self.connection.has_input():
+                return None
+            with anyio.move_on_after(max(left_s, 0)):
+                return await self.connection.receive()
+            self.limits = self._get_current_limits()
+
+    def _get_current_limits(self) -> CallerLimits:
+        return self.read_limits() if self.read_limits else self.limits
 
     async def _read_event(self) -> object:
         while True:
