Apply the larger of two size limits if a manifest replaces them during a request

Seen by callers: a final 413 or 431 for a request that the current manifest allows.

Cause: the limits were those at the first byte of the request, while the refusal is made as if the current manifest did not allow it.

Evidence: tests/relay/test_idle_connections.py, body limit raised from 100 to 4000 bytes during a request of 1000: 413 before the change; the lowered limit was right before.

Change: a size is refused only if it exceeds both limits. After it both cases pass.

--- a/camphorpath/relay/caller.py
+++ b/camphorpath/relay/caller.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 connections of callers."""
 
+import operator
 import sys
 from collections.abc import Callable
 
@@ -21,6 +22,9 @@
 # Time that the caller has to read the last answer on a connection and to close it.
 LINGER_TIMEOUT_S = 1.0
 
+get_max_head_bytes = operator.attrgetter('max_head_bytes')
+get_max_body_bytes = operator.attrgetter('max_body_bytes')
+
 
 @attrs.frozen
 class CallerRequest:
@@ -87,7 +91,8 @@
         headers = list(head.headers)
         names = [name for name, _text in headers]
         # h11 limits only a head that arrives in several parts.
-        if sum(len(name) + len(text) for name, text in headers) > self.limits.max_head_bytes:
+        head_bytes = sum(len(name) + len(text) for name, text in headers)
+        if self._exceeds(head_bytes, get_max_head_bytes):
             raise _refuse(
                 f'request head exceeds {self.limits.max_head_bytes} bytes', STATUS_HEAD_TOO_LARGE
             )
@@ -202,6 +207,13 @@
     def _get_current_limits(self) -> CallerLimits:
         return self.read_limits() if self.read_limits else self.limits
 
+    def _exceeds(self, size: int, get_limit: Callable[[CallerLimits], int]) -> bool:
+        """Return whether a size exceeds both the limit at the start of the request and the current.
+
+        A manifest may replace the limits while a request is read.
+        """
+        return size > get_limit(self.limits) and size > get_limit(self._get_current_limits())
+
     async def _read_event(self) -> object:
         while True:
             try:
@@ -210,7 +222,7 @@
                 raise _refuse(str(error), _get_status(error)) from error
             if event is not h11.NEED_DATA:
                 return event
-            if len(self.http.trailing_data[0]) > self.limits.max_head_bytes:
+            if self._exceeds(len(self.http.trailing_data[0]), get_max_head_bytes):
                 raise _refuse(
                     f'request head exceeds {self.limits.max_head_bytes} bytes',
                     STATUS_HEAD_TOO_LARGE,
@@ -227,7 +239,7 @@
 
     async def _read_body(self, headers: Headers) -> bytes:
         stated = find_header(headers, b'content-length')
-        if stated and int(stated) > self.limits.max_body_bytes:
+        if stated and self._exceeds(int(stated), get_max_body_bytes):
             raise _refuse(
                 f'request body exceeds {self.limits.max_body_bytes} bytes', STATUS_TOO_LARGE
             )
@@ -245,7 +257,7 @@
                     'connection closed before the end of the request', step='read_request'
                 )
             body += event.data
-            if len(body) > self.limits.max_body_bytes:
+            if self._exceeds(len(body), get_max_body_bytes):
                 raise _refuse(
                     f'request body exceeds {self.limits.max_body_bytes} bytes', STATUS_TOO_LARGE
                 )
--- a/tests/relay/test_idle_connections.py
+++ b/tests/relay/test_idle_connections.py
@@ -91,3 +91,25 @@
                 writer.close()
 
     run(test)
+
+
+@pytest.mark.parametrize(('before', 'after'), [(100, 4000), (4000, 100)])
+def test_request_that_either_manifest_allows_is_read(before, after):
+    """Guards against 413 for a request during which a manifest changes the largest body."""
+
+    async def test():
+        async with open_upstream(answer_with(make_answer())) as upstream:
+            limits = CallerLimits(max_body_bytes=before)
+            async with open_relay(upstream, limits=limits) as (context, port):
+                reader, writer = await asyncio.open_connection('127.0.0.1', port)
+                request = make_request(body=b'y' * 1000, method=b'POST')
+                writer.write(request[:30])
+                await wait_for(lambda: context.connections)
+                await anyio.sleep(0.05)
+                newer = CallerLimits(max_body_bytes=after)
+                context.apply_routing_table(make_table(make_route('/read/'), limits=newer))
+                writer.write(request[30:])
+                assert (await read_answer(reader))[0] == 200
+                writer.close()
+
+    run(test)
