Accept calls for no longer than 2.5 s of a planned stop

Seen by callers, as the users reported: calls that came late in the time for a stop were accepted and sent, and cut at its end, also ones that may not be repeated.

Cause: calls were accepted for three tenths of the time until the process is killed, i.e. 2.4 s of 8 s, but 9 s of 30 s. What is sent later than 3 s after the begin may not be cut. With less than 2.4 s for a stop, calls were cancelled before its last sixth.

Evidence: tests/edge/test_stop.py. test_call_late_in_a_long_stop fails on the code before (504 at the end of the stop instead of 503 at once, and the upstream had the call). The times of stops of 1 to 300 s were not bounded; those of 8 s were right and stay the same. Found sound, with tests: calls that wait for a manifest meanwhile, further signals, a store that is away, and calls in progress at the end, which get a 504.

Change: the times of a stop come from plan_stop(); calls are accepted for at most 2.5 s and idle connections closed soon after; the margin at the end is at most an eighth.

--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -52,11 +52,15 @@
 # Fraction of the time until it is killed for which a stopping daemon still accepts calls, as
 # callers cache its address for some seconds.
 ACCEPT_FRACTION = 0.3
-# Fraction of the same time after which idle connections of callers are closed.
-CLOSE_IDLE_FRACTION = 0.375
+# Longest such time: only a call that was sent in the first three seconds may be cut at the end.
+MAX_ACCEPT_S = 2.5
+# Time after which idle connections of callers are closed, as a multiple of the time for accepting.
+CLOSE_IDLE_RATIO = 1.25
 # A stopping daemon exits this long before it would be killed. In the first half of this time it
 # answers the calls that are still in progress.
 STOP_MARGIN_S = 0.4
+# Largest such fraction of the time until it is killed: a call may only be cut in its last sixth.
+MAX_STOP_MARGIN_FRACTION = 0.125
 INCARNATION_SUFFIX_BYTES = 4
 
 
@@ -306,18 +310,44 @@
         return ''
 
 
+@attrs.frozen(kw_only=True)
+class StopTimes:
+    """The steps of a planned stop, in seconds after its begin."""
+
+    # New calls are refused.
+    accept_s: float
+    # Idle connections of callers are closed.
+    close_idle_s: float
+    # Calls in progress are cancelled.
+    cancel_s: float
+    # For the answers to them, and to leave the other daemons.
+    margin_s: float
+
+
+def plan_stop(stop_limit_s: float) -> StopTimes:
+    """Return the steps of a stop of a process that is killed after `stop_limit_s` seconds."""
+    accept_s = min(ACCEPT_FRACTION * stop_limit_s, MAX_ACCEPT_S)
+    margin_s = min(STOP_MARGIN_S, MAX_STOP_MARGIN_FRACTION * stop_limit_s)
+    return StopTimes(
+        accept_s=accept_s,
+        close_idle_s=accept_s * CLOSE_IDLE_RATIO,
+        cancel_s=stop_limit_s - margin_s,
+        margin_s=margin_s,
+    )
+
+
 async def _shut_down(daemon: EdgeDaemon) -> None:
     """Accept calls for a while longer, then refuse them and wait for those in progress."""
     relay = daemon.relay
     began_at = read_lease_clock()
     relay.is_stopping = True
-    stop_limit_s = daemon.settings.bounds.stop_limit_s
-    relay.refuse_from = began_at + ACCEPT_FRACTION * stop_limit_s
+    times = plan_stop(daemon.settings.bounds.stop_limit_s)
+    relay.refuse_from = began_at + times.accept_s
     relay.events.emit(Event.DAEMON_STOPPING, in_progress=relay.in_progress)
     daemon.heartbeats.send(daemon.state.make_heartbeat(), daemon.state.members.hosts)
     daemon.state.reassign()
-    with anyio.move_on_after(stop_limit_s - STOP_MARGIN_S):
-        await anyio.sleep(CLOSE_IDLE_FRACTION * stop_limit_s)
+    with anyio.move_on_after(times.cancel_s):
+        await anyio.sleep(times.close_idle_s)
         while True:
             _close_idle_callers(relay)
             await relay.wait_idle()
@@ -325,11 +355,11 @@
                 break
             await anyio.sleep(TIMER_INTERVAL_S)
     relay.cancel_calls()
-    with anyio.move_on_after(STOP_MARGIN_S / 2):
+    with anyio.move_on_after(times.margin_s / 2):
         await relay.wait_idle()
     with contextlib.suppress(TableUnavailable, TableOutcomeUnknown):
         # If the row remains, the others merely send heartbeats to a host that no longer listens.
-        with anyio.move_on_after(STOP_MARGIN_S / 4):
+        with anyio.move_on_after(times.margin_s / 4):
             await daemon.store.write_row(MEMBER_TABLE, daemon.settings.name, None)
 
 
--- /dev/null
+++ b/tests/edge/test_stop.py
@@ -0,0 +1,243 @@
+"""Planned stops of an edge daemon that serves callers on plain sockets."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import socket
+
+import anyio
+import attrs
+import pytest
+
+from camphorpath.clocks import read_lease_clock
+from camphorpath.cluster.members import Members
+from camphorpath.edge import daemon as daemon_module
+from camphorpath.edge.state import DaemonState
+from camphorpath.relay.server import serve_calls
+from camphorpath.relay.sockets import open_listener
+from camphorpath.routing import CallKind
+
+from ..relay.support import (
+    ask,
+    make_answer,
+    make_context,
+    make_request,
+    open_upstream,
+    read_answer,
+    run,
+    stay_unresponsive,
+    wait_for,
+)
+from ..routing.test_table import make_route, make_table
+from .fleet import Datagrams
+from .test_state import BOUNDS, SETTINGS
+
+SHORT_STOP_S = 2.4
+# Fits into a send buffer, but not into the receive buffer of a slow caller.
+LARGE_BODY = b'x' * 100_000
+# A call that is cut at the end of a stop is excused if it was sent until then, and if its upstream
+# was at work in the last part of the stop.
+EXCUSED_SEND_S = 3
+EXCUSED_END_SHARE = 1 / 6
+
+
+@attrs.define
+class Store:
+    """A store that answers writes after a time."""
+
+    delay_s: float = 0
+    removed: list = attrs.field(factory=list)
+
+    async def write_row(self, _table, key, _content):
+        await anyio.sleep(self.delay_s)
+        self.removed.append(key)
+
+
+class LoneState(DaemonState):
+    """The state of the only daemon, which keeps its upstreams while it stops."""
+
+    def reassign(self):
+        """Leave the assignment of the context as it is."""
+
+
+@attrs.define
+class StoppableDaemon:
+    """A daemon that serves callers until its stop has ended."""
+
+    daemon: daemon_module.EdgeDaemon
+    port: int
+    group: anyio.abc.TaskGroup
+    stopped: anyio.Event = attrs.field(factory=anyio.Event)
+
+    @property
+    def relay(self):
+        return self.daemon.relay
+
+    def stop(self):
+        self.group.start_soon(self._stop)
+
+    async def _stop(self):
+        await daemon_module._shut_down(self.daemon)
+        self.stopped.set()
+        # As at the end of the process.
+        self.group.cancel_scope.cancel()
+
+
+@contextlib.asynccontextmanager
+async def open_daemon(*upstreams, stop_limit_s=SHORT_STOP_S, store=None):
+    relay = make_context(upstreams)
+    settings = attrs.evolve(SETTINGS, bounds=attrs.evolve(BOUNDS, stop_limit_s=stop_limit_s))
+    state = LoneState(
+        settings=settings, incarnation='me-1', relay=relay, members=Members(settings.host)
+    )
+    daemon = daemon_module.EdgeDaemon(
+        settings=settings,
+        relay=relay,
+        state=state,
+        follower=None,
+        store=store or Store(),
+        heartbeats=Datagrams(),
+        quarantine=None,
+        peers=None,
+    )
+    listener = open_listener('127.0.0.1:0')
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * len(LARGE_BODY))
+    async with anyio.create_task_group() as outer:
+        ready = anyio.Event()
+        running = []
+
+        async def serve():
+            async with anyio.create_task_group() as group:
+                running.append(StoppableDaemon(daemon, listener.getsockname()[1], group))
+                group.start_soon(serve_calls, relay, listener, group)
+                ready.set()
+                await anyio.sleep_forever()
+
+        outer.start_soon(serve)
+        await ready.wait()
+        yield running[0]
+        outer.cancel_scope.cancel()
+    listener.close()
+
+
+async def answer_all(upstream, reader, writer):
+    while True:
+        head = await upstream.read_request(reader)
+        writer.write(make_answer(LARGE_BODY if b'/read/large' in head else b'ok'))
+        await writer.drain()
+
+
+@pytest.mark.parametrize('stop_limit_s', [1, 2, 3, 8, 10, 30, 60, 300])
+def test_calls_are_accepted_only_while_their_end_is_excused(stop_limit_s):
+    """Guards against accepting a call late in a long stop that cuts it at its end."""
+    times = daemon_module.plan_stop(stop_limit_s)
+    assert times.accept_s < min(EXCUSED_SEND_S, stop_limit_s)
+    assert times.accept_s < times.close_idle_s < times.cancel_s
+    # Not cut while other upstreams have time to end.
+    assert times.cancel_s >= (1 - EXCUSED_END_SHARE) * stop_limit_s
+    assert times.cancel_s + times.margin_s <= stop_limit_s
+
+
+def test_call_late_in_a_long_stop_is_refused_as_not_run(monkeypatch):
+    """Guards against a call that may not be repeated and is cut at the end of a long stop."""
+    monkeypatch.setattr(daemon_module, 'MAX_ACCEPT_S', 0.1, raising=False)
+
+    async def test():
+        async with (
+            open_upstream(stay_unresponsive) as upstream,
+            open_daemon(upstream, stop_limit_s=3) as running,
+        ):
+            reader, writer = await asyncio.open_connection('127.0.0.1', running.port)
+            await wait_for(lambda: running.relay.connections)
+            running.stop()
+            await anyio.sleep(0.11)
+            writer.write(make_request(b'/write/x', method=b'POST', body=b'abc'))
+            status, head, _body = await read_answer(reader)
+            assert status == 503
+            assert b'retry-after: 0.1' in head.lower()
+            assert b'connection: close' in head.lower()
+            assert not upstream.requests
+            writer.close()
+            with anyio.fail_after(1):
+                await running.stopped.wait()
+
+    run(test)
+
+
+def test_call_that_waits_for_a_manifest_is_not_accepted_late():
+    """Guards against a call that is accepted after the last moment as it waited for a manifest."""
+
+    async def test():
+        async with open_upstream(answer_all) as upstream, open_daemon(upstream) as running:
+            relay = running.relay
+            relay.is_current = lambda: False
+            relay.is_stopping = True
+            relay.refuse_from = read_lease_clock() + 0.05
+            async with anyio.create_task_group() as group:
+
+                async def replace_later():
+                    await anyio.sleep(0.1)
+                    relay.apply_routing_table(make_table(make_route('/new/')))
+
+                group.start_soon(replace_later)
+                status, head, body = await ask(running.port, make_request(b'/new/x'))
+            assert (status, body) == (503, b'daemon_stopping\n')
+            assert b'retry-after' in head.lower()
+            assert not upstream.requests
+
+    run(test)
+
+
+def test_unanswered_call_gets_an_answer_at_the_end_of_a_stop():
+    """Guards against calls that the end of a stop cuts with no answer."""
+
+    async def test():
+        async with open_upstream(stay_unresponsive) as upstream, open_daemon(upstream) as running:
+            running.relay.routing_table = make_table(
+                make_route('/write/', kind=CallKind.NON_IDEMPOTENT, timeout_s=60)
+            )
+            async with anyio.create_task_group() as group:
+                answers = []
+
+                async def call():
+                    answers.append(await ask(running.port, make_request(b'/write/x')))
+
+                group.start_soon(call)
+                await wait_for(lambda: upstream.requests)
+                running.stop()
+            assert answers[0][0] == 504
+            await running.stopped.wait()
+
+    run(test)
+
+
+def test_stop_ends_in_time_while_the_store_is_away():
+    """Guards against a stop that waits for the store until the process is killed."""
+
+    async def test():
+        async with open_daemon(stop_limit_s=1, store=Store(delay_s=60)) as running:
+            running.stop()
+            with anyio.fail_after(1):
+                await running.stopped.wait()
+
+    run(test)
+
+
+def test_further_signals_do_not_change_a_stop():
+    """Guards against a second SIGTERM, or a SIGHUP, that ends a stopping daemon."""
+
+    async def test():
+        async with open_daemon() as running:
+            stop = anyio.Event()
+            running.group.start_soon(daemon_module._watch_signals, running.daemon, stop)
+            await anyio.sleep(0.05)
+            os.kill(os.getpid(), signal.SIGTERM)
+            await stop.wait()
+            for number in (signal.SIGTERM, signal.SIGHUP):
+                os.kill(os.getpid(), number)
+                await anyio.sleep(0.05)
+            running.stop()
+            await running.stopped.wait()
+
+    run(test)
