Do not reset connections at the end of a stop while their answers are on the way

Seen by callers: the end of a planned stop reset connections whose answer was complete at the daemon, but still in its send buffer; the log has these calls as complete.

Cause: a call counts as ended when its answer is handed to the kernel. After the last one the daemon cancels its tasks, also those that linger for the caller to read and close, and each connection was closed with a reset, which drops what was not sent yet.

Evidence: tests/edge/test_stop.py, test_answer_on_its_way: a caller with a small receive buffer that reads after the stop; ConnectionResetError on the code before.

Change: a connection is reset only if an answer is not handed over in full; otherwise it is closed in order and the kernel sends the rest. After it the caller gets all bytes.

--- a/camphorpath/relay/caller.py
+++ b/camphorpath/relay/caller.py
@@ -22,6 +22,8 @@
 # Time that the caller has to read the last answer on a connection and to close it.
 LINGER_TIMEOUT_S = 1.0
 
+# States of the sending side of h11 without a request that waits for the rest of its answer.
+ANSWERED_STATES = frozenset((h11.IDLE, h11.DONE, h11.MUST_CLOSE, h11.CLOSED))
 get_max_head_bytes = operator.attrgetter('max_head_bytes')
 get_max_body_bytes = operator.attrgetter('max_body_bytes')
 
@@ -65,6 +67,7 @@
     is_idle: bool = False
     # Returns the current limits when a request begins; None if they never change.
     read_limits: Callable[[], CallerLimits] | None = None
+    _is_sending: bool = False
 
     @http.default
     def _make_http(self) -> h11.Connection:
@@ -142,6 +145,11 @@
         """Whether the head of an answer can still be sent."""
         return self.http.our_state in {h11.IDLE, h11.SEND_RESPONSE}
 
+    @property
+    def is_answer_incomplete(self) -> bool:
+        """Whether a request is not answered, or its answer not handed to the kernel in full."""
+        return self._is_sending or self.http.our_state not in ANSWERED_STATES
+
     def start_next(self) -> bool:
         """Prepare for the next request; return whether the connection can be reused."""
         if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
@@ -159,15 +167,24 @@
         """
         if self.connection.is_closed:
             return
-        if self.http.our_state in {h11.SEND_BODY, h11.SEND_RESPONSE}:
+        if self.is_answer_incomplete:
             self.connection.close(reset=True)
             return
         self.connection.finish_sending()
-        with anyio.move_on_after(LINGER_TIMEOUT_S):
-            unread = await self._discard_input()
-            while unread:
+        try:
+            with anyio.move_on_after(LINGER_TIMEOUT_S):
                 unread = await self._discard_input()
-        self.connection.close()
+                while unread:
+                    unread = await self._discard_input()
+        finally:
+            self.connection.close()
+
+    def close_at_once(self) -> None:
+        """Close the connection; with a reset unless all answers are complete.
+
+        The kernel goes on sending what the caller has not received yet, and a reset would drop it.
+        """
+        self.connection.close(reset=self.is_answer_incomplete)
 
     async def _discard_input(self) -> bytes:
         try:
@@ -268,10 +285,13 @@
         return self.http.send(h11.Response(status_code=status, headers=headers))
 
     async def _send(self, payload: bytes) -> None:
+        # Remains set if an error or a cancellation leaves bytes unsent.
+        self._is_sending = True
         try:
             await self.connection.send_all(payload)
         except OSError as error:
             raise CallerDisconnected(repr(error), step='send_answer') from error
+        self._is_sending = False
 
 
 def _refuse(message: str, status: int) -> Refusal:
--- a/camphorpath/relay/server.py
+++ b/camphorpath/relay/server.py
@@ -63,7 +63,7 @@
             log_internal_error(context.events, error)
         finally:
             context.connections.discard(caller)
-            connection.close(reset=True)
+            caller.close_at_once()
 
     await accept_connections(listener, serve, group, _log_accept_error)
 
@@ -93,7 +93,7 @@
         except Exception as error:
             log_internal_error(events, error)
         finally:
-            connection.close(reset=True)
+            caller.close_at_once()
 
     await accept_connections(listener, serve, group, _log_accept_error)
 
--- a/tests/edge/test_stop.py
+++ b/tests/edge/test_stop.py
@@ -241,3 +241,29 @@
             await running.stopped.wait()
 
     run(test)
+
+
+def test_answer_on_its_way_is_not_cut_at_the_end_of_a_stop():
+    """Guards against a reset of a connection whose answer is still in the send buffer."""
+
+    async def test():
+        async with open_upstream(answer_all) as upstream, open_daemon(upstream) as running:
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.connect(('127.0.0.1', running.port))
+            sock.setblocking(False)
+            running.stop()
+            await wait_for(lambda: running.relay.is_stopping)
+            sock.send(make_request(b'/read/large'))
+            await wait_for(lambda: upstream.requests)
+            # The caller reads slowly, and until after the end of the stop.
+            await running.stopped.wait()
+            received = b''
+            while not received.endswith(LARGE_BODY[-1000:]) or len(received) < len(LARGE_BODY):
+                await anyio.wait_readable(sock)
+                chunk = sock.recv(100_000)
+                assert chunk, 'the answer ended early'
+                received += chunk
+            sock.close()
+
+    run(test)
