Let a stopping daemon wait for requests that are read or have arrived

Seen by callers: in a planned stop, connections were closed with no answer although a request was half read, or had arrived on an idle one, and time for it was left.

Cause: the daemon ended once no call was in progress and no connection idle; one whose request is being read is neither. Idle connections were closed without a look at the socket, where input may wait that their task has not seen.

Change: the daemon ends when no connection is left or the time is over; connections with input pending do not count as idle.

--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -348,24 +348,26 @@
     daemon.state.reassign()
     with anyio.move_on_after(times.cancel_s):
         await anyio.sleep(times.close_idle_s)
-        while True:
-            _close_idle_callers(relay)
-            await relay.wait_idle()
-            if all(not caller.is_idle for caller in relay.connections):
-                break
-            await anyio.sleep(TIMER_INTERVAL_S)
+        await _wait_until_callers_left(relay)
     relay.cancel_calls()
     with anyio.move_on_after(times.margin_s / 2):
-        await relay.wait_idle()
+        await _wait_until_callers_left(relay)
     with contextlib.suppress(TableUnavailable, TableOutcomeUnknown):
         # If the row remains, the others merely send heartbeats to a host that no longer listens.
         with anyio.move_on_after(times.margin_s / 4):
             await daemon.store.write_row(MEMBER_TABLE, daemon.settings.name, None)
 
 
+async def _wait_until_callers_left(relay: RelayContext) -> None:
+    """Return when no connection of a caller is left; close those that are idle."""
+    while relay.connections:
+        _close_idle_callers(relay)
+        await anyio.sleep(TIMER_INTERVAL_S)
+
+
 def _close_idle_callers(relay: RelayContext) -> None:
-    """Close the callers' keep-alive connections that have no request in progress."""
+    """Close the callers' connections that have no request in progress and no input pending."""
     for caller in list(relay.connections):
-        if caller.is_idle:
+        if caller.is_idle and not caller.connection.has_input():
             caller.connection.finish_sending()
             caller.connection.close()
--- a/camphorpath/relay/context.py
+++ b/camphorpath/relay/context.py
@@ -54,7 +54,6 @@
     # Called when more calls are in quarantine.
     _quarantine_watchers: set[Callable[[], None]] = attrs.field(factory=set)
     _checked_pattern_count: int = 0
-    _idle: anyio.Event = attrs.field(factory=anyio.Event)
     _routing_table_replaced: anyio.Event = attrs.field(factory=anyio.Event)
 
     @property
@@ -77,11 +76,8 @@
         self.in_progress += 1
 
     def finish_call(self) -> None:
-        """Count a call as ended and wake `wait_idle` after the last one."""
+        """Count a call as ended."""
         self.in_progress -= 1
-        if not self.in_progress:
-            self._idle.set()
-            self._idle = anyio.Event()
 
     @contextlib.contextmanager
     def limit_call_time(self, seconds: float) -> Iterator[None]:
@@ -115,8 +111,3 @@
         self.is_cancelling = True
         for scope in list(self._scopes):
             scope.cancel()
-
-    async def wait_idle(self) -> None:
-        """Return when no call is in progress."""
-        while self.in_progress:
-            await self._idle.wait()
--- a/tests/edge/test_stop.py
+++ b/tests/edge/test_stop.py
@@ -267,3 +267,38 @@
             sock.close()
 
     run(test)
+
+
+def test_request_that_waits_in_the_socket_of_an_idle_connection_is_answered():
+    """Guards against closing a connection as idle, in a stop, whose next request has arrived."""
+
+    async def test():
+        async with open_upstream(answer_all) as upstream, open_daemon(upstream) as running:
+            reader, writer = await asyncio.open_connection('127.0.0.1', running.port)
+            await wait_for(lambda: [c for c in running.relay.connections if c.is_idle])
+            running.relay.refuse_from = read_lease_clock()
+            os.write(writer.get_extra_info('socket').fileno(), make_request())
+            # Before the task of the connection can run.
+            daemon_module._close_idle_callers(running.relay)
+            assert (await read_answer(reader))[0] == 503
+            writer.close()
+
+    run(test)
+
+
+def test_request_that_is_half_read_is_answered_in_a_stop():
+    """Guards against a daemon that ends while a request is being read."""
+
+    async def test():
+        async with open_upstream(answer_all) as upstream, open_daemon(upstream) as running:
+            reader, writer = await asyncio.open_connection('127.0.0.1', running.port)
+            request = make_request()
+            writer.write(request[:20])
+            await wait_for(lambda: running.relay.connections)
+            running.stop()
+            await anyio.sleep(0.5 * SHORT_STOP_S)
+            writer.write(request[20:])
+            assert (await read_answer(reader))[0] == 503
+            writer.close()
+
+    run(test)
