Announce the close in all answers of a stop, and answer what was read behind them

Seen by callers: answers to calls that had begun before a planned stop kept the connection open, which was closed as idle a moment later, as the next request may cross. A request that was sent behind another one was read and dropped.

Cause: whether an answer says "Connection: close" was decided when its call began, and did not depend on input that had been read ahead.

Evidence: tests/edge/test_stop.py, test_answers_after_the_begin (no such header) and test_request_that_was_read_ahead (IncompleteReadError for the second answer) fail on the code before; a request behind a stream that had begun before the stop was answered before and is.

Change: the stop marks the connections; the header is added when an answer begins, unless the next request has arrived, whose answer then has it.

--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -341,6 +341,8 @@
     relay = daemon.relay
     began_at = read_lease_clock()
     relay.is_stopping = True
+    for caller in relay.connections:
+        caller.is_draining = True
     times = plan_stop(daemon.settings.bounds.stop_limit_s)
     relay.refuse_from = began_at + times.accept_s
     relay.events.emit(Event.DAEMON_STOPPING, in_progress=relay.in_progress)
--- a/camphorpath/relay/caller.py
+++ b/camphorpath/relay/caller.py
@@ -62,8 +62,11 @@
     connection: Connection
     limits: CallerLimits
     http: h11.Connection = attrs.field(init=False)
-    # Set when the daemon stops and after a malformed request.
+    # Set after a malformed request.
     closes_after_answer: bool = False
+    # Set when the daemon stops: the connection is closed after an answer that announces it, unless
+    # the next request has arrived.
+    is_draining: bool = False
     is_idle: bool = False
     # Returns the current limits when a request begins; None if they never change.
     read_limits: Callable[[], CallerLimits] | None = None
@@ -279,8 +282,13 @@
                     f'request body exceeds {self.limits.max_body_bytes} bytes', STATUS_TOO_LARGE
                 )
 
+    def _has_next_input(self) -> bool:
+        return bool(self.http.trailing_data[0]) or self.connection.has_input()
+
     def _render_head(self, status: int, headers: Headers) -> bytes:
-        if self.closes_after_answer:
+        is_last = self.is_draining and not self._has_next_input()
+        # h11 does not reuse the connection after this header.
+        if self.closes_after_answer or is_last:
             headers = [*headers, (b'connection', b'close')]
         return self.http.send(h11.Response(status_code=status, headers=headers))
 
--- a/camphorpath/relay/server.py
+++ b/camphorpath/relay/server.py
@@ -113,11 +113,10 @@
 async def _serve_connection(context: RelayContext, caller: CallerConnection) -> None:
     while True:
         caller.limits = context.limits
-        caller.closes_after_answer = caller.closes_after_answer or context.is_stopping
+        caller.is_draining = context.is_stopping
         request = await _read_request(context, caller)
         if request is None:
             break
-        caller.closes_after_answer = caller.closes_after_answer or context.is_stopping
         context.begin_call()
         try:
             await _serve_request(context, caller, request)
--- a/tests/edge/test_stop.py
+++ b/tests/edge/test_stop.py
@@ -36,6 +36,9 @@
 SHORT_STOP_S = 2.4
 # Fits into a send buffer, but not into the receive buffer of a slow caller.
 LARGE_BODY = b'x' * 100_000
+STREAM_HEAD = b'HTTP/1.1 200 OK\r\nAttempt: 1\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n'
+STREAM_PART = b'11\r\nid: 1\ndata: abc\n\n\r\n'
+STREAM_END = b'0\r\n\r\n'
 # A call that is cut at the end of a stop is excused if it was sent until then, and if its upstream
 # was at work in the last part of the stop.
 EXCUSED_SEND_S = 3
@@ -302,3 +305,75 @@
             writer.close()
 
     run(test)
+
+
+def test_answers_after_the_begin_of_a_stop_announce_the_close():
+    """Guards against callers that reuse a connection which is about to be closed."""
+    may_answer = anyio.Event()
+
+    async def handle(upstream, reader, writer):
+        await upstream.read_request(reader)
+        await may_answer.wait()
+        writer.write(make_answer())
+        await writer.drain()
+
+    async def test():
+        async with open_upstream(handle) as upstream, open_daemon(upstream) as running:
+            reader, writer = await asyncio.open_connection('127.0.0.1', running.port)
+            writer.write(make_request())
+            await wait_for(lambda: upstream.requests)
+            running.stop()
+            await anyio.sleep(0.05)
+            may_answer.set()
+            status, head, _body = await read_answer(reader)
+            assert status == 200
+            assert b'connection: close' in head.lower()
+            writer.close()
+
+    run(test)
+
+
+def test_request_that_was_read_ahead_is_answered_in_a_stop():
+    """Guards against dropping a request that was read behind the last one on a connection."""
+
+    async def test():
+        async with open_upstream(answer_all) as upstream, open_daemon(upstream) as running:
+            reader, writer = await asyncio.open_connection('127.0.0.1', running.port)
+            await wait_for(lambda: running.relay.connections)
+            running.stop()
+            await anyio.sleep(0.01)
+            writer.write(make_request() + make_request())
+            heads = [(await read_answer(reader))[1].lower() for _ in range(2)]
+            assert [b'connection: close' in head for head in heads] == [False, True]
+            assert len(upstream.requests) == 2
+            writer.close()
+
+    run(test)
+
+
+def test_stream_that_began_before_a_stop_is_not_followed_by_a_close():
+    """Guards against dropping the next request on a connection whose close was not announced."""
+    may_end = anyio.Event()
+
+    async def handle(upstream, reader, writer):
+        await upstream.read_request(reader)
+        writer.write(STREAM_HEAD + STREAM_PART)
+        await may_end.wait()
+        writer.write(STREAM_END)
+        await writer.drain()
+
+    async def test():
+        async with open_upstream(handle) as upstream, open_daemon(upstream) as running:
+            reader, writer = await asyncio.open_connection('127.0.0.1', running.port)
+            writer.write(make_request(b'/stream/x'))
+            await reader.readuntil(STREAM_PART)
+            running.stop()
+            await wait_for(lambda: running.relay.is_stopping)
+            running.relay.refuse_from = read_lease_clock()
+            may_end.set()
+            await reader.readuntil(STREAM_END)
+            writer.write(make_request())
+            assert (await read_answer(reader))[0] == 503
+            writer.close()
+
+    run(test)
