Survive a connection that is lost between its accept and its first use

Seen by callers: if setting the options of an accepted socket fails, the daemon ends.

Cause: only accept() itself was guarded; the OSError left the task of the listener.

Change: the socket is closed, the error is logged, and the listener goes on.

--- a/camphorpath/relay/sockets.py
+++ b/camphorpath/relay/sockets.py
@@ -174,12 +174,22 @@
             return
         while True:
             try:
-                sock, _peer = listener.accept()
+                connection = _accept(listener)
             except BlockingIOError:
                 break
             except OSError as error:
                 on_error(error)
-                # Out of file descriptors until other connections close.
+                # For example out of file descriptors until other connections close.
                 await anyio.sleep(ACCEPT_RETRY_DELAY_S)
                 break
-            group.start_soon(serve, Connection(sock))
+            group.start_soon(serve, connection)
+
+
+def _accept(listener: socket.socket) -> Connection:
+    sock, _peer = listener.accept()
+    try:
+        return Connection(sock)
+    except OSError:
+        # Lost since it was accepted.
+        sock.close()
+        raise
--- a/tests/relay/test_sockets.py
+++ b/tests/relay/test_sockets.py
@@ -3,9 +3,15 @@
 import anyio
 import pytest
 
-from camphorpath.relay.sockets import Connection, open_connection, open_listener
+from camphorpath.relay import sockets
+from camphorpath.relay.sockets import (
+    Connection,
+    accept_connections,
+    open_connection,
+    open_listener,
+)
 
-from .support import run
+from .support import run, wait_for
 
 
 def test_close_wakes_a_waiting_receive():
@@ -42,3 +48,44 @@
             await open_connection('127.0.0.1', port, 1)
 
     run(test)
+
+
+def test_connection_that_is_lost_when_it_is_accepted_does_not_end_the_listener(monkeypatch):
+    """Guards against a caller that leaves at once and ends the daemon."""
+    failures = [OSError(22, 'Invalid argument')]
+    errors = []
+    served = []
+
+    class LostConnection(Connection):
+        def __init__(self, sock):
+            if failures:
+                raise failures.pop()
+            super().__init__(sock)
+
+    async def serve(connection):
+        served.append(connection)
+        connection.close()
+
+    async def test():
+        monkeypatch.setattr(sockets, 'Connection', LostConnection)
+        listener = open_listener('127.0.0.1:0')
+        async with anyio.create_task_group() as group:
+            group.start_soon(accept_connections, listener, serve, group, errors.append)
+            for _ in range(2):
+                caller = await open_connection_plain(listener)
+                caller.close()
+            await wait_for(lambda: served)
+            group.cancel_scope.cancel()
+        listener.close()
+
+    run(test)
+    assert len(errors) == 1
+
+
+async def open_connection_plain(listener):
+    """Connect a plain socket to a listener, and wait until it is closed."""
+    sock = socket.socket()
+    sock.connect(listener.getsockname())
+    sock.setblocking(False)
+    await anyio.wait_readable(sock)
+    return sock
