--- a/tests/relay/test_odd_headers.py
+++ b/tests/relay/test_odd_headers.py
@@ -67,3 +67,22 @@
             assert 0 <= context.quota.used[CUSTOMER.name] <= TOKEN_CUSTOMER.burst
 
     run(test)
+
+
+@pytest.mark.parametrize('name', [b'Keep-Alive', b'Retry-After', b'Rate-Limit', b'Leaving'])
+@pytest.mark.parametrize('text', [*NUMBERS, b'timeout=' + b'9' * 5000, b'timeout=-1', b'timeout='])
+def test_odd_header_of_an_answer_does_not_cost_it(name, text):
+    """Guards against a complete answer that is replaced by a failure because of a header."""
+
+    async def answer(upstream, reader, writer):
+        while True:
+            await upstream.read_request(reader)
+            writer.write(make_answer(extra=name + b': ' + text + b'\r\n'))
+            await writer.drain()
+
+    async def test():
+        async with open_upstream(answer) as upstream, open_relay(upstream) as (_context, port):
+            for _ in range(2):
+                assert (await ask(port, make_request()))[0] == 200
+
+    run(test)
