Count a trait of a crash once if its call and a prompt part have the same digest

Seen by callers: nothing so far, as no daemon announces such a crash; one that did would end all the others, as what handles a heartbeat may not raise.

Cause: the crash was removed from the index twice, which raised KeyError.

Change: a digest that is both counts as one trait.

--- a/camphorpath/placement/crashes.py
+++ b/camphorpath/placement/crashes.py
@@ -31,8 +31,8 @@
 
     @property
     def traits(self) -> tuple[bytes, ...]:
-        """The digests of the call and of its prompt parts."""
-        return (self.digest, *self.parts)
+        """The digests of the call and of its prompt parts, each once."""
+        return (self.digest, *(self.parts - {self.digest}))
 
 
 @attrs.frozen
