Send no body with the refusal of a HEAD request

Seen by callers: one HEAD request that was refused (unknown route or key, or in a stop) ended the daemon and all its connections; since errors are contained, its own only.

Cause: h11 raises LocalProtocolError for the body of an answer to HEAD, and nothing caught it in the task of the connection.

Found by drawing valid and nearly valid requests of 7 methods, 7 targets, 14 sets of headers and 3 bodies in both versions of HTTP/1 (test_odd_requests_cause_no_unexpected_error), which now cause no internal error.

Change: an answer to HEAD has its length, but no body.

--- a/camphorpath/relay/caller.py
+++ b/camphorpath/relay/caller.py
@@ -71,6 +71,8 @@
     # Returns the current limits when a request begins; None if they never change.
     read_limits: Callable[[], CallerLimits] | None = None
     _is_sending: bool = False
+    # Whether the answer to the current request has no body.
+    _is_head_request: bool = False
 
     @http.default
     def _make_http(self) -> h11.Connection:
@@ -83,6 +85,7 @@
         Raises Refusal for a malformed, too large or too slow request, CallerDisconnected if the
         connection is lost before its end.
         """
+        self._is_head_request = False
         if not self.http.trailing_data[0] and not await self._wait_for_first_byte():
             return None
         self.limits = self._get_current_limits()
@@ -94,6 +97,7 @@
             raise _refuse('request head timed out', STATUS_TIMEOUT) from None
         if isinstance(head, h11.ConnectionClosed):
             return None
+        self._is_head_request = head.method == b'HEAD'
         headers = list(head.headers)
         names = [name for name, _text in headers]
         # h11 limits only a head that arrives in several parts.
@@ -126,7 +130,8 @@
         """Send a complete answer; raise CallerDisconnected."""
         framed = [*headers, (b'content-length', str(len(body)).encode())]
         payload = self._render_head(status, framed)
-        payload += self.http.send(h11.Data(data=body)) or b''
+        if not self._is_head_request:
+            payload += self.http.send(h11.Data(data=body)) or b''
         payload += self.http.send(h11.EndOfMessage()) or b''
         await self._send(payload)
 
--- a/tests/relay/test_odd_headers.py
+++ b/tests/relay/test_odd_headers.py
@@ -1,8 +1,13 @@
 """Requests that are valid HTTP with unusual values of the headers that the relay reads."""
 
+import asyncio
+import contextlib
+
+import anyio
 import pytest
 
 from camphorpath.routing import Customer
+from camphorpath.schema import camphorpath_pb2 as pb
 
 from .support import CUSTOMER, ask, make_answer, make_request, open_relay, open_upstream, run
 
@@ -22,6 +27,27 @@
     b'-5,-5',
     b'1,2,3',
 )
+# Long enough for an answer of a relay and an upstream in this process.
+READ_TIMEOUT_S = 0.05
+METHODS = (b'GET', b'HEAD', b'POST', b'CONNECT', b'OPTIONS', b'PRI', b'get')
+TARGETS = (b'/read/x', b'/stream/x', b'*', b'http://h/read/x', b'//', b'/read/%00%ff?%', b'h:80')
+HEADERS = (
+    b'',
+    b'Host: h:x:y\r\n',
+    b'Attempt: \xff\xfe\r\n',
+    b'Attempt: \r\nKey: \xff\r\n',
+    b'Connection: upgrade\r\nUpgrade: websocket\r\n',
+    b'Connection: close, attempt, host, ,\xff\r\n',
+    b'Expect: 100-continue\r\nContent-Length: 3\r\n',
+    b'Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n',
+    b'Transfer-Encoding: chunked\r\n',
+    b'Content-Length: 3\r\nContent-Length: 3\r\n',
+    b'Content-Length: 3, 4\r\n',
+    b'Content-Length: ' + b'9' * 5000 + b'\r\n',
+    b'Transfer-Encoding: gzip, chunked\r\n',
+    b'Last-Event-Id: \xff\r\nLast-Event-Id: 2\r\n',
+)
+BODIES = (b'abc', b'3\r\nabc\r\n0\r\nTrailer: \xff\r\n\r\n', b'')
 TOKEN_CUSTOMER = Customer(
     name='acme', priority=0, rate=100, burst=100, counts_tokens=True, default_units=1
 )
@@ -86,3 +112,55 @@
                 assert (await ask(port, make_request()))[0] == 200
 
     run(test)
+
+
+@pytest.mark.parametrize('method', METHODS)
+@pytest.mark.parametrize('version', [b'1.0', b'1.1'])
+def test_odd_requests_cause_no_unexpected_error(method, version):
+    """Guards against requests that are rarely sent and that the relay fails to handle."""
+
+    async def test():
+        async with open_upstream(answer_all) as upstream, open_relay(upstream) as (context, port):
+            async with anyio.create_task_group() as group:
+                for target in TARGETS:
+                    for headers in HEADERS:
+                        for body in BODIES:
+                            head = b'%b %b HTTP/%b\r\n' % (method, target, version)
+                            host = b'' if b'Host' in headers else b'Host: h\r\n'
+                            request = head + host + headers + b'\r\n' + body
+                            group.start_soon(send_and_leave, port, request)
+            assert (await ask(port, make_request()))[0] in {200, 503}
+            records = context.events.select(pb.TimelineRequest())
+            errors = [dict(record.fields) for record in records if record.name == 'internal_error']
+            assert not errors
+
+    run(test)
+
+
+@pytest.mark.parametrize('path', [b'/nowhere/x', b'/keyed/x', b'/read/x'])
+def test_refused_head_request_ends_no_other_call(path):
+    """Guards against a daemon that ends as it sends the body of a refusal to a HEAD request."""
+
+    async def test():
+        async with open_upstream(answer_all) as upstream, open_relay(upstream) as (context, port):
+            context.refuse_from = 0 if path == b'/read/x' else None
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(make_request(path, method=b'HEAD'))
+            head = await reader.readuntil(b'\r\n\r\n')
+            assert int(head.split()[1]) in {401, 404, 503}
+            context.refuse_from = None
+            # The next answer on the connection begins where that of the HEAD request ends.
+            writer.write(make_request())
+            assert (await reader.readuntil(b'\r\n\r\n')).startswith(b'HTTP/1.1 200 ')
+            writer.close()
+
+    run(test)
+
+
+async def send_and_leave(port, request):
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    with contextlib.suppress(ConnectionError):
+        writer.write(request)
+        with anyio.move_on_after(READ_TIMEOUT_S):
+            await reader.read()
+    writer.close()
