Reject a rate limit and a traffic split that no call can be served with

What callers saw: an answer with the rate limit 1.7e308 made the daemon compute nan, and the next call of the service failed with ValueError; a manifest with an empty traffic_split was accepted and each call of the route failed with IndexError. Cause: numbers that are finite by themselves, lists that must not be empty. Evidence: test_huge_rate_limit_in_an_answer_ends_no_daemon and test_empty_traffic_split_is_rejected failed before.

--- a/camphorpath/platform/manifest.py
+++ b/camphorpath/platform/manifest.py
@@ -48,10 +48,13 @@
 
 def _decode_targets(fields: Fields) -> tuple[tuple[str, float], ...]:
     if fields.has('traffic_split'):
-        return tuple(
+        targets = tuple(
             (entry.text('service'), entry.number('weight'))
             for entry in fields.objects('traffic_split')
         )
+        if not targets:
+            raise PlatformError('traffic_split of a route is empty', step='decode')
+        return targets
     return ((fields.text('service'), 1.0),)
 
 
--- a/camphorpath/relay/statements.py
+++ b/camphorpath/relay/statements.py
@@ -7,6 +7,8 @@
 
 STATUS_UNAVAILABLE = 503
 RETRY_AFTER = b'retry-after'
+# Higher rates count as not stated; sums of them must stay finite.
+MAX_RATE_PER_S = 1e6
 # Running and waiting calls; longer numbers count as not stated.
 LOAD = re.compile(rb'([0-9]{1,6}),([0-9]{1,6})(?:,|$)')
 
@@ -23,7 +25,7 @@
         rate = float(text)
     except ValueError:
         return None
-    return rate if math.isfinite(rate) and rate >= 0 else None
+    return rate if 0 <= rate <= MAX_RATE_PER_S else None
 
 
 def read_backoff(status: int, headers: Headers) -> float:
--- a/tests/platform/test_manifest.py
+++ b/tests/platform/test_manifest.py
@@ -51,6 +51,13 @@
     assert decode(routes=[route]).find_route('shop.example', '/a/b').max_event_gap_s == max_gap_s
 
 
+def test_empty_traffic_split_is_rejected():
+    """Guards against a route without a target, on which the first call fails."""
+    route = {**ROUTE, 'service': None, 'traffic_split': []}
+    with pytest.raises(PlatformError, match='traffic_split'):
+        decode(routes=[route])
+
+
 def test_traffic_split_replaces_the_service():
     """Guards against calls that all go to one service of a traffic split."""
     split = [{'service': 'old', 'weight': 90}, {'service': 'new', 'weight': 10}]
--- a/tests/relay/test_odd_numbers.py
+++ b/tests/relay/test_odd_numbers.py
@@ -2,6 +2,7 @@
 
 import math
 
+import anyio
 import attrs
 import hypothesis
 import hypothesis.strategies as st
@@ -80,6 +81,21 @@
     run(test)
 
 
+def test_huge_rate_limit_in_an_answer_ends_no_daemon():
+    """Guards against the sum of finite rates that is infinite."""
+
+    async def test():
+        replies = [make_answer(extra=b'Rate-Limit: 1.7e308\r\n') for _ in range(2)]
+        async with open_upstream(answer_with(*replies)) as upstream:
+            async with open_relay(upstream) as (_context, port):
+                await ask(port, make_request())
+                await anyio.sleep(1.2)
+                status, _head, _body = await ask(port, make_request())
+        assert status == 200
+
+    run(test)
+
+
 @hypothesis.given(st.binary(max_size=12) | st.floats().map(lambda number: str(number).encode()))
 def test_any_stated_number_is_in_range(text):
     """Guards against a number of a caller that is no number, or too large to count with."""
