Keep a silent upstream until another one has begun to answer

The quarantine is checked right before the send, and the stream stays; - an event id that fits no header left the replacement without a request, and the stream hung until its deadline: such a stream is not resumed; - the budget was looked at when the read began, and charged for upstreams that could not be reached: it is looked at when the upstream is silent and charged with the send; - a replacement that was not used stayed excluded; a crash of the replacement was counted as if its answer had begun; a stream without its first event held its slot; - asking for a replacement counted as an arrival and a refused call, four times a second. Beside it: a slow caller held the slot of an upstream that had finished, and its time counted as the upstream's. Remains: if the other upstream says nothing for 0.2 s, the silent one neither, and the other one refuses then, the stream is cut.

--- a/camphorpath/placement/records.py
+++ b/camphorpath/placement/records.py
@@ -74,3 +74,6 @@
     max_event_gap_s: float = math.inf
     # Ids of upstreams to which the call was sent before.
     excluded: set[str] = attrs.field(factory=set)
+    # The call runs at a silent upstream and asks for another one, again and again: it does not
+    # count as an arrival or a refused call.
+    is_replacement: bool = False
--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -54,6 +54,11 @@
     # Its factor is the median of the upstreams' factors.
     median_speed: Speed = attrs.field(factory=Speed)
 
+    def record_refusal(self, call: WaitingCall, now: float) -> None:
+        """Record that a call was refused, unless it only asked for a replacement."""
+        if not call.is_replacement:
+            self.refusal_times.append(now)
+
     def count_refused(self, now: float) -> int:
         """Return how many calls were refused within the last RATE_WINDOW_S seconds."""
         return sum(1 for refused_at in self.refusal_times if refused_at > now - RATE_WINDOW_S)
@@ -204,8 +209,9 @@
     def submit(self, call: WaitingCall, now: float) -> None:
         """Place a call at an upstream, queue it, or refuse it."""
         service = self._services.setdefault(call.service, _ServiceState())
-        service.last_arrival_at[call.rank[1]] = now
-        service.queue.record_arrival(call)
+        if not call.is_replacement:
+            service.last_arrival_at[call.rank[1]] = now
+            service.queue.record_arrival(call)
         call.latest_start_at = call.objective_at - service.median_speed.estimate_first_byte(
             call.prompt_tokens
         )
@@ -230,7 +236,7 @@
         wait_s = self._estimate_wait(service, call, now)
         if now + wait_s > call.wait_until:
             service.queue.remove(call)
-            service.refusal_times.append(now)
+            service.record_refusal(call, now)
             call.on_decision(make_refusal('queue_full', wait_s, call, now, waiting))
 
     def withdraw(self, call: WaitingCall) -> None:
@@ -296,7 +302,7 @@
                 if now < call.wait_until:
                     continue
                 service.queue.remove(call)
-                service.refusal_times.append(now)
+                service.record_refusal(call, now)
                 wait_s = self._estimate_wait(service, call, now)
                 waiting = len(service.queue.calls)
                 call.on_decision(make_refusal('waited_too_long', wait_s, call, now, waiting))
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -2,6 +2,7 @@
 
 import functools
 import math
+import re
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -70,6 +71,8 @@
 SOUND_ANSWER_PARTS = 2
 # Value of a header that serves as a flag.
 FLAG_SET = b'1'
+# Ids of events that a header can carry; after another one, a stream cannot be resumed.
+RESUMABLE_ID = re.compile(rb'[!-~](?:[ -~]*[!-~])?')
 # While an upstream is silent and no other one is free, a slot is asked for at this interval.
 REPLACEMENT_INTERVAL_S = 0.25
 # Longest time for which a stream is kept open at a silent upstream after it was sent to another
@@ -89,13 +92,20 @@
 
     upstream: Upstream
     waiting: WaitingCall
-    # None before the call is sent.
     conn: UpstreamConnection | None = None
+    is_sent: bool = False
     # Whether the call may have run before this attempt.
     ran_before: bool = False
     # None before the head of the answer is read.
     answer: UpstreamAnswer | None = None
+    # Parts of a streamed answer that arrived, each of whole events.
+    received_parts: int = 0
     is_complete: bool = False
+    is_ended: bool = False
+
+    def has_unread_bytes(self) -> bool:
+        """Return whether the upstream has sent bytes that were not read."""
+        return self.conn is not None and self.conn.connection.has_unread_bytes()
 
 
 @attrs.frozen
@@ -118,9 +128,10 @@
     tried_upstreams: set[str] = attrs.field(factory=set)
     has_answer_started: bool = False
     unsent_attempts: int = 0
+    # When the last part of the answer had been passed on.
     _last_part_at: float = 0
-    # Parts of a streamed answer that arrived from the current upstream, each of whole events.
-    _received_parts: int = 0
+    # Seconds for which sending a stream waited for the caller.
+    _sending_s: float = 0
     # Whether an answer of the current upstream is being passed on.
     _is_relaying: bool = False
     _failed_answer: FailedAnswer | None = None
@@ -156,15 +167,13 @@
         while True:
             attempt = self._replacement or await self._wait_for_slot(failure)
             self._replacement = None
-            self._received_parts = 0
             self._is_relaying = False
             try:
-                check_quarantine(self.context, self.call, read_lease_clock())
                 return await self._run(attempt)
             except UpstreamError as error:
                 failure = error
-                self._record_failure(attempt.upstream, error)
-                # The retry of a replacement was charged when it got its slot.
+                self._record_failure(attempt, error)
+                # A replacement was charged when it was sent.
                 if self._replacement is None and not self._may_retry(error):
                     raise self._make_final_refusal(error) from error
             finally:
@@ -184,7 +193,9 @@
         )
         raise Refusal(granted.reason, message, retry_after_s=granted.retry_after_s)
 
-    async def _request_slot(self, *, is_retry: bool) -> Attempt | Refused:
+    async def _request_slot(
+        self, *, is_retry: bool, is_replacement: bool = False
+    ) -> Attempt | Refused:
         """Return an attempt with a slot, or why the scheduler grants none."""
         decisions: list[Decision] = []
         decided = anyio.Event()
@@ -193,14 +204,14 @@
             decisions.append(decision)
             decided.set()
 
-        waiting = self._make_waiting_call(decide, is_retry=is_retry)
+        waiting = self._make_waiting_call(decide, is_retry=is_retry, is_replacement=is_replacement)
         self.context.scheduler.submit(waiting, read_lease_clock())
         try:
             await decided.wait()
         except BaseException:
             self.context.scheduler.withdraw(waiting)
             if decisions and isinstance(decisions[0], Placed):
-                self._end_attempt(Attempt(decisions[0].upstream, waiting))
+                self._return_unused(Attempt(decisions[0].upstream, waiting))
             raise
         decision = decisions[0]
         if isinstance(decision, Placed):
@@ -208,18 +219,18 @@
         return decision
 
     async def _acquire_replacement(self, scope: anyio.CancelScope) -> None:
-        """Get a slot at another upstream and a retry from the budget, and cancel `scope` then.
+        """Get a slot at another upstream and cancel `scope` then.
 
         Asks again at intervals while there is none.
         """
         while True:
-            granted = await self._request_slot(is_retry=True) if self._may_replace() else None
+            granted = None
+            if self._may_replace():
+                granted = await self._request_slot(is_retry=True, is_replacement=True)
             if isinstance(granted, Attempt):
                 self._replacement = granted
-                if self._charge_retry():
-                    scope.cancel()
-                    return
-                self._return_replacement()
+                scope.cancel()
+                return
             await anyio.sleep(REPLACEMENT_INTERVAL_S)
 
     def _may_replace(self) -> bool:
@@ -232,17 +243,20 @@
         digest = get_call_digest(self.context.header_names, self.call)
         return not quarantine.is_quarantined(digest, self.call.part_digests)
 
-    def _return_replacement(self) -> None:
-        """End a replacement that was not used; its upstream may be chosen again."""
-        if self._replacement is not None:
-            self.tried_upstreams.discard(self._replacement.upstream.upstream_id)
-            self._discard_replacement()
+    def _return_unused(self, attempt: Attempt) -> None:
+        """End an attempt that was not sent; its upstream may be chosen again."""
+        self.tried_upstreams.discard(attempt.upstream.upstream_id)
+        self._end_attempt(attempt)
 
     def _discard_replacement(self) -> None:
         replacement = self._replacement
-        if replacement is not None:
-            self._replacement = None
+        if replacement is None:
+            return
+        self._replacement = None
+        if replacement.is_sent:
             self._end_attempt(replacement)
+        else:
+            self._return_unused(replacement)
 
     async def _read_or_replace(self, read: Callable[[], Awaitable[Answer]]) -> Answer | None:
         """Return what `read` returns, or None once the attempt has a replacement.
@@ -263,7 +277,7 @@
         if failure is not None:
             raise failure
         if found is not None:
-            self._return_replacement()
+            self._discard_replacement()
         return found
 
     def _cancel_if_quarantined(self, scope: anyio.CancelScope) -> None:
@@ -282,7 +296,7 @@
         return Refusal(CRASHES_UPSTREAMS, message)
 
     def _make_waiting_call(
-        self, decide: Callable[[Decision], None], *, is_retry: bool
+        self, decide: Callable[[Decision], None], *, is_retry: bool, is_replacement: bool
     ) -> WaitingCall:
         call = self.call
         wait_until = call.wait_until()
@@ -302,14 +316,17 @@
             max_event_gap_s=call.route.max_event_gap_s,
             on_decision=decide,
             excluded=self.tried_upstreams,
+            is_replacement=is_replacement,
         )
 
     async def _run(self, attempt: Attempt) -> str:
         """Send the call, unless that was done, and relay the answer; return the outcome."""
         upstream = attempt.upstream
         try:
-            if attempt.conn is None:
-                await self._send(attempt)
+            if not attempt.is_sent:
+                check_quarantine(self.context, self.call, read_lease_clock())
+                await self._connect(attempt)
+                self._send(attempt)
             if attempt.answer is None:
                 self._accept_head(attempt, await self._read_head(attempt))
             outcome = await self._relay(attempt)
@@ -334,15 +351,19 @@
             context.quarantine.record_success(digest, read_lease_clock())
         return outcome
 
-    async def _send(self, attempt: Attempt) -> None:
+    async def _connect(self, attempt: Attempt) -> None:
         route = self.call.route
-        upstream = attempt.upstream
         attempt.conn = await self.context.pool.acquire(
-            upstream, is_recent=not route.is_repeatable, connect_s=get_connect_timeout(route)
+            attempt.upstream,
+            is_recent=not route.is_repeatable,
+            connect_s=get_connect_timeout(route),
         )
+
+    def _send(self, attempt: Attempt) -> None:
         attempt.ran_before = self.call.may_have_run
-        attempt.conn.send(self._build_request(upstream), self.call.request.body)
-        self._record_send(upstream)
+        attempt.conn.send(self._build_request(attempt.upstream), self.call.request.body)
+        attempt.is_sent = True
+        self._record_send(attempt.upstream)
 
     def _accept_head(self, attempt: Attempt, answer: UpstreamAnswer) -> None:
         """Apply the head of an answer; raise UpstreamError if it cannot be relayed."""
@@ -361,11 +382,14 @@
     async def _relay(self, attempt: Attempt) -> str:
         answer = attempt.answer
         if self.call.route.kind is CallKind.STREAM and answer.status == STATUS_OK:
-            return await self._relay_stream(attempt.upstream, answer)
-        return await self._relay_buffered(answer)
+            return await self._relay_stream(attempt)
+        return await self._relay_buffered(attempt)
 
     def _end_attempt(self, attempt: Attempt) -> None:
-        """Free the slot of an attempt and keep or close its connection."""
+        """Free the slot of an attempt and keep or close its connection, unless that was done."""
+        if attempt.is_ended:
+            return
+        attempt.is_ended = True
         context = self.context
         if attempt.conn is not None:
             context.pool.release(attempt.conn, is_complete=attempt.is_complete)
@@ -413,7 +437,7 @@
         """Return the head of the answer.
 
         Raises HeadTimeout if it is late: the call can still be refused, so it gives up its slot. If
-        it resumes a stream, it keeps the slot until there is a replacement.
+        it resumes a stream, it keeps the slot until another upstream resumes it.
         """
         call = self.call
         upstream = attempt.upstream
@@ -424,10 +448,9 @@
             limit_s = max(running.first_byte_timeout_at - read_lease_clock(), 0)
         with anyio.move_on_after(limit_s):
             return await read()
-        answer = await self._read_or_replace(read) if self.has_answer_started else None
-        if answer is None:
-            raise HeadTimeout('no byte of an answer', step='receive_head', peer=upstream.address)
-        return answer
+        if self.has_answer_started:
+            return await self._read_or_resume(attempt, read)
+        raise HeadTimeout('no byte of an answer', step='receive_head', peer=upstream.address)
 
     async def _read_answer(self, attempt: Attempt) -> UpstreamAnswer:
         return await read_answer(
@@ -490,7 +513,8 @@
                 source='answer',
             )
 
-    async def _relay_buffered(self, answer: UpstreamAnswer) -> str:
+    async def _relay_buffered(self, attempt: Attempt) -> str:
+        answer = attempt.answer
         body = await answer.read_all(MAX_ANSWER_BYTES)
         headers = select_answer_headers(answer.headers)
         is_failure = answer.status >= STATUS_SERVER_ERROR
@@ -501,63 +525,87 @@
         if answer.status < STATUS_REDIRECT:
             self._record_sound_parts()
         self._record_first_part()
+        # The caller may take long to read the answer.
+        attempt.is_complete = True
+        self._end_attempt(attempt)
         await self.caller.send_answer(answer.status, headers, body)
         return FAILED if is_failure else SERVED
 
-    async def _relay_stream(self, upstream: Upstream, answer: UpstreamAnswer) -> str:
-        started_at = read_lease_clock()
+    async def _relay_stream(self, attempt: Attempt) -> str:
+        answer = attempt.answer
+        started_at, sending_before_s = read_lease_clock(), self._sending_s
         splitter = self.splitter
         splitter.pop_partial()
         before = splitter.event_count
         while not answer.is_complete:
-            events = await self._read_events(answer)
+            events = await self._read_events(attempt)
             if events:
-                self._count_received_part()
+                self._count_received_part(attempt)
                 await self._send_part(answer, events)
-        self._check_stream_end(answer)
+        self._check_stream_end(attempt)
         self._is_relaying = True
         self._record_sound_parts()
+        read_s = read_lease_clock() - started_at - (self._sending_s - sending_before_s)
         if not self.has_answer_started:
             # Neither events nor marked as such: an answer of another kind.
             await self._send_part(answer, splitter.pop_partial())
         await self.caller.end_stream()
-        slots = self.context.scheduler.slots.get(upstream.upstream_id)
+        slots = self.context.scheduler.slots.get(attempt.upstream.upstream_id)
         event_count = splitter.event_count - before
         if slots is not None and event_count:
-            tokens = event_count * TOKENS_PER_EVENT
-            slots.speed.record_answer(read_lease_clock() - started_at, tokens)
+            slots.speed.record_answer(read_s, event_count * TOKENS_PER_EVENT)
         return SERVED
 
-    async def _read_events(self, answer: UpstreamAnswer) -> bytes:
+    async def _read_events(self, attempt: Attempt) -> bytes:
         """Return the next whole events of a stream, empty at its end.
 
-        Raises Truncated after a stall, once another upstream resumes the stream. The time limit
-        does not cover sending the events: a slow caller is no reason to leave an upstream.
+        Raises Truncated after a stall, once another upstream resumes the stream or if the answer to
+        the caller has not begun. The time limit does not cover sending the events: a slow caller is
+        no reason to leave an upstream.
         """
-        read = functools.partial(self._read_whole_events, answer)
+        read = functools.partial(self._read_whole_events, attempt.answer)
         with anyio.move_on_after(self._get_event_timeout()):
             return await read()
+        if self.has_answer_started:
+            return await self._read_or_resume(attempt, read)
+        if self._can_retry_elsewhere():
+            raise _make_stall(attempt)
+        return await read()
+
+    async def _read_or_resume(
+        self, attempt: Attempt, read: Callable[[], Awaitable[Answer]]
+    ) -> Answer:
+        """Return what `read` returns; raise Truncated once another upstream resumes the stream."""
         while True:
-            events = await self._read_or_replace(read)
-            if events is not None:
-                return events
-            if await self._resume_elsewhere():
-                message = 'no event within the stall timeout'
-                raise Truncated(message, step='receive_body', peer=answer.peer)
+            found = await self._read_or_replace(read)
+            if found is not None:
+                return found
+            if await self._resume_elsewhere(attempt):
+                raise _make_stall(attempt)
 
-    async def _resume_elsewhere(self) -> bool:
-        """Send a stream to the upstream of the replacement; return whether that takes it.
+    async def _resume_elsewhere(self, silent: Attempt) -> bool:
+        """Send a stream to the upstream of the replacement; return whether to go on there.
 
-        The connection to the silent upstream stays open meanwhile, as the other one may be full.
+        The connection to the silent upstream stays open meanwhile, as the other one may be full. If
+        the silent one goes on before the other one has begun to answer, it is kept.
         """
         replacement = self._replacement
         try:
-            await self._send(replacement)
+            await self._connect(replacement)
+            if silent.has_unread_bytes() or not self._may_replace() or not self._charge_retry():
+                self._discard_replacement()
+                return False
+            self._send(replacement)
             with anyio.move_on_after(MAX_OVERLAP_S):
                 self._accept_head(replacement, await self._read_answer(replacement))
         except UpstreamError as error:
             self.unsent_attempts += isinstance(error, NotSent)
-            self._record_failure(replacement.upstream, error)
+            self._record_failure(replacement, error)
+            self._discard_replacement()
+            # Not again for this call, also if it could not be connected to.
+            self.tried_upstreams.add(replacement.upstream.upstream_id)
+            return False
+        if replacement.answer is None and silent.has_unread_bytes():
             self._discard_replacement()
             return False
         return True
@@ -576,9 +624,10 @@
                 raise AnswerTooLarge(message, step='receive_body', peer=answer.peer)
         return b''
 
-    def _check_stream_end(self, answer: UpstreamAnswer) -> None:
+    def _check_stream_end(self, attempt: Attempt) -> None:
         """Raise EndedEarly if a stream that has ended cannot be complete."""
-        has_events = self._received_parts > 0
+        answer = attempt.answer
+        has_events = attempt.received_parts > 0
         if self.splitter.partial.strip():
             is_broken = has_events or answer.is_event_stream or not answer.has_length
         else:
@@ -587,28 +636,29 @@
             message = 'the stream ended inside an event or before the first one'
             raise EndedEarly(message, step='receive_body', peer=answer.peer)
 
-    def _count_received_part(self) -> None:
+    def _count_received_part(self, attempt: Attempt) -> None:
         self._is_relaying = True
-        self._received_parts += 1
-        if self._received_parts == SOUND_ANSWER_PARTS:
+        attempt.received_parts += 1
+        if attempt.received_parts == SOUND_ANSWER_PARTS:
             self._record_sound_parts()
 
     def _record_sound_parts(self) -> None:
         self.context.quarantine.record_answer(self.call.part_digests, read_lease_clock())
 
     async def _send_part(self, answer: UpstreamAnswer, part: bytes) -> None:
-        now = read_lease_clock()
+        began_at = read_lease_clock()
         if self.has_answer_started:
             self.call.longest_event_gap_s = max(
-                self.call.longest_event_gap_s, now - self._last_part_at
+                self.call.longest_event_gap_s, began_at - self._last_part_at
             )
-            self._last_part_at = now
             await self.caller.send_part(part)
-            return
-        self._last_part_at = now
-        self.has_answer_started = True
-        self._record_first_part()
-        await self.caller.start_stream(answer.status, select_answer_headers(answer.headers), part)
+        else:
+            self.has_answer_started = True
+            self._record_first_part()
+            headers = select_answer_headers(answer.headers)
+            await self.caller.start_stream(answer.status, headers, part)
+        self._last_part_at = read_lease_clock()
+        self._sending_s += self._last_part_at - began_at
 
     def _record_first_part(self) -> None:
         waited_s = read_lease_clock() - self.call.arrived_at
@@ -619,13 +669,14 @@
         """Return the slots of an upstream; empty ones if its entry was removed during the call."""
         return self.context.scheduler.slots.get(upstream.upstream_id) or Slots(upstream)
 
-    def _record_failure(self, upstream: Upstream, error: UpstreamError) -> None:
+    def _record_failure(self, attempt: Attempt, error: UpstreamError) -> None:
+        upstream = attempt.upstream
         # A refused connection means that nothing listens; a timeout may be a lost packet.
         is_certain = isinstance(error, NotSent) and not isinstance(error.__cause__, TimeoutError)
         self._fail_upstream(upstream, error.message, is_certain=is_certain)
         if _is_connection_lost(error):
             # The call may have crashed the upstream.
-            self._record_crash(upstream)
+            self._record_crash(attempt)
         self.context.metrics.attempts.inc({'result': type(error).__name__})
         self.context.events.emit(
             Event.ATTEMPT_FAILED,
@@ -638,11 +689,12 @@
             shared_parts=b','.join(self.call.shared_parts).decode('latin-1'),
         )
 
-    def _record_crash(self, upstream: Upstream) -> None:
+    def _record_crash(self, attempt: Attempt) -> None:
+        upstream = attempt.upstream
         crash = Crash(
             get_call_digest(self.context.header_names, self.call),
             f'{upstream.upstream_id}/{upstream.incarnation}',
-            frozenset() if self._received_parts else self.call.part_digests,
+            frozenset() if attempt.received_parts else self.call.part_digests,
         )
         self.context.quarantine.record_crash(
             crash, read_lease_clock(), is_from_peer=False, is_probe=self.call.is_probe
@@ -690,7 +742,7 @@
 
     def _get_event_timeout(self) -> float:
         """Return the seconds without an event after which to resume elsewhere; inf for never."""
-        if not (self.call.route.is_resumable and self._can_retry_elsewhere()):
+        if not (self.call.route.is_resumable and self._has_attempts_left()):
             return math.inf
         return get_stall_timeout(self.call.route, self.call.longest_event_gap_s)
 
@@ -706,6 +758,8 @@
         )
 
     def _has_attempts_left(self) -> bool:
+        if self.has_answer_started and not RESUMABLE_ID.fullmatch(self.splitter.last_id):
+            return False
         return self.call.send_count < self.call.route.max_attempts
 
     def _can_send_again(self) -> bool:
@@ -730,6 +784,11 @@
     return isinstance(error, (SentUnknown, Truncated)) and error.__cause__ is not None
 
 
+def _make_stall(attempt: Attempt) -> Truncated:
+    message = 'no event within the stall timeout'
+    return Truncated(message, step='receive_body', peer=attempt.upstream.address)
+
+
 def render_refusal(refusal: Refusal) -> tuple[int, Headers, bytes]:
     """Return the HTTP status, headers and body of a refusal."""
     headers: Headers = [(b'content-type', b'text/plain; charset=utf-8')]
--- a/camphorpath/relay/sockets.py
+++ b/camphorpath/relay/sockets.py
@@ -96,6 +96,13 @@
             return True
         return True
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether unread bytes are pending; false at the end of input and after an error."""
+        try:
+            return bool(self._sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def close(self, *, reset: bool = False) -> None:
         """Close the connection; with `reset`, the peer sees an error instead of an orderly end."""
         if self.is_closed:
