Log that the store was restored from a copy, and what is ignored as outdated

After the metadata store came back from a copy, no daemon applied a manifest any more, and the log told neither that the store was restored nor that a manifest had been read and ignored.

An era that is not a number from 0 to 65535 counts as an outage. Nothing else changes.

--- a/camphorpath/cluster/follower.py
+++ b/camphorpath/cluster/follower.py
@@ -75,6 +75,8 @@
     # Whether a zone is in the region of this daemon.
     is_same_region: Callable[[str], bool]
     store_up: bool = False
+    # The era in which the store last answered; None before its first answer.
+    _era: int | None = None
     # Peers that are ahead by control address.
     _peers_ahead: dict[str, _PeerAhead] = attrs.field(factory=dict)
     # The peer from which state is being fetched.
@@ -255,6 +257,7 @@
                 await anyio.sleep(random.uniform(MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S))
                 continue
             self._mark_store_up(failures)
+            self._record_era(rows.era)
             self._record_read(table, rows.answered_at)
             failures = 0
             revision = rows.revision
@@ -305,6 +308,11 @@
         if len(self._read_at) == len(TABLES):
             self._confirmed_at = max(self._confirmed_at, min(self._read_at.values()))
 
+    def _record_era(self, era: int) -> None:
+        if self._era is not None and era != self._era:
+            self.events.emit(Event.STORE_RESTORED, before=self._era, era=era)
+        self._era = era
+
     def _mark_store_down(self, error: TableUnavailable) -> None:
         self.on_store_disruption()
         if self.store_up:
--- a/camphorpath/cluster/shared.py
+++ b/camphorpath/cluster/shared.py
@@ -11,7 +11,7 @@
 REMOVAL_RETENTION_S = 120.0
 
 
-def _do_nothing() -> None:
+def _do_nothing(*_arguments: object) -> None:
     """Do nothing; the default callback."""
 
 
@@ -27,6 +27,10 @@
     upstreams_revision: int = 0
     # Called once after each batch of upstream rows was applied.
     on_upstreams_applied: Callable[[], None] = _do_nothing
+    # Called with a manifest and its revision, or with a number of upstream rows, that were ignored,
+    # as newer ones are held.
+    on_outdated_manifest: Callable[[bytes, int], None] = _do_nothing
+    on_outdated_upstreams: Callable[[int], None] = _do_nothing
     # Whether all upstream rows were received at least once.
     is_listed: bool = False
     _removed_at: dict[str, float] = attrs.field(factory=dict)
@@ -36,6 +40,8 @@
     def apply_manifest(self, content: bytes, revision: int) -> bool:
         """Apply a manifest if it is newer; return whether it was."""
         if revision <= self.manifest.revision:
+            if content != self.manifest.content:
+                self.on_outdated_manifest(content, revision)
             return False
         self.manifest.update(content, revision)
         self.on_manifest(content, revision)
@@ -53,8 +59,7 @@
 
     def apply_changes(self, rows: Iterable[pb.SharedRow], revision: int, now: float) -> None:
         """Apply all rows that have changed up to a revision."""
-        for row in rows:
-            self._put_row(row, now)
+        self._put_rows(rows, now)
         self.advance_revision(revision)
         self.on_upstreams_applied()
 
@@ -64,10 +69,9 @@
 
     def apply_listing(self, rows: Iterable[pb.SharedRow], revision: int, now: float) -> None:
         """Apply a full listing as of a revision; rows that are not in it were removed."""
-        listed = set()
-        for row in rows:
-            listed.add(row.key)
-            self._put_row(row, now)
+        rows = list(rows)
+        listed = {row.key for row in rows}
+        self._put_rows(rows, now)
         for key, known in list(self.upstreams.items()):
             if key not in listed and not known.removed and known.revision <= revision:
                 self._put_row(pb.SharedRow(key=key, revision=revision, removed=True), now)
@@ -126,6 +130,15 @@
         if packed.revision > self.manifest.revision:
             self.apply_manifest(self.manifest.unpack(packed), packed.revision)
 
+    def _put_rows(self, rows: Iterable[pb.SharedRow], now: float) -> None:
+        outdated = 0
+        for row in rows:
+            known = self.upstreams.get(row.key)
+            outdated += known is not None and known.revision > row.revision
+            self._put_row(row, now)
+        if outdated:
+            self.on_outdated_upstreams(outdated)
+
     def _put_row(self, row: pb.SharedRow, now: float) -> bool:
         known = self.upstreams.get(row.key)
         if known is not None and known.revision >= row.revision:
--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -65,6 +65,12 @@
             self._apply_manifest,
             self._apply_upstream,
             on_upstreams_applied=self._reassign_if_changed,
+            on_outdated_manifest=lambda _content, revision: self.relay.events.emit(
+                Event.MANIFEST_OUTDATED, revision=revision, held=self.rows.manifest.revision
+            ),
+            on_outdated_upstreams=lambda count: self.relay.events.emit(
+                Event.ROWS_OUTDATED, rows=count, held=self.rows.upstreams_revision
+            ),
         )
 
     @property
--- a/camphorpath/platform/store.py
+++ b/camphorpath/platform/store.py
@@ -11,9 +11,9 @@
 
 from ..clocks import read_lease_clock
 from ..errors import HistoryCompacted, TableOutcomeUnknown, TableUnavailable
-from ..transports import fetch_complete, make_plain_transport
+from ..transports import CompleteAnswer, fetch_complete, make_plain_transport
 from .fields import MAX_NUMBER
-from .wire import ROWS_FEED, ROWS_GET, ROWS_WRITE
+from .wire import ERA_HEADER, ROWS_FEED, ROWS_GET, ROWS_WRITE
 
 # Longer than a call to a healthy store takes (a few ms), shorter than the time within which a
 # manifest must be in force.
@@ -31,6 +31,8 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, DEAD_CONNECTION_TIMEOUT_S - 1),
 )
+# Eras of the store are below this, so that they take 16 bits.
+ERA_LIMIT = 65536
 # Errors after which the request was certainly not sent, as there was no connection.
 NEVER_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
@@ -53,6 +55,8 @@
 
     rows: list[StoreRow]
     revision: int
+    # How often the store was restored from a copy.
+    era: int = 0
     # When the headers of the answer arrived, on the lease clock; rows may have changed since.
     answered_at: float = attrs.field(factory=read_lease_clock)
     # Rows without a valid key, which are left out.
@@ -85,14 +89,14 @@
             query = {'table_name': table, 'part': '', 'max_results': str(PAGE_ROW_COUNT)}
             if start:
                 query['range_start'] = start
-            found, answered_at = await self._get(ROWS_GET, query, READ_TIMEOUT_S)
-            page = _decode_rows(found, self._url, answered_at)
+            found, answer = await self._get(ROWS_GET, query, READ_TIMEOUT_S)
+            page = _decode_rows(found, self._url, answer)
             rows += page.rows
             skipped_count += page.skipped_count
             first = first or page
             if not found.get('has_more') or not page.rows:
                 # The revision is that of the first page, as its rows may have changed since.
-                return Rows(rows, first.revision, first.answered_at, skipped_count)
+                return attrs.evolve(first, rows=rows, skipped_count=skipped_count)
             # The smallest possible key after the last one of the page.
             start = f'{page.rows[-1].key}\0'
 
@@ -107,8 +111,8 @@
             'after_revision': str(after),
             'wait_ms': str(round(wait_s * MS_PER_S)),
         }
-        found, answered_at = await self._get(ROWS_FEED, query, wait_s + CALL_TIMEOUT_S)
-        return _decode_rows(found, self._url, answered_at)
+        found, answer = await self._get(ROWS_FEED, query, wait_s + CALL_TIMEOUT_S)
+        return _decode_rows(found, self._url, answer)
 
     async def write_row(self, table: str, key: str, content: bytes | None) -> None:
         """Write a row, or remove it if `content` is None.
@@ -144,8 +148,8 @@
 
     async def _get(
         self, path: str, query: dict[str, str], timeout_s: float
-    ) -> tuple[dict[str, Any], float]:
-        """Return an answer and when its headers arrived.
+    ) -> tuple[dict[str, Any], CompleteAnswer]:
+        """Return the decoded content of an answer, and the answer itself.
 
         Raises HistoryCompacted or TableUnavailable.
         """
@@ -161,7 +165,7 @@
         if answer.status != httpx.codes.OK:
             message = f'the store answered with status {answer.status}'
             raise TableUnavailable(message, step=path, peer=self._url)
-        return _decode_object(answer.content, path, self._url), answer.answered_at
+        return _decode_object(answer.content, path, self._url), answer
 
 
 def _decode_object(body: bytes, step: str, peer: str) -> dict[str, Any]:
@@ -174,18 +178,27 @@
     return found
 
 
-def _decode_rows(found: dict[str, Any], peer: str, answered_at: float) -> Rows:
-    """Return the rows of an answer; raise TableUnavailable if it has no list or no revision.
+def _decode_rows(found: dict[str, Any], peer: str, answer: CompleteAnswer) -> Rows:
+    """Return the rows of an answer; raise TableUnavailable if it lacks a list, revision or era.
 
     Other writers may leave any row, which must not make the others unreadable.
     """
     documents = found.get('rows')
     revision = _decode_revision(found.get('row_version'))
-    if not isinstance(documents, list) or revision is None:
-        raise TableUnavailable('the answer has no rows or no revision', step='read', peer=peer)
+    era = _read_era(answer)
+    if not isinstance(documents, list) or revision is None or era is None:
+        raise TableUnavailable(
+            'the answer has no rows, no revision or no valid era', step='read', peer=peer
+        )
     decoded = [_decode_row(document, revision) for document in documents]
     rows = [row for row in decoded if row is not None]
-    return Rows(rows, revision, answered_at, len(decoded) - len(rows))
+    return Rows(
+        rows=rows,
+        revision=revision,
+        era=era,
+        answered_at=answer.answered_at,
+        skipped_count=len(decoded) - len(rows),
+    )
 
 
 def _decode_row(document: Any, newest: int) -> StoreRow | None:
@@ -214,3 +227,9 @@
     except (TypeError, ValueError, OverflowError):
         return None
     return revision if 0 <= revision <= MAX_NUMBER else None
+
+
+def _read_era(answer: CompleteAnswer) -> int | None:
+    """Return the era in which the store answered, 0 by default; None if it is invalid."""
+    era = _decode_revision(answer.headers.get(ERA_HEADER, 0))
+    return None if era is None or era >= ERA_LIMIT else era
--- a/camphorpath/transports.py
+++ b/camphorpath/transports.py
@@ -18,9 +18,10 @@
 
 @attrs.frozen
 class CompleteAnswer:
-    """The status and the complete content of an answer."""
+    """The status, the headers and the complete content of an answer."""
 
     status: int
+    headers: httpx.Headers
     content: bytes
     # When the head arrived, on the lease clock. The content may be outdated when its end arrives.
     answered_at: float
@@ -41,7 +42,7 @@
             async for chunk in response.aiter_bytes():
                 content += chunk
                 scope.deadline += len(chunk) / MIN_RATE_BYTES_PER_S
-    return CompleteAnswer(response.status_code, bytes(content), answered_at)
+    return CompleteAnswer(response.status_code, response.headers, bytes(content), answered_at)
 
 
 def make_plain_transport(socket_options: Sequence[SocketOption] = ()) -> httpx.AsyncHTTPTransport:
--- a/tests/cluster/test_shared.py
+++ b/tests/cluster/test_shared.py
@@ -91,3 +91,19 @@
             observed.rows.apply_state(state, 1)
     assert observed.changes[-1] == ('a', None, 2)
     assert observed.rows.upstreams_revision == 2
+
+
+def test_outdated_rows_and_manifests_are_reported():
+    """Guards against a log that does not tell why a change of the store is not in force."""
+    observed = ObservedRows()
+    reported = []
+    observed.rows.on_outdated_manifest = lambda *manifest: reported.append(manifest)
+    observed.rows.on_outdated_upstreams = reported.append
+    observed.rows.apply_manifest(b'new', 5)
+    observed.rows.apply_changes([make_row('a', 7)], 7, 0)
+    for _ in range(2):
+        observed.rows.apply_manifest(b'new', 5)
+        observed.rows.apply_changes([make_row('a', 7)], 7, 0)
+    observed.rows.apply_manifest(b'old', 4)
+    observed.rows.apply_changes([make_row('a', 6)], 7, 0)
+    assert reported == [(b'old', 4), 1]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -211,3 +211,15 @@
         with pytest.raises(TableUnavailable):
             await store.read_changes('t', 1, 0)
         assert anyio.current_time() - began_at < 4
+
+
+@pytest.mark.parametrize('era', ['-1', '65536', 'x', ''])
+def test_invalid_era_is_an_outage(era):
+    """Guards against a daemon that ends because of a header of the store."""
+
+    async def test(store):
+        with pytest.raises(TableUnavailable):
+            await store.read_table('t')
+
+    content = orjson.dumps({'rows': [], 'row_version': 1})
+    run(test, lambda request: httpx.Response(200, content=content, headers={'store-era': era}))
