Apply what is written after the store was restored from a copy

Cause: rows are ordered by their revision, and a restored store gives out revisions again. Also, a change feed that is continued from such a revision skips changes.

Revisions are ordered across restores: platform/revisions.py combines the era, which each answer of the store states, with the version. A change feed of a later era is not used, the table is read in full; an answer of an earlier era counts as an outage, and so do pages of two eras. The first era adds nothing, so that daemons of before this change take the same numbers as long as the store was not restored; that is why the era is counted from 1, which the platform states from the start.

Manifests are ordered by their version and then by revision: the copy may hold an older manifest than the fleet, and a daemon that starts after the restore and reads it takes the newer one from its peers. Heartbeats, state requests and packed manifests have the version; the revision alone is compared with daemons that send none, and a manifest that was ignored is not fetched again. If a delta does not result in the manifest, the whole one is fetched next; before, the same delta failed again and again.

A row that was lost in the restore may be known to a daemon that does not read the store, but not to the watchers: a peer of an earlier era gets a full listing, and does not take an announcement for complete.

--- a/camphorpath/cluster/follower.py
+++ b/camphorpath/cluster/follower.py
@@ -42,6 +42,8 @@
     """A peer that holds a newer manifest or newer upstreams than this daemon."""
 
     manifest_revision: int
+    # 0 if unknown.
+    manifest_version: int
     upstreams_revision: int
     # Whether the peer sent an announcement, as watchers do. Watchers are well connected, and each
     # region has its own, so that they share the queries.
@@ -75,8 +77,8 @@
     # Whether a zone is in the region of this daemon.
     is_same_region: Callable[[str], bool]
     store_up: bool = False
-    # The era in which the store last answered; None before its first answer.
-    _era: int | None = None
+    # Whether a manifest could not be unpacked, so that the next one must not be a delta.
+    _needs_whole_manifest: bool = False
     # Peers that are ahead by control address.
     _peers_ahead: dict[str, _PeerAhead] = attrs.field(factory=dict)
     # The peer from which state is being fetched.
@@ -94,6 +96,7 @@
         """Compare the revisions of a peer with those held here."""
         peer = _PeerAhead(
             heartbeat.manifest_revision,
+            heartbeat.manifest_version,
             heartbeat.upstreams_revision,
             heartbeat.HasField('news'),
             self.is_same_region(heartbeat.zone),
@@ -122,10 +125,9 @@
 
     def is_manifest_current(self) -> bool:
         """Return whether no peer has a newer manifest and this one was confirmed recently."""
-        held = self.rows.manifest.revision
-        if any(peer.manifest_revision > held for peer in self._peers_ahead.values()):
+        if any(map(self._has_newer_manifest, self._peers_ahead.values())):
             return False
-        if self._queried_peer is not None and self._queried_peer.manifest_revision > held:
+        if self._queried_peer is not None and self._has_newer_manifest(self._queried_peer):
             return False
         return self.store_age() <= MAX_CONFIRMATION_AGE_S
 
@@ -174,23 +176,30 @@
                 self.rows.apply_manifest(row.value, row.revision)
 
     def _is_behind(self, peer: _PeerAhead) -> bool:
-        if peer.manifest_revision > self.rows.manifest.revision:
+        if self._has_newer_manifest(peer):
             return True
         return peer.upstreams_revision > self.rows.upstreams_revision
 
+    def _has_newer_manifest(self, peer: _PeerAhead) -> bool:
+        return self.rows.is_manifest_newer(peer.manifest_version, peer.manifest_revision)
+
     async def fetch_from(self, address: str) -> bool:
         """Fetch and apply the state of a peer; return whether that succeeded."""
         rows = self.rows
         started_at = read_lease_clock()
+        base = 0 if self._needs_whole_manifest else rows.manifest.revision
         try:
             state = await fetch_state(
-                self.peers, address, rows.manifest.revision, rows.upstreams_revision
+                self.peers, address, base, rows.upstreams_revision, rows.manifest.version
             )
             now = read_lease_clock()
+            # A delta fails if its base is another manifest than the one held of that revision.
+            self._needs_whole_manifest = bool(state.manifest.base)
             rows.apply_state(state, now)
         except PeerError as error:
             self.events.emit(Event.BAD_PEER, problem=str(error))
             return False
+        self._needs_whole_manifest = False
         self.on_hosts(state.hosts)
         behind_since = started_at if self._behind_since is None else self._behind_since
         self.events.emit(
@@ -257,7 +266,6 @@
                 await anyio.sleep(random.uniform(MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S))
                 continue
             self._mark_store_up(failures)
-            self._record_era(rows.era)
             self._record_read(table, rows.answered_at)
             failures = 0
             revision = rows.revision
@@ -270,9 +278,10 @@
             problem = f'{rows.skipped_count} rows have no key'
             self.events.emit(Event.UPSTREAM_ENTRY_INVALID, problem=problem)
         held = self.rows
-        manifest, upstreams = held.manifest.revision, held.upstreams_revision
+        manifest, version = held.manifest.revision, held.manifest.version
+        upstreams = held.upstreams_revision
         handle_rows(rows)
-        changes = held.collect_since(manifest, upstreams)
+        changes = held.collect_since(manifest, upstreams, version)
         if not is_first and (changes.HasField('manifest') or changes.upstreams):
             self.announce(changes, upstreams)
 
@@ -308,11 +317,6 @@
         if len(self._read_at) == len(TABLES):
             self._confirmed_at = max(self._confirmed_at, min(self._read_at.values()))
 
-    def _record_era(self, era: int) -> None:
-        if self._era is not None and era != self._era:
-            self.events.emit(Event.STORE_RESTORED, before=self._era, era=era)
-        self._era = era
-
     def _mark_store_down(self, error: TableUnavailable) -> None:
         self.on_store_disruption()
         if self.store_up:
--- a/camphorpath/cluster/manifests.py
+++ b/camphorpath/cluster/manifests.py
@@ -101,12 +101,14 @@
 
     revision: int = 0
     content: bytes = b''
+    # The version in the manifest; 0 if it cannot be read.
+    version: int = 0
     # By revision, oldest first.
     _previous: dict[int, bytes] = attrs.field(factory=dict)
     # Packed forms of the newest manifest by the revision of the base; 0 for the whole manifest.
     _packed: dict[int, pb.PackedManifest] = attrs.field(factory=dict)
 
-    def update(self, content: bytes, revision: int) -> None:
+    def update(self, content: bytes, revision: int, version: int = 0) -> None:
         """Make a newer manifest the current one, and keep the one before for deltas."""
         if self.revision:
             self._previous[self.revision] = self.content
@@ -117,6 +119,7 @@
         self._packed.clear()
         self.content = content
         self.revision = revision
+        self.version = version
 
     def pack(self, held_revision: int) -> pb.PackedManifest:
         """Return the newest manifest packed for a peer that holds an older revision.
@@ -161,6 +164,7 @@
             content = make_delta(self._previous[base], content).SerializeToString()
         return pb.PackedManifest(
             revision=self.revision,
+            version=self.version,
             base=base,
             packed=zlib.compress(content, DEFLATE_LEVEL),
             checksum=zlib.crc32(self.content),
--- a/camphorpath/cluster/shared.py
+++ b/camphorpath/cluster/shared.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from ..platform.manifest import read_manifest_version
+from ..platform.revisions import get_era, is_restored_between
 from ..schema import camphorpath_pb2 as pb
 from .manifests import ManifestHistory
 
@@ -27,26 +29,51 @@
     upstreams_revision: int = 0
     # Called once after each batch of upstream rows was applied.
     on_upstreams_applied: Callable[[], None] = _do_nothing
-    # Called with a manifest and its revision, or with a number of upstream rows, that were ignored,
-    # as newer ones are held.
-    on_outdated_manifest: Callable[[bytes, int], None] = _do_nothing
+    # Called with the newest revisions of before and after a restore of the store, before any row of
+    # after it is applied.
+    on_restored: Callable[[int, int], None] = _do_nothing
+    # Called with the version and the revision of a manifest, or with a number of upstream rows,
+    # that were ignored, as newer ones are held.
+    on_outdated_manifest: Callable[[int, int], None] = _do_nothing
     on_outdated_upstreams: Callable[[int], None] = _do_nothing
     # Whether all upstream rows were received at least once.
     is_listed: bool = False
     _removed_at: dict[str, float] = attrs.field(factory=dict)
     # The newest revision of a removal that is no longer kept.
     _expired_revision: int = 0
+    # The newest revision of any row that was received.
+    _newest_revision: int = 0
+    # The newest revision of a manifest that was ignored.
+    _ignored_revision: int = 0
 
     def apply_manifest(self, content: bytes, revision: int) -> bool:
-        """Apply a manifest if it is newer; return whether it was."""
-        if revision <= self.manifest.revision:
-            if content != self.manifest.content:
-                self.on_outdated_manifest(content, revision)
+        """Apply a manifest if it is newer; return whether it was.
+
+        The version counts more than the revision: the copy from which the store was restored may
+        hold an older manifest than the one in force. A manifest whose version cannot be read is
+        compared by its revision.
+        """
+        self._note_revision(revision)
+        held = self.manifest
+        version = read_manifest_version(content)
+        if version is None:
+            version = held.version
+        if (version, revision) <= (held.version, held.revision):
+            self._ignored_revision = max(self._ignored_revision, revision)
+            if content != held.content:
+                self.on_outdated_manifest(version, revision)
             return False
-        self.manifest.update(content, revision)
+        held.update(content, revision, version)
         self.on_manifest(content, revision)
         return True
 
+    def is_manifest_newer(self, version: int, revision: int) -> bool:
+        """Return whether a manifest of a peer is newer than the one held; version 0 is unknown."""
+        held = self.manifest
+        if version:
+            return (version, revision) > (held.version, held.revision)
+        return revision > max(held.revision, self._ignored_revision)
+
     def apply_upstream(self, row: pb.SharedRow, now: float) -> bool:
         """Apply the row of an upstream if it is newer; return whether it was.
 
@@ -65,10 +92,12 @@
 
     def advance_revision(self, revision: int) -> None:
         """Record that all changes of upstreams up to a revision have been applied."""
+        self._note_revision(revision)
         self.upstreams_revision = max(self.upstreams_revision, revision)
 
     def apply_listing(self, rows: Iterable[pb.SharedRow], revision: int, now: float) -> None:
         """Apply a full listing as of a revision; rows that are not in it were removed."""
+        self._note_revision(revision)
         rows = list(rows)
         listed = {row.key for row in rows}
         self._put_rows(rows, now)
@@ -79,12 +108,22 @@
         self.on_upstreams_applied()
         self.is_listed = True
 
-    def collect_since(self, manifest_revision: int, upstreams_revision: int) -> pb.SharedState:
-        """Return the changes that a peer with these revisions lacks."""
+    def collect_since(
+        self, manifest_revision: int, upstreams_revision: int, manifest_version: int = 0
+    ) -> pb.SharedState:
+        """Return the changes that a peer with these revisions lacks; version 0 is unknown."""
         state = pb.SharedState(upstreams_revision=self.upstreams_revision)
-        if self.manifest.revision > manifest_revision:
-            state.manifest.CopyFrom(self.manifest.pack(manifest_revision))
-        state.is_listing = upstreams_revision < self._expired_revision
+        held = manifest_revision
+        is_behind = self.manifest.revision > held
+        if manifest_version and self.manifest.version:
+            newest = self.manifest.version, self.manifest.revision
+            is_behind = newest > (manifest_version, held)
+        if is_behind:
+            state.manifest.CopyFrom(self.manifest.pack(held))
+        # A peer from before a restore may hold rows that were lost unknown to this daemon.
+        state.is_listing = upstreams_revision < self._expired_revision or is_restored_between(
+            upstreams_revision, self.upstreams_revision
+        )
         for row in self.upstreams.values():
             is_newer = row.revision > upstreams_revision
             if (state.is_listing and not row.removed) or is_newer:
@@ -113,7 +152,9 @@
             if self.manifest.can_unpack(announced.manifest):
                 self._apply_packed_manifest(announced.manifest)
         finally:
-            is_complete = self.is_listed and after <= self.upstreams_revision
+            # After a restore of the store, rows may be missing that only a listing tells.
+            is_same_era = get_era(after) == get_era(announced.upstreams_revision)
+            is_complete = self.is_listed and is_same_era and after <= self.upstreams_revision
             revision = announced.upstreams_revision if is_complete else self.upstreams_revision
             self.apply_changes(announced.upstreams, revision, now)
 
@@ -127,12 +168,20 @@
                     self._expired_revision = max(self._expired_revision, expired.revision)
 
     def _apply_packed_manifest(self, packed: pb.PackedManifest) -> None:
-        if packed.revision > self.manifest.revision:
+        if self.is_manifest_newer(packed.version, packed.revision):
             self.apply_manifest(self.manifest.unpack(packed), packed.revision)
 
+    def _note_revision(self, revision: int) -> None:
+        """Report a restore of the store if a revision is the first one of its era."""
+        before = self._newest_revision
+        self._newest_revision = max(before, revision)
+        if is_restored_between(before, revision):
+            self.on_restored(before, revision)
+
     def _put_rows(self, rows: Iterable[pb.SharedRow], now: float) -> None:
         outdated = 0
         for row in rows:
+            self._note_revision(row.revision)
             known = self.upstreams.get(row.key)
             outdated += known is not None and known.revision > row.revision
             self._put_row(row, now)
--- a/camphorpath/cluster/state_transfer.py
+++ b/camphorpath/cluster/state_transfer.py
@@ -13,10 +13,21 @@
 
 
 async def fetch_state(
-    client: httpx.AsyncClient, address: str, manifest_revision: int, upstreams_revision: int
+    client: httpx.AsyncClient,
+    address: str,
+    manifest_revision: int,
+    upstreams_revision: int,
+    manifest_version: int,
 ) -> pb.SharedState:
-    """Return the state of a peer that is newer than these revisions; raise PeerError."""
-    query = {'manifest': str(manifest_revision), 'upstreams': str(upstreams_revision)}
+    """Return the state of a peer that is newer than these revisions; raise PeerError.
+
+    The manifest may be a delta from that of `manifest_revision`, unless this is 0.
+    """
+    query = {
+        'manifest': str(manifest_revision),
+        'upstreams': str(upstreams_revision),
+        'version': str(manifest_version),
+    }
     try:
         answer = await fetch_complete(
             client, f'http://{address}{STATE_PATH}', query, httpx.Timeout(FETCH_TIMEOUT_S)
@@ -30,10 +41,16 @@
     )
 
 
-def parse_revisions(query: str) -> tuple[int, int]:
-    """Return the manifest and upstreams revisions of a query, 0 by default; raise ValueError."""
+def parse_revisions(query: str) -> tuple[int, int, int]:
+    """Return the manifest and upstreams revisions and the manifest version of a query.
+
+    Each is 0 by default. Raises ValueError.
+    """
     parameters = dict(part.partition('=')[::2] for part in query.split('&'))
-    return int(parameters.get('manifest', 0)), int(parameters.get('upstreams', 0))
+    manifest, upstreams, version = (
+        int(parameters.get(name, 0)) for name in ('manifest', 'upstreams', 'version')
+    )
+    return manifest, upstreams, version
 
 
 def make_state_client() -> httpx.AsyncClient:
--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -20,6 +20,7 @@
 from ..placement.ownership import Assignment, Candidate, assign_owners, choose_actives
 from ..platform.entries import decode_upstream
 from ..platform.manifest import decode_manifest
+from ..platform.revisions import get_era
 from ..relay.context import RelayContext
 from ..routing import UpstreamView
 from ..schema import camphorpath_pb2 as pb
@@ -65,8 +66,12 @@
             self._apply_manifest,
             self._apply_upstream,
             on_upstreams_applied=self._reassign_if_changed,
-            on_outdated_manifest=lambda _content, revision: self.relay.events.emit(
-                Event.MANIFEST_OUTDATED, revision=revision, held=self.rows.manifest.revision
+            on_restored=self._handle_restore,
+            on_outdated_manifest=lambda version, revision: self.relay.events.emit(
+                Event.MANIFEST_OUTDATED,
+                version=version,
+                revision=revision,
+                held=self.rows.manifest.version,
             ),
             on_outdated_upstreams=lambda count: self.relay.events.emit(
                 Event.ROWS_OUTDATED, rows=count, held=self.rows.upstreams_revision
@@ -104,6 +109,7 @@
             stopping=self.relay.is_stopping,
             store_up=self.is_store_up,
             manifest_revision=self.rows.manifest.revision,
+            manifest_version=self.rows.manifest.version,
             upstreams_revision=self.rows.upstreams_revision,
             used=self.relay.quota.used,
             interval=self.heartbeat_interval_s,
@@ -127,6 +133,7 @@
             host=settings.host,
             zone=settings.zone,
             manifest_revision=self.rows.manifest.revision,
+            manifest_version=self.rows.manifest.version,
             upstreams_revision=self.rows.upstreams_revision,
             store_age=self._encode_store_age(),
             news=changes,
@@ -287,6 +294,9 @@
         known[self.settings.name] = self.settings.callers_address
         return [known[name] for name in names if name in known]
 
+    def _handle_restore(self, before: int, after: int) -> None:
+        self.relay.events.emit(Event.STORE_RESTORED, before=get_era(before), era=get_era(after))
+
     def _apply_manifest(self, content: bytes, revision: int) -> None:
         relay = self.relay
         current = relay.routing_table.version if relay.routing_table else 0
--- a/camphorpath/platform/manifest.py
+++ b/camphorpath/platform/manifest.py
@@ -9,6 +9,8 @@
 
 MS_PER_S = 1000
 UNIT_TOKENS = 'tokens'
+# Versions are sent to peers as 64-bit numbers.
+MAX_VERSION = 18446744073709551615
 
 
 def decode_manifest(text: bytes) -> RoutingTable:
@@ -24,6 +26,15 @@
     )
 
 
+def read_manifest_version(text: bytes) -> int | None:
+    """Return the version of a manifest, or None if it cannot be read."""
+    try:
+        version = orjson.loads(text)['version']
+    except (orjson.JSONDecodeError, KeyError, TypeError):
+        return None
+    return version if isinstance(version, int) and 0 <= version <= MAX_VERSION else None
+
+
 def _decode_route(fields: Fields) -> Route:
     kind = CALL_KINDS.get(fields.text('route_type'))
     if kind is None:
--- a/camphorpath/platform/store.py
+++ b/camphorpath/platform/store.py
@@ -12,7 +12,7 @@
 from ..clocks import read_lease_clock
 from ..errors import HistoryCompacted, TableOutcomeUnknown, TableUnavailable
 from ..transports import CompleteAnswer, fetch_complete, make_plain_transport
-from .fields import MAX_NUMBER
+from .revisions import FIRST_ERA, get_era, get_version, make_revision
 from .wire import ERA_HEADER, ROWS_FEED, ROWS_GET, ROWS_WRITE
 
 # Longer than a call to a healthy store takes (a few ms), shorter than the time within which a
@@ -31,8 +31,6 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, DEAD_CONNECTION_TIMEOUT_S - 1),
 )
-# Eras of the store are below this, so that they take 16 bits.
-ERA_LIMIT = 65536
 # Errors after which the request was certainly not sent, as there was no connection.
 NEVER_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
@@ -55,8 +53,6 @@
 
     rows: list[StoreRow]
     revision: int
-    # How often the store was restored from a copy.
-    era: int = 0
     # When the headers of the answer arrived, on the lease clock; rows may have changed since.
     answered_at: float = attrs.field(factory=read_lease_clock)
     # Rows without a valid key, which are left out.
@@ -94,6 +90,9 @@
             rows += page.rows
             skipped_count += page.skipped_count
             first = first or page
+            if get_era(page.revision) != get_era(first.revision):
+                message = 'the store was restored while the table was read'
+                raise TableUnavailable(message, step=ROWS_GET, peer=self._url)
             if not found.get('has_more') or not page.rows:
                 # The revision is that of the first page, as its rows may have changed since.
                 return attrs.evolve(first, rows=rows, skipped_count=skipped_count)
@@ -103,16 +102,23 @@
     async def read_changes(self, table: str, after: int, wait_s: float) -> Rows:
         """Return the changes of a table after a revision; wait up to `wait_s` for the first one.
 
-        Raises HistoryCompacted if the store no longer has them, and TableUnavailable on other
-        failures.
+        Raises HistoryCompacted if the store no longer has them or was restored since, and
+        TableUnavailable on other failures.
         """
         query = {
             'table_name': table,
-            'after_revision': str(after),
+            'after_revision': str(get_version(after)),
             'wait_ms': str(round(wait_s * MS_PER_S)),
         }
         found, answer = await self._get(ROWS_FEED, query, wait_s + CALL_TIMEOUT_S)
-        return _decode_rows(found, self._url, answer)
+        rows = _decode_rows(found, self._url, answer)
+        if get_era(rows.revision) > get_era(after):
+            # The version belongs to another row now, so that these are not all changes.
+            raise HistoryCompacted('the store was restored', step=ROWS_FEED, peer=self._url)
+        if get_era(rows.revision) < get_era(after):
+            message = 'the answer is from before the store was restored'
+            raise TableUnavailable(message, step=ROWS_FEED, peer=self._url)
+        return rows
 
     async def write_row(self, table: str, key: str, content: bytes | None) -> None:
         """Write a row, or remove it if `content` is None.
@@ -184,28 +190,21 @@
     Other writers may leave any row, which must not make the others unreadable.
     """
     documents = found.get('rows')
-    revision = _decode_revision(found.get('row_version'))
-    era = _read_era(answer)
-    if not isinstance(documents, list) or revision is None or era is None:
-        raise TableUnavailable(
-            'the answer has no rows, no revision or no valid era', step='read', peer=peer
-        )
-    decoded = [_decode_row(document, revision) for document in documents]
+    era = answer.headers.get(ERA_HEADER, FIRST_ERA)
+    revision = _decode_revision(era, found.get('row_version'))
+    if not isinstance(documents, list) or revision is None:
+        message = 'the answer has no rows, or no valid revision or era'
+        raise TableUnavailable(message, step='read', peer=peer)
+    decoded = [_decode_row(document, era, revision) for document in documents]
     rows = [row for row in decoded if row is not None]
-    return Rows(
-        rows=rows,
-        revision=revision,
-        era=era,
-        answered_at=answer.answered_at,
-        skipped_count=len(decoded) - len(rows),
-    )
+    return Rows(rows, revision, answer.answered_at, len(decoded) - len(rows))
 
 
-def _decode_row(document: Any, newest: int) -> StoreRow | None:
+def _decode_row(document: Any, era: str | int, newest: int) -> StoreRow | None:
     """Return a row, or None if it has no key; without a valid revision it gets the newest one."""
     if not isinstance(document, dict) or not isinstance(document.get('key'), str):
         return None
-    revision = _decode_revision(document.get('row_version'))
+    revision = _decode_revision(era, document.get('row_version'))
     return StoreRow(
         key=document['key'],
         value=None if document.get('is_deleted') else _decode_value(document.get('value')),
@@ -221,15 +220,9 @@
         return b''
 
 
-def _decode_revision(found: Any) -> int | None:
+def _decode_revision(era: Any, version: Any) -> int | None:
+    """Return the revision of a version in an era; None if either is no number in range."""
     try:
-        revision = int(found)
+        return make_revision(int(era), int(version))
     except (TypeError, ValueError, OverflowError):
         return None
-    return revision if 0 <= revision <= MAX_NUMBER else None
-
-
-def _read_era(answer: CompleteAnswer) -> int | None:
-    """Return the era in which the store answered, 0 by default; None if it is invalid."""
-    era = _decode_revision(answer.headers.get(ERA_HEADER, 0))
-    return None if era is None or era >= ERA_LIMIT else era
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -223,3 +223,88 @@
 
     content = orjson.dumps({'rows': [], 'row_version': 1})
     run(test, lambda request: httpx.Response(200, content=content, headers={'store-era': era}))
+
+
+def reply_in_era(era, document):
+    content = orjson.dumps(document)
+    return httpx.Response(200, content=content, headers={'store-era': str(era)})
+
+
+def test_revisions_rise_across_a_restore():
+    """Guards against changes that count as old, as their versions were given out before."""
+
+    async def read_revisions(era):
+        row = make_row('a', revision=3)
+        store = MetadataStore(
+            'http://store',
+            httpx.MockTransport(lambda _: reply_in_era(era, {'rows': [row], 'row_version': 9})),
+        )
+        rows = await store.read_table('t')
+        return rows.rows[0].revision, rows.revision
+
+    revisions = [revision for era in (1, 2, 65535) for revision in anyio.run(read_revisions, era)]
+    assert revisions == sorted(revisions)
+    assert revisions[:2] == [3, 9]
+    assert revisions[-1] < 1 << 64
+
+
+def test_changes_after_a_restore_lead_to_a_full_read():
+    """Guards against changes that are skipped, as the last version was given out again."""
+    queried = []
+
+    def answer(request):
+        if request.url.path.endswith('rows-get'):
+            return reply_in_era(2, {'rows': [], 'row_version': 5})
+        queried.append(request.url.params['after_revision'])
+        return reply_in_era(3 if len(queried) > 1 else 2, {'rows': [], 'row_version': 7})
+
+    async def test(store):
+        listed = await store.read_table('t')
+        changes = await store.read_changes('t', listed.revision, 0)
+        with pytest.raises(HistoryCompacted):
+            await store.read_changes('t', changes.revision, 0)
+        assert queried == ['5', '7']
+
+    run(test, answer)
+
+
+def test_answer_from_before_a_restore_is_an_outage():
+    """Guards against rows of before a restore that arrive after it."""
+
+    def answer(request):
+        era = 3 if request.url.path.endswith('rows-get') else 2
+        return reply_in_era(era, {'rows': [make_row('a', revision=8)], 'row_version': 8})
+
+    async def test(store):
+        listed = await store.read_table('t')
+        with pytest.raises(TableUnavailable) as raised:
+            await store.read_changes('t', listed.revision, 0)
+        assert not isinstance(raised.value, HistoryCompacted)
+
+    run(test, answer)
+
+
+def test_pages_from_before_and_after_a_restore_are_not_joined():
+    """Guards against upstreams that are missing, as half of the table was read before a restore."""
+
+    def answer(request):
+        if 'range_start' in request.url.params:
+            return reply_in_era(2, {'rows': [make_row('b')], 'row_version': 8})
+        return reply_in_era(1, {'rows': [make_row('a')], 'row_version': 7, 'has_more': True})
+
+    async def test(store):
+        with pytest.raises(TableUnavailable):
+            await store.read_table('t')
+
+    run(test, answer)
+
+
+@pytest.mark.parametrize('version', [-1, 1 << 48])
+def test_invalid_version_is_an_outage(version):
+    """Guards against a version that reads as one of another era."""
+
+    async def test(store):
+        with pytest.raises(TableUnavailable):
+            await store.read_table('t')
+
+    run(test, lambda request: reply({'rows': [], 'row_version': version}))
