Keep upstreams that left out of use after a restore of the store

A copy from which the metadata store was restored holds older entries of upstreams again, and daemons took them for news: one that was leaving was ready again, one that was gone came back, one that had restarted under its id got its former incarnation. Entries that are not in the copy counted as gone at once, unless they were most of their service.

For a minute after a restore, an entry is ignored if the one known before it is of a later incarnation, or of the same one and a higher sequence; or an equal sequence, if that one was removed. So it is used as soon as its upstream writes it again. Entries without these fields are taken as before. An incarnation that said that it is leaving stays leaving also if it said so in its entry. Entries that are missing are kept for two seconds from the restore, unless they are leaving.

--- a/camphorpath/cluster/shared.py
+++ b/camphorpath/cluster/shared.py
@@ -181,7 +181,6 @@
     def _put_rows(self, rows: Iterable[pb.SharedRow], now: float) -> None:
         outdated = 0
         for row in rows:
-            self._note_revision(row.revision)
             known = self.upstreams.get(row.key)
             outdated += known is not None and known.revision > row.revision
             self._put_row(row, now)
@@ -189,6 +188,7 @@
             self.on_outdated_upstreams(outdated)
 
     def _put_row(self, row: pb.SharedRow, now: float) -> bool:
+        self._note_revision(row.revision)
         known = self.upstreams.get(row.key)
         if known is not None and known.revision >= row.revision:
             return False
--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -296,6 +296,7 @@
 
     def _handle_restore(self, before: int, after: int) -> None:
         self.relay.events.emit(Event.STORE_RESTORED, before=get_era(before), era=get_era(after))
+        self.view.mark_restored(read_lease_clock())
 
     def _apply_manifest(self, content: bytes, revision: int) -> None:
         relay = self.relay
@@ -346,7 +347,9 @@
                 )
             return
         self._invalid_checksums.pop(key, None)
-        if self.view.put(upstream):
+        if self.view.is_outdated(upstream):
+            events.emit(Event.ROWS_OUTDATED, '', key, rows=1, held=self.rows.upstreams_revision)
+        elif self.view.put(upstream):
             self._has_upstream_changes = True
             events.emit(
                 Event.UPSTREAM_LEAVING if upstream.is_leaving else Event.UPSTREAM_FOUND,
--- a/camphorpath/platform/entries.py
+++ b/camphorpath/platform/entries.py
@@ -40,6 +40,7 @@
         slots=max(1, fields.whole('slot_count', highest=MAX_SLOTS)),
         is_leaving=state == STATE_LEAVING,
         incarnation=fields.whole('born', 0),
+        sequence=fields.whole('sequence', 0),
     )
 
 
--- a/camphorpath/routing/records.py
+++ b/camphorpath/routing/records.py
@@ -98,8 +98,10 @@
     zone: str
     slots: int
     is_leaving: bool
-    # Changes when the process restarts under the same id.
+    # Rises when the process restarts under the same id; 0 if unknown.
     incarnation: int = 0
+    # Rises with each entry that the incarnation writes; 0 if unknown.
+    sequence: int = attrs.field(default=0, eq=False)
 
     @property
     def key(self) -> tuple[str, int]:
--- a/camphorpath/routing/upstreams.py
+++ b/camphorpath/routing/upstreams.py
@@ -1,6 +1,6 @@
 """Registered upstreams, and the rules by which a removed entry counts as gone."""
 
-import collections
+import math
 
 import attrs
 
@@ -13,7 +13,11 @@
 BATCH_REMOVAL_WINDOW_S = 1.0
 # Entries removed together count as lapsed if they are more than this share of their service.
 MIN_LAPSE_SHARE = 0.5
+# After a restore of the store, entries are compared with those of before for this time. Later ones
+# were written after it.
+COPY_RETENTION_S = 60.0
 MAX_LEAVING_COUNT = 10000
+MAX_REMOVED_COUNT = 10000
 
 
 @attrs.define
@@ -22,6 +26,10 @@
 
     A removed entry counts as gone at once, unless most entries of its service lapse together while
     the store is unstable: then they are kept until the upstreams have had time to register again.
+
+    A store that was restored from a copy holds older entries again, and lacks newer ones. An older
+    one is told by its incarnation and sequence, and is ignored. Those that are missing are kept as
+    if they had lapsed.
     """
 
     _entries: dict[str, Upstream] = attrs.field(factory=dict)
@@ -31,9 +39,13 @@
     _lapse_deadlines: dict[str, float] = attrs.field(factory=dict)
     _store_unstable_until: float = 0
     # Incarnations that announced that they are leaving; their entries may show it later or never.
-    _leaving: collections.deque[tuple[str, int]] = attrs.field(
-        factory=lambda: collections.deque(maxlen=MAX_LEAVING_COUNT)
-    )
+    # Oldest first; the values are not used.
+    _leaving: dict[tuple[str, int], None] = attrs.field(factory=dict)
+    # The last entries of upstreams that are no longer registered, oldest first.
+    _removed: dict[str, Upstream] = attrs.field(factory=dict)
+    _restored_at: float = -math.inf
+    # The last entries when the store was restored, for COPY_RETENTION_S.
+    _before_restore: dict[str, Upstream] = attrs.field(factory=dict)
 
     def all(self) -> list[Upstream]:
         """Return all upstreams, including leaving ones."""
@@ -43,11 +55,38 @@
         """Record that the store did not answer, or has just recovered."""
         self._store_unstable_until = now + REREGISTRATION_GRACE_S
 
+    def mark_restored(self, now: float) -> None:
+        """Record that the store came back from a copy; what it says next may be outdated."""
+        self.mark_store_unstable(now)
+        self._restored_at = now
+        self._before_restore = {**self._before_restore, **self._removed, **self._entries}
+
+    def is_outdated(self, upstream: Upstream) -> bool:
+        """Return whether an entry is one of before a restore of the store that was replaced."""
+        known = self._before_restore.get(upstream.upstream_id)
+        if known is None or not (known.incarnation and upstream.incarnation):
+            return False
+        if upstream.incarnation != known.incarnation:
+            return upstream.incarnation < known.incarnation
+        if not (known.sequence and upstream.sequence):
+            return False
+        if upstream.upstream_id in self._entries:
+            return upstream.sequence < known.sequence
+        return upstream.sequence <= known.sequence
+
     def put(self, upstream: Upstream) -> bool:
-        """Add or replace an entry; return whether it differs from the previous one."""
+        """Add or replace an entry; return whether it differs from the previous one.
+
+        Outdated entries are ignored.
+        """
+        if self.is_outdated(upstream):
+            return False
         self._recently_removed.pop(upstream.upstream_id, None)
         self._lapse_deadlines.pop(upstream.upstream_id, None)
-        if (upstream.upstream_id, upstream.incarnation) in self._leaving:
+        self._removed.pop(upstream.upstream_id, None)
+        if upstream.is_leaving and upstream.incarnation:
+            self._record_leaving(upstream.key)
+        if upstream.key in self._leaving:
             upstream = attrs.evolve(upstream, is_leaving=True)
         is_changed = self._entries.get(upstream.upstream_id) != upstream
         self._entries[upstream.upstream_id] = upstream
@@ -58,7 +97,7 @@
         key = upstream_id, incarnation
         if key in self._leaving:
             return False
-        self._leaving.append(key)
+        self._record_leaving(key)
         upstream = self._entries.get(upstream_id)
         if upstream is None or upstream.incarnation != incarnation or upstream.is_leaving:
             return False
@@ -67,9 +106,14 @@
 
     def remove(self, upstream_id: str, now: float) -> bool:
         """Remove an entry; return whether the upstream counts as gone."""
-        upstream = self._entries.pop(upstream_id, None)
+        upstream = self._entries.get(upstream_id)
         if upstream is None:
             return False
+        if now < self._restored_at + REREGISTRATION_GRACE_S and not upstream.is_leaving:
+            deadline = self._restored_at + REREGISTRATION_GRACE_S
+            self._lapse_deadlines.setdefault(upstream_id, deadline)
+            return False
+        self._record_removed(upstream_id)
         self._recently_removed[upstream_id] = (upstream, now)
         if now < self._store_unstable_until:
             self._restore_lapsed(upstream.service, now)
@@ -79,13 +123,29 @@
         """Remove the lapsed entries that were not registered again, and return their ids."""
         expired = [upstream_id for upstream_id, due in self._lapse_deadlines.items() if now >= due]
         for upstream_id in expired:
-            self._entries.pop(upstream_id, None)
+            self._record_removed(upstream_id)
             self._lapse_deadlines.pop(upstream_id)
+        if now > self._restored_at + COPY_RETENTION_S:
+            self._before_restore.clear()
         for upstream_id, (_upstream, removed_at) in list(self._recently_removed.items()):
             if now > removed_at + BATCH_REMOVAL_WINDOW_S:
                 self._recently_removed.pop(upstream_id)
         return expired
 
+    def _record_leaving(self, key: tuple[str, int]) -> None:
+        self._leaving[key] = None
+        if len(self._leaving) > MAX_LEAVING_COUNT:
+            self._leaving.pop(next(iter(self._leaving)))
+
+    def _record_removed(self, upstream_id: str) -> None:
+        """Remove an entry, but remember it."""
+        upstream = self._entries.pop(upstream_id, None)
+        if upstream is None:
+            return
+        self._removed[upstream_id] = upstream
+        if len(self._removed) > MAX_REMOVED_COUNT:
+            self._removed.pop(next(iter(self._removed)))
+
     def _restore_lapsed(self, service: str, now: float) -> None:
         removed_together = [
             upstream
--- a/tests/edge/test_state.py
+++ b/tests/edge/test_state.py
@@ -10,6 +10,7 @@
 from camphorpath.edge.state import MAX_ANNOUNCEMENT_BYTES, DaemonState
 from camphorpath.placement.ownership import Assignment
 from camphorpath.placement.scheduler import Scheduler
+from camphorpath.platform.revisions import make_revision
 from camphorpath.schema import camphorpath_pb2 as pb
 
 from ..cluster.test_members import make_heartbeat
@@ -227,3 +228,26 @@
     logger.remove(handler)
     lines = [record['extra'] for record in records if record['message'] == 'upstream_limited']
     assert [(line['rate'], line['source']) for line in lines] == [('1.5', 'd1'), ('inf', 'd1')]
+
+
+def make_entry(sequence, revision, runner_state='ready'):
+    """Return the row of an upstream that says of itself that it started once."""
+    row = make_rows(1, revision, runner_state)[0]
+    document = {**orjson.loads(row.content), 'born': 1000, 'sequence': sequence}
+    row.content = orjson.dumps(document)
+    return row
+
+
+def test_entries_of_a_copy_of_the_store_do_not_replace_newer_ones(state):
+    """Guards against calls to upstreams that left after the copy from which a store came back."""
+    state.rows.apply_listing([make_entry(1, 14)], 20, 0)
+    state.rows.apply_changes([make_entry(33, 23, 'draining')], 23, 1)
+    restored_at = make_revision(2, 21)
+    state.rows.apply_listing([make_entry(1, make_revision(2, 14))], restored_at, 2)
+    assert [upstream.is_leaving for upstream in state.view.all()] == [True]
+    removed = pb.SharedRow(key='i-0', revision=restored_at + 1, removed=True)
+    state.rows.apply_changes([removed], restored_at + 1, 3)
+    state.rows.apply_listing([make_entry(1, make_revision(3, 14))], make_revision(3, 21), 4)
+    assert not state.view.all()
+    state.rows.apply_changes([make_entry(36, make_revision(3, 22))], make_revision(3, 22), 5)
+    assert len(state.view.all()) == 1
