Write the daemons' own rows again after a restore of the store

Nobody saw it yet: after the metadata store came back from a copy, the row with which a daemon is found by others was gone if it had been written after the copy, and so were the rows of quarantined calls; those of calls that were no longer held back were there again. A start of all daemons would have read them.

When a daemon learns that the store was restored, it writes its member row again, within two seconds, so that not all daemons of a large fleet write at once. It also writes or removes again the quarantine rows that it queued in the last two minutes, and writes the patterns that it holds and probes, as the daemon that wrote them may have ended. The tables are not read again, as they may be outdated.

--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -1,6 +1,7 @@
 """Builds, runs and gracefully stops an edge daemon."""
 
 import contextlib
+import random
 import secrets
 import signal
 from collections.abc import Callable
@@ -49,6 +50,8 @@
 # If the timer task runs this late, the process was suspended in between.
 MIN_SUSPENSION_S = 0.6
 MEMBER_RETRY_DELAY_S = 1.0
+# After a restore of the store, the daemons write their rows within this time, not all at once.
+MAX_REWRITE_DELAY_S = 2.0
 # Fraction of the time until it is killed for which a stopping daemon still accepts calls, as
 # callers cache its address for some seconds.
 ACCEPT_FRACTION = 0.3
@@ -166,6 +169,7 @@
             ):
                 group.start_soon(task, daemon)
             group.start_soon(daemon.quarantine.write_rows)
+            group.start_soon(daemon.quarantine.rewrite_rows)
             group.start_soon(daemon.heartbeats.receive, _make_receiver(daemon))
             relay.events.emit(
                 Event.DAEMON_STARTED,
@@ -282,21 +286,44 @@
 
 
 async def _register_member(daemon: EdgeDaemon) -> None:
-    """Write the member row of this daemon; read those of the others and the quarantine once."""
+    """Write the member row of this daemon; read those of the others and the quarantine once.
+
+    The row is written again after each restore of the store, as it may be lost. The others are not
+    read again: they may be outdated.
+    """
+    restored = daemon.state.restored
+    await _write_member_row(daemon)
+    await _read_shared_tables(daemon)
+    while not daemon.relay.is_stopping:
+        await restored.wait()
+        await anyio.sleep(random.uniform(0, MAX_REWRITE_DELAY_S))
+        restored = daemon.state.restored
+        await _write_member_row(daemon)
+
+
+async def _write_member_row(daemon: EdgeDaemon) -> None:
     settings = daemon.settings
     content = orjson.dumps({'host': settings.host, 'zone': settings.zone})
-    is_written = False
     while True:
         try:
-            if not is_written:
-                await daemon.store.write_row(MEMBER_TABLE, settings.name, content)
-                is_written = True
-            await daemon.quarantine.read_rows()
-            rows = await daemon.store.read_table(MEMBER_TABLE)
+            await daemon.store.write_row(MEMBER_TABLE, settings.name, content)
         except (TableUnavailable, TableOutcomeUnknown):
             # The write is idempotent and can be repeated.
             await anyio.sleep(MEMBER_RETRY_DELAY_S)
             continue
+        return
+
+
+async def _read_shared_tables(daemon: EdgeDaemon) -> None:
+    """Read the member rows of the other daemons and the rows of the quarantine."""
+    while True:
+        try:
+            await daemon.quarantine.read_rows()
+            rows = await daemon.store.read_table(MEMBER_TABLE)
+        except TableUnavailable:
+            # Nothing depends on these rows at once.
+            await anyio.sleep(MEMBER_RETRY_DELAY_S)
+            continue
         for row in rows.rows:
             daemon.state.members.add_host(_read_host(row.value))
         return
--- a/camphorpath/edge/quarantine.py
+++ b/camphorpath/edge/quarantine.py
@@ -1,7 +1,8 @@
 """Shares the quarantine of a daemon with its peers, and keeps its patterns in the metadata store.
 
 Peers hear of crashes and patterns in announcements, and of patterns in each heartbeat, too, as
-datagrams get lost and daemons are cut off or start later. The rows are for a start of all daemons.
+datagrams get lost and daemons are cut off or start later. The rows are for a start of all daemons;
+they are written again if the store was restored from a copy, which may lack them.
 """
 
 from collections.abc import Callable, Sequence
@@ -22,6 +23,8 @@
 
 TABLE = 'camphorpath-quarantine'
 RETRY_DELAY_S = 1.0
+# Longer than a copy from which the store is restored is old.
+ROW_RETENTION_S = 120.0
 # This many digests of cleared calls and parts fit in an announcement.
 MAX_ANNOUNCED_DIGESTS = 16
 # The same for crashes, each with the digests of several prompt parts.
@@ -38,6 +41,8 @@
     store: MetadataStore
     # Rows to write by key; None to remove the row.
     _unwritten: dict[str, bytes | None] = attrs.field(factory=dict)
+    # Rows that this daemon queued in the last ROW_RETENTION_S by key, and when.
+    _queued: dict[str, tuple[bytes | None, float]] = attrs.field(factory=dict)
     _has_unwritten: anyio.Event = attrs.field(factory=anyio.Event)
 
     def update(self, now: float) -> None:
@@ -97,8 +102,29 @@
             if self._unwritten.get(key) is content:
                 self._unwritten.pop(key)
 
+    async def rewrite_rows(self) -> None:
+        """Queue all known rows again after each restore of the store, until cancelled."""
+        while True:
+            await self.state.restored.wait()
+            now = read_lease_clock()
+            for key, (content, queued_at) in list(self._queued.items()):
+                if queued_at > now - ROW_RETENTION_S:
+                    self._queue(key, content)
+            # The daemon that wrote a row may have ended.
+            for shared in self.relay.quarantine.share_patterns(now):
+                if self.state.is_prober(shared.pattern):
+                    self._queue_row(shared.pattern, encode_row(shared.pattern))
+
     def _queue_row(self, pattern: Pattern, content: bytes | None) -> None:
+        now = read_lease_clock()
+        for key, (_content, queued_at) in list(self._queued.items()):
+            if queued_at < now - ROW_RETENTION_S:
+                self._queued.pop(key)
         key = make_row_key(pattern)
+        self._queued[key] = content, now
+        self._queue(key, content)
+
+    def _queue(self, key: str, content: bytes | None) -> None:
         self._unwritten.pop(key, None)
         self._unwritten[key] = content
         self._has_unwritten.set()
--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -4,6 +4,7 @@
 import zlib
 from collections.abc import Callable
 
+import anyio
 import attrs
 
 from ..clocks import read_lease_clock
@@ -53,6 +54,8 @@
     is_store_up: bool = True
     # Returns the seconds since the manifest and upstreams held here were confirmed by the store.
     read_store_age: Callable[[], float] = lambda: math.inf
+    # Set, and replaced, when the store was restored from a copy.
+    restored: anyio.Event = attrs.field(factory=anyio.Event)
     _sequence: int = 0
     # Checksums of undecodable entries by upstream id, so that each is logged once.
     _invalid_checksums: dict[str, int] = attrs.field(factory=dict)
@@ -297,6 +300,8 @@
     def _handle_restore(self, before: int, after: int) -> None:
         self.relay.events.emit(Event.STORE_RESTORED, before=get_era(before), era=get_era(after))
         self.view.mark_restored(read_lease_clock())
+        self.restored.set()
+        self.restored = anyio.Event()
 
     def _apply_manifest(self, content: bytes, revision: int) -> None:
         relay = self.relay
--- a/tests/edge/test_daemon.py
+++ b/tests/edge/test_daemon.py
@@ -10,8 +10,9 @@
 from camphorpath.edge.quarantine import TABLE as QUARANTINE_TABLE
 from camphorpath.platform.store import MetadataStore
 
+from ..cluster.restored_store import RestorableStore
 from ..platform.test_store import make_row
-from ..relay.support import run
+from ..relay.support import run, wait_for
 from .test_state import SETTINGS
 
 # Deeper than Python can render, but not deeper than what the decoder accepts.
@@ -70,3 +71,27 @@
         await daemon.close()
 
     run(test)
+
+
+def test_member_row_that_a_restore_of_the_store_lost_is_written_again(monkeypatch):
+    """Guards against daemons that never hear of this one, as they read the rows after a restore."""
+    monkeypatch.setattr('camphorpath.edge.daemon.MAX_REWRITE_DELAY_S', 0.1)
+    store = RestorableStore()
+    key = MEMBER_TABLE, SETTINGS.name
+
+    async def main():
+        daemon = build_edge(attrs.evolve(SETTINGS, host='127.0.0.1', heartbeat_port=0))
+        copied = store.copy()
+        daemon.store = daemon.follower.store = daemon.quarantine.store = store.connect()
+        async with anyio.create_task_group() as group:
+            group.start_soon(_register_member, daemon)
+            group.start_soon(daemon.follower.watch_upstreams)
+            await wait_for(lambda: key in store.data.rows)
+            await wait_for(lambda: daemon.state.rows.upstreams_revision)
+            store.restore(copied)
+            assert key not in store.data.rows
+            await wait_for(lambda: key in store.data.rows)
+            group.cancel_scope.cancel()
+        await daemon.close()
+
+    anyio.run(main)
--- a/tests/edge/test_quarantine.py
+++ b/tests/edge/test_quarantine.py
@@ -11,6 +11,7 @@
 from camphorpath.placement.crashes import Crash, Pattern, QuarantinedPattern, digest_parts
 from camphorpath.placement.ownership import Assignment
 from camphorpath.placement.quarantine import CRASH_LIMIT, PATTERN_RETENTION_S
+from camphorpath.platform.revisions import make_revision
 from camphorpath.platform.store import Rows, StoreRow
 from camphorpath.relay.acceptance import MAX_SHARED_PARTS
 from camphorpath.schema import camphorpath_pb2 as pb
@@ -234,3 +235,61 @@
             assert not is_held_back(sync)
 
     anyio.run(test)
+
+
+def restore_store(sync, store, rows):
+    """Let a store come back from a copy, and a daemon learn of it."""
+    store.rows = dict(rows)
+    sync.state.rows.apply_listing([], make_revision(2, 3), 0)
+
+
+async def run_with_rewrites(sync, act):
+    async with anyio.create_task_group() as group:
+        group.start_soon(sync.rewrite_rows)
+        await anyio.wait_all_tasks_blocked()
+        act()
+        await write_rows(sync)
+        group.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize('is_writer', [True, False])
+def test_pattern_that_a_restore_of_the_store_lost_is_written_again(is_writer):
+    """Guards against calls that crash upstreams again after a start of all daemons."""
+    store = StoredRows()
+    writer, sync = make_sync('d1', store), make_sync(store=store)
+    if is_writer:
+        writer = sync
+    sync.state.rows.apply_listing([], 9, 0)
+
+    async def main():
+        record_crashes(writer)
+        writer.update(read_lease_clock())
+        await write_rows(writer)
+        assert list(store.rows) == [make_row_key(PATTERN)]
+        deliver_heartbeat(writer, sync)
+        sync.state.assignment = Assignment({'r': ('me',)}, {})
+        await run_with_rewrites(sync, lambda: restore_store(sync, store, {}))
+
+    anyio.run(main)
+    assert store.rows == {make_row_key(PATTERN): encode_row(PATTERN)}
+
+
+def test_ended_pattern_that_a_restore_of_the_store_brought_back_is_removed_again():
+    """Guards against calls that are held back for good, as the store holds an old row again."""
+    store = StoredRows()
+    sync = make_sync(store=store)
+    sync.state.rows.apply_listing([], 9, 0)
+
+    async def main():
+        record_crashes(sync)
+        sync.update(read_lease_clock())
+        await write_rows(sync)
+        copied = dict(store.rows)
+        for part in CRASHING_PART:
+            sync.relay.quarantine.apply_cleared(part, read_lease_clock())
+        sync._queue_row(PATTERN, None)
+        await write_rows(sync)
+        await run_with_rewrites(sync, lambda: restore_store(sync, store, copied))
+
+    anyio.run(main)
+    assert store.rows == {make_row_key(PATTERN): None}
