--- a/camphorpath/platform/manifest.py
+++ b/camphorpath/platform/manifest.py
@@ -29,10 +29,10 @@
 def read_manifest_version(text: bytes) -> int | None:
     """Return the version of a manifest, or None if it cannot be read."""
     try:
-        version = orjson.loads(text)['version']
-    except (orjson.JSONDecodeError, KeyError, TypeError):
+        return decode_fields(text).whole('version', highest=MAX_VERSION)
+    except PlatformError:
+        # The caller rejects and logs the manifest when it decodes it.
         return None
-    return version if isinstance(version, int) and 0 <= version <= MAX_VERSION else None
 
 
 def _decode_route(fields: Fields) -> Route:
