Send long state to peers deflated

Cause: all revisions are of a later era, so that each daemon fetches the whole listing (14.5 KB), and most ask the first one that announces it, over its link.

Long answers are deflated if the client accepts that; daemons of older versions do, as their HTTP client decodes it.

--- a/camphorpath/edge/pages.py
+++ b/camphorpath/edge/pages.py
@@ -1,5 +1,6 @@
 """HTTP handlers of a daemon for readiness, addresses, state for peers and metrics."""
 
+import zlib
 from collections.abc import Awaitable, Callable
 
 import orjson
@@ -9,6 +10,7 @@
 from ..platform.wire import READY_PATH, RESOLVE_PATH, parse_location, render_addresses
 from ..relay.caller import CallerRequest
 from ..relay.context import RelayContext
+from ..relay.headers import find_header
 from ..relay.server import PageAnswer
 from .state import DaemonState
 
@@ -21,6 +23,10 @@
 # For this time callers keep using an address, also that of a daemon that was lost meanwhile.
 ADDRESS_TTL_S = 1.0
 METRICS_PATH = '/metrics'
+# Shorter answers fit into one packet.
+MIN_DEFLATED_BYTES = 1200
+# The fastest level; entries of upstreams are alike, and compress well at any.
+DEFLATE_LEVEL = 1
 
 
 def make_readiness_handler(state: DaemonState) -> PageHandler:
@@ -62,7 +68,14 @@
             return STATUS_BAD_REQUEST, [], b''
         shared = state.rows.collect_since(*revisions)
         shared.hosts.extend([state.settings.host, *state.members.list_running_hosts()])
-        return STATUS_OK, [(b'content-type', b'application/protobuf')], shared.SerializeToString()
+        headers = [(b'content-type', b'application/protobuf')]
+        content = shared.SerializeToString()
+        # After a restore of the store, a whole fleet may fetch a listing from one daemon.
+        accepted = find_header(request.headers, b'accept-encoding')
+        if len(content) > MIN_DEFLATED_BYTES and b'deflate' in accepted:
+            headers.append((b'content-encoding', b'deflate'))
+            content = zlib.compress(content, DEFLATE_LEVEL)
+        return STATUS_OK, headers, content
 
     return handle
 
--- a/tests/edge/test_daemon.py
+++ b/tests/edge/test_daemon.py
@@ -6,7 +6,12 @@
 import orjson
 import pytest
 
-from camphorpath.edge.daemon import MEMBER_TABLE, _register_member, build_edge
+from camphorpath.edge.daemon import (
+    MEMBER_TABLE,
+    _read_shared_tables,
+    _register_member,
+    build_edge,
+)
 from camphorpath.edge.quarantine import TABLE as QUARANTINE_TABLE
 from camphorpath.platform.store import MetadataStore
 
@@ -65,7 +70,7 @@
         daemon = build_edge(settings)
         store = MetadataStore('http://store', httpx.MockTransport(answer))
         daemon.store = daemon.quarantine.store = store
-        await _register_member(daemon)
+        await _read_shared_tables(daemon)
         assert daemon.state.members.hosts == {'10.0.0.7'}
         await store.close()
         await daemon.close()
