Charge a retry if an upstream breaks off as a slot is granted elsewhere

What would be seen: more retries than the budget allows (BUDGET), one for each stream whose upstream breaks off in the same moment as the slot that it asked for is granted. Cause: a replacement counted as charged, though it is charged when it is sent. Evidence: test_upstream_that_breaks_off_as_a_slot_is_granted_costs_a_retry failed before: the second upstream got the stream without a budget.

--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -173,8 +173,7 @@
             except UpstreamError as error:
                 failure = error
                 self._record_failure(attempt, error)
-                # A replacement was charged when it was sent.
-                if self._replacement is None and not self._may_retry(error):
+                if not self._is_replacement_sent() and not self._may_retry(error):
                     raise self._make_final_refusal(error) from error
             finally:
                 self._end_attempt(attempt)
@@ -243,6 +242,10 @@
         digest = get_call_digest(self.context.header_names, self.call)
         return not quarantine.is_quarantined(digest, self.call.part_digests)
 
+    def _is_replacement_sent(self) -> bool:
+        """Return whether the call was sent elsewhere already, and so charged as a retry."""
+        return self._replacement is not None and self._replacement.is_sent
+
     def _return_unused(self, attempt: Attempt) -> None:
         """End an attempt that was not sent; its upstream may be chosen again."""
         self.tried_upstreams.discard(attempt.upstream.upstream_id)
--- a/tests/relay/test_silent_upstreams.py
+++ b/tests/relay/test_silent_upstreams.py
@@ -13,6 +13,7 @@
 from camphorpath.placement.crashes import Crash, digest_call
 from camphorpath.placement.quarantine import CRASH_LIMIT
 from camphorpath.relay import upstream as upstream_module
+from camphorpath.relay.call import CallHandler
 from camphorpath.relay.sockets import open_connection
 from camphorpath.schema import camphorpath_pb2 as pb
 
@@ -284,6 +285,37 @@
     run(test)
 
 
+def test_upstream_that_breaks_off_as_a_slot_is_granted_costs_a_retry(monkeypatch):
+    """Guards against retries beyond the budget when both happen at once."""
+
+    async def acquire_without_leaving(handler, _scope):
+        handler._replacement = await handler._request_slot(is_retry=True, is_replacement=True)
+
+    async def break_off(upstream, reader, writer):
+        await upstream.read_request(reader)
+        writer.write(HEAD + make_chunk(make_event(1)))
+        await writer.drain()
+        await anyio.sleep(SILENCE_S)
+        writer.transport.abort()
+
+    async def test():
+        monkeypatch.setattr(CallHandler, '_acquire_replacement', acquire_without_leaving)
+        async with (
+            open_upstream(break_off) as first,
+            open_upstream(stream_events([2])) as second,
+            open_relay(first, second) as (context, port),
+        ):
+            extend_route_timeouts(context)
+            use_up_budget(context)
+            _received, is_reset = await read_to_end(port, make_request(b'/stream/x'))
+            assert not second.requests
+            await wait_for(lambda: not context.in_progress)
+            assert not any(slots.running for slots in context.scheduler.slots.values())
+        assert is_reset
+
+    run(test)
+
+
 def test_quarantined_stream_is_neither_resumed_elsewhere_nor_cut():
     """Guards against a stream that crashes further upstreams, or is cut, when it stalls."""
 
