Write only rows of quarantines that are current after a restore of the store

What callers would see: sound calls held back for good, by a row that no daemon holds any more, or calls that crash upstreams again after a start of all daemons. Cause: after a restore a daemon wrote what it had written last, though a peer had ended the pattern, or added it again, since. Change: a row is written only if its pattern is held, and removed only if it is not. Evidence: two tests that failed before.

--- a/camphorpath/edge/quarantine.py
+++ b/camphorpath/edge/quarantine.py
@@ -107,8 +107,11 @@
         while True:
             await self.state.restored.wait()
             now = read_lease_clock()
+            held = {make_row_key(pattern) for pattern in self.relay.quarantine.list_patterns()}
             for key, (content, queued_at) in list(self._queued.items()):
-                if queued_at > now - ROW_RETENTION_S:
+                # A peer may have ended a pattern, or added it again, since the row was queued.
+                is_current = (content is not None) == (key in held)
+                if is_current and queued_at > now - ROW_RETENTION_S:
                     self._queue(key, content)
             # The daemon that wrote a row may have ended.
             for shared in self.relay.quarantine.share_patterns(now):
--- a/camphorpath/placement/quarantine.py
+++ b/camphorpath/placement/quarantine.py
@@ -164,6 +164,10 @@
             if not hold.is_from_store
         ]
 
+    def list_patterns(self) -> list[Pattern]:
+        """Return all patterns that are held."""
+        return list(self._patterns)
+
     def adopt_stored(self, pattern: Pattern, now: float) -> None:
         """Apply a pattern of the metadata store, unless it is known."""
         if pattern in self._patterns:
--- a/tests/edge/test_quarantine.py
+++ b/tests/edge/test_quarantine.py
@@ -293,3 +293,46 @@
 
     anyio.run(main)
     assert store.rows == {make_row_key(PATTERN): None}
+
+
+def test_pattern_that_a_peer_ended_is_not_written_again_after_a_restore():
+    """Guards against sound calls that are held back by a row that no daemon holds any more."""
+    store = StoredRows()
+    writer, ender = make_sync('d1', store), make_sync('d2', store)
+    writer.state.rows.apply_listing([], 9, 0)
+
+    async def main():
+        record_crashes(writer)
+        writer.update(read_lease_clock())
+        await write_rows(writer)
+        deliver_heartbeat(writer, ender)
+        ender.relay.quarantine.record_answer(CRASHING_PART, read_lease_clock())
+        ender.update(read_lease_clock())
+        await write_rows(ender)
+        deliver_announcements(ender, writer)
+        assert not is_held_back(writer)
+        assert store.rows == {make_row_key(PATTERN): None}
+        await run_with_rewrites(writer, lambda: restore_store(writer, store, store.rows))
+
+    anyio.run(main)
+    assert store.rows == {make_row_key(PATTERN): None}
+
+
+def test_pattern_that_a_peer_added_again_is_not_removed_after_a_restore():
+    """Guards against a row that is missing after a start of all daemons."""
+    store = StoredRows()
+    writer, ender = make_sync('d1', store), make_sync('d2', store)
+    ender.state.rows.apply_listing([], 9, 0)
+
+    async def main():
+        ender._queue_row(PATTERN, None)
+        await write_rows(ender)
+        record_crashes(writer)
+        writer.update(read_lease_clock())
+        await write_rows(writer)
+        deliver_heartbeat(writer, ender)
+        assert is_held_back(ender)
+        await run_with_rewrites(ender, lambda: restore_store(ender, store, store.rows))
+
+    anyio.run(main)
+    assert store.rows == {make_row_key(PATTERN): encode_row(PATTERN)}
