End the deadline of a lapsed upstream with its entry

Cause: deadlines were kept apart from the entries that they are for. Change: both end together; a second restore extends them; an outdated entry ends them. Evidence: three tests that failed before. Two more tests hold down what mutations of the code showed to be untested: the version in heartbeats, equal entries of a copy.

--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -354,7 +354,7 @@
         self._invalid_checksums.pop(key, None)
         if self.view.is_outdated(upstream):
             events.emit(Event.ROWS_OUTDATED, '', key, rows=1, held=self.rows.upstreams_revision)
-        elif self.view.put(upstream):
+        if self.view.put(upstream):
             self._has_upstream_changes = True
             events.emit(
                 Event.UPSTREAM_LEAVING if upstream.is_leaving else Event.UPSTREAM_FOUND,
--- a/camphorpath/routing/upstreams.py
+++ b/camphorpath/routing/upstreams.py
@@ -60,6 +60,8 @@
         self.mark_store_unstable(now)
         self._restored_at = now
         self._before_restore = {**self._before_restore, **self._removed, **self._entries}
+        for upstream_id in self._lapse_deadlines:
+            self._lapse_deadlines[upstream_id] = now + REREGISTRATION_GRACE_S
 
     def is_outdated(self, upstream: Upstream) -> bool:
         """Return whether an entry is one of before a restore of the store that was replaced."""
@@ -80,6 +82,8 @@
         Outdated entries are ignored.
         """
         if self.is_outdated(upstream):
+            # Outdated or not, it is registered.
+            self._lapse_deadlines.pop(upstream.upstream_id, None)
             return False
         self._recently_removed.pop(upstream.upstream_id, None)
         self._lapse_deadlines.pop(upstream.upstream_id, None)
@@ -124,7 +128,6 @@
         expired = [upstream_id for upstream_id, due in self._lapse_deadlines.items() if now >= due]
         for upstream_id in expired:
             self._record_removed(upstream_id)
-            self._lapse_deadlines.pop(upstream_id)
         if now > self._restored_at + COPY_RETENTION_S:
             self._before_restore.clear()
         for upstream_id, (_upstream, removed_at) in list(self._recently_removed.items()):
@@ -139,6 +142,7 @@
 
     def _record_removed(self, upstream_id: str) -> None:
         """Remove an entry, but remember it."""
+        self._lapse_deadlines.pop(upstream_id, None)
         upstream = self._entries.pop(upstream_id, None)
         if upstream is None:
             return
--- a/tests/edge/test_state.py
+++ b/tests/edge/test_state.py
@@ -4,6 +4,7 @@
 import pytest
 from loguru import logger
 
+from camphorpath.clocks import read_lease_clock
 from camphorpath.cluster.members import Members
 from camphorpath.edge.daemon import build_edge
 from camphorpath.edge.settings import Bounds, EdgeSettings
@@ -251,3 +252,23 @@
     assert not state.view.all()
     state.rows.apply_changes([make_entry(36, make_revision(3, 22))], make_revision(3, 22), 5)
     assert len(state.view.all()) == 1
+
+
+def test_unreadable_row_of_a_lapsed_upstream_that_leaves_ends_no_daemon(state):
+    """Guards against a deadline that outlives the entry of its upstream."""
+    now = read_lease_clock()
+    restored_at = make_revision(2, 10)
+    state.rows.apply_listing([make_entry(1, 14)], 20, now)
+    state.rows.apply_listing([], restored_at, now)
+    state.mark_leaving('i-0', 1000, 'peer')
+    unreadable = pb.SharedRow(key='i-0', content=b'{}', revision=restored_at + 1)
+    state.rows.apply_changes([unreadable], restored_at + 1, now)
+    assert not state.view.all()
+
+
+def test_peers_are_told_the_version_of_the_manifest(state):
+    """Guards against daemons that take an older manifest of a restored store for a newer one."""
+    content = orjson.dumps({'version': 15, 'routes': [], 'services': []})
+    state.rows.apply_manifest(content, 10)
+    assert state.make_heartbeat().manifest_version == 15
+    assert state.make_announcement(pb.SharedState(), 0).manifest_version == 15
--- a/tests/routing/test_upstreams.py
+++ b/tests/routing/test_upstreams.py
@@ -149,3 +149,33 @@
     view = make_view(9)
     view.mark_restored(40)
     assert view.remove('i-1', 42.1)
+
+
+def test_second_restore_gives_missing_entries_time_again():
+    """Guards against upstreams that are dropped before they could write their entries."""
+    view = make_view(9)
+    view.mark_restored(40)
+    assert not view.remove('i-1', 40)
+    view.mark_restored(41.9)
+    assert view.expire(42.1) == []
+    assert view.expire(43.9) == ['i-1']
+
+
+def test_outdated_entry_of_a_second_copy_shows_that_an_upstream_is_registered():
+    """Guards against dropping an upstream whose entry the store holds."""
+    view = UpstreamView()
+    view.put(make_statement(30))
+    view.mark_restored(40)
+    view.remove('i-1', 40)
+    view.mark_restored(41)
+    view.put(make_statement(1))
+    view.expire(43.1)
+    assert list_ids(view) == {'i-1'}
+
+
+def test_equal_entry_in_a_copy_is_not_outdated():
+    """Guards against a log line for each entry that has not changed since the copy."""
+    view = UpstreamView()
+    view.put(make_statement(30))
+    view.mark_restored(40)
+    assert not view.is_outdated(make_statement(30))
