Repeat a failed listing at the probe interval

Cause: a daemon without a revision to read on from never waited for its turn. Evidence: test_listing_that_fails_is_repeated_at_the_probe_interval failed before.

--- a/camphorpath/cluster/follower.py
+++ b/camphorpath/cluster/follower.py
@@ -242,19 +242,17 @@
     ) -> None:
         """Read a table and then its changes; read it anew if the store dropped its history."""
         revision: int | None = None
+        has_listing_failed = False
         failures = 0
         while True:
-            is_watcher = self.is_watcher()
-            if revision is not None and not is_watcher:
-                await self._wait_until_due(table, failures)
-                # Peers have sent the changes up to the held revision meanwhile.
-                revision = max(revision, get_held_revision())
+            if revision is not None or has_listing_failed:
+                revision = await self._wait_for_turn(table, failures, revision, get_held_revision)
             try:
                 if revision is None:
                     rows = await self.store.read_table(table)
                     self._apply_and_announce(rows, handle_listing, is_first=not get_held_revision())
                 else:
-                    wait_s = LONG_POLL_TIMEOUT_S if is_watcher else 0
+                    wait_s = LONG_POLL_TIMEOUT_S if self.is_watcher() else 0
                     rows = await self.store.read_changes(table, revision, wait_s)
                     self._apply_and_announce(rows, handle_changes)
             except HistoryCompacted:
@@ -262,14 +260,30 @@
                 continue
             except TableUnavailable as error:
                 failures += 1
+                has_listing_failed = revision is None
                 self._mark_store_down(error)
                 await anyio.sleep(random.uniform(MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S))
                 continue
             self._mark_store_up(failures)
             self._record_read(table, rows.answered_at)
             failures = 0
+            has_listing_failed = False
             revision = rows.revision
 
+    async def _wait_for_turn(
+        self,
+        table: str,
+        failures: int,
+        revision: int | None,
+        get_held_revision: Callable[[], int],
+    ) -> int | None:
+        """Wait until the store should be read; return the revision to read on from, if any."""
+        if self.is_watcher():
+            return revision
+        await self._wait_until_due(table, failures)
+        # Peers have sent the changes up to the held revision meanwhile.
+        return None if revision is None else max(revision, get_held_revision())
+
     def _apply_and_announce(
         self, rows: Rows, handle_rows: Callable[[Rows], None], *, is_first: bool = False
     ) -> None:
--- a/tests/cluster/test_follower.py
+++ b/tests/cluster/test_follower.py
@@ -377,3 +377,31 @@
     tasks = follower.watch_manifest, follower.watch_upstreams, measure_age
     run_until(lambda: bool(ages), *tasks)
     assert ages[0] >= 0.5
+
+
+def test_listing_that_fails_is_repeated_at_the_probe_interval():
+    """Guards against a fleet that reads without a pause while the store refuses its listings."""
+
+    @attrs.define
+    class CountingStore(FakeStore):
+        refused_count: int = 0
+
+        async def read_table(self, table):
+            if self.listings:
+                return self.listings.pop(0)
+            self.refused_count += 1
+            raise TableUnavailable('refused')
+
+    store = CountingStore([list_rows(1, 'a')], [HistoryCompacted('restored')])
+    follower, applied = make_follower(store, is_watcher=lambda: False)
+
+    async def measure():
+        await wait_for(lambda: applied)
+        follower.mark_unconfirmed()
+        await wait_for(lambda: store.refused_count)
+        await anyio.sleep(2)
+        counts.append(store.refused_count)
+
+    counts = []
+    run_until(lambda: bool(counts), follower.watch_upstreams, measure)
+    assert counts[0] <= 3
