Ignore rows of before a restore that arrive late, and bound inflated answers

What callers would see: calls to an upstream that has exited, for good, as no listing follows: its row of the earlier era came from a peer, an announcement or a slow answer after the listing of the restored store, and its key was unknown. Beside it: an answer of a peer that inflates to more than 64 MiB is refused, and time for an answer is granted by the bytes on the link, not by the inflated ones.

--- a/camphorpath/cluster/shared.py
+++ b/camphorpath/cluster/shared.py
@@ -190,6 +190,9 @@
     def _put_row(self, row: pb.SharedRow, now: float) -> bool:
         self._note_revision(row.revision)
         known = self.upstreams.get(row.key)
+        if known is None and get_era(row.revision) < get_era(self.upstreams_revision):
+            # Late: the listing after the restore did not hold it.
+            return False
         if known is not None and known.revision >= row.revision:
             return False
         self.upstreams[row.key] = row
--- a/camphorpath/transports.py
+++ b/camphorpath/transports.py
@@ -14,6 +14,8 @@
 # The time limit of an answer allows for this transfer rate: a tenth of the slowest link in use,
 # 5 Mbit/s, which calls share.
 MIN_RATE_BYTES_PER_S = 65536.0
+# Longer than any listing or manifest; deflated content of a broken peer may inflate to more.
+MAX_CONTENT_BYTES = 67108864
 
 
 @attrs.frozen
@@ -32,16 +34,25 @@
 ) -> CompleteAnswer:
     """Return the answer to a GET; each chunk must arrive within the read timeout.
 
-    Raises the errors of httpx, and TimeoutError if the whole answer takes longer than the read
-    timeout plus the time for its length at MIN_RATE_BYTES_PER_S.
+    Raises the errors of httpx, also if the content exceeds MAX_CONTENT_BYTES, and TimeoutError if
+    the whole answer takes longer than the read timeout plus the time for its length at
+    MIN_RATE_BYTES_PER_S.
     """
     content = bytearray()
+    received_bytes = 0
     with anyio.fail_after(timeout.read) as scope:
         async with client.stream('GET', url, params=query, timeout=timeout) as response:
             answered_at = read_lease_clock()
             async for chunk in response.aiter_bytes():
                 content += chunk
-                scope.deadline += len(chunk) / MIN_RATE_BYTES_PER_S
+                if len(content) > MAX_CONTENT_BYTES:
+                    message = f'the answer exceeds {MAX_CONTENT_BYTES} bytes'
+                    raise httpx.DecodingError(message, request=response.request)
+                # Deflated content takes less time on the link than its length says.
+                scope.deadline += (
+                    response.num_bytes_downloaded - received_bytes
+                ) / MIN_RATE_BYTES_PER_S
+                received_bytes = response.num_bytes_downloaded
     return CompleteAnswer(response.status_code, response.headers, bytes(content), answered_at)
 
 
--- a/tests/cluster/test_restored_store.py
+++ b/tests/cluster/test_restored_store.py
@@ -1,14 +1,18 @@
 """Tests of daemons whose store comes back from a copy that is some seconds old."""
 
+import zlib
+
 import anyio
 import httpx
 import orjson
 import pytest
 
 from camphorpath.cluster.shared import SharedRows
-from camphorpath.cluster.state_transfer import parse_revisions
+from camphorpath.cluster.state_transfer import fetch_state, parse_revisions
+from camphorpath.errors import PeerError
 from camphorpath.platform.revisions import make_revision
 from camphorpath.schema import camphorpath_pb2 as pb
+from camphorpath.transports import MAX_CONTENT_BYTES
 
 from ..relay.support import wait_for
 from .restored_store import RestorableStore
@@ -185,3 +189,38 @@
     rows.apply_manifest(make_manifest(1), make_revision(2, 19))
     rows.apply_listing([], make_revision(2, 19), 1)
     assert reported == [(28, make_revision(2, 19))]
+
+
+@pytest.mark.parametrize('way', ['apply_announced_rows', 'apply_listing', 'apply_state'])
+def test_late_row_of_before_a_restore_is_ignored(way):
+    """Guards against an upstream that has exited and gets calls, as no listing follows."""
+    rows = make_rows(3, 21, [('a', 17)], 29)
+    restored_at = make_revision(2, 19)
+    listed = pb.SharedRow(key='a', content=b'x', revision=make_revision(2, 17))
+    rows.apply_listing([listed], restored_at, 1)
+    late = pb.SharedState(upstreams_revision=30)
+    late.upstreams.add(key='lost', content=b'x', revision=30)
+    arguments = {
+        'apply_announced_rows': (late, 29, 2),
+        'apply_listing': (late.upstreams, 30, 2),
+        'apply_state': (late, 2),
+    }
+    getattr(rows, way)(*arguments[way])
+    assert set(rows.upstreams) == {'a'}
+    assert rows.upstreams_revision == restored_at
+
+
+def test_state_that_inflates_without_bounds_is_refused():
+    """Guards against a peer that takes the memory of a daemon."""
+    content = zlib.compress(bytes(2 * MAX_CONTENT_BYTES))
+    headers = {'content-encoding': 'deflate'}
+    transport = httpx.MockTransport(
+        lambda request: httpx.Response(200, headers=headers, content=content)
+    )
+
+    async def main():
+        async with httpx.AsyncClient(transport=transport) as client:
+            with pytest.raises(PeerError, match='exceeds'):
+                await fetch_state(client, '10.0.0.2:1', 0, 0, 0)
+
+    anyio.run(main)
