Do not cut a server error that is being relayed when calls like it are quarantined

What callers would see (LOST): half of an upstream's own 500, if three crashes of calls like it were counted while the answer waited in a full send buffer. Cause: the answer that is relayed for want of a better one did not count as being relayed. Evidence: test_server_error_on_its_way_is_not_cut_by_the_quarantine failed before with a reset.

--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -159,6 +159,7 @@
             failed = self._failed_answer
             if failed is None or self.has_answer_started:
                 raise
+        self._is_relaying = True
         await self.caller.send_answer(failed.status, failed.headers, failed.body)
         return FAILED
 
--- a/tests/relay/test_silent_upstreams.py
+++ b/tests/relay/test_silent_upstreams.py
@@ -506,6 +506,38 @@
     run(test)
 
 
+def test_server_error_on_its_way_is_not_cut_by_the_quarantine():
+    """Guards against half an answer if calls like it come into quarantine meanwhile."""
+
+    async def test():
+        body = b'x' * 4_000_000
+        failed = make_answer(body, b'500 Error')
+        async with (
+            open_upstream(answer_with(failed)) as upstream,
+            open_relay(upstream) as (context, port),
+        ):
+            extend_route_timeouts(context)
+            context.is_prober = lambda pattern: False
+            digest = digest_call(b'/read/x', b'', b'')
+            loop = asyncio.get_running_loop()
+            with socket.socket() as caller:
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                caller.connect(('127.0.0.1', port))
+                caller.setblocking(False)
+                await loop.sock_sendall(caller, make_request())
+                received = bytearray(await loop.sock_recv(caller, 100))
+                for number in range(CRASH_LIMIT):
+                    crash = Crash(digest, f'x-{number}/0', frozenset())
+                    context.quarantine.record_crash(crash, read_lease_clock(), is_from_peer=True)
+                context.recheck_quarantine()
+                while received.count(b'x') < len(body):
+                    chunk = await loop.sock_recv(caller, 262144)
+                    assert chunk
+                    received += chunk
+
+    run(test)
+
+
 def test_stream_to_a_slow_caller_is_not_resumed_elsewhere():
     """Guards against taking a caller that reads slowly for an upstream that is silent."""
     data_bytes = 200_000
