Log the software versions when a stream goes on at another upstream

Change: entries are read with their software version; event 310 names the version that began a stream and that of the next upstream for each switch within an answer, event 314 for each take-up, both with the registered versions and how long ago the store confirmed them. No decision depends on them yet. Evidence: tests/relay/test_streams.py, test_silent_upstreams.py and tests/platform pass.

--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -132,6 +132,7 @@
     relay.is_prober = state.is_prober
     relay.is_current = follower.is_manifest_current
     state.read_store_age = follower.store_age
+    relay.read_store_age = follower.store_age
     return EdgeDaemon(
         settings=settings,
         relay=relay,
--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -364,6 +364,7 @@
                 key,
                 address=upstream.address,
                 service=upstream.service,
+                software_version=upstream.software_version,
                 revision=revision,
             )
 
--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -239,6 +239,11 @@
             service.record_refusal(call, now)
             call.on_decision(make_refusal('queue_full', wait_s, call, now, waiting))
 
+    def list_versions(self, service: str) -> frozenset[str]:
+        """Return the software versions of the upstreams of a service that are not leaving."""
+        group = self._slots_by_service.get(service, ())
+        return frozenset(slots.upstream.software_version for slots in group)
+
     def withdraw(self, call: WaitingCall) -> None:
         """Remove a call from the queue if it waits there."""
         service = self._services.get(call.service)
--- a/camphorpath/platform/entries.py
+++ b/camphorpath/platform/entries.py
@@ -5,7 +5,7 @@
 from ..addresses import is_ipv4_address
 from ..errors import PlatformError
 from ..routing import Upstream
-from .fields import MAX_NAME_CHARS, decode_fields
+from .fields import MAX_NAME_CHARS, Fields, decode_fields
 from .wire import STATE_LEAVING, STATES
 
 MAX_SHOWN_CHARS = 40
@@ -41,9 +41,19 @@
         is_leaving=state == STATE_LEAVING,
         incarnation=fields.whole('born', 0),
         sequence=fields.whole('sequence', 0),
+        software_version=_read_software_version(fields),
     )
 
 
+def _read_software_version(fields: Fields) -> str:
+    """Return the version of the software, or an empty string if the entry states no valid one."""
+    try:
+        return fields.name('version')
+    except PlatformError:
+        # The upstream can serve, but no stream of another one may go on there.
+        return ''
+
+
 def _split_address(address: str) -> tuple[str, int]:
     """Return an IPv4 address and a port from 1 to MAX_PORT; raise PlatformError."""
     host, _, digits = address.rpartition(':')
--- a/camphorpath/platform/wire.py
+++ b/camphorpath/platform/wire.py
@@ -14,6 +14,7 @@
     length_hint=b'x-length-hint',
     prompt_parts=b'x-prompt-prefix',
     last_event_id=b'last-event-id',
+    resumed_attempt_id=b'resumes',
     customer=b'x-tenant',
     expected_upstream=b'x-expected-runner',
     signature=b'x-runner-signature',
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -73,6 +73,8 @@
 FLAG_SET = b'1'
 # Ids of events that a header can carry; after another one, a stream cannot be resumed.
 RESUMABLE_ID = re.compile(rb'[!-~](?:[ -~]*[!-~])?')
+# Bounds the logged event id of a stream that goes on, as callers and upstreams choose its length.
+MAX_LOGGED_ID_BYTES = 100
 # While an upstream is silent and no other one is free, a slot is asked for at this interval.
 REPLACEMENT_INTERVAL_S = 0.25
 # Longest time for which a stream is kept open at a silent upstream after it was sent to another
@@ -135,6 +137,8 @@
     # Whether an answer of the current upstream is being passed on.
     _is_relaying: bool = False
     _failed_answer: FailedAnswer | None = None
+    # Software version of the upstream that brought the first event; None before it.
+    _begun_version: str | None = None
     # The attempt that replaces the current one, whose upstream is silent.
     _replacement: Attempt | None = None
 
@@ -365,6 +369,7 @@
 
     def _send(self, attempt: Attempt) -> None:
         attempt.ran_before = self.call.may_have_run
+        self._log_continuation(attempt.upstream)
         attempt.conn.send(self._build_request(attempt.upstream), self.call.request.body)
         attempt.is_sent = True
         self._record_send(attempt.upstream)
@@ -437,6 +442,30 @@
             rate_limit=slots.rate_limit.rate,
         )
 
+    def _log_continuation(self, upstream: Upstream) -> None:
+        """Log the upstream at which a stream goes on, if its first event came from another run."""
+        headers = self.call.request.headers
+        header_names = self.context.header_names
+        last_id = find_header(headers, header_names.last_event_id)
+        if self.has_answer_started:
+            event, last_id = Event.STREAM_SWITCHED, self.splitter.last_id
+        elif last_id:
+            event = Event.STREAM_TAKEN_UP
+        else:
+            return
+        age_s = self.context.read_store_age()
+        self.context.events.emit(
+            event,
+            self.call.text_id,
+            upstream.upstream_id,
+            begun_by=find_header(headers, header_names.resumed_attempt_id).decode('latin-1'),
+            last_event_id=last_id[:MAX_LOGGED_ID_BYTES].decode('latin-1'),
+            begun_version=self._begun_version,
+            version=upstream.software_version,
+            registered=sorted(self.context.scheduler.list_versions(self.call.service)),
+            registered_age_ms=round(age_s * MS_PER_S) if math.isfinite(age_s) else None,
+        )
+
     async def _read_head(self, attempt: Attempt) -> UpstreamAnswer:
         """Return the head of the answer.
 
@@ -545,14 +574,14 @@
             events = await self._read_events(attempt)
             if events:
                 self._count_received_part(attempt)
-                await self._send_part(answer, events)
+                await self._send_part(attempt, events)
         self._check_stream_end(attempt)
         self._is_relaying = True
         self._record_sound_parts()
         read_s = read_lease_clock() - started_at - (self._sending_s - sending_before_s)
         if not self.has_answer_started:
             # Neither events nor marked as such: an answer of another kind.
-            await self._send_part(answer, splitter.pop_partial())
+            await self._send_part(attempt, splitter.pop_partial())
         await self.caller.end_stream()
         slots = self.context.scheduler.slots.get(attempt.upstream.upstream_id)
         event_count = splitter.event_count - before
@@ -672,7 +701,8 @@
     def _record_sound_parts(self) -> None:
         self.context.quarantine.record_answer(self.call.part_digests, read_lease_clock())
 
-    async def _send_part(self, answer: UpstreamAnswer, part: bytes) -> None:
+    async def _send_part(self, attempt: Attempt, part: bytes) -> None:
+        answer = attempt.answer
         began_at = read_lease_clock()
         if self.has_answer_started:
             self.call.longest_event_gap_s = max(
@@ -681,6 +711,7 @@
             await self.caller.send_part(part)
         else:
             self.has_answer_started = True
+            self._begun_version = attempt.upstream.software_version
             self._record_first_part()
             headers = select_answer_headers(answer.headers)
             await self.caller.start_stream(answer.status, headers, part)
--- a/camphorpath/relay/context.py
+++ b/camphorpath/relay/context.py
@@ -1,6 +1,7 @@
 """State that the calls of a daemon share."""
 
 import contextlib
+import math
 from collections.abc import Callable, Iterator
 
 import anyio
@@ -41,6 +42,8 @@
     routing_table: RoutingTable | None = None
     # Returns whether `routing_table` is of the newest manifest, as far as this daemon knows.
     is_current: Callable[[], bool] = lambda: True
+    # Returns the seconds since the store confirmed the upstreams held here; infinite if never.
+    read_store_age: Callable[[], float] = lambda: math.inf
     is_stopping: bool = False
     # Instant from which a stopping daemon refuses new calls, on the lease clock.
     refuse_from: float | None = None
--- a/camphorpath/relay/header_names.py
+++ b/camphorpath/relay/header_names.py
@@ -16,7 +16,10 @@
     length_hint: bytes
     # The parts of the prompt in order: "<id>:<tokens>,...". Calls share all but the last.
     prompt_parts: bytes
+    # Set by a caller that takes up a stream which was broken off.
     last_event_id: bytes
+    # The attempt id of the call that brought the first event of that stream.
+    resumed_attempt_id: bytes
     # Set by the relay for the upstream.
     customer: bytes
     expected_upstream: bytes
--- a/camphorpath/routing/records.py
+++ b/camphorpath/routing/records.py
@@ -102,6 +102,8 @@
     incarnation: int = 0
     # Rises with each entry that the incarnation writes; 0 if unknown.
     sequence: int = attrs.field(default=0, eq=False)
+    # Version of its software, not of its model; versions have no order. Empty if unknown.
+    software_version: str = ''
 
     @property
     def key(self) -> tuple[str, int]:
--- a/tests/relay/support.py
+++ b/tests/relay/support.py
@@ -34,6 +34,7 @@
     length_hint=b'hint',
     prompt_parts=b'parts',
     last_event_id=b'last-event-id',
+    resumed_attempt_id=b'resumes',
     customer=b'customer',
     expected_upstream=b'expected',
     signature=b'signature',
