Bind the rest of an answer to the software version that began it

What callers saw: a stream whose upstream had crashed, broken off or been silent went on within one answer at an upstream of another software version, so that its text was joined from two versions. Cause: the relay chose the next upstream by slots, speed and earlier attempts only. Class: a property that an answer depends on is not part of what it is bound to. Change: from the first event on, a call states the version that its upstream must have; the scheduler leaves out all others, also while the upstream is silent, and refuses at once a waiting call whose version is gone. Unknown is equal to nothing. An upstream that restarted at another version between the grant of its slot and the send is not used, and is not counted as failed for that.

--- a/camphorpath/placement/records.py
+++ b/camphorpath/placement/records.py
@@ -74,6 +74,18 @@
     max_event_gap_s: float = math.inf
     # Ids of upstreams to which the call was sent before.
     excluded: set[str] = attrs.field(factory=set)
+    # The software version that began the stream that the call continues, empty if it is unknown;
+    # None if the call begins its answer.
+    required_version: str | None = None
     # The call runs at a silent upstream and asks for another one, again and again: it does not
     # count as an arrival or a refused call.
     is_replacement: bool = False
+
+    def may_run_at(self, upstream: Upstream) -> bool:
+        """Return whether the call may be sent to an upstream of its service."""
+        if upstream.upstream_id in self.excluded:
+            return False
+        if self.required_version is None:
+            return True
+        # Two unknown versions may differ.
+        return bool(self.required_version) and upstream.software_version == self.required_version
--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -26,7 +26,9 @@
 # Expected wait per queued call while no call of the service has ended recently.
 DEFAULT_WAIT_S = 0.05
 SPEED_UPDATE_INTERVAL_S = 0.25
-# Expected wait that a refusal states if the service has no upstream.
+# The reason of the refusal of a call that no upstream of its service can take.
+NO_UPSTREAM = 'no_upstream'
+# Expected wait that such a refusal states.
 NO_UPSTREAM_WAIT_S = 0.7
 # The rate at which slots become free is measured over this window.
 RATE_WINDOW_S = 2.0
@@ -222,7 +224,7 @@
                 return
         waiting = len(service.queue.calls)
         if not self._has_candidates(call):
-            call.on_decision(make_refusal('no_upstream', NO_UPSTREAM_WAIT_S, call, now, waiting))
+            call.on_decision(make_refusal(NO_UPSTREAM, NO_UPSTREAM_WAIT_S, call, now, waiting))
             return
         if self._yields_to_urgent(call, now):
             # A late answer is worth little, and urgent calls would miss the slot.
@@ -303,14 +305,20 @@
                 for refused_at in service.refusal_times
                 if refused_at > now - RATE_WINDOW_S
             ]
-            for call in list(service.queue.calls):
-                if now < call.wait_until:
-                    continue
-                service.queue.remove(call)
-                service.record_refusal(call, now)
-                wait_s = self._estimate_wait(service, call, now)
-                waiting = len(service.queue.calls)
-                call.on_decision(make_refusal('waited_too_long', wait_s, call, now, waiting))
+            self._refuse_expired(service, now)
+
+    def _refuse_expired(self, service: _ServiceState, now: float) -> None:
+        """Refuse the calls that waited too long, and streams whose software version is gone."""
+        for call in list(service.queue.calls):
+            is_version_gone = call.required_version is not None and not self._has_candidates(call)
+            if now < call.wait_until and not is_version_gone:
+                continue
+            service.queue.remove(call)
+            service.record_refusal(call, now)
+            wait_s = self._estimate_wait(service, call, now)
+            waiting = len(service.queue.calls)
+            reason = NO_UPSTREAM if is_version_gone else 'waited_too_long'
+            call.on_decision(make_refusal(reason, wait_s, call, now, waiting))
 
     def _count_lendable(self, slots: Slots, now: float) -> int:
         """Return how many free slots of an upstream can be lent; 0 while calls wait here."""
@@ -405,10 +413,8 @@
                 return
 
     def _has_candidates(self, call: WaitingCall) -> bool:
-        return any(
-            slots.upstream.upstream_id not in call.excluded
-            for slots in self._slots_by_service.get(call.service, ())
-        )
+        group = self._slots_by_service.get(call.service, ())
+        return any(call.may_run_at(slots.upstream) for slots in group)
 
     def _list_usable(self, service: str, now: float) -> list[Slots]:
         """Return the upstreams that can take a call now.
@@ -434,7 +440,7 @@
                 return None
         best, best_cost = None, math.inf
         for slots in usable:
-            if slots.upstream.upstream_id in call.excluded:
+            if not call.may_run_at(slots.upstream):
                 continue
             cost = self._estimate_cost(call, slots, now)
             if cost < best_cost:
@@ -449,7 +455,7 @@
         if now + wait_s >= call.latest_start_at:
             return False
         for slots in self._slots_by_service.get(call.service, ()):
-            if not slots.is_owner or slots.upstream.upstream_id in call.excluded:
+            if not slots.is_owner or not call.may_run_at(slots.upstream):
                 continue
             if not slots.is_available_at(now, starts_at=now + wait_s):
                 continue
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -88,6 +88,10 @@
     """No byte of the answer arrived before the time at which another upstream should be tried."""
 
 
+class VersionChanged(NotSent):
+    """The upstream restarted at another software version than the one of the stream."""
+
+
 @attrs.define(eq=False)
 class Attempt:
     """The slot of a call at an upstream, and its send there."""
@@ -325,6 +329,7 @@
             on_decision=decide,
             excluded=self.tried_upstreams,
             is_replacement=is_replacement,
+            required_version=self._begun_version,
         )
 
     async def _run(self, attempt: Attempt) -> str:
@@ -369,6 +374,7 @@
 
     def _send(self, attempt: Attempt) -> None:
         attempt.ran_before = self.call.may_have_run
+        self._check_version(attempt)
         self._log_continuation(attempt.upstream)
         attempt.conn.send(self._build_request(attempt.upstream), self.call.request.body)
         attempt.is_sent = True
@@ -442,6 +448,14 @@
             rate_limit=slots.rate_limit.rate,
         )
 
+    def _check_version(self, attempt: Attempt) -> None:
+        """Raise VersionChanged if a stream cannot go on at the upstream that it was granted."""
+        current = self._find_slots(attempt.upstream).upstream
+        if self._begun_version is None or current.software_version == self._begun_version:
+            return
+        message = f'the upstream runs the software version {current.software_version!r} now'
+        raise VersionChanged(message, step='send', peer=current.address)
+
     def _log_continuation(self, upstream: Upstream) -> None:
         """Log the upstream at which a stream goes on, if its first event came from another run."""
         headers = self.call.request.headers
@@ -731,7 +745,8 @@
         upstream = attempt.upstream
         # A refused connection means that nothing listens; a timeout may be a lost packet.
         is_certain = isinstance(error, NotSent) and not isinstance(error.__cause__, TimeoutError)
-        self._fail_upstream(upstream, error.message, is_certain=is_certain)
+        if not isinstance(error, VersionChanged):
+            self._fail_upstream(upstream, error.message, is_certain=is_certain)
         if _is_connection_lost(error):
             # The call may have crashed the upstream.
             self._record_crash(attempt)
--- a/tests/placement/test_scheduler.py
+++ b/tests/placement/test_scheduler.py
@@ -398,3 +398,27 @@
     harness.scheduler.apply_loads('other', 'other-1', loads, {}, lent_until=2)
     assert slots.count_free(1) == 3
     assert slots.count_free(2.1) == 0
+
+
+def test_stream_waits_for_an_upstream_of_its_software_version():
+    """Guards against a stream that goes on at another version while its own one is busy."""
+    own, other = make_upstream(1, slots=1), make_upstream(2, slots=1)
+    own = attrs.evolve(own, software_version='v1')
+    harness = SchedulerHarness([own, attrs.evolve(other, software_version='v2')])
+    first = harness.submit('first', required_version='v1')
+    harness.submit('second', required_version='v1', now=0.1)
+    assert 'second' not in harness.decisions
+    harness.release(first, 0.2)
+    assert harness.get_upstream_id('second') == own.upstream_id
+
+
+def test_waiting_stream_is_refused_once_its_software_version_is_gone():
+    """Guards against a final answer that is held back although no upstream can give another."""
+    own = attrs.evolve(make_upstream(1, slots=1), software_version='v1')
+    other = attrs.evolve(make_upstream(2, slots=1), software_version='v2')
+    harness = SchedulerHarness([own, other])
+    harness.submit('first', required_version='v1')
+    harness.submit('second', required_version='v1')
+    harness.scheduler.set_upstreams([other], Assignment({}, {other.upstream_id: 'me'}))
+    harness.scheduler.expire(0.05)
+    assert harness.decisions['second'].reason == 'no_upstream'
--- a/tests/relay/support.py
+++ b/tests/relay/support.py
@@ -77,6 +77,7 @@
 
     host: str
     port: int
+    software_version: str = 'v1'
     requests: list = attrs.field(factory=list)
     # Connections that the relay closed.
     closed_count: int = 0
@@ -98,7 +99,7 @@
 
 
 @contextlib.asynccontextmanager
-async def open_upstream(handle):
+async def open_upstream(handle, software_version='v1'):
     """Run `handle(upstream, reader, writer)` for each connection."""
 
     async def accept(reader, writer):
@@ -107,7 +108,7 @@
         writer.close()
 
     server = await asyncio.start_server(accept, '127.0.0.1', 0)
-    upstream = ScriptedUpstream(*server.sockets[0].getsockname()[:2])
+    upstream = ScriptedUpstream(*server.sockets[0].getsockname()[:2], software_version)
     try:
         yield upstream
     finally:
@@ -155,6 +156,7 @@
             zone='a',
             slots=4,
             is_leaving=False,
+            software_version=upstream.software_version,
         )
         for number, upstream in enumerate(upstreams)
     ]
