Take the version of a stream from the entry held while its events arrive

What callers would see: a stream joined from two software versions, if an upstream restarted under its id at another version between the grant of its slot and its first event, or between the send that resumes a stream and the first event there. Cause: the version that began a stream was read from the entry held at the grant, and that of a resuming upstream was compared at the send only. Class: a property is read once, and relied on after it may have changed. Change: a version counts as known only if the entry held when events are passed on still states that of the grant. Nothing is taken from a resuming upstream otherwise, and a stream of unknown version is not resumed. The check before a send precedes the charge of a retry. A failure of an upstream that has restarted at another version is not counted against the new process. Not covered: a restart under the same id whose entry arrives only after the events.

--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -73,6 +73,8 @@
 FLAG_SET = b'1'
 # Ids of events that a header can carry; after another one, a stream cannot be resumed.
 RESUMABLE_ID = re.compile(rb'[!-~](?:[ -~]*[!-~])?')
+# The upstream may have restarted since its slot was granted.
+OTHER_VERSION = 'the upstream may run another software version than that of the stream'
 # Bounds the logged event id of a stream that goes on, as callers and upstreams choose its length.
 MAX_LOGGED_ID_BYTES = 100
 # While an upstream is silent and no other one is free, a slot is asked for at this interval.
@@ -88,10 +90,6 @@
     """No byte of the answer arrived before the time at which another upstream should be tried."""
 
 
-class VersionChanged(NotSent):
-    """The upstream restarted at another software version than the one of the stream."""
-
-
 @attrs.define(eq=False)
 class Attempt:
     """The slot of a call at an upstream, and its send there."""
@@ -141,7 +139,8 @@
     # Whether an answer of the current upstream is being passed on.
     _is_relaying: bool = False
     _failed_answer: FailedAnswer | None = None
-    # Software version of the upstream that brought the first event; None before it.
+    # Software version of the upstream that brought the first event; None before it, empty if it is
+    # unknown.
     _begun_version: str | None = None
     # The attempt that replaces the current one, whose upstream is silent.
     _replacement: Attempt | None = None
@@ -371,10 +370,11 @@
             is_recent=not route.is_repeatable,
             connect_s=get_connect_timeout(route),
         )
+        if self.has_answer_started and not self._has_begun_version(attempt):
+            raise NotSent(OTHER_VERSION, step='send', peer=attempt.upstream.address)
 
     def _send(self, attempt: Attempt) -> None:
         attempt.ran_before = self.call.may_have_run
-        self._check_version(attempt)
         self._log_continuation(attempt.upstream)
         attempt.conn.send(self._build_request(attempt.upstream), self.call.request.body)
         attempt.is_sent = True
@@ -448,13 +448,31 @@
             rate_limit=slots.rate_limit.rate,
         )
 
+    def _find_version(self, upstream: Upstream) -> str:
+        """Return the software version of the granted upstream; empty if its entry has changed it.
+
+        Then a restart of the upstream cannot be told from an answer of the process before it.
+        """
+        current = self.context.scheduler.slots.get(upstream.upstream_id)
+        if current is None or current.upstream.software_version != upstream.software_version:
+            return ''
+        return upstream.software_version
+
+    def _has_begun_version(self, attempt: Attempt) -> bool:
+        """Return whether the upstream of an attempt has the version that began the stream."""
+        version = self._find_version(attempt.upstream)
+        return bool(version) and version == self._begun_version
+
     def _check_version(self, attempt: Attempt) -> None:
-        """Raise VersionChanged if a stream cannot go on at the upstream that it was granted."""
-        current = self._find_slots(attempt.upstream).upstream
-        if self._begun_version is None or current.software_version == self._begun_version:
+        """Check the version before bytes of a stream that has begun are taken; raise Truncated.
+
+        Events that were passed on before a change of the entry may be of either version.
+        """
+        if not self.has_answer_started or self._has_begun_version(attempt):
             return
-        message = f'the upstream runs the software version {current.software_version!r} now'
-        raise VersionChanged(message, step='send', peer=current.address)
+        if not attempt.received_parts:
+            raise Truncated(OTHER_VERSION, step='receive_body', peer=attempt.upstream.address)
+        self._begun_version = ''
 
     def _log_continuation(self, upstream: Upstream) -> None:
         """Log the upstream at which a stream goes on, if its first event came from another run."""
@@ -610,7 +628,7 @@
         the caller has not begun. The time limit does not cover sending the events: a slow caller is
         no reason to leave an upstream.
         """
-        read = functools.partial(self._read_whole_events, attempt.answer)
+        read = functools.partial(self._read_whole_events, attempt)
         with anyio.move_on_after(self._get_event_timeout()):
             return await read()
         if self.has_answer_started:
@@ -680,13 +698,17 @@
             raise failure
         return answer
 
-    async def _read_whole_events(self, answer: UpstreamAnswer) -> bytes:
+    async def _read_whole_events(self, attempt: Attempt) -> bytes:
         """Return the next whole events of a stream, empty at its end; wait while one is incomplete.
 
         Raises Truncated, or AnswerTooLarge for an event of more than MAX_EVENT_BYTES.
         """
+        answer = attempt.answer
         while not answer.is_complete:
-            events = self.splitter.feed(await answer.read_chunk())
+            chunk = await answer.read_chunk()
+            # Events that the splitter has counted cannot be asked for again.
+            self._check_version(attempt)
+            events = self.splitter.feed(chunk)
             if events:
                 return events
             if len(self.splitter.partial) > MAX_EVENT_BYTES:
@@ -725,7 +747,7 @@
             await self.caller.send_part(part)
         else:
             self.has_answer_started = True
-            self._begun_version = attempt.upstream.software_version
+            self._begun_version = self._find_version(attempt.upstream)
             self._record_first_part()
             headers = select_answer_headers(answer.headers)
             await self.caller.start_stream(answer.status, headers, part)
@@ -745,7 +767,8 @@
         upstream = attempt.upstream
         # A refused connection means that nothing listens; a timeout may be a lost packet.
         is_certain = isinstance(error, NotSent) and not isinstance(error.__cause__, TimeoutError)
-        if not isinstance(error, VersionChanged):
+        if self._find_version(upstream) == upstream.software_version:
+            # Else the upstream has restarted since.
             self._fail_upstream(upstream, error.message, is_certain=is_certain)
         if _is_connection_lost(error):
             # The call may have crashed the upstream.
--- a/tests/relay/test_software_versions.py
+++ b/tests/relay/test_software_versions.py
@@ -136,6 +136,96 @@
     run(test)
 
 
+def replace_entry(context, upstream_id, **changes):
+    """Register an upstream again with other fields."""
+    entries = {key: slots.upstream for key, slots in context.scheduler.slots.items()}
+    entries[upstream_id] = attrs.evolve(entries[upstream_id], **changes)
+    owners = dict.fromkeys(entries, 'me')
+    context.scheduler.set_upstreams(list(entries.values()), Assignment({}, owners))
+
+
+def restart_before_event(contexts, upstream_id, numbers, **changes):
+    """Return a handler whose entry changes before the last of its events; it aborts the stream."""
+
+    async def handle(upstream, reader, writer):
+        await upstream.read_request(reader)
+        writer.write(HEAD + b''.join(make_chunk(make_event(number)) for number in numbers[:-1]))
+        await writer.drain()
+        await anyio.sleep(0.05)
+        replace_entry(contexts[0], upstream_id, **changes)
+        writer.write(make_chunk(make_event(numbers[-1])))
+        await writer.drain()
+        await anyio.sleep(0.05)
+        writer.transport.abort()
+
+    return handle
+
+
+@pytest.mark.parametrize('incarnation', [0, 7])
+@pytest.mark.parametrize('numbers', [[1], [1, 2]])
+def test_stream_of_an_upstream_whose_version_changed_is_not_joined(incarnation, numbers):
+    """Guards against an older entry that names the version of the events of a restarted one."""
+
+    async def test():
+        contexts = []
+        changes = {'software_version': 'v2', 'incarnation': incarnation}
+        async with (
+            open_upstream(restart_before_event(contexts, 'i-0', numbers, **changes)) as first,
+            open_upstream(stream_events([3])) as second,
+            open_relay(first, second) as (context, port),
+        ):
+            contexts.append(context)
+            received, is_reset = await read_to_end(port, STREAM)
+        assert len(read_events(received)) == len(numbers)
+        assert is_reset
+        assert not second.requests
+
+    run(test)
+
+
+def test_restart_at_the_same_version_does_not_end_a_stream():
+    """Guards against a sound stream that is cut since an upstream has written its entry again."""
+
+    async def test():
+        contexts = []
+        changes = {'incarnation': 7, 'slots': 3}
+        async with (
+            open_upstream(restart_before_event(contexts, 'i-0', [1, 2], **changes)) as first,
+            open_upstream(stream_events([3])) as second,
+            open_relay(first, second) as (context, port),
+        ):
+            contexts.append(context)
+            received, is_reset = await read_to_end(port, STREAM)
+        assert read_events(received) == [b'data: e1', b'data: e2', b'data: e3']
+        assert not is_reset
+
+    run(test)
+
+
+def test_no_event_is_taken_from_an_upstream_that_restarted_after_the_send():
+    """Guards against a version that changes between the send and the first event after a switch."""
+
+    async def test():
+        contexts = []
+        changes = {'software_version': 'v2', 'incarnation': 7}
+        async with (
+            open_upstream(stream_events([1], ends=False)) as first,
+            open_upstream(restart_before_event(contexts, 'i-1', [2], **changes)) as second,
+            open_upstream(stream_events([2])) as third,
+            open_relay(first, second, third) as (context, port),
+        ):
+            contexts.append(context)
+            extend_route_timeouts(context, max_attempts=3)
+            received, is_reset = await read_to_end(port, STREAM)
+            health = context.scheduler.slots['i-1'].health
+        assert read_events(received) == [b'data: e1', b'data: e2']
+        assert not is_reset
+        assert b'last-event-id: 1' in third.requests[0][0].lower()
+        assert not health.failures
+
+    run(test)
+
+
 @attrs.define
 class RestartingPool:
     """A pool whose `acquire` is replaced."""
