Bound the log lines of streams that go on

What would be seen: event lines 310 and 314 of up to 16 KiB, or longer than that for a service with many versions. Cause: `begun_by` is a header of the caller and `registered` has a version for each upstream, of up to 200 characters; both were logged whole. Change: `begun_by` is cut as the event id is; ten versions are listed.

--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -75,8 +75,10 @@
 RESUMABLE_ID = re.compile(rb'[!-~](?:[ -~]*[!-~])?')
 # The upstream may have restarted since its slot was granted.
 OTHER_VERSION = 'the upstream may run another software version than that of the stream'
-# Bounds the logged event id of a stream that goes on, as callers and upstreams choose its length.
+# Bounds each logged id of a stream that goes on, as callers and upstreams choose their lengths.
 MAX_LOGGED_ID_BYTES = 100
+# Bounds the logged versions of a service, one for each upstream at most.
+MAX_LOGGED_VERSIONS = 10
 # While an upstream is silent and no other one is free, a slot is asked for at this interval.
 REPLACEMENT_INTERVAL_S = 0.25
 # Longest time for which a stream is kept open at a silent upstream after it was sent to another
@@ -486,15 +488,17 @@
         else:
             return
         age_s = self.context.read_store_age()
+        begun_by = find_header(headers, header_names.resumed_attempt_id)
+        registered = sorted(self.context.scheduler.list_versions(self.call.service))
         self.context.events.emit(
             event,
             self.call.text_id,
             upstream.upstream_id,
-            begun_by=find_header(headers, header_names.resumed_attempt_id).decode('latin-1'),
+            begun_by=begun_by[:MAX_LOGGED_ID_BYTES].decode('latin-1'),
             last_event_id=last_id[:MAX_LOGGED_ID_BYTES].decode('latin-1'),
             begun_version=self._begun_version,
             version=upstream.software_version,
-            registered=sorted(self.context.scheduler.list_versions(self.call.service)),
+            registered=registered[:MAX_LOGGED_VERSIONS],
             registered_age_ms=round(age_s * MS_PER_S) if math.isfinite(age_s) else None,
         )
 
--- a/tests/relay/test_software_versions.py
+++ b/tests/relay/test_software_versions.py
@@ -226,6 +226,37 @@
     run(test)
 
 
+def test_log_lines_of_a_switch_are_bounded():
+    """Guards against log lines as long as a header of a caller or a list of all versions."""
+
+    async def test():
+        headers = b'Resumes: %b\r\nLast-Event-Id: %b\r\n' % (b'r' * 5000, b'1' * 5000)
+        request = make_request(b'/stream/x', headers=headers)
+        async with (
+            open_upstream(stream_events([1], ends=False)) as first,
+            open_upstream(stream_events([2])) as second,
+            open_relay(first, second) as (context, port),
+        ):
+            entry = context.scheduler.slots['i-1'].upstream
+            others = {
+                f'o-{number}': attrs.evolve(
+                    entry, upstream_id=f'o-{number}', software_version=f'{number:0200}'
+                )
+                for number in range(100)
+            }
+            entries = [slots.upstream for slots in context.scheduler.slots.values()]
+            # Nobody owns the others, so that no call is sent there.
+            owners = dict.fromkeys(('i-0', 'i-1'), 'me')
+            context.scheduler.set_upstreams([*entries, *others.values()], Assignment({}, owners))
+            await read_to_end(port, request)
+        for number in (Event.STREAM_SWITCHED, Event.STREAM_TAKEN_UP):
+            lines = list(context.events.select(pb.TimelineRequest(number=number)))
+            assert lines
+            assert all(len(str(line.fields)) < 4000 for line in lines)
+
+    run(test)
+
+
 @attrs.define
 class RestartingPool:
     """A pool whose `acquire` is replaced."""
