Lend the slots of an upstream that no call waiting here may use

What callers would see: refusals at other daemons while slots of the newer software version are free, as long as a stream of the older version waits at their owner. Cause: a daemon lends nothing of a service while any of its calls waits; since calls are bound to a version, one that waits can be unable to use the free slots. Change: only calls that may run at an upstream keep its slots.

--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -321,9 +321,10 @@
             call.on_decision(make_refusal(reason, wait_s, call, now, waiting))
 
     def _count_lendable(self, slots: Slots, now: float) -> int:
-        """Return how many free slots of an upstream can be lent; 0 while calls wait here."""
+        """Return how many free slots of an upstream can be lent; 0 while calls wait for it here."""
         service = self._services.get(slots.upstream.service)
-        if service is not None and service.queue.calls:
+        waiting = () if service is None else service.queue.calls
+        if any(call.may_run_at(slots.upstream) for call in waiting):
             return 0
         if not slots.may_lend(now):
             return 0
--- a/tests/placement/test_scheduler.py
+++ b/tests/placement/test_scheduler.py
@@ -422,3 +422,26 @@
     harness.scheduler.set_upstreams([other], Assignment({}, {other.upstream_id: 'me'}))
     harness.scheduler.expire(0.05)
     assert harness.decisions['second'].reason == 'no_upstream'
+
+
+def test_waiting_stream_does_not_keep_slots_of_other_software_versions():
+    """Guards against free slots that other daemons cannot borrow since a stream waits here."""
+    own = attrs.evolve(make_upstream(1, slots=1), software_version='v1')
+    other = attrs.evolve(make_upstream(2, slots=4), software_version='v2')
+    harness = SchedulerHarness([own, other])
+    harness.submit('first', required_version='v1')
+    harness.submit('second', required_version='v1')
+    assert 'second' not in harness.decisions
+    assert harness.scheduler.report_loads(1, 0.1)['i-2'].lent == 3
+
+
+def test_waiting_call_keeps_the_slots_that_it_can_use():
+    """Guards against slots that are lent to other daemons while calls wait for them here."""
+    own = attrs.evolve(make_upstream(1, slots=4), software_version='v1')
+    harness = SchedulerHarness([own])
+    running = [harness.submit(f'c{number}') for number in range(4)]
+    harness.submit('waiting', required_version='v1')
+    harness.scheduler.slots['i-1'].running.clear()
+    assert len(running) == 4
+    assert 'waiting' not in harness.decisions
+    assert harness.scheduler.report_loads(1, 0.1)['i-1'].lent == 0
