Test odd software versions in entries

Reason: nothing tested that odd versions are unknown ones and that sound ones stay whole. Change: tests only; 15 cases in tests/platform/test_odd_entries.py.

--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -111,6 +111,22 @@
     assert decode_upstream('i-1', text).address == ENTRY['address']
 
 
+@pytest.mark.parametrize(
+    'version', [None, '', 1, 1.5, True, ['v1'], {'name': 'v1'}, 'v' * 201, 'v1\r\n', 'v\0']
+)
+def test_odd_software_version_is_unknown(version):
+    """Guards against an odd version that equals the one of another upstream, or loses a service."""
+    text = orjson.dumps({**ENTRY, 'version': version})
+    assert decode_upstream('i-1', text).software_version == ''
+
+
+@pytest.mark.parametrize('version', ['v1', 'v1 ', 'V1', 'v' * 200, 'vé'])
+def test_software_version_is_taken_as_it_stands(version):
+    """Guards against versions that are cut or rewritten so that two of them become equal."""
+    text = orjson.dumps({**ENTRY, 'version': version})
+    assert decode_upstream('i-1', text).software_version == version
+
+
 @hypothesis.given(KEYS, ENTRIES)
 def test_any_entry_is_a_valid_upstream_or_an_error(key, document):
     """Guards against a value of an entry that raises something else, or is out of range."""
