Charge no retry for a stream that no upstream may continue

What callers would see: fewer retries of other calls during a release, since streams that are cut have used up the shared retry budget. Cause: the retry was charged before the scheduler was asked, and with calls bound to a version the scheduler often has no upstream for a stream that has begun. Change: a stream is cut without a charge if no untried upstream of its version is registered.

--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -7,7 +7,7 @@
 import collections
 import math
 import statistics
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 import attrs
 
@@ -241,10 +241,17 @@
             service.record_refusal(call, now)
             call.on_decision(make_refusal('queue_full', wait_s, call, now, waiting))
 
-    def list_versions(self, service: str) -> frozenset[str]:
-        """Return the software versions of the upstreams of a service that are not leaving."""
+    def list_versions(self, service: str, *, excluded: Collection[str] = ()) -> frozenset[str]:
+        """Return the software versions of the upstreams of a service that are not leaving.
+
+        Upstreams with an id in `excluded` are left out.
+        """
         group = self._slots_by_service.get(service, ())
-        return frozenset(slots.upstream.software_version for slots in group)
+        return frozenset(
+            slots.upstream.software_version
+            for slots in group
+            if slots.upstream.upstream_id not in excluded
+        )
 
     def withdraw(self, call: WaitingCall) -> None:
         """Remove a call from the queue if it waits there."""
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -825,12 +825,21 @@
         if isinstance(error, NotSent):
             self.unsent_attempts += 1
             return self.unsent_attempts < MAX_UNSENT_ATTEMPTS
-        if not self._can_send_again():
+        if not self._can_send_again() or not self._is_version_served():
             return False
         if not isinstance(error, NotExecuted) and not call.route.is_repeatable:
             return False
         return self._charge_retry()
 
+    def _is_version_served(self) -> bool:
+        """Return whether another upstream may have the version of a stream that has begun."""
+        if not self.has_answer_started:
+            return True
+        versions = self.context.scheduler.list_versions(
+            self.call.service, excluded=self.tried_upstreams
+        )
+        return bool(self._begun_version) and self._begun_version in versions
+
     def _charge_retry(self) -> bool:
         """Take a retry from the budget; return whether there was one."""
         share = self.context.get_budget_share()
--- a/tests/relay/test_software_versions.py
+++ b/tests/relay/test_software_versions.py
@@ -2,7 +2,9 @@
 import attrs
 import pytest
 
+from camphorpath.clocks import read_lease_clock
 from camphorpath.events import Event
+from camphorpath.placement.budget import RetryBudget
 from camphorpath.placement.ownership import Assignment
 from camphorpath.schema import camphorpath_pb2 as pb
 
@@ -257,6 +259,24 @@
     run(test)
 
 
+@pytest.mark.parametrize('versions', [('v1', 'v2'), ('', '')])
+def test_stream_that_cannot_go_on_takes_no_retry(versions):
+    """Guards against a retry budget that is used up by streams that are sent nowhere."""
+
+    async def test():
+        async with (
+            open_upstream(stream_events([1], ends=False), versions[0]) as first,
+            open_upstream(stream_events([2]), versions[1]) as second,
+            open_relay(first, second) as (context, port),
+        ):
+            context.budget = RetryBudget(ratio=0, window_s=10, allowance=2)
+            _received, is_reset = await read_to_end(port, STREAM)
+            assert is_reset
+            assert context.budget.has_room('llm', read_lease_clock(), 1)
+
+    run(test)
+
+
 @attrs.define
 class RestartingPool:
     """A pool whose `acquire` is replaced."""
