Bind streams that callers take up to the version that began them

What callers saw: a stream that was broken off and taken up, at the same daemon or another one, went on at any upstream, also of another software version. Cause: nothing was remembered of the call that brought the first event, and the header with its attempt id was not read. Change: a daemon records service and software version of each resumable stream with its first event, under the attempt id that its caller will name. A take-up is bound to its own record; else to the only version that was registered while the stream can have run; else to what peers or the store know (not connected yet); else it is refused at once as not run. It is recorded again where it goes on. Streams are bound to their service as well. Unknown versions are equal to nothing. Event 314 names the source and the age of what is known.

--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -22,11 +22,13 @@
     UpstreamError,
 )
 from ..events import Event
-from ..placement.crashes import Crash
+from ..placement.crashes import Crash, digest_parts
 from ..placement.rate_limits import RateStatement
 from ..placement.records import Decision, Placed, Refused, WaitingCall
+from ..placement.scheduler import NO_UPSTREAM
 from ..placement.slots import Slots
 from ..routing import CallKind, Upstream
+from ..streams import KnownOrigin, Origin, Source
 from .acceptance import (
     CRASHES_UPSTREAMS,
     MS_PER_S,
@@ -37,6 +39,7 @@
 from .caller import CallerConnection
 from .context import RelayContext
 from .events import EventSplitter
+from .header_names import HeaderNames
 from .headers import Headers, find_header, select_answer_headers, select_request_headers
 from .stalls import get_stall_timeout
 from .statements import read_backoff, read_load, read_rate
@@ -75,6 +78,10 @@
 RESUMABLE_ID = re.compile(rb'[!-~](?:[ -~]*[!-~])?')
 # The upstream may have restarted since its slot was granted.
 OTHER_VERSION = 'the upstream may run another software version than that of the stream'
+# Longest time for finding out which software version began a stream.
+MAX_LOOKUP_S = 0.6
+# By then another daemon may know it, or this one after its start.
+UNKNOWN_VERSION_RETRY_AFTER_S = 0.3
 # Bounds each logged id of a stream that goes on, as callers and upstreams choose their lengths.
 MAX_LOGGED_ID_BYTES = 100
 # Bounds the logged versions of a service, one for each upstream at most.
@@ -141,9 +148,9 @@
     # Whether an answer of the current upstream is being passed on.
     _is_relaying: bool = False
     _failed_answer: FailedAnswer | None = None
-    # Software version of the upstream that brought the first event; None before it, empty if it is
-    # unknown.
-    _begun_version: str | None = None
+    # What began the stream: the upstream of its first event, or what is known of a stream that the
+    # caller takes up; None before. Its software version is empty if it is unknown.
+    _origin: KnownOrigin | None = None
     # The attempt that replaces the current one, whose upstream is silent.
     _replacement: Attempt | None = None
 
@@ -172,8 +179,35 @@
         await self.caller.send_answer(failed.status, failed.headers, failed.body)
         return FAILED
 
+    async def _bind_to_origin(self) -> None:
+        """Bind a stream that the caller takes up to the service and version that began it.
+
+        Raises Refusal if they are not known, or not those of a service of the route.
+        """
+        call = self.call
+        last_id = self._find_header(self._header_names.last_event_id)
+        if not (last_id and call.route.kind is CallKind.STREAM and call.route.is_resumable):
+            return
+        services = [name for name, _weight in call.route.targets]
+        stream_id = self._find_header(self._header_names.resumed_attempt_id)
+        with anyio.move_on_after(MAX_LOOKUP_S):
+            self._origin = await self.context.origins.find(stream_id, services)
+        if self._origin is None:
+            shown_id = stream_id[:MAX_LOGGED_ID_BYTES].decode('latin-1')
+            raise Refusal(
+                'stream_version_unknown',
+                f'the software version that began {shown_id!r} is not known',
+                retry_after_s=UNKNOWN_VERSION_RETRY_AFTER_S,
+            )
+        service = self._origin.origin.service
+        if service not in services:
+            raise Refusal(NO_UPSTREAM, f'the route no longer leads to the service {service}')
+        call.service = service
+        call.part_digests = digest_parts(service, call.shared_parts)
+
     async def _try_upstreams(self) -> str:
         failure: UpstreamError | None = None
+        await self._bind_to_origin()
         while True:
             attempt = self._replacement or await self._wait_for_slot(failure)
             self._replacement = None
@@ -330,7 +364,7 @@
             on_decision=decide,
             excluded=self.tried_upstreams,
             is_replacement=is_replacement,
-            required_version=self._begun_version,
+            required_version=self._origin and self._origin.origin.software_version,
         )
 
     async def _run(self, attempt: Attempt) -> str:
@@ -372,7 +406,7 @@
             is_recent=not route.is_repeatable,
             connect_s=get_connect_timeout(route),
         )
-        if self.has_answer_started and not self._has_begun_version(attempt):
+        if self._origin is not None and not self._has_begun_version(attempt):
             raise NotSent(OTHER_VERSION, step='send', peer=attempt.upstream.address)
 
     def _send(self, attempt: Attempt) -> None:
@@ -463,40 +497,36 @@
     def _has_begun_version(self, attempt: Attempt) -> bool:
         """Return whether the upstream of an attempt has the version that began the stream."""
         version = self._find_version(attempt.upstream)
-        return bool(version) and version == self._begun_version
+        return bool(version) and version == self._origin.origin.software_version
 
     def _check_version(self, attempt: Attempt) -> None:
         """Check the version before bytes of a stream that has begun are taken; raise Truncated.
 
         Events that were passed on before a change of the entry may be of either version.
         """
-        if not self.has_answer_started or self._has_begun_version(attempt):
+        if self._origin is None or self._has_begun_version(attempt):
             return
         if not attempt.received_parts:
             raise Truncated(OTHER_VERSION, step='receive_body', peer=attempt.upstream.address)
-        self._begun_version = ''
+        self._record_version(attempt.upstream.service, '')
 
     def _log_continuation(self, upstream: Upstream) -> None:
         """Log the upstream at which a stream goes on, if its first event came from another run."""
-        headers = self.call.request.headers
-        header_names = self.context.header_names
-        last_id = find_header(headers, header_names.last_event_id)
-        if self.has_answer_started:
-            event, last_id = Event.STREAM_SWITCHED, self.splitter.last_id
-        elif last_id:
-            event = Event.STREAM_TAKEN_UP
-        else:
+        known = self._origin
+        if known is None:
             return
+        last_id = self.splitter.last_id or self._find_header(self._header_names.last_event_id)
         age_s = self.context.read_store_age()
-        begun_by = find_header(headers, header_names.resumed_attempt_id)
         registered = sorted(self.context.scheduler.list_versions(self.call.service))
         self.context.events.emit(
-            event,
+            Event.STREAM_SWITCHED if self.has_answer_started else Event.STREAM_TAKEN_UP,
             self.call.text_id,
             upstream.upstream_id,
-            begun_by=begun_by[:MAX_LOGGED_ID_BYTES].decode('latin-1'),
+            begun_by=self._get_stream_id()[:MAX_LOGGED_ID_BYTES].decode('latin-1'),
             last_event_id=last_id[:MAX_LOGGED_ID_BYTES].decode('latin-1'),
-            begun_version=self._begun_version,
+            begun_version=known.origin.software_version,
+            source=known.source.value,
+            known_ms=round((read_lease_clock() - known.known_since) * MS_PER_S),
             version=upstream.software_version,
             registered=registered[:MAX_LOGGED_VERSIONS],
             registered_age_ms=round(age_s * MS_PER_S) if math.isfinite(age_s) else None,
@@ -751,13 +781,34 @@
             await self.caller.send_part(part)
         else:
             self.has_answer_started = True
-            self._begun_version = self._find_version(attempt.upstream)
+            self._record_version(attempt.upstream.service, self._find_version(attempt.upstream))
             self._record_first_part()
             headers = select_answer_headers(answer.headers)
             await self.caller.start_stream(answer.status, headers, part)
         self._last_part_at = read_lease_clock()
         self._sending_s += self._last_part_at - began_at
 
+    def _record_version(self, service: str, software_version: str) -> None:
+        """Record what began the stream with its first event; an empty version is unknown."""
+        now = read_lease_clock()
+        origin = Origin(service, software_version)
+        self._origin = KnownOrigin(origin, now, Source.OWN)
+        stream_id = self._get_stream_id()
+        if stream_id and self.call.route.is_resumable:
+            self.context.origins.records.record(stream_id, origin, now)
+
+    def _get_stream_id(self) -> bytes:
+        """Return the attempt id of the call that brought the first event of the stream."""
+        resumed = self._find_header(self._header_names.resumed_attempt_id)
+        return resumed or self.call.attempt_id
+
+    def _find_header(self, name: bytes) -> bytes:
+        return find_header(self.call.request.headers, name)
+
+    @property
+    def _header_names(self) -> HeaderNames:
+        return self.context.header_names
+
     def _record_first_part(self) -> None:
         waited_s = read_lease_clock() - self.call.arrived_at
         self.call.first_part_s = waited_s
@@ -833,12 +884,13 @@
 
     def _is_version_served(self) -> bool:
         """Return whether another upstream may have the version of a stream that has begun."""
-        if not self.has_answer_started:
+        if self._origin is None:
             return True
+        begun_version = self._origin.origin.software_version
         versions = self.context.scheduler.list_versions(
             self.call.service, excluded=self.tried_upstreams
         )
-        return bool(self._begun_version) and self._begun_version in versions
+        return bool(begun_version) and begun_version in versions
 
     def _charge_retry(self) -> bool:
         """Take a retry from the budget; return whether there was one."""
--- a/camphorpath/relay/context.py
+++ b/camphorpath/relay/context.py
@@ -14,6 +14,7 @@
 from ..placement.quota import QuotaLedger
 from ..placement.scheduler import Scheduler
 from ..routing import CallerLimits, RoutingTable, Upstream
+from ..streams import OriginLookup
 from .caller import CallerConnection
 from .header_names import HeaderNames
 from .metrics import RelayMetrics
@@ -30,6 +31,8 @@
     budget: RetryBudget
     pool: UpstreamPool
     quarantine: Quarantine = attrs.field(factory=Quarantine)
+    # The software versions that began streams.
+    origins: OriginLookup = attrs.field(factory=OriginLookup)
     events: EventLog
     metrics: RelayMetrics
     # Returns this daemon's share of the retry allowance.
--- a/camphorpath/streams/__init__.py
+++ b/camphorpath/streams/__init__.py
@@ -1,11 +1,14 @@
 """The software versions that began streams, as streams can go on only at the same version."""
 
 from .history import VersionHistory
+from .lookup import Asked, OriginLookup
 from .records import KnownOrigin, Origin, Source, StreamRecords, digest_stream
 
 __all__ = (
+    'Asked',
     'KnownOrigin',
     'Origin',
+    'OriginLookup',
     'Source',
     'StreamRecords',
     'VersionHistory',
--- a/tests/relay/support.py
+++ b/tests/relay/support.py
@@ -8,6 +8,7 @@
 import anyio
 import attrs
 
+from camphorpath.clocks import read_lease_clock
 from camphorpath.events import EventLog
 from camphorpath.placement.budget import RetryBudget
 from camphorpath.placement.ownership import Assignment
@@ -171,7 +172,7 @@
         # The first upstream is the fastest, which fixes the order of attempts.
         scheduler.slots[entry.upstream_id].speed.factor = 0.2 * (number + 1)
         scheduler.slots[entry.upstream_id].speed.samples = 1
-    return RelayContext(
+    context = RelayContext(
         header_names=HEADER_NAMES,
         scheduler=scheduler,
         quota=QuotaLedger(QuotaBounds(window_s=8, overshoot=0, allowance=0), starts_full=True),
@@ -184,6 +185,9 @@
             *ROUTES, customers={'secret': CUSTOMER}, limits=limits or CallerLimits()
         ),
     )
+    for entry in entries:
+        context.origins.history.record('llm', entry.software_version, read_lease_clock())
+    return context
 
 
 @contextlib.asynccontextmanager
--- /dev/null
+++ b/tests/relay/test_take_ups.py
@@ -0,0 +1,249 @@
+"""Streams that were broken off and that their callers take up again."""
+
+import contextlib
+
+import anyio
+import attrs
+import pytest
+
+from camphorpath.clocks import read_lease_clock
+from camphorpath.events import Event
+from camphorpath.schema import camphorpath_pb2 as pb
+from camphorpath.streams import Asked, KnownOrigin, Origin, Source, digest_stream
+
+from .support import ask, make_request, open_relay, open_upstream, read_to_end, run
+from .test_streams import HEAD, make_chunk, make_event, read_events, stream_events
+
+BEGIN = make_request(b'/stream/x')
+
+
+def take_up(attempt=b'2', begun_by=b'1'):
+    """Return the request of a caller that has received two events of a stream."""
+    headers = b'Last-Event-Id: 2\r\n'
+    if begun_by:
+        headers += b'Resumes: %b\r\n' % begun_by
+    return make_request(b'/stream/x', attempt=attempt, headers=headers)
+
+
+def go_on(numbers, attempt=b'2', *, ends=True):
+    """Return a handler that answers a take-up with the rest of the events."""
+    head = HEAD.replace(b'Attempt: 1', b'Attempt: ' + attempt)
+
+    async def handle(upstream, reader, writer):
+        await upstream.read_request(reader)
+        events = b''.join(make_chunk(make_event(number)) for number in numbers)
+        writer.write(head + events + (b'0\r\n\r\n' if ends else b''))
+        await writer.drain()
+        if not ends:
+            await anyio.sleep(0.05)
+            writer.transport.abort()
+
+    return handle
+
+
+def answer_in_turn(*handlers):
+    """Return a handler that uses the next of `handlers` for each connection."""
+    left = list(handlers)
+
+    async def handle(upstream, reader, writer):
+        await left.pop(0)(upstream, reader, writer)
+
+    return handle
+
+
+@contextlib.asynccontextmanager
+async def open_mixed(old, new):
+    """Serve callers with an upstream of the version v1 and a faster one of the version v2."""
+    async with (
+        open_upstream(new, 'v2') as second,
+        open_upstream(old) as first,
+        open_relay(second, first) as (context, port),
+    ):
+        yield context, port, first, second
+
+
+def record_begin(context, version, service='llm', stream_id=b'1'):
+    context.origins.records.record(stream_id, Origin(service, version), read_lease_clock())
+
+
+def test_caller_does_not_join_a_stream_from_two_software_versions():
+    """Guards against a take-up that goes on at any upstream, here at the faster one."""
+
+    async def test():
+        old = answer_in_turn(stream_events([1, 2], ends=False), go_on([3]))
+        async with open_mixed(old, go_on([3])) as (context, port, first, second):
+            context.scheduler.slots['i-0'].health.record_failure(
+                read_lease_clock(), is_certain=True
+            )
+            begun, _is_reset = await read_to_end(port, BEGIN)
+            context.scheduler.slots['i-0'].health.record_success()
+            received, _is_reset = await read_to_end(port, take_up())
+            taken_up = context.events.select(pb.TimelineRequest(number=Event.STREAM_TAKEN_UP))
+        assert read_events(begun) == [b'data: e1', b'data: e2']
+        assert read_events(received) == [b'data: e3']
+        assert len(first.requests) == 2
+        assert not second.requests
+        fields = taken_up[0].fields
+        assert (fields['begun_by'], fields['version'], fields['source']) == ('1', 'v1', 'own')
+
+    run(test)
+
+
+def test_take_up_is_refused_at_once_if_its_software_version_is_gone():
+    """Guards against a take-up that waits for nothing, or goes on at another version."""
+
+    async def test():
+        async with open_mixed(go_on([3]), go_on([3])) as (context, port, first, second):
+            record_begin(context, 'v0')
+            status, _head, body = await ask(port, take_up())
+        assert (status, body) == (503, b'no_upstream\n')
+        assert not first.requests
+        assert not second.requests
+
+    run(test)
+
+
+@pytest.mark.parametrize('begun_by', [b'1', b''])
+def test_take_up_of_an_unknown_stream_is_refused_while_two_versions_serve(begun_by):
+    """Guards against a version that is guessed for a stream which began at another daemon."""
+
+    async def test():
+        async with open_mixed(go_on([3]), go_on([3])) as (_context, port, first, second):
+            status, head, body = await ask(port, take_up(begun_by=begun_by))
+        assert (status, body) == (503, b'stream_version_unknown\n')
+        assert b'retry-after: 0.3' in head
+        assert not first.requests
+        assert not second.requests
+
+    run(test)
+
+
+def test_take_up_of_an_unknown_stream_goes_on_while_one_version_serves():
+    """Guards against take-ups that are all refused where nothing can be joined wrongly."""
+
+    async def test():
+        async with (
+            open_upstream(go_on([3])) as first,
+            open_relay(first) as (_context, port),
+        ):
+            received, _is_reset = await read_to_end(port, take_up())
+        assert read_events(received) == [b'data: e3']
+
+    run(test)
+
+
+def test_take_up_of_an_unknown_stream_is_refused_after_the_other_version_has_left():
+    """Guards against the version of the upstreams that are left, while the other one just left."""
+
+    async def test():
+        async with (
+            open_upstream(go_on([3])) as first,
+            open_relay(first) as (context, port),
+        ):
+            context.origins.get_horizon_s = lambda service: 30
+            context.origins.history.record('llm', 'v0', read_lease_clock() - 29)
+            refused = await ask(port, take_up())
+            context.origins.get_horizon_s = lambda service: 28
+            received, _is_reset = await read_to_end(port, take_up())
+        assert refused[0] == 503
+        assert read_events(received) == [b'data: e3']
+
+    run(test)
+
+
+def test_take_up_of_an_unknown_stream_is_refused_while_the_history_is_incomplete():
+    """Guards against a daemon that started late and takes the versions it knows for all."""
+
+    async def test():
+        async with (
+            open_upstream(go_on([3])) as first,
+            open_relay(first) as (context, port),
+        ):
+            context.origins.is_history_complete = lambda: False
+            status, _head, _body = await ask(port, take_up())
+        assert status == 503
+        assert not first.requests
+
+    run(test)
+
+
+def test_take_up_of_an_unknown_stream_is_refused_at_upstreams_of_an_unknown_version():
+    """Guards against an unknown software version that is taken for an equal one."""
+
+    async def test():
+        async with (
+            open_upstream(go_on([3]), '') as first,
+            open_relay(first) as (_context, port),
+        ):
+            status, _head, _body = await ask(port, take_up())
+        assert status == 503
+        assert not first.requests
+
+    run(test)
+
+
+@pytest.mark.parametrize('source', [Source.PEER, Source.STORE])
+def test_take_up_goes_on_at_the_version_that_others_know(source):
+    """Guards against take-ups that only the daemon can serve at which the stream began."""
+
+    async def test():
+        async with open_mixed(go_on([3]), go_on([3])) as (context, port, first, second):
+            known = KnownOrigin(Origin('llm', 'v1'), read_lease_clock(), source)
+            asked = []
+
+            async def ask_peers(digest):
+                asked.append(digest)
+                return Asked(known if source is Source.PEER else None, frozenset(('peer',)))
+
+            async def read_store(digest, answered):
+                assert answered == {'peer'}
+                asked.append(digest)
+                return known
+
+            context.origins.ask_peers = ask_peers
+            context.origins.read_store = read_store
+            received, _is_reset = await read_to_end(port, take_up())
+        assert read_events(received) == [b'data: e3']
+        assert not second.requests
+        assert set(asked) == {digest_stream(b'1')}
+        assert len(first.requests) == 1
+
+    run(test)
+
+
+def test_chain_of_take_ups_stays_at_one_software_version():
+    """Guards against a third call that cannot be served, as its caller names only the first one."""
+
+    async def test():
+        old = answer_in_turn(go_on([3], ends=False), go_on([4], b'3'))
+        async with open_mixed(old, go_on([4], b'3')) as (context, port, first, second):
+            record_begin(context, 'v1')
+            await read_to_end(port, take_up())
+            context.origins.records.expire(read_lease_clock() - 5)
+            received, _is_reset = await read_to_end(port, take_up(attempt=b'3'))
+        assert read_events(received) == [b'data: e4']
+        assert not second.requests
+        assert len(first.requests) == 2
+
+    run(test)
+
+
+def test_stream_is_not_taken_up_at_another_service_of_its_route():
+    """Guards against versions of two services that have the same name."""
+
+    async def test():
+        async with open_mixed(go_on([3]), go_on([3])) as (context, port, first, second):
+            routes = [
+                attrs.evolve(route, targets=(('llm', 1.0), ('other', 0.0)))
+                for route in context.routing_table.routes
+            ]
+            context.routing_table = attrs.evolve(context.routing_table, routes=tuple(routes))
+            record_begin(context, 'v1', service='other')
+            other = await ask(port, take_up())
+            record_begin(context, 'v1', service='third')
+            third = await ask(port, take_up())
+        assert (other[0], third[0]) == (503, 503)
+        assert not first.requests
+        assert not second.requests
+
+    run(test)
