Know the services and the time for which a stream's origin matters

Cause: a route may lead to several services, or have led to another one until a moment ago, and a stream of a service may be as old as its route and its callers allow; versions of one service at present do not tell where it began. Change: a daemon keeps the services of its resumable routes, the ones that routes left lately, and the longest timeout of each; the only version is assumed only if it is the only one of all of them within the horizon of two timeouts and 10 s. Records and versions older than that are dropped.

--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -227,6 +227,7 @@
         for upstream_id in gone:
             self.relay.events.emit(Event.UPSTREAM_GONE, '', upstream_id, reason='not back')
         self.rows.expire(now)
+        self.relay.origins.expire(now)
         self._has_upstream_changes = self._has_upstream_changes or bool(gone)
         if lost or gone or self._was_ready != self.is_ready:
             self.reassign()
@@ -284,6 +285,19 @@
         best = max(names, key=lambda name: rendezvous_score(key, name), default='')
         return best == self.settings.name
 
+    def is_view_current(self, *, max_age_s: float) -> bool:
+        """Return whether an upstream cannot have registered for longer without being known here.
+
+        While no daemon reaches the store, upstreams cannot register.
+        """
+        if self.read_store_age() <= max_age_s:
+            return True
+        if self.is_store_up:
+            return False
+        heartbeats = [member.heartbeat for member in self.members.known.values()]
+        is_cut_off = bool(self.members.hosts) and not heartbeats
+        return not is_cut_off and not any(heartbeat.store_up for heartbeat in heartbeats)
+
     def list_addresses(self, zone: str, region: str) -> list[str]:
         """Return the addresses of the daemons that a caller in a zone should connect to.
 
@@ -354,6 +368,9 @@
                 )
             return
         self._invalid_checksums.pop(key, None)
+        self.relay.origins.history.record(
+            upstream.service, upstream.software_version, read_lease_clock()
+        )
         if self.view.is_outdated(upstream):
             events.emit(Event.ROWS_OUTDATED, '', key, rows=1, held=self.rows.upstreams_revision)
         if self.view.put(upstream):
--- a/camphorpath/relay/context.py
+++ b/camphorpath/relay/context.py
@@ -7,6 +7,7 @@
 import anyio
 import attrs
 
+from ..clocks import read_lease_clock
 from ..events import EventLog
 from ..placement.budget import RetryBudget
 from ..placement.crashes import Pattern
@@ -70,6 +71,7 @@
     def apply_routing_table(self, table: RoutingTable) -> None:
         """Replace the routing table by that of a newer manifest."""
         self.routing_table = table
+        self.origins.services.apply_routes(table.routes, read_lease_clock())
         self._routing_table_replaced.set()
         self._routing_table_replaced = anyio.Event()
 
--- a/camphorpath/streams/__init__.py
+++ b/camphorpath/streams/__init__.py
@@ -3,12 +3,14 @@
 from .history import VersionHistory
 from .lookup import Asked, OriginLookup
 from .records import KnownOrigin, Origin, Source, StreamRecords, digest_stream
+from .services import ResumableServices
 
 __all__ = (
     'Asked',
     'KnownOrigin',
     'Origin',
     'OriginLookup',
+    'ResumableServices',
     'Source',
     'StreamRecords',
     'VersionHistory',
--- a/camphorpath/streams/lookup.py
+++ b/camphorpath/streams/lookup.py
@@ -1,6 +1,5 @@
 """Finds the software version that began a stream which its caller takes up."""
 
-import math
 from collections.abc import Awaitable, Callable, Iterable
 
 import attrs
@@ -8,6 +7,10 @@
 from ..clocks import read_lease_clock
 from .history import VersionHistory
 from .records import KnownOrigin, Origin, Source, StreamRecords, digest_stream
+from .services import ResumableServices
+
+# A store that was restored from a copy gets the versions of this many horizons again.
+HISTORY_RETENTION_HORIZONS = 2
 
 
 @attrs.frozen
@@ -34,8 +37,7 @@
 
     records: StreamRecords = attrs.field(factory=StreamRecords)
     history: VersionHistory = attrs.field(factory=VersionHistory)
-    # Returns the seconds for which a stream of a service may have run before it is taken up.
-    get_horizon_s: Callable[[str], float] = lambda service: math.inf
+    services: ResumableServices = attrs.field(factory=ResumableServices)
     # Returns whether all versions that were registered within the horizon are in `history`.
     is_history_complete: Callable[[], bool] = lambda: True
     ask_peers: Callable[[bytes], Awaitable[Asked]] = _ask_nobody
@@ -56,16 +58,30 @@
         asked = await self.ask_peers(digest)
         return asked.known or await self.read_store(digest, asked.answered)
 
+    def is_ambiguous(self, service: str) -> bool:
+        """Return whether only records tell the version that began a recent stream of a service."""
+        now = read_lease_clock()
+        since = now - self.services.get_horizon_s(service)
+        return self.history.is_mixed(service, since) or self.services.is_shared(service, now)
+
+    def expire(self, now: float) -> None:
+        """Drop what is older than any stream that may still be taken up."""
+        services = self.services.list_services()
+        longest_s = max(map(self.services.get_horizon_s, services), default=0)
+        self.records.expire(now - longest_s)
+        self.history.expire(now - HISTORY_RETENTION_HORIZONS * longest_s)
+
     def _find_only_version(self, services: Iterable[str]) -> KnownOrigin | None:
         """Return the only origin that a recent stream can have, if there is just one."""
         if not self.is_history_complete():
             return None
         now = read_lease_clock()
+        candidates = self.services.list_dropped(now).union(services)
         origins = [
             Origin(service, software_version)
-            for service in services
+            for service in candidates
             for software_version in self.history.list_since(
-                service, now - self.get_horizon_s(service)
+                service, now - self.services.get_horizon_s(service)
             )
         ]
         if len(origins) != 1 or not origins[0].software_version:
--- a/tests/relay/test_take_ups.py
+++ b/tests/relay/test_take_ups.py
@@ -140,10 +140,12 @@
             open_upstream(go_on([3])) as first,
             open_relay(first) as (context, port),
         ):
-            context.origins.get_horizon_s = lambda service: 30
-            context.origins.history.record('llm', 'v0', read_lease_clock() - 29)
+            context.apply_routing_table(context.routing_table)
+            horizon_s = context.origins.services.get_horizon_s('llm')
+            history = context.origins.history
+            history.record('llm', 'v0', read_lease_clock() - horizon_s + 1)
             refused = await ask(port, take_up())
-            context.origins.get_horizon_s = lambda service: 28
+            history.expire(read_lease_clock() - horizon_s + 2)
             received, _is_reset = await read_to_end(port, take_up())
         assert refused[0] == 503
         assert read_events(received) == [b'data: e3']
