Record a call that names a stream but no event under its own id

Cause: such a call begins a stream anew, at any software version; its record would have replaced that of the stream which it names, and a later take-up would have been bound to the wrong version. Found by reading. Result: a new case of tests/relay/test_take_ups.py, which fails without the change.

--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -799,6 +799,8 @@
 
     def _get_stream_id(self) -> bytes:
         """Return the attempt id of the call that brought the first event of the stream."""
+        if not self._find_header(self._header_names.last_event_id):
+            return self.call.attempt_id
         resumed = self._find_header(self._header_names.resumed_attempt_id)
         return resumed or self.call.attempt_id
 
--- a/tests/relay/test_take_ups.py
+++ b/tests/relay/test_take_ups.py
@@ -249,3 +249,22 @@
         assert not second.requests
 
     run(test)
+
+
+def test_call_that_names_a_stream_but_no_event_begins_a_stream_of_its_own():
+    """Guards against a record that replaces the one of the stream which a caller names."""
+
+    async def test():
+        begins = make_request(b'/stream/x', attempt=b'2', headers=b'Resumes: 1\r\n')
+        async with open_mixed(go_on([3]), go_on([1, 2])) as (context, port, _first, _second):
+            record_begin(context, 'v1')
+            received, _is_reset = await read_to_end(port, begins)
+            records = context.origins.records
+            versions = [
+                records.find(digest_stream(stream_id)).origin.software_version
+                for stream_id in (b'1', b'2')
+            ]
+        assert read_events(received) == [b'data: e1', b'data: e2']
+        assert versions == ['v1', 'v2']
+
+    run(test)
