Ask the other daemons by datagram for the origin of a stream

Cause: a stream may be taken up at a daemon that does not know the software version that began it, while another daemon does. Change: StreamQueries asks all known hosts in announcements (SharedState.stream_query and stream_answer), which daemons of older builds read as announcements without changes. Asks of 10 ms share a datagram, asks for one stream share a query; a query is sent once more to the hosts without a complete answer. An answer that needs several messages states how many streams its sender knows (known_count), so that a host whose origins got lost does not count as one that knows none of them. The numbers of queries begin at random, so that late answers to an earlier process do not match. Nothing that peers choose is kept beyond a query in progress, except the origins asked for. _make_receiver takes the queries as an optional argument; nothing passes it yet.

--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -42,6 +42,7 @@
 from .quarantine import QuarantineSync
 from .settings import EdgeSettings
 from .state import DaemonState
+from .stream_queries import StreamQueries
 
 MEMBER_TABLE = 'camphorpath-members'
 METRICS_PORT = 9100
@@ -202,7 +203,9 @@
     group.start_soon(serve_calls, daemon.relay, open_listener(settings.callers_address), group)
 
 
-def _make_receiver(daemon: EdgeDaemon) -> Callable[[pb.EdgeHeartbeat], None]:
+def _make_receiver(
+    daemon: EdgeDaemon, queries: StreamQueries | None = None
+) -> Callable[[pb.EdgeHeartbeat], None]:
     def receive(heartbeat: pb.EdgeHeartbeat) -> None:
         if heartbeat.name == daemon.settings.name:
             return
@@ -211,6 +214,9 @@
         if heartbeat.HasField('news'):
             daemon.follower.apply_announced_rows(heartbeat, address)
             daemon.state.apply_announcement(heartbeat)
+            if queries is not None:
+                queries.handle_query(heartbeat)
+                queries.handle_answer(heartbeat)
             return
         daemon.state.apply_heartbeat(heartbeat)
         daemon.follower.record_peer(heartbeat, address)
