--- a/tests/edge/test_stream_queries.py
+++ b/tests/edge/test_stream_queries.py
@@ -74,9 +74,9 @@
         queries.handle_answer(heartbeat)
 
 
-def add_daemon(network, number, incarnation=1):
+def add_daemon(network, number, incarnation=1, prefix='daemon'):
     """Add a daemon to a network; it replaces an earlier incarnation."""
-    name, host = f'daemon-{number}', f'10.0.{number // 200}.{number % 200 + 1}'
+    name, host = f'{prefix}-{number}', f'10.0.{number // 200}.{number % 200 + 1}'
     settings = attrs.evolve(SETTINGS, name=name, host=host)
     state = DaemonState(
         settings=settings,
@@ -158,7 +158,8 @@
     results = []
 
     async def ask():
-        results.append(await queries.ask(DIGEST))
+        asked, _duration = await ask_timed(queries)
+        results.append(asked)
 
     group.start_soon(ask)
     with anyio.fail_after(5):
@@ -228,15 +229,26 @@
 
 
 def test_hosts_without_heartbeats_are_waited_for(long_timeout_s):
-    """Guards against a daemon that has just started and does not wait for any answer."""
+    """Guards against a daemon that has just started and waits for the first answer only."""
 
     async def test():
         network = Network()
-        started, other = add_daemon(network, 0), add_daemon(network, 1)
-        started.state.members.add_host(other.state.settings.host)
-        other.records.record(STREAM, ORIGIN, read_lease_clock())
+        started, *others = [add_daemon(network, number) for number in range(5)]
+        for other in others:
+            started.state.members.add_host(other.state.settings.host)
+        others[0].records.record(STREAM, ORIGIN, read_lease_clock())
+        lost = []
+
+        def lose_first(_sender, host, message):
+            if lost or host != others[0].state.settings.host:
+                return False
+            lost.append(message)
+            return True
+
+        network.is_lost = lose_first
         asked, _duration = await ask_timed(started)
         assert asked.known.origin == ORIGIN
+        assert lost
 
     anyio.run(test)
 
@@ -346,15 +358,21 @@
         network, [queries, other] = make_fleet(2)
         network.is_lost = lambda *_arguments: True
         host = other.state.settings.host
-        origin = pb.StreamOrigin(digest=DIGEST, service='llm')
+        first, second, third = (digest_stream(b'attempt-%d' % number) for number in range(3))
+
+        async def answer():
+            await network.has_sent.wait()
+            for digest, incarnation in ((first, 'daemon-1-old'), (second, 'daemon-1-new')):
+                origin = pb.StreamOrigin(digest=digest, service='llm')
+                heartbeat = make_answer(queries, host, origins=[origin], known_count=2)
+                heartbeat.incarnation = incarnation
+                queries.handle_answer(heartbeat)
+
         async with anyio.create_task_group() as group:
-            results = await start_silent_query(queries, group)
-            first = make_answer(queries, host, known_count=2)
-            first.incarnation = 'daemon-1-old'
-            queries.handle_answer(first)
-            queries.handle_answer(make_answer(queries, host, origins=[origin], known_count=2))
-        assert results[0].known.origin.service == 'llm'
-        assert not results[0].answered
+            group.start_soon(answer)
+            results = await ask_all(queries, (first, second, third))
+        assert results[second].known.origin.service == 'llm'
+        assert results[third] == Asked(None, frozenset())
 
     anyio.run(test)
 
@@ -416,6 +434,25 @@
     anyio.run(test)
 
 
+def test_queries_of_a_daemon_with_long_names_are_split(long_timeout_s):
+    """Guards against queries that are split into packets where names are long."""
+
+    async def test():
+        network = Network()
+        daemons = [add_daemon(network, number, prefix='d' * 150) for number in range(2)]
+        for daemon in daemons:
+            exchange_heartbeats(daemons, daemon)
+        digests = [digest_stream(b'attempt-%d' % number) for number in range(MAX_QUERY_DIGESTS)]
+        results = await ask_all(daemons[0], digests)
+        answered = list_incarnations(daemons[1:])
+        assert all(asked == Asked(None, answered) for asked in results.values())
+        assert len(results) == MAX_QUERY_DIGESTS
+        assert max(size for *_hosts, size in network.sent) <= MAX_ANNOUNCEMENT_BYTES
+        assert len(network.sent) == 4
+
+    anyio.run(test)
+
+
 def test_asks_for_the_same_stream_share_a_query(long_timeout_s):
     """Guards against a flood of datagrams by callers that all name the same stream."""
 
@@ -425,7 +462,8 @@
 
         async def ask(delay_s):
             await anyio.sleep(delay_s)
-            results.append(await daemons[0].ask(DIGEST))
+            asked, _duration = await ask_timed(daemons[0])
+            results.append(asked)
 
         network.daemons.pop('10.0.0.2')
         async with anyio.create_task_group() as group:
