Write rows in batches and list the parts of a table

Records of streams are to be kept in the store by daemon, which the client could not do: it wrote single rows of the empty part. It now writes and removes rows of one part in one transaction, reads one part, lists the parts, and states the store's steady time of reads and writes. The settings tell how many writes all daemons together may send.

--- a/camphorpath/edge/settings.py
+++ b/camphorpath/edge/settings.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+DEFAULT_STORE_WRITES_PER_S = 400.0
+
 
 @attrs.frozen(kw_only=True)
 class Bounds:
@@ -52,6 +54,8 @@
     cores: float
     store_url: str
     bounds: Bounds
+    # Write calls that all daemons together may send to the store.
+    store_writes_per_s: float = DEFAULT_STORE_WRITES_PER_S
     log_level: str = 'INFO'
 
     @property
--- a/camphorpath/platform/settings.py
+++ b/camphorpath/platform/settings.py
@@ -5,7 +5,7 @@
 
 import yaml
 
-from ..edge.settings import Bounds, EdgeSettings
+from ..edge.settings import DEFAULT_STORE_WRITES_PER_S, Bounds, EdgeSettings
 from ..errors import PlatformError, UserError
 from .fields import Fields
 
@@ -35,6 +35,7 @@
     fields = Fields(document, '')
     listen = fields.section('listen_addresses')
     machine = fields.section('limits')
+    platform = fields.section('platform')
     ports = fields.items('internal_port_range')
     if not ports or not isinstance(ports[0], int):
         raise PlatformError(
@@ -55,7 +56,8 @@
         is_first_start=fields.flag('is_bootstrap'),
         # The quota is a fraction of a core that is `core_count` times as fast as a typical core.
         cores=machine.number('cpu_quota') * machine.number('core_count', 1),
-        store_url=f'http://{fields.section("platform").text("address")}',
+        store_url=f'http://{platform.text("address")}',
+        store_writes_per_s=platform.number('writes_per_s', DEFAULT_STORE_WRITES_PER_S),
         bounds=_decode_bounds(fields.section('bounds')),
     )
 
--- a/camphorpath/platform/store.py
+++ b/camphorpath/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import socket
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 import anyio
@@ -12,8 +13,9 @@
 from ..clocks import read_lease_clock
 from ..errors import HistoryCompacted, TableOutcomeUnknown, TableUnavailable
 from ..transports import CompleteAnswer, fetch_complete, make_plain_transport
+from .fields import MAX_NUMBER
 from .revisions import FIRST_ERA, get_era, get_version, make_revision
-from .wire import ERA_HEADER, ROWS_FEED, ROWS_GET, ROWS_WRITE
+from .wire import ERA_HEADER, ROWS_FEED, ROWS_GET, ROWS_PARTS, ROWS_WRITE
 
 # Longer than a call to a healthy store takes (a few ms), shorter than the time within which a
 # manifest must be in force.
@@ -22,6 +24,10 @@
 # Longer than CALL_TIMEOUT_S, so that reads from a slow store still succeed.
 READ_TIMEOUT_S = 2.0
 PAGE_ROW_COUNT = 500
+# The store sends this many parts in an answer.
+PAGE_PART_COUNT = 1000
+# Rows that a transaction may write and remove.
+MAX_WRITE_ROWS = 100
 MS_PER_S = 1000
 # A dead connection is closed after about this time.
 DEAD_CONNECTION_TIMEOUT_S = 2
@@ -57,6 +63,18 @@
     answered_at: float = attrs.field(factory=read_lease_clock)
     # Rows without a valid key, which are left out.
     skipped_count: int = 0
+    # The store's steady clock when it answered, in seconds; None if it stated none.
+    store_time_s: float | None = None
+
+
+@attrs.frozen
+class Written:
+    """When a write was confirmed."""
+
+    # On the lease clock.
+    answered_at: float
+    # The store's steady clock when it answered, in seconds; None if it stated none.
+    store_time_s: float | None
 
 
 class MetadataStore:
@@ -75,14 +93,14 @@
             trust_env=False,
         )
 
-    async def read_table(self, table: str) -> Rows:
-        """Return all rows of a table; raise TableUnavailable."""
+    async def read_table(self, table: str, part: str = '') -> Rows:
+        """Return all rows of a part of a table; raise TableUnavailable."""
         rows: list[StoreRow] = []
         skipped_count = 0
         first: Rows | None = None
         start = ''
         while True:
-            query = {'table_name': table, 'part': '', 'max_results': str(PAGE_ROW_COUNT)}
+            query = {'table_name': table, 'part': part, 'max_results': str(PAGE_ROW_COUNT)}
             if start:
                 query['range_start'] = start
             found, answer = await self._get(ROWS_GET, query, READ_TIMEOUT_S)
@@ -123,18 +141,52 @@
             raise TableUnavailable(message, step=ROWS_FEED, peer=self._url)
         return rows
 
+    async def list_parts(self, table: str) -> list[str]:
+        """Return the parts of a table that have rows; raise TableUnavailable."""
+        parts: list[str] = []
+        while True:
+            query = {'table_name': table}
+            if parts:
+                query['after_revision'] = parts[-1]
+            found, _answer = await self._get(ROWS_PARTS, query, READ_TIMEOUT_S)
+            listed = found.get('parts')
+            if not isinstance(listed, list):
+                message = 'the answer has no parts'
+                raise TableUnavailable(message, step=ROWS_PARTS, peer=self._url)
+            page = [part for part in listed if isinstance(part, str)]
+            if parts and any(part <= parts[-1] for part in page):
+                message = 'a page of the parts repeats parts of an earlier one'
+                raise TableUnavailable(message, step=ROWS_PARTS, peer=self._url)
+            parts += page
+            if not page or not found.get('has_more', len(listed) >= PAGE_PART_COUNT):
+                return parts
+
     async def write_row(self, table: str, key: str, content: bytes | None) -> None:
-        """Write a row, or remove it if `content` is None.
+        """Write a row of the empty part, or remove it if `content` is None.
 
         Raises TableUnavailable or TableOutcomeUnknown.
         """
-        row: dict[str, Any] = {'table_name': table, 'part': '', 'key': key}
-        body: dict[str, Any] = {'expected_revision': [], 'write': [], 'remove': []}
         if content is None:
-            body['remove'].append(row)
+            await self.write_rows(table, '', {}, (key,))
         else:
-            row['value'] = base64.b64encode(content).decode()
-            body['write'].append(row)
+            await self.write_rows(table, '', {key: content})
+
+    async def write_rows(
+        self, table: str, part: str, writes: Mapping[str, bytes], removed: Iterable[str] = ()
+    ) -> Written:
+        """Write and remove rows of a part, at most MAX_WRITE_ROWS, all of them or none.
+
+        Raises TableUnavailable or TableOutcomeUnknown.
+        """
+        place = {'table_name': table, 'part': part}
+        body: dict[str, Any] = {
+            'expected_revision': [],
+            'write': [
+                {**place, 'key': key, 'value': base64.b64encode(content).decode()}
+                for key, content in writes.items()
+            ],
+            'remove': [{**place, 'key': key} for key in removed],
+        }
         request = self._client.build_request(
             'POST',
             ROWS_WRITE,
@@ -152,6 +204,12 @@
         if answer.status != httpx.codes.OK:
             message = f'the store answered with status {answer.status}'
             raise TableUnavailable(message, step='write', peer=self._url)
+        try:
+            found = _decode_object(answer.content, ROWS_WRITE, self._url)
+        except TableUnavailable:
+            # The status says that the rows are written; only the time is missing.
+            return Written(answer.answered_at, None)
+        return Written(answer.answered_at, _decode_store_time(found))
 
     async def close(self) -> None:
         """Close the connections."""
@@ -203,7 +261,16 @@
         raise TableUnavailable(message, step='read', peer=peer)
     decoded = [_decode_row(document, era, revision) for document in documents]
     rows = [row for row in decoded if row is not None]
-    return Rows(rows, revision, answer.answered_at, len(decoded) - len(rows))
+    skipped_count = len(decoded) - len(rows)
+    return Rows(rows, revision, answer.answered_at, skipped_count, _decode_store_time(found))
+
+
+def _decode_store_time(found: dict[str, Any]) -> float | None:
+    """Return the store's steady clock in seconds, or None if the answer states no valid one."""
+    time_ms = found.get('server_time_ms')
+    if isinstance(time_ms, bool) or not isinstance(time_ms, int | float):
+        return None
+    return time_ms / MS_PER_S if 0 <= time_ms <= MAX_NUMBER else None
 
 
 def _decode_row(document: Any, era: str | int, newest: int) -> StoreRow | None:
--- a/camphorpath/platform/wire.py
+++ b/camphorpath/platform/wire.py
@@ -40,6 +40,7 @@
 # Counts how often the store was restored from a copy; in all its answers.
 ERA_HEADER = 'store-era'
 ROWS_GET = '/camphorpath/rows-get'
+ROWS_PARTS = '/camphorpath/rows-parts'
 ROWS_FEED = '/camphorpath/rows-feed'
 ROWS_WRITE = '/camphorpath/rows-tx'
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -1,6 +1,7 @@
 import pytest
 import yaml
 
+from camphorpath.edge.settings import DEFAULT_STORE_WRITES_PER_S
 from camphorpath.errors import UserError
 from camphorpath.platform.settings import SETTINGS_VARIABLE, load_edge_settings
 
@@ -20,7 +21,7 @@
     'seed_nodes': ['10.0.0.2:3'],
     'is_bootstrap': True,
     'limits': {'cpu_quota': 0.5, 'core_count': 2, 'max_fds': 4100},
-    'platform': {'address': '10.0.9.9:5'},
+    'platform': {'address': '10.0.9.9:5', 'writes_per_s': 1200},
     'bounds': {
         'contact_timeout_ms': 3000,
         'drain_timeout_ms': 2500,
@@ -51,6 +52,7 @@
     assert settings.bounds.stop_limit_s == 8
     assert settings.store_url == 'http://10.0.9.9:5'
     assert settings.seeds == ('10.0.0.2:3',)
+    assert settings.store_writes_per_s == 1200
 
 
 @pytest.mark.parametrize(
@@ -61,6 +63,8 @@
         {name: DOCUMENT[name] for name in DOCUMENT if name != 'zone'},
         {**DOCUMENT, 'limits': {'cpu_quota': 'much'}},
         {**DOCUMENT, 'internal_port_range': []},
+        {**DOCUMENT, 'platform': {'address': '10.0.9.9:5', 'writes_per_s': 'many'}},
+        {**DOCUMENT, 'platform': {'address': '10.0.9.9:5', 'writes_per_s': -1}},
     ],
 )
 def test_invalid_settings_raise_a_user_error(tmp_path, document):
@@ -70,6 +74,13 @@
         load_edge_settings(path)
 
 
+def test_missing_write_rate_of_the_store_has_a_default(tmp_path):
+    """Guards against a daemon that does not start, or never writes, without the field."""
+    document = {**DOCUMENT, 'platform': {'address': '10.0.9.9:5'}}
+    settings = load_edge_settings(write(tmp_path / 's.yaml', document))
+    assert settings.store_writes_per_s == DEFAULT_STORE_WRITES_PER_S
+
+
 def test_missing_file_raises_a_user_error(tmp_path, monkeypatch):
     """Guards against a traceback in place of a one-line message."""
     monkeypatch.delenv(SETTINGS_VARIABLE, raising=False)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -67,6 +67,111 @@
     run(test, lambda request: reply(page))
 
 
+def test_rows_of_a_part_are_read():
+    """Guards against a lookup that reads the rows of another part."""
+
+    def answer(request):
+        row = make_row(request.url.params['part'])
+        return reply({'rows': [row], 'row_version': 7, 'has_more': False})
+
+    async def test(store):
+        assert [row.key for row in (await store.read_table('t', 'p')).rows] == ['p']
+        assert [row.key for row in (await store.read_table('t')).rows] == ['']
+
+    run(test, answer)
+
+
+@pytest.mark.parametrize('states_more', [True, False])
+def test_pages_of_parts_are_joined(states_more):
+    """Guards against streams of a daemon that is gone beyond the first page of parts."""
+    parts = [f'p{number:04}' for number in range(2500)]
+
+    def answer(request):
+        after = request.url.params.get('after_revision', '')
+        assert request.url.path == '/camphorpath/rows-parts'
+        left = [part for part in parts if part > after]
+        more = {'has_more': len(left) > 1000} if states_more else {}
+        return reply({'parts': left[:1000], **more})
+
+    async def test(store):
+        assert await store.list_parts('t') == parts
+
+    run(test, answer)
+
+
+@pytest.mark.parametrize(
+    'document',
+    [{'parts': ['a', 'b'], 'has_more': True}, {'parts': 5}, {}, {'parts': ['a'] * 1000}],
+)
+def test_parts_that_do_not_advance_or_are_missing_are_an_outage(document):
+    """Guards against a daemon that reads the same page of parts without end."""
+
+    async def test(store):
+        with pytest.raises(TableUnavailable):
+            await store.list_parts('t')
+
+    run(test, lambda request: reply(document))
+
+
+def test_rows_of_a_transaction_are_in_one_part():
+    """Guards against rows of a batch that are written in part, or to another part."""
+    bodies = []
+
+    def answer(request):
+        bodies.append(orjson.loads(request.content))
+        return reply({'row_version': 5, 'server_time_ms': 7500})
+
+    async def test(store):
+        written = await store.write_rows('t', 'p', {'a': b'1', 'b': b''}, ('c',))
+        assert written.store_time_s == 7.5
+        await store.write_row('t', 'k', None)
+
+    run(test, answer)
+    place = {'table_name': 't', 'part': 'p'}
+    assert bodies[0] == {
+        'expected_revision': [],
+        'write': [
+            {**place, 'key': 'a', 'value': base64.b64encode(b'1').decode()},
+            {**place, 'key': 'b', 'value': ''},
+        ],
+        'remove': [{**place, 'key': 'c'}],
+    }
+    removed = {'table_name': 't', 'part': '', 'key': 'k'}
+    assert bodies[1] == {'expected_revision': [], 'write': [], 'remove': [removed]}
+
+
+@pytest.mark.parametrize(
+    ('stated', 'store_time_s'),
+    [
+        ({'server_time_ms': 7500}, 7.5),
+        ({'server_time_ms': 0}, 0),
+        ({}, None),
+        ({'server_time_ms': '7500'}, None),
+        ({'server_time_ms': True}, None),
+        ({'server_time_ms': -1}, None),
+        ({'server_time_ms': 1e300}, None),
+        ({'server_time_ms': [1]}, None),
+    ],
+)
+def test_missing_or_odd_store_time_is_tolerated(stated, store_time_s):
+    """Guards against an outage, or ages of centuries, because of an odd time of the store."""
+
+    async def test(store):
+        assert (await store.read_table('t')).store_time_s == store_time_s
+        assert (await store.write_rows('t', '', {'a': b'1'})).store_time_s == store_time_s
+
+    run(test, lambda request: reply({'rows': [], 'row_version': 1, **stated}))
+
+
+def test_write_with_an_unreadable_answer_has_an_effect():
+    """Guards against a write that counts as not made although the store confirmed it."""
+
+    async def test(store):
+        assert (await store.write_rows('t', '', {'a': b'1'})).store_time_s is None
+
+    run(test, lambda request: httpx.Response(200, content=b'x'))
+
+
 def test_change_between_two_pages_is_not_skipped():
     """Guards against calls to an upstream whose row was removed while a long table was read."""
 
