Keep the software versions that began streams in the store

A daemon that was killed took the versions of its streams with it, and a stream may go on only at the version that began it. StreamStore writes the records of services with several versions to a part of its own in batches, looks up the parts of daemons that did not answer, and keeps the versions that were registered lately. It is not wired into the daemon yet.

A write without an answer may take effect seconds later, also after a later write of the same row. Its rows therefore take up no more records: it is repeated as it was, new records go to the next row.

--- /dev/null
+++ b/camphorpath/edge/streams.py
@@ -0,0 +1,363 @@
+"""Keeps the software versions that began streams in the metadata store.
+
+A stream that was broken off may go on only at the software version that began it, and the daemon
+that knows the version may be gone. Records are written only while streams of a service may have
+begun at several versions.
+"""
+
+from collections.abc import Callable, Iterable
+
+import anyio
+import attrs
+
+from ..clocks import read_lease_clock
+from ..errors import PlatformError, TableOutcomeUnknown, TableUnavailable
+from ..events import Event, EventLog
+from ..platform.store import MAX_WRITE_ROWS, MetadataStore, Rows, Written
+from ..streams import KnownOrigin, Origin, Source, StreamRecords, VersionHistory
+from ..streams.rows import (
+    OwnRow,
+    OwnRows,
+    StreamRow,
+    VersionRow,
+    decode_row,
+    decode_version_row,
+    encode_row,
+    encode_version_row,
+    make_version_key,
+)
+from .reads import SharedReads
+from .settings import EdgeSettings
+
+STREAM_TABLE = 'camphorpath-streams'
+VERSION_TABLE = 'camphorpath-versions'
+RETRY_DELAY_S = 1.0
+# Share of the store's write calls that is for records of streams.
+WRITE_SHARE = 0.1
+MIN_WRITE_INTERVAL_S = 0.1
+MAX_WRITE_INTERVAL_S = 1.0
+# Parts that only have rows older than this many horizons are removed.
+STALE_HORIZONS = 2
+PARALLEL_READS = 8
+VERSION_INTERVAL_S = 1.0
+REFRESH_INTERVAL_S = 5.0
+# Rows of versions that were not refreshed for longer are removed.
+VERSION_RETENTION_S = 600.0
+# The writer removes the row of a version before the other daemons forget it.
+FORGET_DELAY_S = 60.0
+# Bounds the memory.
+MAX_REJECTED_ROWS = 1000
+
+Pair = tuple[str, str]
+
+
+@attrs.define
+class StreamStore:
+    """Writes the records of this daemon, looks up those of others, and follows the versions."""
+
+    records: StreamRecords
+    history: VersionHistory
+    store: MetadataStore
+    events: EventLog
+    settings: EdgeSettings
+    incarnation: str
+    count_actives: Callable[[], int]
+    # Whether this daemon writes the versions for all daemons.
+    is_version_writer: Callable[[], bool]
+    # The service and software version of each registered upstream, also of leaving ones.
+    list_registered: Callable[[], Iterable[Pair]]
+    # For how long a stream of a service may go on after its begin.
+    get_horizon_s: Callable[[str], float]
+    # Returns the event that is set, and replaced, when the store was restored from a copy.
+    get_restored: Callable[[], anyio.Event]
+    read_clock: Callable[[], float] = read_lease_clock
+    # Whether the versions were read from the store.
+    is_loaded: bool = False
+    # The store's clock minus the lease clock; None if the store never stated its time.
+    _store_offset_s: float | None = None
+    _own_rows: OwnRows = attrs.field(factory=OwnRows)
+    _write_lock: anyio.Lock = attrs.field(factory=anyio.Lock)
+    _read_limit: anyio.Semaphore = attrs.field(factory=lambda: anyio.Semaphore(PARALLEL_READS))
+    _listings: SharedReads[list[str]] = attrs.field(factory=SharedReads)
+    _part_reads: SharedReads[dict[bytes, Origin]] = attrs.field(factory=SharedReads)
+    # Keys of the rows to remove by part.
+    _stale_parts: dict[str, list[str]] = attrs.field(factory=dict)
+    # When this daemon last wrote each version.
+    _versions_written: dict[Pair, float] = attrs.field(factory=dict)
+    # Versions that the store may have lost when it was restored.
+    _versions_lost: set[Pair] = attrs.field(factory=set)
+    # Tasks whose last call failed.
+    _failing: set[str] = attrs.field(factory=set)
+    _rejected: set[tuple[str, str, str]] = attrs.field(factory=set)
+
+    async def write_records(self) -> None:
+        """Write the records of services with several versions until cancelled."""
+        restored = self.get_restored()
+        while True:
+            if restored.is_set():
+                restored = self.get_restored()
+                self._own_rows.mark_lost()
+            pause_s = self._get_write_interval_s()
+            try:
+                await self._write_next()
+            except (TableUnavailable, TableOutcomeUnknown) as error:
+                # The write is idempotent and can be repeated.
+                self._log_failure('records', error)
+                pause_s = RETRY_DELAY_S
+            await anyio.sleep(pause_s)
+
+    async def flush(self, limit_s: float) -> None:
+        """Write what is unwritten before a planned stop; give up after `limit_s` seconds."""
+        with anyio.move_on_after(limit_s) as scope:
+            await self._flush()
+        if scope.cancelled_caught:
+            self.events.emit(Event.STREAM_STORE_FAILED, task='flush', problem='out of time')
+
+    async def follow_versions(self) -> None:
+        """Keep the versions in the store and in the history current until cancelled."""
+        restored = self.get_restored()
+        while True:
+            if restored.is_set():
+                restored = self.get_restored()
+                self._versions_written.clear()
+                self._versions_lost.update(self.history.list_last_seen())
+            now = self.read_clock()
+            registered = set(self.list_registered())
+            for service, software_version in registered:
+                self.history.record(service, software_version, now)
+            try:
+                await self._update_versions(registered)
+            except (TableUnavailable, TableOutcomeUnknown) as error:
+                # Reads and writes can be repeated.
+                self._log_failure('versions', error)
+            await anyio.sleep(VERSION_INTERVAL_S)
+
+    async def find(self, digest: bytes, answered: frozenset[str]) -> KnownOrigin | None:
+        """Look a stream up in the rows of the daemons that have not answered; adopt what is found.
+
+        `answered` holds incarnations. Returns None if all rows were read and none has it; raises
+        TableUnavailable if rows that may have it could not be read.
+        """
+        error: TableUnavailable | None = None
+        for found in await self._read_others(answered):
+            if isinstance(found, TableUnavailable):
+                error = found
+                continue
+            origin = found.get(digest)
+            if origin is not None:
+                return self.records.adopt(digest, origin, self.read_clock(), Source.STORE)
+        if error is None:
+            return None
+        self.events.emit(Event.STREAM_STORE_FAILED, task='find', problem=str(error))
+        raise TableUnavailable(error.message, step=error.step, peer=error.peer) from error
+
+    async def _read_others(
+        self, answered: frozenset[str]
+    ) -> list[dict[bytes, Origin] | TableUnavailable]:
+        """Return the records of each part, or the error."""
+        now = self.read_clock()
+        listing = (await self._listings.get_all([STREAM_TABLE], self.store.list_parts, now))[0]
+        if isinstance(listing, TableUnavailable):
+            return [listing]
+        parts = [part for part in listing if part != self.incarnation and part not in answered]
+        return await self._part_reads.get_all(parts, self._fetch_part, self.read_clock())
+
+    async def _fetch_part(self, part: str) -> dict[bytes, Origin]:
+        """Return the records of a part; queue its rows for removal if all are stale."""
+        async with self._read_limit:
+            rows = await self.store.read_table(STREAM_TABLE, part)
+        self._learn_store_time(rows)
+        origins: dict[bytes, Origin] = {}
+        stale_count = 0
+        for row in rows.rows:
+            try:
+                content = decode_row(row.value)
+            except PlatformError as error:
+                self._reject_row(STREAM_TABLE, part, row.key, error)
+                continue
+            origins |= content.origins
+            stale_count += self._is_stale(content, rows.store_time_s)
+        if rows.rows and stale_count == len(rows.rows):
+            self._stale_parts[part] = [row.key for row in rows.rows[:MAX_WRITE_ROWS]]
+        return origins
+
+    def _is_stale(self, row: StreamRow, store_time_s: float | None) -> bool:
+        if row.last_s is None or store_time_s is None:
+            return False
+        services = {origin.service for origin in row.origins.values()}
+        return store_time_s - row.last_s > STALE_HORIZONS * self._get_longest_horizon_s(services)
+
+    async def _flush(self) -> None:
+        while True:
+            try:
+                has_written = await self._write_batch()
+            except (TableUnavailable, TableOutcomeUnknown) as error:
+                # The write is idempotent and can be repeated.
+                self._log_failure('flush', error)
+                await anyio.sleep(self._get_write_interval_s())
+                continue
+            if not has_written:
+                return
+
+    async def _write_next(self) -> None:
+        """Write records; without new ones remove a stale part, if there is one."""
+        self._part_reads.expire(self.read_clock())
+        has_written = await self._write_batch()
+        if not has_written and self._stale_parts:
+            part, keys = self._stale_parts.popitem()
+            # If this fails, the next lookup finds the rows again.
+            self._learn_store_time(await self.store.write_rows(STREAM_TABLE, part, {}, keys))
+            has_written = True
+        if has_written:
+            self._failing.discard('records')
+
+    async def _write_batch(self) -> bool:
+        """Write new records and remove outdated rows; return whether there was anything to write.
+
+        Raises TableUnavailable or TableOutcomeUnknown.
+        """
+        async with self._write_lock:
+            now = self.read_clock()
+            self._take_records(now)
+
+            def is_outdated(row: OwnRow) -> bool:
+                return now - row.last_at > self._get_longest_horizon_s(row.services)
+
+            batch = self._own_rows.list_unwritten(is_outdated, MAX_WRITE_ROWS)
+            if not batch:
+                return False
+            removed = self._own_rows.list_outdated(is_outdated, MAX_WRITE_ROWS - len(batch))
+            if self._store_offset_s is None:
+                self._learn_store_time(await self.store.read_table(STREAM_TABLE, self.incarnation))
+            await self._send(batch, removed)
+        return True
+
+    async def _send(self, batch: list[OwnRow], removed: list[str]) -> None:
+        contents = {
+            row.key: encode_row(row.origins, self._to_store_time(row.last_at)) for row in batch
+        }
+        states = [(row, row.is_open, row.may_exist) for row in batch]
+        for row in batch:
+            # A write that gets no answer may take effect later and must not undo another one.
+            row.is_open = False
+            row.may_exist = True
+        try:
+            written = await self.store.write_rows(STREAM_TABLE, self.incarnation, contents, removed)
+        except TableUnavailable:
+            # It had no effect.
+            for row, was_open, may_exist in states:
+                row.is_open = was_open
+                row.may_exist = may_exist
+            raise
+        self._learn_store_time(written)
+        for row, was_open, _may_exist in states:
+            row.is_open = was_open
+            row.is_written = True
+        self._own_rows.remove(removed)
+
+    def _take_records(self, now: float) -> None:
+        """Move the new records of services with several versions to the rows to write."""
+        services = {service for service, _version in self.history.list_last_seen()}
+        if not services:
+            return
+        self.records.expire(now - self._get_longest_horizon_s(services))
+        mixed = {
+            service
+            for service in services
+            if self.history.is_mixed(service, now - self.get_horizon_s(service))
+        }
+        if mixed:
+            self._own_rows.add(self.records.drain_unwritten(mixed.__contains__), now)
+
+    async def _update_versions(self, registered: set[Pair]) -> None:
+        """Read the versions once; then write them if this daemon is their writer."""
+        if not self.is_loaded:
+            await self._load_versions()
+        now = self.read_clock()
+        if self.is_version_writer():
+            await self._write_versions(registered, now)
+        self._forget_versions(now - VERSION_RETENTION_S - FORGET_DELAY_S)
+        self._failing.discard('versions')
+
+    async def _load_versions(self) -> None:
+        rows = await self.store.read_table(VERSION_TABLE)
+        self._learn_store_time(rows)
+        for row in rows.rows:
+            try:
+                found = decode_version_row(row.value)
+            except PlatformError as error:
+                self._reject_row(VERSION_TABLE, '', row.key, error)
+                continue
+            age_s: float = 0
+            if found.seen_s is not None and rows.store_time_s is not None:
+                age_s = max(rows.store_time_s - found.seen_s, 0)
+            self.history.record(found.service, found.software_version, rows.answered_at - age_s)
+        self.is_loaded = True
+
+    async def _write_versions(self, registered: set[Pair], now: float) -> None:
+        last_seen = self.history.list_last_seen()
+        outdated = [
+            pair for pair, seen_at in last_seen.items() if now - seen_at > VERSION_RETENTION_S
+        ]
+        self._versions_lost.intersection_update(last_seen)
+        self._versions_lost.difference_update(outdated)
+        due = [pair for pair in registered if self._is_refresh_due(pair, now)]
+        due += self._versions_lost.difference(due)
+        due = due[:MAX_WRITE_ROWS]
+        outdated = outdated[: MAX_WRITE_ROWS - len(due)]
+        if not due and not outdated:
+            return
+        writes = {}
+        for pair in due:
+            row = VersionRow(*pair, self._to_store_time(last_seen.get(pair, now)))
+            writes[make_version_key(*pair)] = encode_version_row(row)
+        removed = [make_version_key(*pair) for pair in outdated]
+        self._learn_store_time(await self.store.write_rows(VERSION_TABLE, '', writes, removed))
+        self._versions_written.update(dict.fromkeys(due, now))
+        self._versions_lost.difference_update(due)
+        # One that is registered again by now is kept.
+        self.history.forget(outdated, now - VERSION_RETENTION_S)
+
+    def _is_refresh_due(self, pair: Pair, now: float) -> bool:
+        written_at = self._versions_written.get(pair)
+        return written_at is None or now - written_at >= REFRESH_INTERVAL_S
+
+    def _forget_versions(self, before: float) -> None:
+        self.history.expire(before)
+        for pair, written_at in list(self._versions_written.items()):
+            if written_at < before:
+                self._versions_written.pop(pair)
+
+    def _get_write_interval_s(self) -> float:
+        """Return the pause between two writes, for which all daemons share the write calls."""
+        calls_per_s = WRITE_SHARE * self.settings.store_writes_per_s
+        if not calls_per_s:
+            return MAX_WRITE_INTERVAL_S
+        interval_s = max(MIN_WRITE_INTERVAL_S, self.count_actives() / calls_per_s)
+        return min(interval_s, MAX_WRITE_INTERVAL_S)
+
+    def _get_longest_horizon_s(self, services: Iterable[str]) -> float:
+        return max(map(self.get_horizon_s, services), default=0)
+
+    def _learn_store_time(self, answer: Rows | Written) -> None:
+        if answer.store_time_s is not None:
+            self._store_offset_s = answer.store_time_s - answer.answered_at
+
+    def _to_store_time(self, at: float) -> float | None:
+        """Return an instant of the lease clock on the store's clock, not before its zero."""
+        return None if self._store_offset_s is None else max(at + self._store_offset_s, 0)
+
+    def _log_failure(self, task: str, error: PlatformError) -> None:
+        if task not in self._failing:
+            self._failing.add(task)
+            self.events.emit(Event.STREAM_STORE_FAILED, task=task, problem=str(error))
+
+    def _reject_row(self, table: str, part: str, key: str, error: PlatformError) -> None:
+        """Log an unreadable row once; other writers may leave any row."""
+        place = table, part, key
+        if place in self._rejected or len(self._rejected) >= MAX_REJECTED_ROWS:
+            return
+        self._rejected.add(place)
+        self.events.emit(
+            Event.STREAM_ROW_INVALID, table=table, part=part, key=key, problem=error.message
+        )
--- a/camphorpath/streams/history.py
+++ b/camphorpath/streams/history.py
@@ -1,5 +1,7 @@
 """Which software versions of a service were registered lately."""
 
+from collections.abc import Iterable
+
 import attrs
 
 
@@ -35,3 +37,9 @@
         for key, seen_at in list(self._last_seen.items()):
             if seen_at < before:
                 self._last_seen.pop(key)
+
+    def forget(self, pairs: Iterable[tuple[str, str]], before: float) -> None:
+        """Forget those of some versions that were last registered before an instant."""
+        for key in pairs:
+            if self._last_seen.get(key, before) < before:
+                self._last_seen.pop(key)
