--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -119,7 +119,6 @@
         while True:
             if restored.is_set():
                 restored = self.get_restored()
-                self._versions_written.clear()
                 self._versions_lost.update(self.history.list_last_seen())
             now = self.read_clock()
             registered = set(self.list_registered())
--- a/tests/edge/test_stream_store.py
+++ b/tests/edge/test_stream_store.py
@@ -85,6 +85,8 @@
     is_hanging: bool = False
     # Parts whose reads are refused.
     refused_parts: frozenset = frozenset()
+    # Called when a transaction came.
+    on_write: object = lambda: None
     reads: list = attrs.field(factory=list)
     # Bodies of the transactions that came, and when.
     writes: list = attrs.field(factory=list)
@@ -99,6 +101,7 @@
             body = orjson.loads(request.content)
             assert 1 <= len(body['write']) + len(body['remove']) <= 100
             self.writes.append((self.clock.now, body))
+            self.on_write()
             if self.is_hanging:
                 await anyio.sleep_forever()
             if self.status == 200 or (self.status is None and self.has_effect):
@@ -277,6 +280,22 @@
     assert store.list_keys(STREAM_TABLE, 'me-1') == [f'{number:012}' for number in kept]
     assert digest in store.list_origins()
     assert len(store.writes) == 20
+    assert max(len(body['remove']) for _at, body in store.writes) == 1
+
+
+async def test_many_old_rows_are_removed_in_several_transactions(store):
+    """Guards against a transaction that the store refuses for good as too long."""
+    daemon = Daemon(store)
+    for number in range(8000):
+        daemon.begin(number)
+    daemon.mix()
+    await daemon.write(5)
+    store.clock.now += 2 * HORIZON_S
+    for number in range(3):
+        daemon.mix()
+        daemon.begin(-number)
+        await daemon.write(3)
+    assert len(store.list_keys(STREAM_TABLE, 'me-1')) == 3
 
 
 async def test_started_daemon_finds_the_streams_of_one_that_is_gone(store):
@@ -361,22 +380,41 @@
     assert store.list_origins() == begun
     failures = daemon.list_events(Event.STREAM_STORE_FAILED)
     assert [record.fields['task'] for record in failures] == ['records']
+    store.status = status
+    daemon.begin(11)
+    await daemon.write(1)
+    assert len(daemon.list_events(Event.STREAM_STORE_FAILED)) == 2
 
 
 async def test_rows_of_a_long_outage_are_given_up(store):
     """Guards against memory that grows, and outdated rows that are written, after an outage."""
     daemon = Daemon(store)
+    daemon.mix()
+    daemon.begin(-1)
+    await daemon.write()
     store.status = 503
     for number in range(20):
         daemon.mix()
         daemon.begin(number)
         await daemon.write(10)
-    assert len(daemon.streams._own_rows._rows) <= 4
+    assert len(daemon.streams._own_rows._rows) <= 5
     store.status = 200
     await daemon.write(2)
     assert len(store.list_origins()) <= 3
 
 
+async def test_row_that_the_store_refused_takes_up_more_records(store):
+    """Guards against a row for each write that a busy store refuses."""
+    daemon = Daemon(store)
+    daemon.mix()
+    for number, status in enumerate((200, 429, 429, 200)):
+        store.status = status
+        daemon.begin(number)
+        await daemon.write(0.2)
+    assert len(store.list_origins()) == 4
+    assert store.list_keys(STREAM_TABLE, 'me-1') == ['000000000000']
+
+
 @pytest.mark.parametrize('has_effect', [True, False])
 async def test_write_that_takes_effect_late_undoes_no_other(store, has_effect):
     """Guards against records that vanish when the store performs an unanswered write again."""
@@ -446,21 +484,23 @@
     assert len(store.writes) == 2
 
 
-async def test_unreadable_rows_are_ignored_and_kept(store):
+@pytest.mark.parametrize('count', [5, MAX_REJECTED_ROWS + 9])
+async def test_unreadable_rows_are_ignored_and_kept(store, count):
     """Guards against rows of other writers that hide streams, end the daemon or flood its log."""
     gone, asking = Daemon(store, 'gone-1'), Daemon(store)
     gone.mix()
     digest = gone.begin(1)
     await gone.write()
     store.rows[STREAM_TABLE, 'gone-1', '0'] = b'\7future'
-    for number in range(MAX_REJECTED_ROWS + 9):
+    for number in range(count):
         store.rows[STREAM_TABLE, 'odd-1', f'{number}'] = b''
-    # A part's pages hold at most 500 rows; this store sends all.
     for _ in range(3):
         assert await asking.streams.find(digest, frozenset())
         store.clock.now += 10 * HORIZON_S
     rejected = asking.list_events(Event.STREAM_ROW_INVALID)
-    assert 1 < len(rejected) <= MAX_REJECTED_ROWS
+    assert len(rejected) == min(count + 1, MAX_REJECTED_ROWS)
+    places = {(record.fields['part'], record.fields['key']) for record in rejected}
+    assert len(places) == len(rejected)
     rows = dict(store.rows)
     await asking.write()
     assert store.rows == rows
@@ -685,6 +725,24 @@
     assert sorted(other.history.list_last_seen()) == [('llm', 'v1'), ('llm', 'v2')]
 
 
+async def test_version_that_is_registered_again_during_its_removal_is_kept(store):
+    """Guards against a version that counts as never registered just after it is."""
+    put_version(store, ('llm', 'v1'), store.clock.now - VERSION_RETENTION_S - 1)
+    daemon = Daemon(store, registered=set())
+
+    def register():
+        store.on_write = lambda: None
+        daemon.mix(OLD)
+        daemon.registered = {('llm', 'v1')}
+
+    store.on_write = register
+    await daemon.follow(0.5)
+    assert len(store.writes) == 1
+    assert daemon.history.list_since('llm', store.clock.now - 1) == {'v1'}
+    await daemon.follow(0.5)
+    assert list(store.list_versions()) == [('llm', 'v1')]
+
+
 async def test_versions_that_a_restore_of_the_store_lost_are_written_again(store):
     """Guards against a started daemon that misses the version of a stream after a restore."""
     daemon = Daemon(store)
--- a/tests/streams/test_rows.py
+++ b/tests/streams/test_rows.py
@@ -122,4 +122,6 @@
     rows = OwnRows()
     for number in range(MAX_ROW_COUNT + 9):
         rows.add({digest_stream(b'%d' % number): Origin('llm', 'v1')}, 100 + 2 * number)
-    assert len(list_rows(rows)) == MAX_ROW_COUNT
+    unwritten = rows.list_unwritten(lambda _: False, 2 * MAX_ROW_COUNT)
+    assert len(unwritten) == MAX_ROW_COUNT
+    assert digest_stream(b'%d' % (MAX_ROW_COUNT + 8)) in unwritten[-1].origins
