Expire records of streams without a copy of all of them

The writer of records expires them at each check, several times a second, which copied all records: 7.9 ms of processor time a check with 10,000 records and 20 services that have one version each. It stops at the first record that is young enough now: 0.067 ms (one run each, busy machine).

pytest tests/edge/test_stream_store.py tests/streams tests/events/test_catalogue.py tests/platform/test_store.py tests/platform/test_settings.py tests/edge/test_quarantine.py tests/edge/test_state.py tests/edge/test_stop.py tests/cluster/test_restored_store.py tests/cluster/test_follower.py: 258 passed. The new test fails with the former code (0.95 s, limit 0.45 s). tests/edge/test_stream_store.py passed in five further runs.

--- a/camphorpath/streams/records.py
+++ b/camphorpath/streams/records.py
@@ -88,10 +88,13 @@
     def expire(self, before: float) -> None:
         """Drop the records from before an instant."""
         for records in (self._known, self._unwritten):
-            for digest, known in list(records.items()):
+            outdated = []
+            for digest, known in records.items():
                 if known.known_since >= before:
                     # The others are younger.
                     break
+                outdated.append(digest)
+            for digest in outdated:
                 records.pop(digest)
 
     def _put(self, digest: bytes, known: KnownOrigin) -> None:
--- a/tests/edge/test_stream_store.py
+++ b/tests/edge/test_stream_store.py
@@ -1,6 +1,7 @@
 import base64
 import itertools
 import math
+import time
 
 import anyio
 import anyio.lowlevel
@@ -342,6 +343,19 @@
     assert store.calls == calls
 
 
+async def test_many_records_cost_little_while_one_version_is_registered(store):
+    """Guards against processor time that an idle daemon spends on records it does not write."""
+    daemon = Daemon(store)
+    daemon.mix(OLD)
+    for number in range(10000):
+        daemon.begin(number)
+    begun_s = time.process_time()
+    await daemon.write(20)
+    # About 90 checks; each may take 5 ms.
+    assert time.process_time() - begun_s < 0.45
+    assert not store.calls
+
+
 async def test_records_from_before_the_mix_are_written_once_it_begins(store):
     """Guards against streams that began just before another version was registered."""
     daemon = Daemon(store)
