Connect the lookup of a stream's origin to peers and to the store

What callers saw: a stream taken up at another daemon than the one that began it is refused while two versions serve, as only the daemon that began it knows its version. Change: an edge daemon asks its peers by datagram, and looks up in the store what the daemons wrote that do not answer; it keeps the versions that were registered lately in the store, so that a daemon that has just started knows them. Unwritten records are written at the end of a planned stop. Tests: test_stop and test_stream_queries build daemons with the new fields.

--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -13,7 +13,7 @@
 import orjson
 
 from ..clocks import read_lease_clock
-from ..cluster.follower import Follower
+from ..cluster.follower import MAX_CONFIRMATION_AGE_S, Follower
 from ..cluster.heartbeats import HeartbeatSocket
 from ..cluster.members import Members
 from ..cluster.state_transfer import make_state_client
@@ -43,6 +43,7 @@
 from .settings import EdgeSettings
 from .state import DaemonState
 from .stream_queries import StreamQueries
+from .streams import StreamStore
 
 MEMBER_TABLE = 'camphorpath-members'
 METRICS_PORT = 9100
@@ -79,6 +80,8 @@
     store: MetadataStore
     heartbeats: HeartbeatSocket
     quarantine: QuarantineSync
+    streams: StreamStore
+    stream_queries: StreamQueries
     peers: httpx.AsyncClient
 
     async def close(self) -> None:
@@ -134,6 +137,26 @@
     relay.is_current = follower.is_manifest_current
     state.read_store_age = follower.store_age
     relay.read_store_age = follower.store_age
+    streams = StreamStore(
+        records=relay.origins.records,
+        history=relay.origins.history,
+        store=store,
+        events=events,
+        settings=settings,
+        incarnation=incarnation,
+        count_actives=lambda: sum(map(len, state.assignment.actives.values())),
+        is_version_writer=state.is_version_writer,
+        list_registered=state.list_versions,
+        is_ambiguous=relay.origins.is_ambiguous,
+        get_horizon_s=relay.origins.services.get_horizon_s,
+        get_restored=lambda: state.restored,
+    )
+    stream_queries = StreamQueries(relay.origins.records, state, heartbeats)
+    relay.origins.ask_peers = stream_queries.ask
+    relay.origins.read_store = streams.find
+    relay.origins.is_history_complete = lambda: (
+        streams.is_loaded and state.is_view_current(max_age_s=MAX_CONFIRMATION_AGE_S)
+    )
     return EdgeDaemon(
         settings=settings,
         relay=relay,
@@ -142,6 +165,8 @@
         store=store,
         heartbeats=heartbeats,
         quarantine=QuarantineSync(relay, state, heartbeats, store),
+        streams=streams,
+        stream_queries=stream_queries,
         peers=peers,
     )
 
@@ -156,23 +181,7 @@
             group.start_soon(_watch_signals, daemon, stop)
             group.start_soon(output.run)
             _start_servers(daemon, group)
-            follower = daemon.follower
-            for follow in (
-                follower.watch_manifest,
-                follower.watch_upstreams,
-                follower.follow_peers,
-            ):
-                group.start_soon(follow)
-            for task in (
-                _send_heartbeats,
-                _run_timers,
-                _close_idle_upstream_connections,
-                _register_member,
-            ):
-                group.start_soon(task, daemon)
-            group.start_soon(daemon.quarantine.write_rows)
-            group.start_soon(daemon.quarantine.rewrite_rows)
-            group.start_soon(daemon.heartbeats.receive, _make_receiver(daemon))
+            _start_tasks(daemon, group)
             relay.events.emit(
                 Event.DAEMON_STARTED,
                 name=settings.name,
@@ -189,6 +198,27 @@
         output.flush()
 
 
+def _start_tasks(daemon: EdgeDaemon, group: anyio.abc.TaskGroup) -> None:
+    for task in (
+        daemon.follower.watch_manifest,
+        daemon.follower.watch_upstreams,
+        daemon.follower.follow_peers,
+        daemon.quarantine.write_rows,
+        daemon.quarantine.rewrite_rows,
+        daemon.streams.follow_versions,
+        daemon.streams.write_records,
+    ):
+        group.start_soon(task)
+    for run_task in (
+        _send_heartbeats,
+        _run_timers,
+        _close_idle_upstream_connections,
+        _register_member,
+    ):
+        group.start_soon(run_task, daemon)
+    group.start_soon(daemon.heartbeats.receive, _make_receiver(daemon))
+
+
 def _start_servers(daemon: EdgeDaemon, group: anyio.abc.TaskGroup) -> None:
     settings = daemon.settings
     state = daemon.state
@@ -203,9 +233,7 @@
     group.start_soon(serve_calls, daemon.relay, open_listener(settings.callers_address), group)
 
 
-def _make_receiver(
-    daemon: EdgeDaemon, queries: StreamQueries | None = None
-) -> Callable[[pb.EdgeHeartbeat], None]:
+def _make_receiver(daemon: EdgeDaemon) -> Callable[[pb.EdgeHeartbeat], None]:
     def receive(heartbeat: pb.EdgeHeartbeat) -> None:
         if heartbeat.name == daemon.settings.name:
             return
@@ -214,9 +242,8 @@
         if heartbeat.HasField('news'):
             daemon.follower.apply_announced_rows(heartbeat, address)
             daemon.state.apply_announcement(heartbeat)
-            if queries is not None:
-                queries.handle_query(heartbeat)
-                queries.handle_answer(heartbeat)
+            daemon.stream_queries.handle_query(heartbeat)
+            daemon.stream_queries.handle_answer(heartbeat)
             return
         daemon.state.apply_heartbeat(heartbeat)
         daemon.follower.record_peer(heartbeat, address)
@@ -392,6 +419,7 @@
     relay.cancel_calls()
     with anyio.move_on_after(times.margin_s / 2):
         await _wait_until_callers_left(relay)
+    await daemon.streams.flush(times.margin_s / 4)
     with contextlib.suppress(TableUnavailable, TableOutcomeUnknown):
         # If the row remains, the others merely send heartbeats to a host that no longer listens.
         with anyio.move_on_after(times.margin_s / 4):
--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -260,14 +260,31 @@
 
     def is_watcher(self) -> bool:
         """Return whether this daemon polls the store for changes and announces them."""
+        return self.settings.name in choose_watchers(
+            self.assignment.actives, self._list_connected()
+        )
+
+    def is_version_writer(self) -> bool:
+        """Return whether this daemon keeps the registered software versions in the store."""
+        return self.settings.name == max(
+            self._list_connected(), key=lambda name: rendezvous_score('versions', name)
+        )
+
+    def list_versions(self) -> set[tuple[str, str]]:
+        """Return service and software version of the registered upstreams, also of leaving ones."""
+        return {(upstream.service, upstream.software_version) for upstream in self.view.all()}
+
+    def _list_connected(self) -> list[str]:
+        """Return the names of the daemons that reach the store.
+
+        If no daemon does, a few keep trying and the others probe it at intervals: all names.
+        """
         own = self.settings.name
         heartbeats = [member.heartbeat for member in self.members.known.values()]
         connected = [heartbeat.name for heartbeat in heartbeats if heartbeat.store_up]
         if self.is_store_up:
             connected.append(own)
-        # If no daemon reaches the store, a few keep trying and the others probe it at intervals.
-        names = connected or [own, *(heartbeat.name for heartbeat in heartbeats)]
-        return own in choose_watchers(self.assignment.actives, names)
+        return connected or [own, *(heartbeat.name for heartbeat in heartbeats)]
 
     def compute_budget_share(self) -> float:
         """Return the fraction of the retry allowance that this daemon may use."""
--- a/camphorpath/edge/stream_queries.py
+++ b/camphorpath/edge/stream_queries.py
@@ -15,7 +15,7 @@
 from ..cluster.heartbeats import HeartbeatSocket
 from ..platform.fields import MAX_NAME_CHARS
 from ..schema import camphorpath_pb2 as pb
-from ..streams import KnownOrigin, Origin, Source, StreamRecords
+from ..streams import Asked, KnownOrigin, Origin, Source, StreamRecords
 from ..streams.records import DIGEST_BYTES
 from .state import MAX_ANNOUNCEMENT_BYTES, DaemonState
 
@@ -33,22 +33,13 @@
 FIRST_NUMBER_BITS = 32
 
 
-@attrs.frozen
-class Asked:
-    """What the other daemons know of a stream."""
-
-    known: KnownOrigin | None
-    # Incarnations that answered, whether they know the stream or not.
-    answered: frozenset[str]
-
-
 @attrs.define
 class _Ask:
     """A stream whose origin is wanted, perhaps by several callers of `StreamQueries.ask`."""
 
     digest: bytes
     is_done: anyio.Event = attrs.field(factory=anyio.Event)
-    result: Asked = Asked(None, frozenset())
+    result: Asked = attrs.field(factory=Asked)
 
 
 @attrs.define
--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -66,6 +66,8 @@
     is_version_writer: Callable[[], bool]
     # The service and software version of each registered upstream, also of leaving ones.
     list_registered: Callable[[], Iterable[Pair]]
+    # Whether only records tell the software version that began a recent stream of a service.
+    is_ambiguous: Callable[[str], bool]
     # For how long a stream of a service may go on after its begin.
     get_horizon_s: Callable[[str], float]
     # Returns the event that is set, and replaced, when the store was restored from a copy.
@@ -255,18 +257,14 @@
         self._own_rows.remove(removed)
 
     def _take_records(self, now: float) -> None:
-        """Move the new records of services with several versions to the rows to write."""
+        """Move the new records of services whose streams are ambiguous to the rows to write."""
         services = {service for service, _version in self.history.list_last_seen()}
         if not services:
             return
         self.records.expire(now - self._get_longest_horizon_s(services))
-        mixed = {
-            service
-            for service in services
-            if self.history.is_mixed(service, now - self.get_horizon_s(service))
-        }
-        if mixed:
-            self._own_rows.add(self.records.drain_unwritten(mixed.__contains__), now)
+        ambiguous = {service for service in services if self.is_ambiguous(service)}
+        if ambiguous:
+            self._own_rows.add(self.records.drain_unwritten(ambiguous.__contains__), now)
 
     async def _update_versions(self, registered: set[Pair]) -> None:
         """Read the versions once; then write them if this daemon is their writer."""
--- a/camphorpath/streams/lookup.py
+++ b/camphorpath/streams/lookup.py
@@ -5,13 +5,11 @@
 import attrs
 
 from ..clocks import read_lease_clock
+from ..errors import TableUnavailable
 from .history import VersionHistory
 from .records import KnownOrigin, Origin, Source, StreamRecords, digest_stream
 from .services import ResumableServices
 
-# A store that was restored from a copy gets the versions of this many horizons again.
-HISTORY_RETENTION_HORIZONS = 2
-
 
 @attrs.frozen
 class Asked:
@@ -41,7 +39,8 @@
     # Returns whether all versions that were registered within the horizon are in `history`.
     is_history_complete: Callable[[], bool] = lambda: True
     ask_peers: Callable[[bytes], Awaitable[Asked]] = _ask_nobody
-    # Looks a stream up in the store; leaves out the incarnations of daemons that answered.
+    # Looks a stream up in the store, but for the rows of the incarnations that answered; raises
+    # TableUnavailable.
     read_store: Callable[[bytes, frozenset[str]], Awaitable[KnownOrigin | None]] = _read_nothing
 
     async def find(self, stream_id: bytes, services: Iterable[str]) -> KnownOrigin | None:
@@ -56,7 +55,13 @@
         if found is not None or not stream_id:
             return found
         asked = await self.ask_peers(digest)
-        return asked.known or await self.read_store(digest, asked.answered)
+        if asked.known is not None:
+            return asked.known
+        try:
+            return await self.read_store(digest, asked.answered)
+        except TableUnavailable:
+            # Logged where it was raised.
+            return None
 
     def is_ambiguous(self, service: str) -> bool:
         """Return whether only records tell the version that began a recent stream of a service."""
@@ -65,11 +70,10 @@
         return self.history.is_mixed(service, since) or self.services.is_shared(service, now)
 
     def expire(self, now: float) -> None:
-        """Drop what is older than any stream that may still be taken up."""
+        """Drop the records of streams that are too old to be taken up."""
         services = self.services.list_services()
         longest_s = max(map(self.services.get_horizon_s, services), default=0)
         self.records.expire(now - longest_s)
-        self.history.expire(now - HISTORY_RETENTION_HORIZONS * longest_s)
 
     def _find_only_version(self, services: Iterable[str]) -> KnownOrigin | None:
         """Return the only origin that a recent stream can have, if there is just one."""
--- a/tests/edge/test_stop.py
+++ b/tests/edge/test_stop.py
@@ -87,6 +87,13 @@
         self.group.cancel_scope.cancel()
 
 
+class Streams:
+    """Has no records to write."""
+
+    async def flush(self, limit_s):
+        assert limit_s > 0
+
+
 @contextlib.asynccontextmanager
 async def open_daemon(*upstreams, stop_limit_s=SHORT_STOP_S, store=None):
     relay = make_context(upstreams)
@@ -102,6 +109,8 @@
         store=store or Store(),
         heartbeats=Datagrams(),
         quarantine=None,
+        streams=Streams(),
+        stream_queries=None,
         peers=None,
     )
     listener = open_listener('127.0.0.1:0')
--- a/tests/edge/test_stream_queries.py
+++ b/tests/edge/test_stream_queries.py
@@ -691,8 +691,8 @@
                 )
                 daemon = daemon_module.build_edge(settings)
                 assert isinstance(daemon.heartbeats, HeartbeatSocket)
-                asking = StreamQueries(StreamRecords(), daemon.state, daemon.heartbeats)
-                receiver = daemon_module._make_receiver(daemon, asking)
+                asking = daemon.stream_queries
+                receiver = daemon_module._make_receiver(daemon)
                 group.start_soon(daemon.heartbeats.receive, receiver)
                 daemons.append(daemon)
                 queries.append(asking)
--- a/tests/edge/test_stream_store.py
+++ b/tests/edge/test_stream_store.py
@@ -183,6 +183,9 @@
             count_actives=lambda: self.actives,
             is_version_writer=lambda: self.is_writer,
             list_registered=lambda: self.registered,
+            is_ambiguous=lambda service: self.history.is_mixed(
+                service, self.store.clock.now - HORIZON_S
+            ),
             get_horizon_s=lambda _service: HORIZON_S,
             get_restored=lambda: self.restored,
             read_clock=self.store.clock.read,
