Let streams that are taken up again go beyond the lent slots

Cause: a stream that has begun may go on only at its software version. During a release a daemon may own no upstream of it, or only busy ones, and an owner whose own calls wait lends no slot. So under load the streams that callers take up again were refused far more often than new ones.

Change, without new messages: * A begun stream that finds no owned or lent slot of its version may be sent to an upstream of it that another daemon owns: one such call of each daemon and upstream at a time, up to the end of the owner's lending, while fewer than two calls above its slots are known there. Rate limits, backoff and health hold as for other calls. The owner counts the call when it is reported, and so leaves the next slot to it. Of many daemons a few, drawn anew with each report of the owner, may do so. * It goes before new calls of the same rank, and leaves no slots reserved for more urgent ones. * Such a call may wait inside the upstream: its time is no sample of speed or cost, and the time limit of its first byte begins at the end of its wait.

--- a/camphorpath/placement/queue.py
+++ b/camphorpath/placement/queue.py
@@ -1,11 +1,12 @@
 """Order of the calls that wait for a slot, and retry times for refused calls.
 
 Handles bursts in which more calls arrive than the upstreams of a service can run. Urgent calls go
-first, calls that can still be in time go before late ones, and a call whose wait would be too long
-is refused at once. A class of calls (same rank) that is served far less often than average gets
-slots of its own. A class whose calls are much cheaper than average is ordered ahead of its rank,
-since many of them are served in the time of one other call; for the same reason the small calls of
-a class go first.
+first, the rest of a begun stream goes before new calls of its rank, since its caller holds a part
+of the answer already, calls that can still be in time go before late ones, and a call whose wait
+would be too long is refused at once. A class of calls (same rank) that is served far less often
+than average gets slots of its own. A class whose calls are much cheaper than average is ordered
+ahead of its rank, since many of them are served in the time of one other call; for the same reason
+the small calls of a class go first.
 """
 
 import math
@@ -130,6 +131,10 @@
             ranked.insert(0, first)
         return ranked
 
+    def has_bound_calls(self) -> bool:
+        """Return whether the rest of a begun stream waits."""
+        return any(call.is_bound for call in self.calls)
+
     def find_starved(self) -> WaitingCall | None:
         """Return the oldest call of a starved class if the next slot is reserved for one."""
         if self._next_slot_number % STARVED_SLOT_INTERVAL:
@@ -168,10 +173,14 @@
         return math.log(self._total.cost_s / stats.cost_s, RANK_COST_RATIO)
 
     def _sort_key(self, call: WaitingCall, now: float) -> tuple[object, ...]:
-        """Return the sort key of a call; a late call counts as one rank less urgent."""
+        """Return the sort key of a call; a late new call counts as one rank less urgent."""
         is_late = now > call.latest_start_at
-        effective_rank = self.get_effective_rank(call.rank) + is_late + call.size_shift
-        return call.rank[0], effective_rank, is_late, call.arrived_at
+        effective_rank = self.get_effective_rank(call.rank)
+        if call.is_bound:
+            effective_rank -= MAX_SIZE_SHIFT_RANKS
+        else:
+            effective_rank += is_late + call.size_shift
+        return call.rank[0], effective_rank, not call.is_bound, is_late, call.arrived_at
 
 
 def make_refusal(
--- a/camphorpath/placement/records.py
+++ b/camphorpath/placement/records.py
@@ -81,6 +81,11 @@
     # count as an arrival or a refused call.
     is_replacement: bool = False
 
+    @property
+    def is_bound(self) -> bool:
+        """Whether it continues a stream, and so can run only at one software version."""
+        return self.required_version is not None
+
     def may_run_at(self, upstream: Upstream) -> bool:
         """Return whether the call may be sent to an upstream of its service."""
         if upstream.upstream_id in self.excluded:
--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -149,7 +149,14 @@
                 changed.append(slots)
             if slots.owner == name:
                 is_active = self.name in self._actives
-                slots.borrow(load, self.name, now, lent_until, is_active=is_active)
+                slots.borrow(
+                    load,
+                    self.name,
+                    now,
+                    lent_until,
+                    is_active=is_active,
+                    borrower_count=len(self._actives) - 1,
+                )
                 slots.speed.factor = load.factor or slots.speed.factor
         return changed
 
@@ -218,7 +225,11 @@
             call.prompt_tokens
         )
         if not service.queue.calls:
-            chosen = self._choose_upstream(call, self._list_usable(call.service, now), now)
+            usable = self._list_usable(call.service, now)
+            chosen = self._choose_upstream(call, usable, now)
+            if chosen is None and call.is_bound:
+                extra = self._list_extra(call.service, now)
+                chosen = self._choose_extra(call, usable, extra, now)
             if chosen is not None:
                 self._place(call, chosen, now)
                 return
@@ -226,7 +237,7 @@
         if not self._has_candidates(call):
             call.on_decision(make_refusal(NO_UPSTREAM, NO_UPSTREAM_WAIT_S, call, now, waiting))
             return
-        if self._yields_to_urgent(call, now):
+        if not call.is_bound and self._yields_to_urgent(call, now):
             # A late answer is worth little, and urgent calls would miss the slot.
             call.wait_until = min(call.wait_until, call.latest_start_at)
         service.queue.add(call)
@@ -268,7 +279,8 @@
         if running is None or running.has_first_byte:
             return
         running.has_first_byte = True
-        if not is_failure:
+        # An extra call may have waited inside the upstream.
+        if not is_failure and not running.is_extra:
             slots.speed.record_first_byte(now - running.sent_at, running.prefill_tokens)
 
     def release(self, upstream_id: str, call: WaitingCall, now: float) -> None:
@@ -284,7 +296,8 @@
         service = self._services.setdefault(call.service, _ServiceState())
         service.release_times.append(now)
         cost_s = slots.estimate_occupancy(call, now - running.sent_at)
-        service.queue.record_release(call.rank, cost_s if running.has_first_byte else None)
+        is_sample = running.has_first_byte and not running.is_extra
+        service.queue.record_release(call.rank, cost_s if is_sample else None)
         self.dispatch_waiting(now)
 
     def dispatch_waiting(self, now: float) -> None:
@@ -406,18 +419,23 @@
                 self._removed_limits[slots.upstream.key] = slots.rate_limit
 
     def _dispatch_service(self, service: _ServiceState, now: float) -> None:
-        usable = self._list_usable(service.queue.calls[0].service, now)
-        if not usable:
+        name = service.queue.calls[0].service
+        usable = self._list_usable(name, now)
+        extra = self._list_extra(name, now) if service.queue.has_bound_calls() else []
+        if not usable and not extra:
             return
         starved_call = service.queue.find_starved()
         for call in service.queue.ordered(now, starved_call):
             chosen = self._choose_upstream(call, usable, now, is_starved=call is starved_call)
+            if chosen is None and call.is_bound:
+                chosen = self._choose_extra(call, usable, extra, now)
             if chosen is None:
                 continue
             service.queue.pop(call)
             self._place(call, chosen, now)
             usable = [slots for slots in usable if slots.count_free(now) > 0]
-            if not usable:
+            extra = [slots for slots in extra if slots is not chosen]
+            if not usable and not extra:
                 return
 
     def _has_candidates(self, call: WaitingCall) -> bool:
@@ -425,37 +443,69 @@
         return any(call.may_run_at(slots.upstream) for slots in group)
 
     def _list_usable(self, service: str, now: float) -> list[Slots]:
-        """Return the upstreams that can take a call now.
+        """Return the upstreams that can take a call now."""
+        group = self._slots_by_service.get(service, ())
+        ignores_health = self._ignores_health(service, now)
+        return [slots for slots in group if slots.is_usable(now, ignores_health=ignores_health)]
+
+    def _list_extra(self, service: str, now: float) -> list[Slots]:
+        """Return the upstreams without a lent slot that can take a call of a begun stream now."""
+        group = self._slots_by_service.get(service, ())
+        ignores_health = self._ignores_health(service, now)
+        return [slots for slots in group if slots.accepts_extra(now, ignores_health=ignores_health)]
+
+    def _ignores_health(self, service: str, now: float) -> bool:
+        """Return whether more than half of the upstreams of a service are ejected.
 
-        If more than half of the upstreams of the service are ejected, ejection is ignored: the
-        failures then do not tell good upstreams from bad ones.
+        Ejection is then ignored: the failures do not tell good upstreams from bad ones.
         """
         group = self._slots_by_service.get(service, ())
         accepting_count = sum(1 for slots in group if slots.health.accepts_call(now))
-        ignores_health = accepting_count < len(group) / 2
-        return [slots for slots in group if slots.is_usable(now, ignores_health=ignores_health)]
+        return accepting_count < len(group) / 2
 
     def _choose_upstream(
         self, call: WaitingCall, usable: list[Slots], now: float, *, is_starved: bool = False
     ) -> Slots | None:
         """Return the upstream with the lowest cost, or None if the call should wait.
 
-        The last free slots are reserved for urgent calls, unless the class of this call is starved.
+        The last free slots are reserved for urgent calls, unless the class of this call is starved
+        or it goes on with a stream.
         """
-        if not is_starved and self._yields_to_urgent(call, now):
+        if not usable:
+            return None
+        if not call.is_bound and not is_starved and self._yields_to_urgent(call, now):
             free = sum(slots.count_free(now) for slots in usable)
             if free <= self._count_reserved(call.service):
                 return None
+        best, best_cost = self._find_cheapest(call, usable, now)
+        if best is not None and self._should_wait(call, best_cost, now):
+            return None
+        return best
+
+    def _choose_extra(
+        self, call: WaitingCall, usable: list[Slots], extra: list[Slots], now: float
+    ) -> Slots | None:
+        """Return the upstream that runs the rest of a begun stream without a lent slot, or None.
+
+        An owner at which calls wait lends none, so the stream would end. A call that waits for
+        a faster upstream than a usable one goes on waiting.
+        """
+        if any(call.may_run_at(slots.upstream) for slots in usable):
+            return None
+        return self._find_cheapest(call, extra, now)[0]
+
+    def _find_cheapest(
+        self, call: WaitingCall, group: list[Slots], now: float
+    ) -> tuple[Slots | None, float]:
+        """Return the upstream of a group at which a call costs least, and the cost in seconds."""
         best, best_cost = None, math.inf
-        for slots in usable:
+        for slots in group:
             if not call.may_run_at(slots.upstream):
                 continue
             cost = self._estimate_cost(call, slots, now)
             if cost < best_cost:
                 best, best_cost = slots, cost
-        if best is not None and self._should_wait(call, best_cost, now):
-            return None
-        return best
+        return best, best_cost
 
     def _should_wait(self, call: WaitingCall, cost: float, now: float) -> bool:
         """Return whether waiting for a busy upstream costs less than the best free one (`cost`)."""
--- a/camphorpath/placement/slots.py
+++ b/camphorpath/placement/slots.py
@@ -1,6 +1,7 @@
 """The slots of one upstream from the view of one daemon."""
 
 import math
+import random
 
 import attrs
 
@@ -19,6 +20,8 @@
 # A request that the owner of a rate-limited upstream lent has to be sent within this time. Those
 # that are kept for longer could be sent beside the ones of the following seconds.
 LENT_REQUEST_TTL_S = 1.0
+# Calls beyond the slots of an upstream, of all daemons together, at which no further one is sent.
+MAX_EXTRA_CALLS = 2
 
 
 @attrs.define
@@ -34,6 +37,8 @@
     # Prompt tokens to prefill before its first byte, including those of calls before it.
     prefill_tokens: float
     prompt_tokens: float
+    # It was sent without a free slot, and may wait inside the upstream.
+    is_extra: bool = False
     has_first_byte: bool = False
 
 
@@ -51,6 +56,8 @@
     lent: int = 0
     # After this instant the owner may have lent them to another daemon.
     lent_until: float = math.inf
+    # For borrowers: whether one call may be sent beyond the lent slots, up to `lent_until`.
+    may_exceed: bool = False
     running: dict[str, RunningCall] = attrs.field(factory=dict)
     health: Health = attrs.field(factory=Health)
     speed: Speed = attrs.field(factory=Speed)
@@ -86,9 +93,22 @@
 
     def is_usable(self, now: float, *, ignores_health: bool) -> bool:
         """Return whether a call may be sent now."""
-        if self.count_free(now) <= 0 or self.is_unresponsive(now) or now < self.backoff_until:
+        return self.count_free(now) > 0 and self._accepts_call(now, ignores_health=ignores_health)
+
+    def accepts_extra(self, now: float, *, ignores_health: bool) -> bool:
+        """Return whether a call may be sent now to an upstream of which no slot is lent.
+
+        Only one such call of each daemon runs there, and the owner leaves the next free slot to it.
+        """
+        if self.is_owner or not self.may_exceed or now > self.lent_until:
             return False
-        return ignores_health or self.health.accepts_call(now)
+        if self.count_free(now) > 0 or self.rate_limit.is_limited:
+            return False
+        if any(call.is_extra for call in self.running.values()):
+            return False
+        if self.count_free_slots(now) <= -MAX_EXTRA_CALLS:
+            return False
+        return self._accepts_call(now, ignores_health=ignores_health)
 
     def is_available_at(self, now: float, *, starts_at: float) -> bool:
         """Return whether a waiting call may count on a slot at the instant `starts_at`."""
@@ -132,18 +152,25 @@
         return held_s / self.upstream.slots + self.speed.estimate_stall(call.prompt_tokens)
 
     def occupy(self, call: WaitingCall, now: float) -> None:
-        """Occupy a slot with a call that is sent now."""
+        """Occupy a slot with a call that is sent now; without a free slot it is an extra one."""
+        is_extra = not self.is_owner and self.count_free(now) <= 0
+        # An extra call may wait inside the upstream as long as it would wait here.
+        queued_until = max(call.wait_until, now) if is_extra else now
         prefill_tokens = self.count_pending_prompt_tokens() + call.prompt_tokens
         expected_s = self.speed.estimate_first_byte(prefill_tokens)
         self.running[call.call_id] = RunningCall(
             sent_at=now,
-            first_byte_timeout_at=now + max(UNRESPONSIVE_MIN_S, UNRESPONSIVE_FACTOR * expected_s),
+            first_byte_timeout_at=queued_until
+            + max(UNRESPONSIVE_MIN_S, UNRESPONSIVE_FACTOR * expected_s),
             rank=call.rank,
             max_event_gap_s=call.max_event_gap_s,
             prefill_tokens=prefill_tokens,
             prompt_tokens=call.prompt_tokens,
+            is_extra=is_extra,
         )
         self.health.record_send(now)
+        if is_extra:
+            return
         if not self.is_owner:
             self.lent -= 1
         elif self.rate_limit.is_limited:
@@ -152,8 +179,10 @@
     def release(self, call_id: str) -> RunningCall | None:
         """Free the slot of a call and return it; None if it holds none."""
         running = self.running.pop(call_id, None)
+        if running is None or running.is_extra or self.is_owner:
+            return running
         # With a rate limit a borrowed slot is for one call.
-        if running is not None and not self.is_owner and not self.rate_limit.is_limited:
+        if not self.rate_limit.is_limited:
             self.lent += 1
         return running
 
@@ -170,13 +199,25 @@
         """Set the owner; a new one does not know what was sent to the upstream before."""
         if is_owner and not self.is_owner:
             self.rate_limit.discard_tokens()
+        if owner != self.owner:
+            self.may_exceed = False
         self.owner = owner
         self.is_owner = is_owner
 
     def borrow(
-        self, load: Load, name: str, now: float, lent_until: float, *, is_active: bool
+        self,
+        load: Load,
+        name: str,
+        now: float,
+        lent_until: float,
+        *,
+        is_active: bool,
+        borrower_count: int,
     ) -> None:
-        """Apply what the owner lends to the daemon `name` up to the instant `lent_until`."""
+        """Apply what the owner lends to the daemon `name` up to the instant `lent_until`.
+
+        There are `borrower_count` active daemons beside the owner.
+        """
         if load.rate_statement is None:
             # The owner sends to the upstream, so it would know of a limit that still holds.
             self.rate_limit.expire(now)
@@ -188,6 +229,13 @@
         may_borrow = not is_active or load.borrower in {'', name}
         self.lent = load.lent if may_borrow else 0
         self.lent_until = lent_until
+        # Borrowers learn of each other's calls only by heartbeat, so a few may exceed at a time.
+        self.may_exceed = random.random() * borrower_count < MAX_EXTRA_CALLS
+
+    def _accepts_call(self, now: float, *, ignores_health: bool) -> bool:
+        if self.is_unresponsive(now) or now < self.backoff_until:
+            return False
+        return ignores_health or self.health.accepts_call(now)
 
     def _borrow_requests(self, load: Load, name: str, now: float, lent_until: float) -> None:
         # An owner that does not know of the limit yet lends slots instead.
--- a/tests/placement/simulation.py
+++ b/tests/placement/simulation.py
@@ -67,6 +67,9 @@
     first_sent_at: float
     prompt_tokens: float
     output_tokens: float
+    # The software version that began the stream that the job takes up.
+    required_version: str | None = None
+    has_begun: bool = False
     attempt_count: int = 0
     pending_prompt_tokens: float = 0
     generated_tokens: float = 0
@@ -91,8 +94,14 @@
     slowdown: float
     slots: int
     jobs: list = attrs.field(factory=list)
+    # Calls beyond the slots: the most at once, and the seconds that they waited together.
+    longest_queue: int = 0
+    queued_s: float = 0
 
     def advance(self, now):
+        queued = max(len(self.jobs) - self.slots, 0)
+        self.longest_queue = max(self.longest_queue, queued)
+        self.queued_s += queued * TICK_S
         served = self.jobs[: self.slots]
         remaining_tokens = PREFILL_TOKENS_PER_S / self.slowdown * TICK_S
         for job in served:
@@ -148,6 +157,9 @@
 class Fleet:
     """Daemons that own one engine each and lend slots by heartbeat; calls go to a random daemon."""
 
+    heartbeat_interval_rounds = HEARTBEAT_INTERVAL_ROUNDS
+    lending_timeout_s = LENDING_TIMEOUT_S
+
     def __init__(self, slots, *, is_lending=True):
         upstreams = list_upstreams(slots)
         names = [f'd{number}' for number in range(len(upstreams))]
@@ -178,22 +190,30 @@
         self.round_count += 1
         for number, scheduler in enumerate(self.schedulers):
             scheduler.expire(now)
-            if self.is_lending and not (self.round_count + number) % HEARTBEAT_INTERVAL_ROUNDS:
+            if self.is_lending and self.is_heartbeat_due(number):
                 self.send_heartbeat(scheduler, now)
 
+    def is_heartbeat_due(self, number):
+        return not (self.round_count + number) % self.heartbeat_interval_rounds
+
     def send_heartbeat(self, sender, now):
         loads = sender.report_loads(len(self.schedulers) - 1, now)
         waiting = sender.count_waiting()
         for scheduler in self.schedulers:
             if scheduler is not sender:
                 scheduler.apply_loads(
-                    sender.name, sender.name, loads, waiting, lent_until=now + LENDING_TIMEOUT_S
+                    sender.name,
+                    sender.name,
+                    loads,
+                    waiting,
+                    lent_until=now + self.lending_timeout_s,
                 )
 
 
 @attrs.define
 class Outcome:
     jobs: list
+    engines: list = attrs.field(factory=list)
 
     def share_of(self, name, check=lambda job: job.is_done):
         found = [job for job in self.jobs if job.call_class.name == name]
@@ -229,6 +249,7 @@
 
     engines: dict[str, Engine]
     now: float = 0
+    max_retries: int = MAX_RETRIES
     running: dict = attrs.field(factory=dict)
     arrivals_by_tick: dict = attrs.field(factory=lambda: collections.defaultdict(list))
     call_numbers: object = attrs.field(factory=itertools.count)
@@ -244,11 +265,12 @@
 
         def decide(decision):
             if isinstance(decision, Placed):
+                job.has_begun = True
                 job.pending_prompt_tokens = job.prompt_tokens
                 upstream_id = decision.upstream.upstream_id
                 self.engines[upstream_id].jobs.append(job)
                 self.running[call_id] = call, upstream_id, job
-            elif job.attempt_count <= MAX_RETRIES:
+            elif job.attempt_count <= self.max_retries:
                 self.schedule_arrival(job, self.now + decision.retry_after_s)
 
         call = WaitingCall(
@@ -263,6 +285,7 @@
             output_tokens=job.output_tokens,
             max_event_gap_s=MAX_EVENT_GAP_S,
             on_decision=decide,
+            required_version=job.required_version,
         )
         return call
 
@@ -293,26 +316,32 @@
     slots=5,
     duration_s=10.0,
     call_classes=CALL_CLASSES,
+    added_jobs=(),
+    max_retries=MAX_RETRIES,
 ):
-    """Simulate arrivals at `relative_load` times the baseline rate and return their outcome."""
+    """Simulate arrivals at `relative_load` times the baseline rate and return their outcome.
+
+    The outcome contains the jobs `added_jobs`, too.
+    """
     random.seed(seed)
     engines = {f'i-{number}': Engine(slowdown, slots) for number, slowdown in enumerate(slowdowns)}
-    simulation = Simulation(engines)
+    simulation = Simulation(engines, max_retries=max_retries)
     scheduler = scheduler_factory(dict.fromkeys(simulation.engines, slots))
-    jobs = _plan_jobs(
+    jobs = plan_jobs(
         random.Random(seed),
         call_classes,
         relative_load * len(slowdowns) / BASELINE_ENGINE_COUNT,
         duration_s,
     )
+    jobs.extend(added_jobs)
     for job in jobs:
         simulation.schedule_arrival(job, job.first_sent_at)
     for tick in range(round((duration_s + DRAIN_S) / TICK_S)):
         simulation.advance(scheduler, tick)
-    return Outcome(jobs)
+    return Outcome(jobs, list(engines.values()))
 
 
-def _plan_jobs(generator, call_classes, relative_load, duration_s):
+def plan_jobs(generator, call_classes, relative_load, duration_s):
     jobs = []
     for call_class in call_classes:
         at = generator.expovariate(relative_load * call_class.rate_per_s)
--- a/tests/placement/test_scheduler.py
+++ b/tests/placement/test_scheduler.py
@@ -2,6 +2,7 @@
 import pytest
 
 from camphorpath.placement.ownership import Assignment
+from camphorpath.placement.rate_limits import RateStatement
 from camphorpath.placement.records import Load, Placed, Refused, WaitingCall
 from camphorpath.placement.scheduler import Scheduler
 from camphorpath.placement.speed import Speed
@@ -445,3 +446,148 @@
     assert len(running) == 4
     assert 'waiting' not in harness.decisions
     assert harness.scheduler.report_loads(1, 0.1)['i-1'].lent == 0
+
+
+def make_borrower(count=1, **load):
+    """Return a harness that owns only an upstream of v2, and the owner's report of those of v1."""
+    begun = [
+        attrs.evolve(make_upstream(number + 1), software_version='v1') for number in range(count)
+    ]
+    own = attrs.evolve(make_upstream(9), software_version='v2')
+    harness = SchedulerHarness([*begun, own], owned=[own.upstream_id])
+    loads = {upstream.upstream_id: Load(**{'in_flight': 4, **load}) for upstream in begun}
+    harness.scheduler.apply_loads('other', 'other-1', loads, {'llm': 3}, lent_until=5)
+    return harness
+
+
+def test_begun_stream_goes_on_beyond_the_slots_of_an_owner_that_lends_none():
+    """Guards against streams that end half-way because the owner of their version lends none."""
+    harness = make_borrower()
+    first = harness.submit('first', required_version='v1')
+    assert harness.get_upstream_id('first') == 'i-1'
+    harness.submit('second', required_version='v1', now=0.1)
+    harness.scheduler.expire(0.15)
+    assert 'second' not in harness.decisions
+    harness.release(first, 0.2)
+    assert harness.get_upstream_id('second') == 'i-1'
+
+
+def test_waiting_stream_goes_on_once_the_known_load_of_its_version_falls():
+    """Guards against a begun stream that waits behind new calls without a slot of any version."""
+    harness = make_borrower(in_flight=6)
+    for number in range(4):
+        harness.submit(f'new{number}')
+    harness.submit('waiting')
+    harness.submit('stream', required_version='v1', rank=(0, 1))
+    assert not harness.get_upstream_id('stream')
+    harness.scheduler.apply_loads('other', 'other-1', {'i-1': Load(5)}, {}, lent_until=5)
+    harness.scheduler.expire(0.1)
+    assert harness.get_upstream_id('stream') == 'i-1'
+    assert not harness.get_upstream_id('waiting')
+
+
+def test_new_call_is_not_sent_beyond_the_lent_slots():
+    """Guards against new calls that queue inside an upstream, where they are not ordered."""
+    harness = make_borrower()
+    for number in range(6):
+        harness.submit(f'new{number}')
+    placed = [harness.get_upstream_id(name) for name in harness.decisions]
+    assert set(placed) == {'i-9'}
+
+
+def test_each_begun_stream_exceeds_the_slots_of_another_upstream():
+    """Guards against several streams that wait inside the same upstream."""
+    harness = make_borrower(2)
+    for name in ('one', 'two', 'three'):
+        harness.submit(name, required_version='v1')
+    assert {harness.get_upstream_id('one'), harness.get_upstream_id('two')} == {'i-1', 'i-2'}
+    assert 'three' not in harness.decisions
+
+
+def limit_rate(slots):
+    slots.record_rate(RateStatement(2, 0), is_from_peer=True)
+
+
+def eject(slots):
+    for _ in range(3):
+        slots.health.record_failure(0)
+
+
+@pytest.mark.parametrize(
+    'spoil',
+    [
+        limit_rate,
+        eject,
+        lambda slots: slots.back_off(0, 10),
+        lambda slots: slots.assign('third', is_owner=False),
+        lambda slots: setattr(slots, 'lent_until', -1),
+        lambda slots: slots.peer_in_flight.update({'third-1': 2}),
+        lambda slots: slots.record_load(6, 0, 10),
+    ],
+)
+def test_begun_stream_does_not_exceed_the_slots_of_an_upstream_in_trouble(spoil):
+    """Guards against a call too many at an upstream that is limited, ejected or overloaded."""
+    harness = make_borrower()
+    spoil(harness.scheduler.slots['i-1'])
+    harness.submit('stream', required_version='v1')
+    assert not harness.get_upstream_id('stream')
+
+
+def test_owner_does_not_exceed_its_slots_for_a_begun_stream():
+    """Guards against an owner that knows its slots and overloads them nevertheless."""
+    upstream = attrs.evolve(make_upstream(1, slots=1), software_version='v1')
+    harness = SchedulerHarness([upstream])
+    harness.submit('first')
+    harness.submit('stream', required_version='v1')
+    assert 'stream' not in harness.decisions
+
+
+def test_call_beyond_the_slots_leaves_no_lent_slot():
+    """Guards against a slot that nobody lent, and that is used again and again."""
+    harness = make_borrower()
+    stream = harness.submit('stream', required_version='v1')
+    slots = harness.scheduler.slots['i-1']
+    assert slots.count_free(0) == 0
+    harness.release(stream, 0.5)
+    assert slots.count_free(0.5) == 0
+
+
+def test_call_that_waits_inside_an_upstream_does_not_make_it_slow_or_unresponsive():
+    """Guards against an upstream that is avoided since a call waited there instead of here."""
+    harness = make_borrower()
+    stream = harness.submit('stream', required_version='v1', wait_s=1.6)
+    slots = harness.scheduler.slots['i-1']
+    assert not slots.is_unresponsive(1.6)
+    assert slots.is_unresponsive(10)
+    harness.scheduler.record_first_byte('i-1', stream, 1.6)
+    assert slots.speed.samples == 0
+
+
+def test_few_of_many_daemons_exceed_the_slots_of_an_upstream():
+    """Guards against dozens of daemons that each send a call to the same full upstream."""
+    harness = SchedulerHarness([make_upstream(1)], owned=[])
+    names = tuple(f'd{number}' for number in range(40))
+    harness.scheduler.set_upstreams(
+        [make_upstream(1)], Assignment({'r1': ('me', *names)}, {'i-1': 'd0'})
+    )
+    slots = harness.scheduler.slots['i-1']
+    allowed = 0
+    for _ in range(1000):
+        harness.scheduler.apply_loads('d0', 'd0-1', {'i-1': Load(4)}, {}, lent_until=5)
+        allowed += slots.accepts_extra(0, ignores_health=False)
+    assert 10 < allowed < 120
+
+
+def test_begun_stream_goes_before_new_calls_of_its_rank_only():
+    """Guards against streams that end half-way while new ones begin, and against urgent delays."""
+    upstream = attrs.evolve(make_upstream(1, slots=1), software_version='v1')
+    harness = SchedulerHarness([upstream])
+    running = harness.submit('first', rank=(0, 1))
+    harness.submit('new', rank=(0, 1), now=0.01)
+    harness.submit('stream', rank=(0, 1), now=0.02, required_version='v1', objective_s=0.05)
+    harness.submit('urgent', rank=(0, 0), now=0.03)
+    harness.release(running, 0.1)
+    assert harness.get_upstream_id('urgent')
+    harness.scheduler.release('i-1', harness.make_call('urgent', rank=(0, 0)), 0.15)
+    assert harness.get_upstream_id('stream')
+    assert 'new' not in harness.decisions
