--- a/camphorpath/placement/slots.py
+++ b/camphorpath/placement/slots.py
@@ -100,7 +100,7 @@
 
         Only one such call of each daemon runs there, and the owner leaves the next free slot to it.
         """
-        if self.is_owner or not self.may_exceed or now > self.lent_until:
+        if not self.may_exceed or now > self.lent_until:
             return False
         if self.count_free(now) > 0 or self.rate_limit.is_limited:
             return False
--- a/tests/placement/test_scheduler.py
+++ b/tests/placement/test_scheduler.py
@@ -591,3 +591,53 @@
     harness.scheduler.release('i-1', harness.make_call('urgent', rank=(0, 0)), 0.15)
     assert harness.get_upstream_id('stream')
     assert 'new' not in harness.decisions
+
+
+def test_streams_that_wait_together_do_not_exceed_the_slots_of_one_upstream_together():
+    """Guards against a report on which all streams that wait go to the same full upstream."""
+    harness = make_borrower(in_flight=6)
+    for name in ('one', 'two'):
+        harness.submit(name, required_version='v1')
+    harness.scheduler.apply_loads('other', 'other-1', {'i-1': Load(4)}, {}, lent_until=5)
+    harness.scheduler.expire(0.1)
+    assert harness.get_upstream_id('one') == 'i-1'
+    assert 'two' not in harness.decisions
+
+
+def test_begun_stream_uses_slots_reserved_for_urgent_calls():
+    """Guards against a stream that ends half-way beside a free slot of its version."""
+    upstreams = [make_upstream(1, slots=5), make_upstream(2, slots=5)]
+    versioned = [attrs.evolve(upstream, software_version='v1') for upstream in upstreams]
+    harness = SchedulerHarness(versioned)
+    assert count_placed_least_urgent(harness, urgent_now=0.9) == 8
+    harness.submit('stream', rank=(0, 2), now=1, required_version='v1')
+    assert harness.get_upstream_id('stream')
+
+
+def test_begun_stream_waits_longer_than_its_objective_beside_urgent_calls():
+    """Guards against a stream that is refused early although its caller holds half an answer."""
+    upstream = attrs.evolve(make_upstream(1, slots=1), software_version='v1')
+    harness = SchedulerHarness([upstream])
+    urgent = harness.submit('draft')
+    harness.submit('stream', rank=(0, 2), objective_s=0.5, wait_s=1.0, required_version='v1')
+    harness.scheduler.expire(0.6)
+    assert 'stream' not in harness.decisions
+    harness.release(urgent, 0.7)
+    assert harness.get_upstream_id('stream')
+
+
+def test_begun_stream_that_waits_for_a_faster_upstream_exceeds_no_slots():
+    """Guards against calls inside a full upstream while a slot of the version is free."""
+    fast, slow, lent = (
+        attrs.evolve(make_upstream(number, slots=slots), software_version='v1')
+        for number, slots in ((1, 1), (2, 4), (3, 4))
+    )
+    harness = SchedulerHarness([fast, slow, lent], owned=[fast.upstream_id, slow.upstream_id])
+    harness.scheduler.slots['i-2'].speed = Speed(factor=4.0, output_token_s=0.024)
+    harness.scheduler.apply_loads('other', 'other-1', {'i-3': Load(4)}, {}, lent_until=5)
+    running = harness.submit('first')
+    assert harness.get_upstream_id('first') == 'i-1'
+    harness.submit('stream', now=0.01, required_version='v1')
+    assert not harness.get_upstream_id('stream')
+    harness.release(running, 0.05)
+    assert harness.get_upstream_id('stream') == 'i-1'
