--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -34,7 +34,7 @@
 RETRY_DELAY_S = 1.0
 # Share of the store's write calls that is for records of streams.
 WRITE_SHARE = 0.1
-MIN_WRITE_INTERVAL_S = 0.1
+MIN_WRITE_INTERVAL_S = 0.2
 MAX_WRITE_INTERVAL_S = 1.0
 # Parts that only have rows older than this many horizons are removed.
 STALE_HORIZONS = 2
