Check for records to write at a cost that does not grow with the routes

Cause: the check runs five times a second at every daemon, and went through all routes for each service. Change: shared services are found when a manifest is applied; a daemon without unwritten records checks nothing more. Result: tests/streams, tests/edge/test_stream_store.py and test_take_ups.py pass.

--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -259,7 +259,7 @@
     def _take_records(self, now: float) -> None:
         """Move the new records of services whose streams are ambiguous to the rows to write."""
         services = {service for service, _version in self.history.list_last_seen()}
-        if not services:
+        if not (services and self.records.has_unwritten):
             return
         self.records.expire(now - self._get_longest_horizon_s(services))
         ambiguous = {service for service in services if self.is_ambiguous(service)}
--- a/camphorpath/streams/records.py
+++ b/camphorpath/streams/records.py
@@ -54,6 +54,11 @@
     # Records of this daemon that were not written to the store, oldest first.
     _unwritten: dict[bytes, KnownOrigin] = attrs.field(factory=dict)
 
+    @property
+    def has_unwritten(self) -> bool:
+        """Whether any record was not written to the store."""
+        return bool(self._unwritten)
+
     def record(self, stream_id: bytes, origin: Origin, now: float) -> None:
         """Record a stream that begins, or goes on, at an upstream to which this daemon sent it."""
         digest = digest_stream(stream_id)
--- a/camphorpath/streams/services.py
+++ b/camphorpath/streams/services.py
@@ -20,6 +20,8 @@
     _longest_timeouts_s: dict[str, float] = attrs.field(factory=dict)
     # The services of each resumable route, by host and prefix.
     _targets: dict[tuple[str, str], frozenset[str]] = attrs.field(factory=dict)
+    # Services of routes that lead to several ones.
+    _shared: frozenset[str] = frozenset()
     # When a route last ceased to lead to a service, on the lease clock.
     _dropped_at: dict[str, float] = attrs.field(factory=dict)
 
@@ -35,6 +37,8 @@
             for service in services:
                 longest_s = self._longest_timeouts_s.get(service, 0)
                 self._longest_timeouts_s[service] = max(longest_s, route.timeout_s)
+        split = (services for services in self._targets.values() if len(services) > 1)
+        self._shared = frozenset().union(*split)
         for key, services in former.items():
             for service in services - self._targets.get(key, frozenset()):
                 self._dropped_at[service] = now
@@ -57,6 +61,4 @@
 
     def is_shared(self, service: str, now: float) -> bool:
         """Return whether a stream of a service may be taken for one of another service."""
-        if self.list_dropped(now):
-            return True
-        return any(service in services and len(services) > 1 for services in self._targets.values())
+        return service in self._shared or bool(self.list_dropped(now))
