Count a stored version as seen until its next refresh

Cause: the row of a software version is written every 5 to 6 s, so that the version may have been registered for that much longer than it says. A daemon that starts after a kill of all daemons took the time in the row and forgot the version too early; the margin of the horizon is meant for daemons and upstreams that learn late.

Change: a version that is read from the store counts as seen MAX_SEEN_LAG_S later, at most until now.

--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -41,6 +41,8 @@
 PARALLEL_READS = 8
 VERSION_INTERVAL_S = 1.0
 REFRESH_INTERVAL_S = 5.0
+# A version may have been registered for so much longer than its row says.
+MAX_SEEN_LAG_S = REFRESH_INTERVAL_S + VERSION_INTERVAL_S
 # Rows of versions that were not refreshed for longer are removed.
 VERSION_RETENTION_S = 600.0
 # The writer removes the row of a version before the other daemons forget it.
@@ -287,7 +289,7 @@
                 continue
             age_s: float = 0
             if found.seen_s is not None and rows.store_time_s is not None:
-                age_s = max(rows.store_time_s - found.seen_s, 0)
+                age_s = max(rows.store_time_s - found.seen_s - MAX_SEEN_LAG_S, 0)
             self.history.record(found.service, found.software_version, rows.answered_at - age_s)
         self.is_loaded = True
 
