Keep software versions for as long as streams may go on

Cause: the row of a version was removed 600 s after the last registration, and the daemons forgot it 60 s later, but a stream of a route with a timeout of more than 295 s may be taken up later than that. A manifest does not bound the timeout.

Change: versions are kept for the longest horizon of the known services if that is longer. A daemon that has no manifest yet still uses 600 s.

--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -43,7 +43,7 @@
 REFRESH_INTERVAL_S = 5.0
 # A version may have been registered for so much longer than its row says.
 MAX_SEEN_LAG_S = REFRESH_INTERVAL_S + VERSION_INTERVAL_S
-# Rows of versions that were not refreshed for longer are removed.
+# Rows of versions that were not refreshed for longer, and for the longest horizon, are removed.
 VERSION_RETENTION_S = 600.0
 # The writer removes the row of a version before the other daemons forget it.
 FORGET_DELAY_S = 60.0
@@ -275,7 +275,7 @@
         now = self.read_clock()
         if self.is_version_writer():
             await self._write_versions(registered, now)
-        self._forget_versions(now - VERSION_RETENTION_S - FORGET_DELAY_S)
+        self._forget_versions(now - self._get_retention_s() - FORGET_DELAY_S)
         self._failing.discard('versions')
 
     async def _load_versions(self) -> None:
@@ -295,9 +295,8 @@
 
     async def _write_versions(self, registered: set[Pair], now: float) -> None:
         last_seen = self.history.list_last_seen()
-        outdated = [
-            pair for pair, seen_at in last_seen.items() if now - seen_at > VERSION_RETENTION_S
-        ]
+        retained_from = now - self._get_retention_s()
+        outdated = [pair for pair, seen_at in last_seen.items() if seen_at < retained_from]
         self._versions_lost.intersection_update(last_seen)
         self._versions_lost.difference_update(outdated)
         due = [pair for pair in registered if self._is_refresh_due(pair, now)]
@@ -315,7 +314,7 @@
         self._versions_written.update(dict.fromkeys(due, now))
         self._versions_lost.difference_update(due)
         # One that is registered again by now is kept.
-        self.history.forget(outdated, now - VERSION_RETENTION_S)
+        self.history.forget(outdated, retained_from)
 
     def _is_refresh_due(self, pair: Pair, now: float) -> bool:
         written_at = self._versions_written.get(pair)
@@ -335,6 +334,11 @@
         interval_s = max(MIN_WRITE_INTERVAL_S, self.count_actives() / calls_per_s)
         return min(interval_s, MAX_WRITE_INTERVAL_S)
 
+    def _get_retention_s(self) -> float:
+        """Return for how long a version is kept after its last registration."""
+        services = {service for service, _version in self.history.list_last_seen()}
+        return max(VERSION_RETENTION_S, self._get_longest_horizon_s(services))
+
     def _get_longest_horizon_s(self, services: Iterable[str]) -> float:
         return max(map(self.get_horizon_s, services), default=0)
 
--- a/tests/edge/test_stream_store.py
+++ b/tests/edge/test_stream_store.py
@@ -11,6 +11,7 @@
 import pytest
 
 from camphorpath.edge.streams import (
+    FORGET_DELAY_S,
     MAX_REJECTED_ROWS,
     MAX_SEEN_LAG_S,
     REFRESH_INTERVAL_S,
@@ -755,6 +756,21 @@
     assert sorted(other.history.list_last_seen()) == [('llm', 'v1'), ('llm', 'v2')]
 
 
+async def test_versions_are_kept_for_as_long_as_streams_may_go_on(store):
+    """Guards against a version that is forgotten while streams with long timeouts run."""
+    seen_at = store.clock.now - VERSION_RETENTION_S - FORGET_DELAY_S - 100
+    put_version(store, ('llm', 'v0'), seen_at)
+    writer, other = Daemon(store), Daemon(store, is_writer=False)
+    for daemon in (writer, other):
+        daemon.streams.get_horizon_s = lambda _service: 2 * VERSION_RETENTION_S
+        await daemon.follow(5)
+        assert ('llm', 'v0') in daemon.history.list_last_seen()
+    assert ('llm', 'v0') in store.list_versions()
+    store.clock.now = seen_at + 2 * VERSION_RETENTION_S + MAX_SEEN_LAG_S + 1
+    await writer.follow(5)
+    assert ('llm', 'v0') not in store.list_versions()
+
+
 async def test_version_that_is_registered_again_during_its_removal_is_kept(store):
     """Guards against a version that counts as never registered just after it is."""
     seen_at = store.clock.now - VERSION_RETENTION_S - MAX_SEEN_LAG_S - 1
