Take an origin of unknown version for that of the only version

Callers whose stream had begun at an upstream whose entry was removed before its first event (one that leaves, for instance) got 503 when they took it up, also in deployments with one software version: the own record of an unknown version was returned before the only version was considered, and it is bound to nothing.

The only version now also answers for a record of unknown version; the reason is the same as for an unknown stream, and an empty version still counts as a version of its own in the history.

The new test got 503 before; tests/relay/test_take_ups.py and tests/streams pass after the change.

--- a/camphorpath/streams/lookup.py
+++ b/camphorpath/streams/lookup.py
@@ -51,7 +51,8 @@
         """
         digest = digest_stream(stream_id)
         found = self.records.find(digest) if stream_id else None
-        found = found or self._find_only_version(services)
+        if found is None or not found.origin.software_version:
+            found = self._find_only_version(services) or found
         if found is not None or not stream_id:
             return found
         asked = await self.ask_peers(digest)
