Count a view as outdated after a suspension until it is confirmed

A caller could see its stream go on at another software version at a daemon that was frozen while the store was away: its members are kept for the time of the suspension, and their last heartbeats from before it say that no daemon reaches the store, although it may be back and know a new version.

Without any confirmation, which a suspension withdraws, the view no longer counts as current.

--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -315,12 +315,13 @@
         """Return whether an upstream cannot have registered for longer without being known here.
 
         While no daemon reaches the store, upstreams cannot register. A daemon that was lost later
-        than the store may still reach it.
+        than the store may still reach it. Without a confirmation, as after a suspension, the
+        heartbeats may be outdated too.
         """
         age_s = self.read_store_age()
         if age_s <= max_age_s:
             return True
-        if self.is_store_up:
+        if self.is_store_up or not math.isfinite(age_s):
             return False
         confirmed_at = read_lease_clock() - age_s
         if any(lost_at > confirmed_at for lost_at in self._lost_connected.values()):
--- a/tests/edge/test_state.py
+++ b/tests/edge/test_state.py
@@ -1,3 +1,5 @@
+import math
+
 import anyio
 import attrs
 import orjson
@@ -306,3 +308,14 @@
         confirmed_at = read_lease_clock()
         state.read_store_age = lambda: read_lease_clock() - confirmed_at
     assert state.is_view_current(max_age_s=0)
+
+
+def test_versions_may_be_missing_after_a_suspension_while_the_store_was_away(state):
+    """Guards against heartbeats from before a suspension that say that the store is away."""
+    state.is_store_up = False
+    state.apply_heartbeat(make_heartbeat('d1', host='10.0.0.2'))
+    state.read_store_age = lambda: 5.0
+    assert state.is_view_current(max_age_s=2.3)
+    # As after Follower.mark_unconfirmed.
+    state.read_store_age = lambda: math.inf
+    assert not state.is_view_current(max_age_s=2.3)
