Read the versions again after a time in which some may have come and gone

A caller could see its stream go on at another software version: a daemon that was cut off or frozen learned of the upstreams that are registered now, and took the versions it knew for all, although another one had served, and begun streams, for a part of that time. The versions were read from the store only at the start.

After a pause of the task, or a time without a confirmation by the store, the history counts as incomplete from the next confirmation until the versions are read again. While the store is away for all daemons nothing changes. The price is one read of the table of versions by each daemon after such a time and one more at its start.

--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -150,12 +150,13 @@
         is_ambiguous=relay.origins.is_ambiguous,
         get_horizon_s=relay.origins.services.get_horizon_s,
         get_restored=lambda: state.restored,
+        is_view_confirmed=lambda: follower.store_age() <= MAX_CONFIRMATION_AGE_S,
     )
     stream_queries = StreamQueries(relay.origins.records, state, heartbeats)
     relay.origins.ask_peers = stream_queries.ask
     relay.origins.read_store = streams.find
     relay.origins.is_history_complete = lambda: (
-        streams.is_loaded and state.is_view_current(max_age_s=MAX_CONFIRMATION_AGE_S)
+        streams.is_history_complete() and state.is_view_current(max_age_s=MAX_CONFIRMATION_AGE_S)
     )
     return EdgeDaemon(
         settings=settings,
--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -43,6 +43,8 @@
 REFRESH_INTERVAL_S = 5.0
 # A version may have been registered for so much longer than its row says.
 MAX_SEEN_LAG_S = REFRESH_INTERVAL_S + VERSION_INTERVAL_S
+# After a longer pause between two updates, versions may have come and gone unseen.
+MAX_UNSEEN_S = 2.0
 # Rows of versions that were not refreshed for longer, and for the longest horizon, are removed.
 VERSION_RETENTION_S = 600.0
 # The writer removes the row of a version before the other daemons forget it.
@@ -74,9 +76,13 @@
     get_horizon_s: Callable[[str], float]
     # Returns the event that is set, and replaced, when the store was restored from a copy.
     get_restored: Callable[[], anyio.Event]
+    # Returns whether the store confirmed the upstreams known here lately.
+    is_view_confirmed: Callable[[], bool]
     read_clock: Callable[[], float] = read_lease_clock
     # Whether the versions were read from the store.
     is_loaded: bool = False
+    # Whether versions may have come and gone unseen since.
+    _has_gap: bool = False
     # The store's clock minus the lease clock; None if the store never stated its time.
     _store_offset_s: float | None = None
     _own_rows: OwnRows = attrs.field(factory=OwnRows)
@@ -133,7 +139,14 @@
             except (TableUnavailable, TableOutcomeUnknown) as error:
                 # Reads and writes can be repeated.
                 self._log_failure('versions', error)
+            began_at = self.read_clock()
             await anyio.sleep(VERSION_INTERVAL_S)
+            paused_s = self.read_clock() - began_at
+            self._has_gap = self._has_gap or paused_s > VERSION_INTERVAL_S + MAX_UNSEEN_S
+
+    def is_history_complete(self) -> bool:
+        """Return whether no version is missing that was registered until the last confirmation."""
+        return self.is_loaded and not (self._has_gap and self.is_view_confirmed())
 
     async def find(self, digest: bytes, answered: frozenset[str]) -> KnownOrigin | None:
         """Look a stream up in the rows of the daemons that have not answered; adopt what is found.
@@ -269,9 +282,12 @@
             self._own_rows.add(self.records.drain_unwritten(ambiguous.__contains__), now)
 
     async def _update_versions(self, registered: set[Pair]) -> None:
-        """Read the versions once; then write them if this daemon is their writer."""
-        if not self.is_loaded:
+        """Read the versions once and after gaps; write them if this daemon is their writer."""
+        is_confirmed = self.is_view_confirmed()
+        self._has_gap = self._has_gap or not is_confirmed
+        if not self.is_loaded or (self._has_gap and is_confirmed):
             await self._load_versions()
+            self._has_gap = not is_confirmed
         now = self.read_clock()
         if self.is_version_writer():
             await self._write_versions(registered, now)
--- a/tests/edge/test_stream_store.py
+++ b/tests/edge/test_stream_store.py
@@ -168,6 +168,7 @@
     registered: set = attrs.field(factory=lambda: {('llm', 'v1'), ('llm', 'v2')})
     actives: int = 9
     is_writer: bool = True
+    is_confirmed: bool = True
     restored: anyio.Event = attrs.field(factory=anyio.Event)
     records: StreamRecords = attrs.field(factory=StreamRecords)
     history: VersionHistory = attrs.field(factory=VersionHistory)
@@ -190,6 +191,7 @@
             ),
             get_horizon_s=lambda _service: HORIZON_S,
             get_restored=lambda: self.restored,
+            is_view_confirmed=lambda: self.is_confirmed,
             read_clock=self.store.clock.read,
         )
 
@@ -810,3 +812,55 @@
     assert versions['llm', 'v1'] == left_at
     assert versions['llm', 'v2'] == store.clock.now - 1
     assert len(store.reads) == reads
+
+
+async def miss_version(store, daemon):
+    """Let a version come and go while a daemon does not follow the upstreams."""
+    writer = Daemon(store, 'writer-1')
+    await writer.follow(5)
+    writer.registered.add(('llm', 'v3'))
+    await writer.follow(2)
+    writer.registered.discard(('llm', 'v3'))
+    assert ('llm', 'v3') not in daemon.history.list_last_seen()
+
+
+async def test_version_that_came_and_went_during_a_cut_is_read_from_the_store(store):
+    """Guards against a stream of a version that this daemon never saw, taken for another one's."""
+    daemon = Daemon(store, is_writer=False)
+    await daemon.follow(2)
+    assert daemon.streams.is_history_complete()
+    daemon.is_confirmed = False
+    await daemon.follow(2)
+    # The store may be away for all daemons: then no version can be missing.
+    assert daemon.streams.is_history_complete()
+    await miss_version(store, daemon)
+    daemon.is_confirmed = True
+    assert not daemon.streams.is_history_complete()
+    store.status = 503
+    await daemon.follow(2)
+    assert not daemon.streams.is_history_complete()
+    store.status = 200
+    await daemon.follow(1)
+    assert daemon.streams.is_history_complete()
+    assert ('llm', 'v3') in daemon.history.list_last_seen()
+    reads = len(store.reads)
+    await daemon.follow(20)
+    assert len(store.reads) == reads
+
+
+async def test_version_that_came_and_went_during_a_suspension_is_read_from_the_store(store):
+    """Guards against a version that a frozen daemon missed, as its first poll confirms the rest."""
+    daemon = Daemon(store, is_writer=False)
+    await daemon.follow(2)
+    reads = len(store.reads)
+
+    def suspend():
+        store.clock.on_advance = lambda: None
+        store.clock.now += 60
+        store.clock.end += 60
+        put_version(store, ('llm', 'v3'), store.clock.now - 20)
+
+    store.clock.on_advance = suspend
+    await daemon.follow(3)
+    assert ('llm', 'v3') in daemon.history.list_last_seen()
+    assert len(store.reads) == reads + 1
