Keep a stream of unknown version at its service

A caller would see its stream go on at another service at a daemon that learned a record of unknown version from a peer and knows only the newer route: since the only version of the services of the route replaced the record, and with it the service.

--- a/tests/relay/test_take_ups.py
+++ b/tests/relay/test_take_ups.py
@@ -263,6 +263,19 @@
     run(test)
 
 
+def test_stream_of_an_unknown_version_is_not_taken_up_at_another_service():
+    """Guards against the only version of the service to which the route has moved since."""
+
+    async def test():
+        async with open_upstream(go_on([3]), 'v1') as only, open_relay(only) as (context, port):
+            record_begin(context, '', service='old')
+            status, _head, _body = await ask(port, take_up())
+        assert status == 503
+        assert not only.requests
+
+    run(test)
+
+
 def test_call_that_names_a_stream_but_no_event_begins_a_stream_of_its_own():
     """Guards against a record that replaces the one of the stream which a caller names."""
 
