--- a/tests/relay/test_take_ups.py
+++ b/tests/relay/test_take_ups.py
@@ -8,6 +8,7 @@
 
 from camphorpath.clocks import read_lease_clock
 from camphorpath.events import Event
+from camphorpath.placement.crashes import Pattern, digest_parts
 from camphorpath.schema import camphorpath_pb2 as pb
 from camphorpath.streams import Asked, KnownOrigin, Origin, Source, digest_stream
 
@@ -17,9 +18,9 @@
 BEGIN = make_request(b'/stream/x')
 
 
-def take_up(attempt=b'2', begun_by=b'1'):
+def take_up(attempt=b'2', begun_by=b'1', more_headers=b''):
     """Return the request of a caller that has received two events of a stream."""
-    headers = b'Last-Event-Id: 2\r\n'
+    headers = b'Last-Event-Id: 2\r\n' + more_headers
     if begun_by:
         headers += b'Resumes: %b\r\n' % begun_by
     return make_request(b'/stream/x', attempt=attempt, headers=headers)
@@ -276,6 +277,27 @@
     run(test)
 
 
+def test_take_up_with_a_quarantined_part_is_not_sent_to_the_service_that_began_it():
+    """Guards against parts that are quarantined at the service to which the call is bound."""
+
+    async def test():
+        async with open_upstream(go_on([3]), 'v1') as only, open_relay(only) as (context, port):
+            routes = [
+                attrs.evolve(route, targets=(('other', 1.0), ('llm', 0.0)))
+                for route in context.routing_table.routes
+            ]
+            context.routing_table = attrs.evolve(context.routing_table, routes=tuple(routes))
+            context.is_prober = lambda _pattern: False
+            record_begin(context, 'v1')
+            parts = digest_parts('llm', [b'a'])
+            context.quarantine.adopt_stored(Pattern(b'', parts), read_lease_clock())
+            status, _head, body = await ask(port, take_up(more_headers=b'Parts: a:10,b:10\r\n'))
+        assert (status, body) == (503, b'crashes_upstreams\n')
+        assert not only.requests
+
+    run(test)
+
+
 def test_call_that_names_a_stream_but_no_event_begins_a_stream_of_its_own():
     """Guards against a record that replaces the one of the stream which a caller names."""
 
