Bound the queries that a flood of unknown streams costs a fleet

Callers choose the id that they take up. While two versions serve, each unknown one was asked for at all daemons within 10 ms, so that one daemon sent up to 200 datagrams a second to each of the others, times the daemons that are flooded, and a given part of a flood had no bound in memory.

Queries are now spaced such that a daemon receives at most 1000 a second, without repeats, if all daemons ask; the first one after a pause waits for the batch interval only, as before. At most 1000 asks wait to be sent; a further take-up is refused at once, without a read of the store.

The tests of the change failed before; tests/edge/test_stream_queries.py, tests/relay/test_take_ups.py and tests/streams pass.

--- a/camphorpath/edge/stream_queries.py
+++ b/camphorpath/edge/stream_queries.py
@@ -23,6 +23,10 @@
 # Queries of this time are sent together.
 BATCH_INTERVAL_S = 0.01
 MAX_QUERY_DIGESTS = 100
+# Queries per second, without repeats, that a daemon receives at most if all daemons ask.
+MAX_QUERIES_PER_S = 1000.0
+# Asks that may wait to be sent; further ones get no answer. Callers choose the ids of streams.
+MAX_UNSENT_ASKS = 1000
 # A digest in a query, with its tag and length.
 DIGEST_FIELD_BYTES = DIGEST_BYTES + 2
 # The tag and length of an origin in an answer.
@@ -83,22 +87,31 @@
     heartbeats: HeartbeatSocket
     _asks: dict[bytes, _Ask] = attrs.field(factory=dict)
     _unsent: list[_Ask] = attrs.field(factory=list)
+    # When the next query may be sent, on the lease clock.
+    _next_send_at: float = -math.inf
     # By number.
     _queries: dict[int, _Query] = attrs.field(factory=dict)
     _last_number: int = attrs.field(factory=lambda: secrets.randbits(FIRST_NUMBER_BITS))
 
     async def ask(self, digest: bytes) -> Asked:
-        """Return what the other daemons know of a stream, after at most QUERY_TIMEOUT_S."""
+        """Return what the other daemons know of a stream.
+
+        Takes at most QUERY_TIMEOUT_S, but longer while so many streams are asked for that queries
+        have to wait.
+        """
         known = self.records.find(digest)
         if known is not None or not self.state.members.hosts:
             return Asked(known, frozenset())
         ask = self._asks.get(digest)
         if ask is None:
+            if len(self._unsent) >= MAX_UNSENT_ASKS:
+                return Asked(is_given_up=True)
             ask = _Ask(digest)
             self._asks[digest] = ask
             if not self._unsent:
                 # Not a task of this caller, which may be cancelled while others wait.
-                asyncio.get_running_loop().call_later(BATCH_INTERVAL_S, self._send_unsent)
+                wait_s = max(self._next_send_at - read_lease_clock(), BATCH_INTERVAL_S)
+                asyncio.get_running_loop().call_later(wait_s, self._send_unsent)
             self._unsent.append(ask)
         await ask.is_done.wait()
         return ask.result
@@ -147,10 +160,12 @@
         return self.state.make_announcement(changes, self.state.rows.upstreams_revision)
 
     def _send_unsent(self) -> None:
-        """Send the asks of the last BATCH_INTERVAL_S in as few datagrams as possible."""
+        """Send the asks that wait in as few datagrams as possible."""
         unsent = self._unsent
         self._unsent = []
+        self._next_send_at = read_lease_clock()
         while unsent:
+            self._next_send_at += len(self.state.members.hosts) / MAX_QUERIES_PER_S
             self._last_number += 1
             number = self._last_number
             announcement = self._make_announcement(
--- a/camphorpath/streams/lookup.py
+++ b/camphorpath/streams/lookup.py
@@ -18,6 +18,8 @@
     known: KnownOrigin | None = None
     # Incarnations of the daemons that answered, whether they know the stream or not.
     answered: frozenset[str] = frozenset()
+    # Whether they were not asked, as too many streams were asked for.
+    is_given_up: bool = False
 
 
 async def _ask_nobody(_digest: bytes) -> Asked:
@@ -61,6 +63,9 @@
         asked = await self.ask_peers(digest)
         if asked.known is not None:
             return asked.known
+        if asked.is_given_up:
+            # The store would have to be read for all daemons.
+            return None
         try:
             return await self.read_store(digest, asked.answered)
         except TableUnavailable:
--- a/tests/edge/test_stream_queries.py
+++ b/tests/edge/test_stream_queries.py
@@ -642,6 +642,50 @@
     anyio.run(test)
 
 
+def test_flood_sends_few_datagrams_in_a_large_fleet():
+    """Guards against callers that take up unknown streams and so load all daemons of a fleet."""
+
+    async def test():
+        network, daemons = make_fleet(51)
+        network.is_lost = lambda _sender, _host, _message: True
+        began_at = read_lease_clock()
+        async with anyio.create_task_group() as group:
+            number = 0
+            while read_lease_clock() < began_at + 1:
+                for _ in range(10):
+                    number += 1
+                    group.start_soon(daemons[0].ask, digest_stream(b'unknown-%d' % number))
+                await anyio.sleep(0.005)
+            sent_count = len(network.sent)
+            took_s = read_lease_clock() - began_at
+            group.cancel_scope.cancel()
+        print(f'{number} unknown streams, {sent_count} datagrams')
+        # Each query may be repeated once; a first burst is sent at once.
+        assert sent_count <= 2 * 50 + 2 * stream_queries.MAX_QUERIES_PER_S * took_s * 1.2
+        await anyio.sleep(0.5)
+        assert len(daemons[0]._unsent) <= stream_queries.MAX_UNSENT_ASKS
+        asked, duration = await ask_timed(daemons[0])
+        assert asked.known is None
+        assert duration < 1
+
+    anyio.run(test)
+
+
+def test_asks_beyond_those_that_wait_are_given_up_at_once(monkeypatch):
+    """Guards against a flood of unknown streams that fills the memory or delays the others."""
+    monkeypatch.setattr(stream_queries, 'MAX_UNSENT_ASKS', 3)
+
+    async def test():
+        _network, daemons = make_fleet(3)
+        results = await ask_all(daemons[0], [digest_stream(b'%d' % n) for n in range(5)])
+        answered = [len(asked.answered) for asked in results.values()]
+        assert sorted(answered) == [0, 0, 2, 2, 2]
+        assert sum(asked.is_given_up for asked in results.values()) == 2
+        assert not daemons[0]._asks
+
+    anyio.run(test)
+
+
 def test_queries_change_nothing_at_daemons_of_older_builds():
     """Guards against a rolling update in which older daemons misread queries and answers."""
 
--- a/tests/relay/test_take_ups.py
+++ b/tests/relay/test_take_ups.py
@@ -226,6 +226,28 @@
     run(test)
 
 
+def test_take_up_is_refused_without_a_read_of_the_store_if_too_many_are_looked_up():
+    """Guards against a flood of unknown streams, each of which reads the rows of all daemons."""
+
+    async def test():
+        reads = []
+
+        async def ask_peers(_digest):
+            return Asked(is_given_up=True)
+
+        async def read_store(digest, _answered):
+            reads.append(digest)
+
+        async with open_mixed(go_on([3]), go_on([3])) as (context, port, _first, _second):
+            context.origins.ask_peers = ask_peers
+            context.origins.read_store = read_store
+            status, _head, body = await ask(port, take_up())
+        assert (status, body) == (503, b'stream_version_unknown\n')
+        assert not reads
+
+    run(test)
+
+
 def test_chain_of_take_ups_stays_at_one_software_version():
     """Guards against a third call that cannot be served, as its caller names only the first one."""
 
