--- a/tests/relay/test_software_versions.py
+++ b/tests/relay/test_software_versions.py
@@ -286,3 +286,41 @@
 
     def release(self, conn, *, is_complete):
         self.pool.release(conn, is_complete=is_complete)
+
+
+def leave_before_event(contexts, upstream_id, numbers):
+    """Return a handler whose entry is removed before the last of its events; it aborts then."""
+
+    async def handle(upstream, reader, writer):
+        await upstream.read_request(reader)
+        writer.write(HEAD + b''.join(make_chunk(make_event(number)) for number in numbers[:-1]))
+        await writer.drain()
+        await anyio.sleep(0.05)
+        scheduler = contexts[0].scheduler
+        entries = [slots.upstream for key, slots in scheduler.slots.items() if key != upstream_id]
+        owners = {entry.upstream_id: 'me' for entry in entries}
+        scheduler.set_upstreams(entries, Assignment({}, owners))
+        writer.write(make_chunk(make_event(numbers[-1])))
+        await writer.drain()
+        await anyio.sleep(0.05)
+        writer.transport.abort()
+
+    return handle
+
+
+def test_stream_of_an_upstream_that_left_goes_on_at_its_version():
+    """Guards against a version that is forgotten as the upstream has left during its answer."""
+
+    async def test():
+        contexts = []
+        async with (
+            open_upstream(leave_before_event(contexts, 'i-0', [1, 2])) as first,
+            open_upstream(stream_events([3])) as second,
+            open_relay(first, second) as (context, port),
+        ):
+            contexts.append(context)
+            received, is_reset = await read_to_end(port, STREAM)
+        assert read_events(received) == [b'data: e1', b'data: e2', b'data: e3']
+        assert not is_reset
+
+    run(test)
