Undo the use of the only version for records of unknown version

A record gets an unknown version only after its entry changed the version, and then there are two.

tests/relay/test_take_ups.py, tests/relay/test_software_versions.py and tests/streams pass.

--- a/camphorpath/streams/lookup.py
+++ b/camphorpath/streams/lookup.py
@@ -53,11 +53,7 @@
         """
         digest = digest_stream(stream_id)
         found = self.records.find(digest) if stream_id else None
-        if found is None:
-            found = self._find_only_version(services)
-        elif not found.origin.software_version:
-            only = self._find_only_version(services)
-            found = only if only and only.origin.service == found.origin.service else found
+        found = found or self._find_only_version(services)
         if found is not None or not stream_id:
             return found
         asked = await self.ask_peers(digest)
