Test a kill of all daemons after a route left its service

Cause of the red case: the lookup takes the only version of the present services of a route for the stream's. Which services a route left is in memory only, so after a kill streams go on at another service, answered 200.

The chain now fails by the status of a refusal instead of by a timeout.

--- a/tests/edge/test_kill_of_all_daemons.py
+++ b/tests/edge/test_kill_of_all_daemons.py
@@ -116,7 +116,7 @@
         await writer.drain()
 
 
-def build_daemon(zone, store, network, entries):
+def build_daemon(zone, store, network, entries, service):
     """Return a daemon with the wiring of the program, but for its sockets and its feeds."""
     number = list(REGIONS).index(zone) + 1
     host = f'10.0.0.{number}'
@@ -138,7 +138,8 @@
         )
     network.daemons[host] = edge.stream_queries
     edge.relay.header_names = HEADER_NAMES
-    edge.relay.apply_routing_table(make_table(*ROUTES, customers={'secret': CUSTOMER}))
+    routes = [attrs.evolve(route, targets=((service, 1.0),)) for route in ROUTES]
+    edge.relay.apply_routing_table(make_table(*routes, customers={'secret': CUSTOMER}))
     state = edge.state
     state.read_store_age = edge.relay.read_store_age = lambda: 0
     state.rows.is_listed = True
@@ -165,14 +166,14 @@
 
 
 @contextlib.asynccontextmanager
-async def run_fleet(store, *upstreams):
+async def run_fleet(store, *upstreams, service='llm'):
     """Run three daemons of new incarnations; at the end all are killed without a stop."""
     network = Network()
-    entries = make_entries(upstreams)
+    entries = [attrs.evolve(entry, service=service) for entry in make_entries(upstreams)]
     daemons, listeners = [], []
     async with anyio.create_task_group() as group:
         for zone in REGIONS:
-            edge = build_daemon(zone, store, network, entries)
+            edge = build_daemon(zone, store, network, entries, service)
             listener = open_listener('127.0.0.1:0')
             listeners.append(listener)
             group.start_soon(serve_calls, edge.relay, listener, group)
@@ -204,8 +205,9 @@
     daemon.callers.append(writer)
     writer.write(request)
     with anyio.fail_after(5):
+        head = await reader.readuntil(b'\r\n\r\n')
+        assert head.startswith(b'HTTP/1.1 200'), head
         received = await reader.readuntil(b'-%d\n\n' % event)
-    assert received.startswith(b'HTTP/1.1 200')
     return received.rpartition(b'data: ')[2].partition(b'-')[0]
 
 
@@ -414,6 +416,19 @@
     assert {status for _version, status, _events in answers} == {503}
 
 
+async def test_streams_of_a_service_that_a_route_left_are_refused_after_a_kill(store, old, new):
+    """Guards against streams that go on at another service after a change of routes and a kill."""
+    async with run_fleet(store, old) as daemons:
+        await wait_until_loaded(daemons)
+        begun = await begin_streams(daemons, versions=(b'v1',))
+    async with run_fleet(store, new, service='other') as daemons:
+        await wait_until_loaded(daemons)
+        for stream_id in begun:
+            for daemon in daemons:
+                await assert_refused(daemon.port, stream_id)
+    assert not new.requests
+
+
 async def test_chain_of_take_ups_stays_at_its_version_over_two_kills(store, old, new):
     """Guards against a stream that a second kill of all daemons joins from two versions."""
     async with run_fleet(store, old, new) as daemons:
