--- /dev/null
+++ b/tests/processes/__main__.py
@@ -0,0 +1,42 @@
+"""Plays seeded runs by hand: `python -m tests.processes --seeds 1-50`."""
+
+import argparse
+import asyncio
+import pathlib
+
+from .soak import Plan, run
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seeds', default='1-5')
+    parser.add_argument('--duration-s', type=float, default=30)
+    parser.add_argument('--daemons', type=int, default=5)
+    parser.add_argument('--upstreams', type=int, default=4)
+    parser.add_argument('--callers', type=int, default=16)
+    parser.add_argument('--records', type=pathlib.Path, help='folder for the records and logs')
+    options = parser.parse_args()
+    first, _, last = options.seeds.partition('-')
+    has_faults = False
+    for seed in range(int(first), int(last or first) + 1):
+        plan = Plan(
+            seed=seed,
+            duration_s=options.duration_s,
+            daemon_count=options.daemons,
+            upstream_count=options.upstreams,
+            caller_count=options.callers,
+        )
+        folder = options.records and options.records / f'{seed}'
+        if folder:
+            folder.mkdir(parents=True, exist_ok=True)
+        outcome = asyncio.run(run(plan, folder))
+        print(f'seed {seed}: {outcome.summarize()}', flush=True)
+        for fault in outcome.faults[:10]:
+            print('  ', fault, flush=True)
+        has_faults = has_faults or bool(outcome.faults)
+        if options.records:
+            (folder / 'record.txt').write_text('\n'.join([*outcome.record, *outcome.faults]))
+    raise SystemExit(has_faults)
+
+
+main()
--- /dev/null
+++ b/tests/processes/soak.py
@@ -0,0 +1,292 @@
+"""Seeded runs of real daemons under releases, kills, freezes, cuts and faults of the store."""
+
+import asyncio
+import random
+
+import attrs
+
+from .callers import Caller, count_take_ups
+from .fleet import open_fleet
+
+SETTLE_S = 2.0
+OLD, NEW, NEWEST = 'v1', 'v2', 'v3'
+
+
+@attrs.frozen(kw_only=True)
+class Plan:
+    """How large and how rough a run is."""
+
+    seed: int
+    duration_s: float = 30.0
+    daemon_count: int = 5
+    upstream_count: int = 4
+    caller_count: int = 16
+    # Mean pause between two troubles.
+    trouble_interval_s: float = 1.2
+
+
+@attrs.define
+class Outcome:
+    """What the callers of a run saw."""
+
+    faults: list
+    streams: list
+    record: list
+    exit_codes: list
+
+    def summarize(self):
+        taken_up, gone_on = count_take_ups(self.streams)
+        complete = sum(stream.is_complete for stream in self.streams)
+        return (
+            f'{len(self.streams)} streams, {complete} complete, {taken_up} take-ups, '
+            f'{gone_on} went on, {len(self.faults)} faults, exit codes {self.exit_codes}'
+        )
+
+
+async def run(plan, folder=None):
+    """Play a run and return its outcome."""
+    async with open_fleet(plan.daemon_count, plan.seed, folder=folder) as fleet:
+        for number in range(plan.upstream_count):
+            await fleet.add_upstream(
+                OLD, zone='abc'[number % 3], break_share=0.1, silent_share=0.05
+            )
+        await fleet.add_upstream(OLD, service='ledger')
+        await fleet.start_daemons()
+        await asyncio.sleep(SETTLE_S)
+        callers = [_make_caller(fleet, number, plan) for number in range(plan.caller_count)]
+        until = fleet.now() + plan.duration_s
+        async with asyncio.TaskGroup() as group:
+            for caller in callers:
+                group.create_task(_call(fleet, caller, until))
+            group.create_task(Troubles(fleet, plan).play(until))
+            group.create_task(_release(fleet, plan, until))
+        for caller in callers:
+            caller.close()
+        streams = [stream for caller in callers for stream in caller.streams]
+        faults = [fault for stream in streams for fault in stream.list_faults()]
+        codes = [code for daemon in fleet.daemons for code in daemon.exit_codes if code != -9]
+        return Outcome(faults, streams, fleet.record, codes)
+
+
+def _make_caller(fleet, number, plan):
+    rng = random.Random(f'{plan.seed}/{number}')
+    is_slow = number % 8 == 7
+    return Caller(
+        rng,
+        fleet.choose_address,
+        read_pause_s=0.3 if is_slow else 0.0,
+        read_bytes=256 if is_slow else 65536,
+        log=fleet.log,
+    )
+
+
+async def _call(fleet, caller, until):
+    while fleet.now() < until:
+        is_resumable = caller.rng.random() < 0.85
+        total = caller.rng.randint(5, 60)
+        await caller.fetch_stream(
+            '/draft/' if is_resumable else '/once/', total, is_resumable=is_resumable
+        )
+        await asyncio.sleep(caller.rng.uniform(0, 0.2))
+
+
+async def _release(fleet, plan, until):
+    """Replace the upstreams one after the other by ones of a newer version, and again."""
+    rng = random.Random(f'{plan.seed}/release')
+    for version in (NEW, NEWEST):
+        await asyncio.sleep(rng.uniform(2, plan.duration_s / 4))
+        for upstream in [upstream for upstream in fleet.upstreams if upstream.service == 'llm']:
+            if fleet.now() > until:
+                return
+            if upstream.software_version == version or not upstream.is_up:
+                continue
+            if rng.random() < 0.3:
+                fleet.log(f'{upstream.upstream_id} restarts under its id as {version}')
+                await fleet.restart_upstream(upstream, version)
+            else:
+                await fleet.add_upstream(
+                    version, zone=upstream.zone, break_share=0.1, silent_share=0.05
+                )
+                await _drain(fleet, upstream, rng)
+            await asyncio.sleep(rng.uniform(0.2, 2.0))
+
+
+async def _drain(fleet, upstream, rng):
+    if rng.random() < 0.5:
+        upstream.is_leaving = True
+        fleet.register(upstream)
+    else:
+        fleet.deregister(upstream)
+
+    async def leave():
+        await asyncio.sleep(rng.uniform(0.3, 3.0))
+        upstream.crash()
+        fleet.deregister(upstream)
+
+    asyncio.get_running_loop().create_task(leave())
+
+
+@attrs.define
+class Troubles:
+    """Breaks, kills, stops, freezes, cuts and faults of the store, at random instants."""
+
+    fleet: object
+    plan: Plan
+    rng: random.Random = attrs.field(init=False)
+    _tasks: set = attrs.field(factory=set)
+
+    def __attrs_post_init__(self):
+        self.rng = random.Random(f'{self.plan.seed}/troubles')
+
+    async def play(self, until):
+        troubles = (
+            self._kill,
+            self._kill,
+            self._kill_all,
+            self._stop,
+            self._freeze,
+            self._freeze,
+            self._cut_store,
+            self._cut_peers,
+            self._cut_peers,
+            self._cut_off,
+            self._cut_off,
+            self._crash_upstream,
+            self._crash_upstream,
+            self._fail_store,
+            self._restore_store,
+        )
+        while self.fleet.now() < until:
+            await asyncio.sleep(self.rng.expovariate(1 / self.plan.trouble_interval_s))
+            trouble = self.rng.choice(troubles)
+            self.fleet.log(f'trouble: {trouble.__name__}')
+            task = asyncio.get_running_loop().create_task(trouble())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        await asyncio.gather(*self._tasks)
+
+    def _choose(self):
+        running = [daemon for daemon in self.fleet.daemons if daemon.is_running]
+        return self.rng.choice(running) if running else None
+
+    async def _kill(self):
+        daemon = self._choose()
+        if daemon is not None:
+            await self._kill_for(daemon, self.rng.uniform(0.1, 3))
+
+    async def _kill_all(self):
+        await asyncio.gather(
+            *(
+                self._kill_for(daemon, self.rng.uniform(0.1, 2))
+                for daemon in self.fleet.daemons
+                if daemon.is_running
+            )
+        )
+
+    async def _kill_for(self, daemon, down_s):
+        self.fleet.log(f'{daemon.name} is killed')
+        process = daemon.process
+        await daemon.kill()
+        await asyncio.sleep(down_s)
+        if daemon.process is process:
+            await daemon.start()
+
+    async def _stop(self):
+        daemon = self._choose()
+        if daemon is None:
+            return
+        self.fleet.log(f'{daemon.name} gets SIGTERM')
+        process = daemon.process
+        daemon.send_signal(15)
+        code = await process.wait()
+        daemon.exit_codes.append(code)
+        await asyncio.sleep(0.1)
+        if daemon.process is process:
+            await daemon.start()
+
+    async def _freeze(self):
+        daemon = self._choose()
+        if daemon is None or daemon.is_frozen:
+            return
+        self.fleet.log(f'{daemon.name} is frozen')
+        daemon.freeze()
+        await asyncio.sleep(self.rng.uniform(0.3, 5))
+        daemon.thaw()
+        self.fleet.log(f'{daemon.name} goes on')
+
+    async def _cut_store(self):
+        daemon = self._choose()
+        if daemon is not None:
+            await self._cut(daemon, has_store_cut=True)
+
+    async def _cut_peers(self):
+        daemon = self._choose()
+        if daemon is not None:
+            await self._cut(daemon, has_peers_cut=True)
+
+    async def _cut_off(self):
+        daemon = self._choose()
+        if daemon is not None:
+            await self._cut(daemon, has_store_cut=True, has_peers_cut=True)
+
+    async def _cut(self, daemon, *, has_store_cut=False, has_peers_cut=False):
+        self.fleet.log(f'{daemon.name} is cut: store {has_store_cut}, peers {has_peers_cut}')
+        if has_peers_cut:
+            daemon.cut_peers()
+        if has_store_cut and has_peers_cut:
+            await asyncio.sleep(self.rng.choice((0, 0, 0.5, 2.5)))
+        if has_store_cut:
+            daemon.cut_store()
+        await asyncio.sleep(self.rng.uniform(0.5, 6))
+        if self.rng.random() < 0.5:
+            daemon.heal_store()
+            await asyncio.sleep(self.rng.choice((0, 0.5)))
+        daemon.heal_peers()
+        daemon.heal_store()
+        self.fleet.log(f'{daemon.name} is connected')
+
+    async def _crash_upstream(self):
+        engines = [
+            upstream
+            for upstream in self.fleet.upstreams
+            if upstream.service == 'llm' and upstream.is_up and not upstream.is_leaving
+        ]
+        if not engines:
+            return
+        upstream = self.rng.choice(engines)
+        self.fleet.log(f'{upstream.upstream_id} crashes')
+        upstream.crash()
+        await asyncio.sleep(self.rng.uniform(0.1, 2))
+        await upstream.start(upstream.address)
+        self.fleet.register(upstream)
+
+    async def _fail_store(self):
+        store = self.fleet.store
+        if store.mode != 'up':
+            return
+        mode = self.rng.choice(
+            ('refusing', 'away', 'hanging', 'slow', 'lost', 'endless_head', 'endless_body')
+        )
+        self.fleet.log(f'the store is {mode}')
+        if mode == 'slow':
+            store.delay_s = self.rng.uniform(0.05, 0.9)
+        elif mode == 'lost':
+            store.lost_writes = 10
+        else:
+            store.set_mode(mode)
+        await asyncio.sleep(self.rng.uniform(0.5, 5))
+        store.delay_s = 0.004
+        store.set_mode('up')
+        self.fleet.log('the store is up')
+
+    async def _restore_store(self):
+        store = self.fleet.store
+        if store.mode != 'up':
+            return
+        store.set_mode('away')
+        self.fleet.log('the store is away')
+        await asyncio.sleep(self.rng.uniform(0, 2))
+        age_s = self.rng.uniform(1, 12)
+        store.restore(age_s)
+        store.set_mode('up')
+        self.fleet.log(f'the store is back from a copy of {age_s:.1f} s ago')
