Keep a stalled stream only for a whole event of its upstream

It is the product, not the timing of the test: while a stream of a stalled upstream was sent to another one, any byte of the stalled one ended that attempt. A byte that completes no event did so too, and the attempt was the last that the route allows, so the stream stayed at the stalled upstream until its deadline.

While the other upstream is asked, the answer of the stalled one is now read; only a whole event or the end keeps it. An error of that read is kept for the next reader.

--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -115,6 +115,8 @@
     received_parts: int = 0
     is_complete: bool = False
     is_ended: bool = False
+    # Raised by reading the answer while it was not awaited.
+    read_error: Exception | None = None
 
     def has_unread_bytes(self) -> bool:
         """Return whether the upstream has sent bytes that were not read."""
@@ -675,29 +677,36 @@
         self, attempt: Attempt, read: Callable[[], Awaitable[Answer]]
     ) -> Answer:
         """Return what `read` returns; raise Truncated once another upstream resumes the stream."""
-        while True:
+        found: Answer | None = None
+        while found is None:
+            if attempt.read_error is not None:
+                raise attempt.read_error
             found = await self._read_or_replace(read)
-            if found is not None:
-                return found
-            if await self._resume_elsewhere(attempt):
-                raise _make_stall(attempt)
+            if found is None:
+                found = await self._resume_elsewhere(attempt, read)
+        return found
 
-    async def _resume_elsewhere(self, silent: Attempt) -> bool:
-        """Send a stream to the upstream of the replacement; return whether to go on there.
+    async def _resume_elsewhere(
+        self, silent: Attempt, read: Callable[[], Awaitable[Answer]]
+    ) -> Answer | None:
+        """Send a stream to the upstream of the replacement; raise Truncated to go on there.
 
         The connection to the silent upstream stays open meanwhile, as the other one may be full. If
-        the silent one goes on before the other one has begun to answer, it is kept.
+        `read` returns before the other one has begun to answer, the silent one is kept and the
+        result returned. Returns None if the other one does not take the stream.
         """
         replacement = self._replacement
+        read_before: list[Answer] = []
         try:
             await self._connect(replacement)
             if silent.has_unread_bytes() or not self._may_replace() or not self._charge_retry():
                 self._discard_replacement()
-                return False
+                return None
             self._send(replacement)
+            read_silent = functools.partial(_read_into, read_before, silent, read)
             with anyio.move_on_after(MAX_OVERLAP_S):
-                answer = await self._read_unless_resumed(replacement, silent)
-                if answer is not None:
+                answer = await self._read_unless_resumed(replacement, read_silent)
+                if answer is not None and not read_before:
                     self._accept_head(replacement, answer)
         except UpstreamError as error:
             self.unsent_attempts += isinstance(error, NotSent)
@@ -705,14 +714,14 @@
             self._discard_replacement()
             # Not again for this call, also if it could not be connected to.
             self.tried_upstreams.add(replacement.upstream.upstream_id)
-            return False
-        if replacement.answer is None and silent.has_unread_bytes():
+            return read_before[0] if read_before else None
+        if read_before:
             self._discard_replacement()
-            return False
-        return True
+            return read_before[0]
+        raise _make_stall(silent)
 
     async def _read_unless_resumed(
-        self, replacement: Attempt, silent: Attempt
+        self, replacement: Attempt, read_silent: Callable[[anyio.CancelScope], Awaitable[None]]
     ) -> UpstreamAnswer | None:
         """Return the head of the answer of a replacement, or None if the silent upstream goes on.
 
@@ -721,7 +730,7 @@
         answer: UpstreamAnswer | None = None
         failure: UpstreamError | None = None
         async with anyio.create_task_group() as group:
-            group.start_soon(_cancel_when_resumed, silent, group.cancel_scope)
+            group.start_soon(read_silent, group.cancel_scope)
             try:
                 answer = await self._read_answer(replacement)
             except UpstreamError as error:
@@ -947,14 +956,22 @@
     return isinstance(error, (SentUnknown, Truncated)) and error.__cause__ is not None
 
 
-async def _cancel_when_resumed(silent: Attempt, scope: anyio.CancelScope) -> None:
-    """Cancel a scope when a silent upstream sends bytes again; return if its connection ends."""
+async def _read_into(
+    found: list[Answer],
+    silent: Attempt,
+    read: Callable[[], Awaitable[Answer]],
+    scope: anyio.CancelScope,
+) -> None:
+    """Add what `read` returns to `found` and cancel a scope; keep an error for the next reader.
+
+    Bytes alone do not show that a silent upstream goes on, as they may never complete an event.
+    """
     try:
-        await silent.conn.connection.wait_for_input()
-    except OSError:
+        found.append(await read())
+    except (UpstreamError, OSError, h11.LocalProtocolError) as error:
+        silent.read_error = error
         return
-    if silent.has_unread_bytes():
-        scope.cancel()
+    scope.cancel()
 
 
 def _make_stall(attempt: Attempt) -> Truncated:
--- a/tests/relay/test_silent_upstreams.py
+++ b/tests/relay/test_silent_upstreams.py
@@ -259,6 +259,37 @@
     run(test)
 
 
+def test_bytes_that_complete_no_event_do_not_keep_a_stream_at_a_stalled_upstream():
+    """Guards against a stream that ends early as bytes of a stalled upstream end its last retry."""
+
+    async def trickle(upstream, reader, writer):
+        await upstream.read_request(reader)
+        writer.write(HEAD + make_chunk(make_event(1)))
+        while not writer.transport.is_closing():
+            writer.write(make_chunk(b'd'))
+            await writer.drain()
+            await anyio.sleep(0.05)
+
+    async def resume_late(upstream, reader, writer):
+        await upstream.read_request(reader)
+        await anyio.sleep(0.15)
+        writer.write(HEAD + make_chunk(make_event(2)) + STREAM_END)
+        await writer.drain()
+
+    async def test():
+        async with (
+            open_upstream(trickle) as first,
+            open_upstream(resume_late) as second,
+            open_relay(first, second) as (context, port),
+        ):
+            extend_route_timeouts(context)
+            received, is_reset = await read_to_end(port, make_request(b'/stream/x'))
+        assert not is_reset
+        assert read_events(received) == BOTH_EVENTS
+
+    run(test)
+
+
 def test_stream_is_not_sent_elsewhere_if_its_upstream_goes_on_meanwhile(monkeypatch):
     """Guards against two upstreams that run one stream although none of them is silent."""
 
