Keep a reset that a peek has noticed for the next read

Callers could get the chunked end of a stream before its last event. The kernel reports a reset once, and a peek counts: after has_unread_bytes or has_input had met it, the next read got the end of input, and a body without a length or chunks ends with its connection. A silent stream is peeked at after another upstream was connected for it. Found by reading, not seen in a run of daemons.

The connection keeps the error and raises it at the next read.

Measured: the new test of both peeks on sockets failed before (no error was raised), and passes now.

--- a/camphorpath/relay/sockets.py
+++ b/camphorpath/relay/sockets.py
@@ -39,6 +39,8 @@
         self._sock = sock
         self.is_closed = False
         self.turn = Turn()
+        # The kernel reports a reset once, also to a peek; what is read after it looks like the end.
+        self._error: OSError | None = None
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -52,6 +54,8 @@
         Other tasks run in between if there is always input. No bytes are lost if it is cancelled.
         """
         await self.turn.end_if_over()
+        if self._error is not None:
+            raise self._error
         while True:
             with contextlib.suppress(BlockingIOError):
                 received = self._sock.recv(READ_BYTES)
@@ -100,20 +104,11 @@
 
     def has_input(self) -> bool:
         """Return whether unread bytes, the end of input or an error are pending."""
-        try:
-            self._sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        return True
+        return self._peek() is not None
 
     def has_unread_bytes(self) -> bool:
         """Return whether unread bytes are pending; false at the end of input and after an error."""
-        try:
-            return bool(self._sock.recv(1, socket.MSG_PEEK))
-        except OSError:
-            return False
+        return bool(self._peek())
 
     def close(self, *, reset: bool = False) -> None:
         """Close the connection; with `reset`, the peer sees an error instead of an orderly end."""
@@ -132,6 +127,19 @@
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_WR)
 
+    def _peek(self) -> bytes | None:
+        """Return a pending byte, b'' at the end or after an error, or None if nothing is pending.
+
+        An error is kept for `receive`.
+        """
+        try:
+            return self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return None
+        except OSError as error:
+            self._error = error
+            return b''
+
     async def _wait_and_cancel(
         self, wait: Callable[[socket.socket], Awaitable[None]], scope: anyio.CancelScope
     ) -> None:
--- a/tests/relay/test_sockets.py
+++ b/tests/relay/test_sockets.py
@@ -25,6 +25,7 @@
         connection._sock = left
         connection.is_closed = False
         connection.turn = Turn()
+        connection._error = None
 
         async def receive():
             with pytest.raises(OSError):
@@ -39,6 +40,26 @@
     run(test)
 
 
+@pytest.mark.parametrize('peek', [Connection.has_unread_bytes, Connection.has_input])
+def test_reset_that_was_noticed_by_a_peek_is_not_read_as_the_end(peek):
+    """Guards against a stream without a marked end that is reset and looks complete."""
+
+    async def test():
+        listener = socket.create_server(('127.0.0.1', 0))
+        connection = await open_connection(*listener.getsockname(), 1)
+        peer, _address = listener.accept()
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, sockets.LINGER_RESET)
+        peer.close()
+        await connection.wait_for_input()
+        peek(connection)
+        with pytest.raises(ConnectionResetError):
+            await connection.receive()
+        connection.close()
+        listener.close()
+
+    run(test)
+
+
 def test_refused_connection_fails_at_once():
     """Guards against waiting for an upstream without a listener."""
 
