Break off a stream that ends as its upstream is killed

Callers got a stream as complete before its last event: the kernel closes the connections of a killed process in order, which is the end of a stream that has neither a length nor chunks.

When such a stream ends, the daemon checks whether its upstream still listens: by an idle connection that is open, or by a new one, which the next call uses. If it refuses, the stream has been broken off, goes on elsewhere if it may, and counts as a crash. An upstream that has said that it leaves, or whose entry was removed, ends its last answers like this and is believed; so is one that cannot be reached for another reason. An upstream of several processes at one address still listens and is not told from a sound one.

--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -644,6 +644,7 @@
                 self._count_received_part(attempt)
                 await self._send_part(attempt, events)
         self._check_stream_end(attempt)
+        await self._check_process(attempt)
         self._is_relaying = True
         self._record_sound_parts()
         read_s = read_lease_clock() - started_at - (self._sending_s - sending_before_s)
@@ -771,6 +772,27 @@
             message = 'the stream ended inside an event or before the first one'
             raise EndedEarly(message, step='receive_body', peer=answer.peer)
 
+    async def _check_process(self, attempt: Attempt) -> None:
+        """Raise EndedEarly if a stream without a marked end ended as its upstream crashed.
+
+        The kernel closes the connections of a killed process like the upstream closes one at the
+        end of such a stream, but then nothing listens at its address. The same holds for an
+        upstream that leaves, which sends its answers to their end.
+        """
+        upstream, answer = attempt.upstream, attempt.answer
+        is_announced = find_header(answer.headers, self._header_names.leaving) == FLAG_SET
+        if answer.has_length or is_announced or self._has_left(upstream):
+            return
+        if await self.context.pool.is_listening(upstream) or self._has_left(upstream):
+            return
+        message = 'the upstream refuses connections since the stream has ended'
+        raise EndedEarly(message, step='receive_body', peer=answer.peer)
+
+    def _has_left(self, upstream: Upstream) -> bool:
+        """Return whether the entry of an upstream was removed or says that it leaves."""
+        slots = self.context.scheduler.slots.get(upstream.upstream_id)
+        return slots is None or slots.upstream.is_leaving
+
     def _count_received_part(self, attempt: Attempt) -> None:
         self._is_relaying = True
         attempt.received_parts += 1
--- a/camphorpath/relay/upstream.py
+++ b/camphorpath/relay/upstream.py
@@ -220,6 +220,26 @@
         self.opened_count += 1
         return UpstreamConnection(connection, upstream.address)
 
+    async def is_listening(self, upstream: Upstream) -> bool:
+        """Return whether an upstream accepts connections; true unless it refuses a new one.
+
+        Keeps the connection that shows it for the next call.
+        """
+        idle = self._idle.get(upstream.address, ())
+        if any(not conn.connection.has_input() for conn in idle):
+            return True
+        try:
+            connection = await open_connection(upstream.host, upstream.port, MAX_CONNECT_TIMEOUT_S)
+        except ConnectionRefusedError:
+            return False
+        except (OSError, TimeoutError):
+            # A network failure does not tell whether the process has ended.
+            return True
+        self.opened_count += 1
+        conn = UpstreamConnection(connection, upstream.address, idle_since=read_lease_clock())
+        self._idle.setdefault(upstream.address, []).append(conn)
+        return True
+
     def release(self, conn: UpstreamConnection, *, is_complete: bool) -> None:
         """Keep a connection for reuse, or close it.
 
