--- a/tests/relay/test_endless_input.py
+++ b/tests/relay/test_endless_input.py
@@ -221,6 +221,7 @@
     async def test():
         left, right = socket.socketpair(socket.AF_UNIX)
         connection = Connection.__new__(Connection)
+        connection._error = None
         connection._sock = FullSocket(left)
         connection.turn = Turn()
         async with anyio.create_task_group() as group:
