Check that a run of a stream goes on where it is resumed

Callers got numbers that went back, events twice, or an early end that looked complete, if the upstream at which a stream was resumed ignored the last id, repeated its event, or answered 200 with another kind of body; and one event twice if the last one before the break had no id, as the id before it was asked for.

The first id of a resumed run must differ from the last one, and be greater if both are numbers; gaps are allowed, as ids rise in steps of any size. The answer must be a stream of events if the first one was. An event without an id makes the stream one that is not resumed until the next id; comments do not. This holds for streams that callers take up as well, which are tried elsewhere.

--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -38,7 +38,7 @@
 )
 from .caller import CallerConnection
 from .context import RelayContext
-from .events import EventSplitter
+from .events import EventSplitter, MisplacedEventError
 from .header_names import HeaderNames
 from .headers import Headers, find_header, select_answer_headers, select_request_headers
 from .stalls import get_stall_timeout
@@ -147,6 +147,8 @@
     _last_part_at: float = 0
     # Seconds for which sending a stream waited for the caller.
     _sending_s: float = 0
+    # Whether the answer that was started is a stream of server-sent events.
+    _is_event_stream: bool = False
     # Whether an answer of the current upstream is being passed on.
     _is_relaying: bool = False
     _failed_answer: FailedAnswer | None = None
@@ -430,6 +432,9 @@
         if self.has_answer_started and answer.status != STATUS_OK:
             message = f'resuming a stream failed with status {answer.status}'
             raise Truncated(message, step='receive_head', peer=upstream.address)
+        if self._is_event_stream and not answer.is_event_stream:
+            message = 'resuming a stream of events failed with an answer of another kind'
+            raise Truncated(message, step='receive_head', peer=upstream.address)
         attempt.answer = answer
 
     async def _relay(self, attempt: Attempt) -> str:
@@ -636,7 +641,7 @@
         answer = attempt.answer
         started_at, sending_before_s = read_lease_clock(), self._sending_s
         splitter = self.splitter
-        splitter.pop_partial()
+        splitter.start_run(self._get_resumed_id())
         before = splitter.event_count
         while not answer.is_complete:
             events = await self._read_events(attempt)
@@ -752,7 +757,11 @@
             chunk = await answer.read_chunk()
             # Events that the splitter has counted cannot be asked for again.
             self._check_version(attempt)
-            events = self.splitter.feed(chunk)
+            try:
+                events = self.splitter.feed(chunk)
+            except MisplacedEventError as error:
+                # The connection is sound, so that the error must not be taken for a crash.
+                raise Truncated(str(error), step='receive_body', peer=answer.peer) from None
             if events:
                 return events
             if len(self.splitter.partial) > MAX_EVENT_BYTES:
@@ -812,6 +821,7 @@
             await self.caller.send_part(part)
         else:
             self.has_answer_started = True
+            self._is_event_stream = answer.is_event_stream
             self._record_version(attempt.upstream.service, self._find_version(attempt.upstream))
             self._record_first_part()
             headers = select_answer_headers(answer.headers)
@@ -835,6 +845,12 @@
         resumed = self._find_header(self._header_names.resumed_attempt_id)
         return resumed or self.call.attempt_id
 
+    def _get_resumed_id(self) -> bytes:
+        """Return the id of the event after which the next run goes on; empty at the begin."""
+        if self.splitter.last_id or not self.call.route.is_resumable:
+            return self.splitter.last_id
+        return self._find_header(self._header_names.last_event_id)
+
     def _find_header(self, name: bytes) -> bytes:
         return find_header(self.call.request.headers, name)
 
