Play more troubles in the runs of real daemons, and check bookings

Upstreams crash with resets or with closed connections, stall, refuse calls with Retry-After, send garbage, repeat earlier answers and resume at the wrong event; daemons get SIGHUP and are restarted one after the other; manifests move the routes of streams to another service and back in series. Checks that are new: calls that must run once at most do so, those that were refused have not run, and no process ends unless told. Restarts of upstreams at another version can be left out. Tasks are ended at the end of a run, so that no closed event loop is reported.

--- a/tests/processes/__main__.py
+++ b/tests/processes/__main__.py
@@ -14,6 +14,7 @@
     parser.add_argument('--daemons', type=int, default=5)
     parser.add_argument('--upstreams', type=int, default=4)
     parser.add_argument('--callers', type=int, default=16)
+    parser.add_argument('--without-version-changes', action='store_true')
     parser.add_argument('--records', type=pathlib.Path, help='folder for the records and logs')
     options = parser.parse_args()
     first, _, last = options.seeds.partition('-')
@@ -25,6 +26,7 @@
             daemon_count=options.daemons,
             upstream_count=options.upstreams,
             caller_count=options.callers,
+            has_version_changes=not options.without_version_changes,
         )
         folder = options.records and options.records / f'{seed}'
         if folder:
--- a/tests/processes/callers.py
+++ b/tests/processes/callers.py
@@ -1,6 +1,8 @@
 """Callers that check each event of their streams, over all their tries."""
 
 import asyncio
+import collections
+import contextlib
 import json
 import random
 import time
@@ -10,6 +12,8 @@
 
 RETRY_PAUSE_S = 0.25
 CONNECT_LIMIT_S = 1.0
+# Statuses that promise that a call has not run and will not.
+REFUSALS = frozenset((408, 421, 429, 503))
 
 
 @attrs.frozen
@@ -48,6 +52,8 @@
     is_resumable: bool
     tries: list = attrs.field(factory=list)
     events: list = attrs.field(factory=list)
+    # Parts of the stream that are no events of an upstream.
+    odd_parts: list = attrs.field(factory=list)
 
     @property
     def is_complete(self):
@@ -56,6 +62,7 @@
     def list_faults(self):
         """Return how the events break the promises on streams; empty if they hold."""
         faults = [*self._check_numbers(), *self._check_runs(), *self._check_ends()]
+        faults += [f'{part!r} in a stream' for part in self.odd_parts]
         return [f'{self.key}: {fault}' for fault in faults]
 
     def _check_numbers(self):
@@ -102,6 +109,17 @@
                 yield f'try {number} ended as complete after event {last} of {self.total}'
 
 
+@attrs.define
+class Booking:
+    """One call that must run once at most, and what came of it."""
+
+    attempt: str
+    daemon: str
+    # None if the connection ended, or nothing came, before an answer.
+    status: int | None = None
+    body: bytes = b''
+
+
 @attrs.define
 class Caller:
     """Sends calls for streams to daemons and takes broken ones up again."""
@@ -118,6 +136,7 @@
     # Called with what happened.
     log: object = lambda text: None
     streams: list = attrs.field(factory=list)
+    bookings: list = attrs.field(factory=list)
     _kept: dict = attrs.field(factory=dict)
     _count: int = 0
 
@@ -191,6 +210,54 @@
                 writer.close()
         return pause_s
 
+    async def book(self, path):
+        """Send a call that must run once at most, and again after a refusal."""
+        until = time.monotonic() + self.deadline_s
+        while time.monotonic() < until:
+            address = self.choose_address()
+            if address is None:
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
+            booking = Booking(f'{self.rng.getrandbits(64):016x}', address)
+            self.bookings.append(booking)
+            with contextlib.suppress(OSError, TimeoutError, h11.RemoteProtocolError):
+                async with asyncio.timeout(self.max_gap_s):
+                    await self._book_once(booking, path)
+            if booking.status not in REFUSALS:
+                return
+            await asyncio.sleep(RETRY_PAUSE_S)
+
+    async def _book_once(self, booking, path):
+        reader, writer = await self._connect(booking.daemon)
+        connection = h11.Connection(h11.CLIENT)
+        headers = [
+            ('Host', 'a.example'),
+            ('X-Attempt-Id', booking.attempt),
+            ('X-Deadline-Ms', '1200'),
+            ('Content-Length', '2'),
+        ]
+        try:
+            request = h11.Request(method='POST', target=path, headers=headers)
+            writer.write(connection.send(request) + connection.send(h11.Data(b'{}')))
+            writer.write(connection.send(h11.EndOfMessage()))
+            status = None
+            while connection.their_state is not h11.DONE:
+                event = connection.next_event()
+                if event is h11.NEED_DATA:
+                    connection.receive_data(await reader.read(self.read_bytes))
+                elif isinstance(event, h11.Response):
+                    status = event.status_code
+                elif isinstance(event, h11.Data):
+                    booking.body += bytes(event.data)
+                elif not isinstance(event, h11.EndOfMessage):
+                    return
+            booking.status = status
+        finally:
+            if booking.status is None or connection.our_state is not h11.DONE:
+                writer.close()
+            else:
+                self._kept[booking.daemon] = reader, writer
+
     def close(self):
         for _reader, writer in self._kept.values():
             writer.close()
@@ -233,9 +300,12 @@
     def _receive(self, stream, tried, content):
         *events, tried.partial = (tried.partial + content).split(b'\n\n')
         for event in events:
-            fields = dict(line.split(': ', 1) for line in event.decode().split('\n') if line)
-            document = json.loads(fields['data'])
-            document['id'] = fields['id']
+            try:
+                fields = dict(line.split(': ', 1) for line in event.decode().split('\n') if line)
+                document = json.loads(fields['data']) | {'id': fields['id']}
+            except (ValueError, KeyError):
+                stream.odd_parts.append(event)
+                continue
             tried.event_count += 1
             stream.events.append(Received(len(stream.tries) - 1, time.monotonic(), document))
 
@@ -246,3 +316,27 @@
     return len(taken_up), sum(
         bool(tried.event_count) or tried.end == 'complete' for tried in taken_up
     )
+
+
+def list_run_faults(callers, upstreams):
+    """Return how runs break the promises on calls that must run once at most."""
+    runs = collections.Counter(run.attempt for upstream in upstreams for run in upstream.runs)
+    tries = [
+        (tried.attempt, tried.status)
+        for caller in callers
+        for stream in caller.streams
+        for tried in stream.tries
+        if not stream.is_resumable
+    ]
+    bookings = [booking for caller in callers for booking in caller.bookings]
+    tries += [(booking.attempt, booking.status) for booking in bookings]
+    faults = []
+    for attempt, status in tries:
+        if runs[attempt] > 1:
+            faults.append(f'{attempt} ran {runs[attempt]} times')
+        if status in REFUSALS and runs[attempt]:
+            faults.append(f'{attempt} ran and was answered {status}')
+    for booking in bookings:
+        if booking.status == 200 and booking.body != f'done {booking.attempt}'.encode():
+            faults.append(f'{booking.attempt} was answered {booking.body!r}')
+    return faults
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -23,6 +23,9 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 ZONES = {'a': 'region-a', 'b': 'region-b', 'c': 'region-c'}
 READY_LIMIT_S = 30.0
+# Exit codes of processes that were told to end.
+ENDS = frozenset((0, -signal.SIGTERM, -signal.SIGKILL))
+END_LIMIT_S = 2.0
 PORT_NAMES = ('frontend', 'ready', 'control_plane', 'directory_service', 'internal')
 BOUNDS = {
     'seed_lag_s': 3,
@@ -91,8 +94,8 @@
 )
 
 
-def make_manifest(version, routes=ROUTES):
-    services = sorted({route['service'] for route in routes})
+def make_manifest(version, routes=ROUTES, services=()):
+    services = sorted({*services, *(route['service'] for route in routes)})
     return {
         'version': version,
         'routes': list(routes),
@@ -119,6 +122,9 @@
     # Links to and from each other daemon, by its name.
     peer_links: dict = attrs.field(factory=dict)
     exit_codes: list = attrs.field(factory=list)
+    started_at: float = 0.0
+    # Whether the run has told the process to end.
+    is_ending: bool = False
 
     @property
     def address(self):
@@ -135,6 +141,8 @@
             'CAMPHORPATH_CONFIG': str(self.settings_path),
             'PYTHONDONTWRITEBYTECODE': '1',
         }
+        self.is_ending = False
+        self.started_at = time.monotonic()
         with self.log_path.open('ab') as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -150,8 +158,16 @@
 
     def send_signal(self, number):
         if self.is_running:
+            self.is_ending = self.is_ending or number in {signal.SIGTERM, signal.SIGKILL}
             self.process.send_signal(number)
 
+    def list_faults(self):
+        """Return how processes have ended otherwise than told."""
+        faults = [f'{self.name} exited with {code}' for code in self.exit_codes if code not in ENDS]
+        if not self.is_running and not self.is_ending:
+            faults.append(f'{self.name} ended by itself with {self.process.returncode}')
+        return faults
+
     async def kill(self):
         self.send_signal(signal.SIGKILL)
         await self.wait()
@@ -298,7 +314,9 @@
 async def open_fleet(daemon_count, seed=1, *, routes=ROUTES, zones=ZONES, folder=None):
     """Build a fleet with a store and links; its daemons are not started yet."""
     rng = random.Random(seed)
-    with contextlib.ExitStack() as stack:
+    others = asyncio.all_tasks()
+    async with contextlib.AsyncExitStack() as stack:
+        stack.push_async_callback(_end_tasks, others)
         if folder is None:
             folder = stack.enter_context(tempfile.TemporaryDirectory(prefix='camphorpath-'))
         net = f'127.{random.randint(16, 250)}.{random.randint(1, 250)}'
@@ -314,6 +332,18 @@
                 await fleet.close()
 
 
+async def _end_tasks(others):
+    """Wait for the tasks of closed connections, and cancel the rest."""
+    await asyncio.sleep(0)
+    own = asyncio.all_tasks() - others - {asyncio.current_task()}
+    if not own:
+        return
+    _done, pending = await asyncio.wait(own, timeout=END_LIMIT_S)
+    for task in pending:
+        task.cancel()
+    await asyncio.gather(*own, return_exceptions=True)
+
+
 async def _add_daemons(fleet, daemon_count, zones):
     hosts = [f'{fleet.net}.{number + 2}' for number in range(daemon_count)]
     names = list(zones)
--- a/tests/processes/soak.py
+++ b/tests/processes/soak.py
@@ -2,14 +2,27 @@
 
 import asyncio
 import random
+import signal
+import time
 
 import attrs
 
-from .callers import Caller, count_take_ups
-from .fleet import open_fleet
+from .callers import Caller, count_take_ups, list_run_faults
+from .fleet import ROUTES, make_manifest, open_fleet
 
 SETTLE_S = 2.0
 OLD, NEW, NEWEST = 'v1', 'v2', 'v3'
+# Services between which a manifest may move the routes of streams.
+SERVICES = ('llm', 'spare')
+# Troubles of the upstreams of streams, as shares of their answers.
+SHARES = {
+    'break_share': 0.1,
+    'silent_share': 0.05,
+    'misplaced_share': 0.03,
+    'repeat_share': 0.05,
+}
+# A process handles signals from its start, but not while its interpreter starts.
+SIGNAL_DELAY_S = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -23,6 +36,8 @@
     caller_count: int = 16
     # Mean pause between two troubles.
     trouble_interval_s: float = 1.2
+    # Whether upstreams restart under their ids at another version.
+    has_version_changes: bool = True
 
 
 @attrs.define
@@ -31,6 +46,7 @@
 
     faults: list
     streams: list
+    bookings: list
     record: list
     exit_codes: list
 
@@ -39,7 +55,9 @@
         complete = sum(stream.is_complete for stream in self.streams)
         return (
             f'{len(self.streams)} streams, {complete} complete, {taken_up} take-ups, '
-            f'{gone_on} went on, {len(self.faults)} faults, exit codes {self.exit_codes}'
+            f'{gone_on} went on, {len(self.bookings)} bookings, '
+            f'{sum(booking.status is None for booking in self.bookings)} unanswered, '
+            f'{len(self.faults)} faults, exit codes {self.exit_codes}'
         )
 
 
@@ -47,10 +65,10 @@
     """Play a run and return its outcome."""
     async with open_fleet(plan.daemon_count, plan.seed, folder=folder) as fleet:
         for number in range(plan.upstream_count):
-            await fleet.add_upstream(
-                OLD, zone='abc'[number % 3], break_share=0.1, silent_share=0.05
-            )
-        await fleet.add_upstream(OLD, service='ledger')
+            await fleet.add_upstream(OLD, zone='abc'[number % 3], **SHARES)
+        for zone in 'ab':
+            await fleet.add_upstream(OLD, service='spare', zone=zone, **SHARES)
+            await fleet.add_upstream(OLD, service='ledger', zone=zone, repeat_share=0.05)
         await fleet.start_daemons()
         await asyncio.sleep(SETTLE_S)
         callers = [_make_caller(fleet, number, plan) for number in range(plan.caller_count)]
@@ -63,9 +81,12 @@
         for caller in callers:
             caller.close()
         streams = [stream for caller in callers for stream in caller.streams]
+        bookings = [booking for caller in callers for booking in caller.bookings]
         faults = [fault for stream in streams for fault in stream.list_faults()]
+        faults += list_run_faults(callers, fleet.upstreams)
+        faults += [fault for daemon in fleet.daemons for fault in daemon.list_faults()]
         codes = [code for daemon in fleet.daemons for code in daemon.exit_codes if code != -9]
-        return Outcome(faults, streams, fleet.record, codes)
+        return Outcome(faults, streams, bookings, fleet.record, codes)
 
 
 def _make_caller(fleet, number, plan):
@@ -82,6 +103,8 @@
 
 async def _call(fleet, caller, until):
     while fleet.now() < until:
+        if caller.rng.random() < 0.3:
+            await caller.book('/book/x')
         is_resumable = caller.rng.random() < 0.85
         total = caller.rng.randint(5, 60)
         await caller.fetch_stream(
@@ -100,13 +123,11 @@
                 return
             if upstream.software_version == version or not upstream.is_up:
                 continue
-            if rng.random() < 0.3:
+            if rng.random() < 0.3 and plan.has_version_changes:
                 fleet.log(f'{upstream.upstream_id} restarts under its id as {version}')
                 await fleet.restart_upstream(upstream, version)
             else:
-                await fleet.add_upstream(
-                    version, zone=upstream.zone, break_share=0.1, silent_share=0.05
-                )
+                await fleet.add_upstream(version, zone=upstream.zone, **SHARES)
                 await _drain(fleet, upstream, rng)
             await asyncio.sleep(rng.uniform(0.2, 2.0))
 
@@ -133,6 +154,8 @@
     fleet: object
     plan: Plan
     rng: random.Random = attrs.field(init=False)
+    _is_restarting_all: bool = False
+    _manifest_version: int = 7
     _tasks: set = attrs.field(factory=set)
 
     def __attrs_post_init__(self):
@@ -153,6 +176,11 @@
             self._cut_off,
             self._crash_upstream,
             self._crash_upstream,
+            self._stall_upstream,
+            self._refuse_calls,
+            self._send_hangups,
+            self._change_manifests,
+            self._restart_all,
             self._fail_store,
             self._restore_store,
         )
@@ -193,8 +221,21 @@
 
     async def _stop(self):
         daemon = self._choose()
-        if daemon is None:
+        if daemon is not None:
+            await self._restart(daemon)
+
+    async def _restart_all(self):
+        """Restart the daemons one after the other."""
+        if self._is_restarting_all:
             return
+        self._is_restarting_all = True
+        for daemon in self.fleet.daemons:
+            if daemon.is_running and not daemon.is_frozen:
+                await self._restart(daemon)
+                await asyncio.sleep(self.rng.uniform(0.5, 1.5))
+        self._is_restarting_all = False
+
+    async def _restart(self, daemon):
         self.fleet.log(f'{daemon.name} gets SIGTERM')
         process = daemon.process
         daemon.send_signal(15)
@@ -246,20 +287,63 @@
         self.fleet.log(f'{daemon.name} is connected')
 
     async def _crash_upstream(self):
-        engines = [
-            upstream
-            for upstream in self.fleet.upstreams
-            if upstream.service == 'llm' and upstream.is_up and not upstream.is_leaving
-        ]
-        if not engines:
+        upstream = self._choose_upstream('llm')
+        if upstream is None:
             return
-        upstream = self.rng.choice(engines)
-        self.fleet.log(f'{upstream.upstream_id} crashes')
-        upstream.crash()
+        is_reset = self.rng.random() < 0.5
+        self.fleet.log(f'{upstream.upstream_id} crashes, is_reset {is_reset}')
+        upstream.crash(is_reset=is_reset)
         await asyncio.sleep(self.rng.uniform(0.1, 2))
         await upstream.start(upstream.address)
         self.fleet.register(upstream)
 
+    def _choose_upstream(self, *services):
+        upstreams = [
+            upstream
+            for upstream in self.fleet.upstreams
+            if upstream.service in services and upstream.is_up and not upstream.is_leaving
+        ]
+        return self.rng.choice(upstreams) if upstreams else None
+
+    async def _stall_upstream(self):
+        upstream = self._choose_upstream('llm', 'ledger')
+        if upstream is not None:
+            stall_s = self.rng.uniform(0.2, 3)
+            self.fleet.log(f'{upstream.upstream_id} stalls for {stall_s:.1f} s')
+            upstream.stalled_until = time.monotonic() + stall_s
+
+    async def _refuse_calls(self):
+        upstream = self._choose_upstream('llm', 'ledger')
+        if upstream is not None:
+            rest_s = self.rng.uniform(0.2, 2)
+            self.fleet.log(f'{upstream.upstream_id} refuses calls for {rest_s:.1f} s')
+            upstream.refusing_until = time.monotonic() + rest_s
+
+    async def _send_hangups(self):
+        for _ in range(self.rng.randint(1, 5)):
+            daemon = self._choose()
+            if daemon is not None and time.monotonic() - daemon.started_at > SIGNAL_DELAY_S:
+                self.fleet.log(f'{daemon.name} gets SIGHUP')
+                daemon.send_signal(signal.SIGHUP)
+            await asyncio.sleep(self.rng.choice((0, 0.1)))
+
+    async def _change_manifests(self):
+        """Move the routes of streams to another service and back, several times."""
+        for _ in range(self.rng.randint(1, 3)):
+            self._publish_manifest(self.rng.choice(SERVICES))
+            await asyncio.sleep(self.rng.uniform(0, 1))
+        self._publish_manifest(SERVICES[0])
+
+    def _publish_manifest(self, service):
+        self._manifest_version += self.rng.randint(1, 3)
+        routes = [
+            route | {'service': service} if route['service'] in SERVICES else route
+            for route in ROUTES
+        ]
+        manifest = make_manifest(self._manifest_version, routes, SERVICES)
+        self.fleet.store.put('op', 'config', manifest)
+        self.fleet.log(f'manifest {self._manifest_version} leads streams to {service}')
+
     async def _fail_store(self):
         store = self.fleet.store
         if store.mode != 'up':
--- a/tests/processes/upstreams.py
+++ b/tests/processes/upstreams.py
@@ -13,6 +13,15 @@
 REPORT_PATH = '/camphorpath/report'
 
 
+@attrs.frozen
+class Run:
+    """A request that an upstream has run."""
+
+    attempt: str
+    last_event_id: str
+    path: str
+
+
 @attrs.define(eq=False)
 class StreamUpstream:
     """An upstream that streams numbered events; its process may restart under its id.
@@ -34,13 +43,19 @@
     # Share of the streams that are silent for a time, and for how long.
     silent_share: float = 0.0
     silent_s: float = 1.2
+    # Share of the resumed streams that do not go on where they were broken off.
+    misplaced_share: float = 0.0
+    # Share of the answers after which an old one is sent once more on the connection.
+    repeat_share: float = 0.0
+    # On the monotonic clock: until when nothing is sent, and until when requests are refused.
+    stalled_until: float = 0.0
+    refusing_until: float = 0.0
     address: str = ''
     born: int = attrs.field(factory=lambda: int(time.time() * 1000))
     sequence: int = 1
     is_leaving: bool = False
     is_up: bool = False
-    # (attempt id, last event id of the caller) of all runs.
-    runs: list = attrs.field(factory=list)
+    runs: list[Run] = attrs.field(factory=list)
     running: int = 0
     # Called with each request that was run.
     on_run: object = lambda upstream, request: None
@@ -70,13 +85,16 @@
         self._server = await asyncio.start_server(self._serve, host, int(port))
         self.is_up = True
 
-    def crash(self):
-        """End the process; its connections are reset."""
+    def crash(self, *, is_reset=True):
+        """End the process; its connections are reset, or closed as those of a killed process."""
         self.is_up = False
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
-            reset(writer)
+            if is_reset:
+                reset(writer)
+            else:
+                writer.transport.abort()
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
@@ -104,10 +122,13 @@
             return await self._refuse(writer, 421, attempt)
         if not attempt:
             return await self._refuse(writer, 400, attempt)
+        resting_s = self.refusing_until - time.monotonic()
+        if resting_s > 0:
+            return await self._refuse(writer, 503, attempt, {'Retry-After': f'{resting_s:.3f}'})
         if self.running >= self.slots:
             return await self._refuse(writer, 503, attempt)
         self.running += 1
-        self.runs.append((attempt, headers.get('last-event-id', '')))
+        self.runs.append(Run(attempt, headers.get('last-event-id', ''), request.path))
         self.on_run(self, request)
         try:
             if request.path.startswith('/book/'):
@@ -116,20 +137,35 @@
         finally:
             self.running -= 1
 
-    async def _refuse(self, writer, status, attempt):
+    async def _refuse(self, writer, status, attempt, more_headers=None):
         named = {'X-Attempt-Id': attempt, 'X-Not-Executed': 1, 'Content-Length': 0}
-        writer.write(make_head(status, named))
+        writer.write(make_head(status, named | (more_headers or {})))
         await writer.drain()
         return True
 
     async def _answer_booking(self, attempt, writer):
         await asyncio.sleep(self.event_interval_s)
+        await self._wait_out_stall()
         body = f'done {attempt}'.encode()
         writer.write(make_head(200, self._make_headers(attempt) | {'Content-Length': len(body)}))
         writer.write(body)
         await writer.drain()
+        if self.rng.random() < self.repeat_share:
+            await self._repeat_answer(writer)
         return True
 
+    async def _repeat_answer(self, writer):
+        """Send an answer to an earlier request, if any, where the next one is expected."""
+        earlier = self.rng.choice(self.runs).attempt
+        await asyncio.sleep(self.rng.choice((0, 0.002, 0.05)))
+        event = b'id: 1\ndata: {}\n\n'
+        headers = {'Content-Type': 'text/event-stream', 'Content-Length': len(event)}
+        writer.write(make_head(200, self._make_headers(earlier) | headers) + event)
+        await writer.drain()
+
+    async def _wait_out_stall(self):
+        await asyncio.sleep(max(self.stalled_until - time.monotonic(), 0))
+
     def _make_headers(self, attempt):
         headers = {
             'X-Attempt-Id': attempt,
@@ -144,6 +180,8 @@
         _empty, _prefix, key, count = request.path.split('/')
         total = int(count)
         first = int(request.headers.get('last-event-id') or 0) + 1
+        if first > 1 and self.rng.random() < self.misplaced_share:
+            first = self.rng.choice((1, first - 1))
         self._run_count += 1
         run = f'{self.upstream_id}/{self.born}/{self._run_count}'
         is_chunked = self.rng.choice(self.framings) == 'chunked'
@@ -159,6 +197,7 @@
         for number in range(first, total + 1):
             if number == silent_at:
                 await asyncio.sleep(self.silent_s)
+            await self._wait_out_stall()
             document = {
                 'key': key,
                 'number': number,
@@ -172,6 +211,8 @@
             if number == broken_at:
                 # A part of the event, without its end.
                 self._write_part(writer, event[: self.rng.randint(0, len(event) - 2)], is_chunked)
+                if is_chunked and self.rng.random() < 0.3:
+                    writer.write(self.rng.randbytes(200))
                 await writer.drain()
                 if self.rng.random() < 0.5 or not is_chunked:
                     reset(writer)
@@ -184,6 +225,8 @@
         if is_chunked:
             writer.write(b'0\r\n\r\n')
         await writer.drain()
+        if is_chunked and self.rng.random() < self.repeat_share:
+            await self._repeat_answer(writer)
         return is_chunked
 
     def _split(self, event):
