--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -38,7 +38,7 @@
 )
 from .caller import CallerConnection
 from .context import RelayContext
-from .events import EventSplitter
+from .events import EventSplitter, MisplacedEventError
 from .header_names import HeaderNames
 from .headers import Headers, find_header, select_answer_headers, select_request_headers
 from .stalls import get_stall_timeout
@@ -115,6 +115,8 @@
     received_parts: int = 0
     is_complete: bool = False
     is_ended: bool = False
+    # Raised by reading the answer while it was not awaited.
+    read_error: Exception | None = None
 
     def has_unread_bytes(self) -> bool:
         """Return whether the upstream has sent bytes that were not read."""
@@ -145,6 +147,8 @@
     _last_part_at: float = 0
     # Seconds for which sending a stream waited for the caller.
     _sending_s: float = 0
+    # Whether the answer that was started is a stream of server-sent events.
+    _is_event_stream: bool = False
     # Whether an answer of the current upstream is being passed on.
     _is_relaying: bool = False
     _failed_answer: FailedAnswer | None = None
@@ -428,6 +432,9 @@
         if self.has_answer_started and answer.status != STATUS_OK:
             message = f'resuming a stream failed with status {answer.status}'
             raise Truncated(message, step='receive_head', peer=upstream.address)
+        if self._is_event_stream and not answer.is_event_stream:
+            message = 'resuming a stream of events failed with an answer of another kind'
+            raise Truncated(message, step='receive_head', peer=upstream.address)
         attempt.answer = answer
 
     async def _relay(self, attempt: Attempt) -> str:
@@ -634,7 +641,7 @@
         answer = attempt.answer
         started_at, sending_before_s = read_lease_clock(), self._sending_s
         splitter = self.splitter
-        splitter.pop_partial()
+        splitter.start_run(self._get_resumed_id())
         before = splitter.event_count
         while not answer.is_complete:
             events = await self._read_events(attempt)
@@ -642,6 +649,7 @@
                 self._count_received_part(attempt)
                 await self._send_part(attempt, events)
         self._check_stream_end(attempt)
+        await self._check_process(attempt)
         self._is_relaying = True
         self._record_sound_parts()
         read_s = read_lease_clock() - started_at - (self._sending_s - sending_before_s)
@@ -675,29 +683,36 @@
         self, attempt: Attempt, read: Callable[[], Awaitable[Answer]]
     ) -> Answer:
         """Return what `read` returns; raise Truncated once another upstream resumes the stream."""
-        while True:
+        found: Answer | None = None
+        while found is None:
+            if attempt.read_error is not None:
+                raise attempt.read_error
             found = await self._read_or_replace(read)
-            if found is not None:
-                return found
-            if await self._resume_elsewhere(attempt):
-                raise _make_stall(attempt)
+            if found is None:
+                found = await self._resume_elsewhere(attempt, read)
+        return found
 
-    async def _resume_elsewhere(self, silent: Attempt) -> bool:
-        """Send a stream to the upstream of the replacement; return whether to go on there.
+    async def _resume_elsewhere(
+        self, silent: Attempt, read: Callable[[], Awaitable[Answer]]
+    ) -> Answer | None:
+        """Send a stream to the upstream of the replacement; raise Truncated to go on there.
 
         The connection to the silent upstream stays open meanwhile, as the other one may be full. If
-        the silent one goes on before the other one has begun to answer, it is kept.
+        `read` returns before the other one has begun to answer, the silent one is kept and the
+        result returned. Returns None if the other one does not take the stream.
         """
         replacement = self._replacement
+        read_before: list[Answer] = []
         try:
             await self._connect(replacement)
             if silent.has_unread_bytes() or not self._may_replace() or not self._charge_retry():
                 self._discard_replacement()
-                return False
+                return None
             self._send(replacement)
+            read_silent = functools.partial(_read_into, read_before, silent, read)
             with anyio.move_on_after(MAX_OVERLAP_S):
-                answer = await self._read_unless_resumed(replacement, silent)
-                if answer is not None:
+                answer = await self._read_unless_resumed(replacement, read_silent)
+                if answer is not None and not read_before:
                     self._accept_head(replacement, answer)
         except UpstreamError as error:
             self.unsent_attempts += isinstance(error, NotSent)
@@ -705,14 +720,14 @@
             self._discard_replacement()
             # Not again for this call, also if it could not be connected to.
             self.tried_upstreams.add(replacement.upstream.upstream_id)
-            return False
-        if replacement.answer is None and silent.has_unread_bytes():
+            return read_before[0] if read_before else None
+        if read_before:
             self._discard_replacement()
-            return False
-        return True
+            return read_before[0]
+        raise _make_stall(silent)
 
     async def _read_unless_resumed(
-        self, replacement: Attempt, silent: Attempt
+        self, replacement: Attempt, read_silent: Callable[[anyio.CancelScope], Awaitable[None]]
     ) -> UpstreamAnswer | None:
         """Return the head of the answer of a replacement, or None if the silent upstream goes on.
 
@@ -721,7 +736,7 @@
         answer: UpstreamAnswer | None = None
         failure: UpstreamError | None = None
         async with anyio.create_task_group() as group:
-            group.start_soon(_cancel_when_resumed, silent, group.cancel_scope)
+            group.start_soon(read_silent, group.cancel_scope)
             try:
                 answer = await self._read_answer(replacement)
             except UpstreamError as error:
@@ -742,7 +757,11 @@
             chunk = await answer.read_chunk()
             # Events that the splitter has counted cannot be asked for again.
             self._check_version(attempt)
-            events = self.splitter.feed(chunk)
+            try:
+                events = self.splitter.feed(chunk)
+            except MisplacedEventError as error:
+                # The connection is sound, so that the error must not be taken for a crash.
+                raise Truncated(str(error), step='receive_body', peer=answer.peer) from None
             if events:
                 return events
             if len(self.splitter.partial) > MAX_EVENT_BYTES:
@@ -762,6 +781,27 @@
             message = 'the stream ended inside an event or before the first one'
             raise EndedEarly(message, step='receive_body', peer=answer.peer)
 
+    async def _check_process(self, attempt: Attempt) -> None:
+        """Raise EndedEarly if a stream without a marked end ended as its upstream crashed.
+
+        The kernel closes the connections of a killed process like the upstream closes one at the
+        end of such a stream, but then nothing listens at its address. The same holds for an
+        upstream that leaves, which sends its answers to their end.
+        """
+        upstream, answer = attempt.upstream, attempt.answer
+        is_announced = find_header(answer.headers, self._header_names.leaving) == FLAG_SET
+        if answer.has_length or is_announced or self._has_left(upstream):
+            return
+        if await self.context.pool.is_listening(upstream) or self._has_left(upstream):
+            return
+        message = 'the upstream refuses connections since the stream has ended'
+        raise EndedEarly(message, step='receive_body', peer=answer.peer)
+
+    def _has_left(self, upstream: Upstream) -> bool:
+        """Return whether the entry of an upstream was removed or says that it leaves."""
+        slots = self.context.scheduler.slots.get(upstream.upstream_id)
+        return slots is None or slots.upstream.is_leaving
+
     def _count_received_part(self, attempt: Attempt) -> None:
         self._is_relaying = True
         attempt.received_parts += 1
@@ -781,6 +821,7 @@
             await self.caller.send_part(part)
         else:
             self.has_answer_started = True
+            self._is_event_stream = answer.is_event_stream
             self._record_version(attempt.upstream.service, self._find_version(attempt.upstream))
             self._record_first_part()
             headers = select_answer_headers(answer.headers)
@@ -804,6 +845,12 @@
         resumed = self._find_header(self._header_names.resumed_attempt_id)
         return resumed or self.call.attempt_id
 
+    def _get_resumed_id(self) -> bytes:
+        """Return the id of the event after which the next run goes on; empty at the begin."""
+        if self.splitter.last_id or not self.call.route.is_resumable:
+            return self.splitter.last_id
+        return self._find_header(self._header_names.last_event_id)
+
     def _find_header(self, name: bytes) -> bytes:
         return find_header(self.call.request.headers, name)
 
@@ -947,14 +994,22 @@
     return isinstance(error, (SentUnknown, Truncated)) and error.__cause__ is not None
 
 
-async def _cancel_when_resumed(silent: Attempt, scope: anyio.CancelScope) -> None:
-    """Cancel a scope when a silent upstream sends bytes again; return if its connection ends."""
+async def _read_into(
+    found: list[Answer],
+    silent: Attempt,
+    read: Callable[[], Awaitable[Answer]],
+    scope: anyio.CancelScope,
+) -> None:
+    """Add what `read` returns to `found` and cancel a scope; keep an error for the next reader.
+
+    Bytes alone do not show that a silent upstream goes on, as they may never complete an event.
+    """
     try:
-        await silent.conn.connection.wait_for_input()
-    except OSError:
+        found.append(await read())
+    except (UpstreamError, OSError, h11.LocalProtocolError) as error:
+        silent.read_error = error
         return
-    if silent.has_unread_bytes():
-        scope.cancel()
+    scope.cancel()
 
 
 def _make_stall(attempt: Attempt) -> Truncated:
