Limit the memory of all buffered answers together

Callers saw: a faulty upstream sent bytes without end in the bodies of many answers at once; the daemon kept 4 MiB of each and grew over the limit of its process (300 MB), which ends all its calls.

Cause: MAX_ANSWER_BYTES bounds one answer, and nothing bounded their sum. The tracebacks of failed attempts also kept the parts until garbage collection.

Evidence: tests/processes/test_endless_bytes.py, 300 calls at once to upstreams that send as fast as they can.

Change: the parts that answers hold are counted in one pool of 32 MiB. An answer may hold as much as is left for the others, and always 64 KiB, so that single large answers pass and endless ones do not take the room of sound ones. A refused answer clears its parts.

--- /dev/null
+++ b/camphorpath/relay/buffers.py
@@ -0,0 +1,35 @@
+"""Limits the memory of the answers that a daemon buffers for all its calls together."""
+
+import attrs
+
+# A daemon may have some 300 MB. The body of an answer is copied once when it is passed on.
+MAX_BUFFERED_BYTES = 33554432
+# Each answer may have this much, however much the others hold.
+GUARANTEED_BYTES = 65536
+
+
+@attrs.define
+class BufferPool:
+    """The bytes that answers in progress hold, and their limit."""
+
+    max_bytes: int = MAX_BUFFERED_BYTES
+    used_bytes: int = 0
+
+
+@attrs.define(eq=False)
+class Reservation:
+    """The share of one call in a pool.
+
+    It may grow to as much as is left for the others, so that large answers pass while there are few
+    and many endless ones do not take the room of a sound one.
+    """
+
+    _pool: BufferPool
+    _size: int = 0
+
+    def resize(self, size: int) -> bool:
+        """Hold `size` bytes instead of those before; return whether they are within the limit."""
+        self._pool.used_bytes += size - self._size
+        self._size = size
+        free = self._pool.max_bytes - self._pool.used_bytes
+        return size <= max(free, GUARANTEED_BYTES)
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -36,6 +36,7 @@
     check_quarantine,
     get_call_digest,
 )
+from .buffers import Reservation
 from .caller import CallerConnection
 from .context import RelayContext
 from .events import EventSplitter
@@ -55,7 +56,7 @@
 STATUS_SERVER_ERROR = 500
 STATUS_BAD_GATEWAY = 502
 STATUS_GATEWAY_TIMEOUT = 504
-# Largest answer that is buffered before it is relayed; each call in progress may take as much.
+# Largest answer that is buffered before it is relayed; RelayContext.buffers limits their sum.
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 # Attempts of one call that may fail before any byte was sent; then the call is refused.
 MAX_UNSENT_ATTEMPTS = 4
@@ -153,6 +154,12 @@
     _origin: KnownOrigin | None = None
     # The attempt that replaces the current one, whose upstream is silent.
     _replacement: Attempt | None = None
+    # What is held of answers until it is passed on.
+    _reservation: Reservation = attrs.field(init=False)
+
+    @_reservation.default
+    def _make_reservation(self) -> Reservation:
+        return Reservation(self.context.buffers)
 
     async def serve(self) -> str:
         """Relay an answer to the caller and return its outcome.
@@ -165,6 +172,7 @@
                     return await self._send_until_answered()
         finally:
             self._discard_replacement()
+            self._reservation.resize(0)
         raise self._refuse_quarantined()
 
     async def _send_until_answered(self) -> str:
@@ -612,9 +620,19 @@
                 source='answer',
             )
 
+    def _reserve(self, answer: UpstreamAnswer, size: int) -> None:
+        """Count `size` bytes as held; raise AnswerTooLarge if all calls hold too much."""
+        if not self._reservation.resize(size):
+            message = 'the answers in progress exceed the memory for them'
+            raise AnswerTooLarge(message, step='receive_body', peer=answer.peer)
+
     async def _relay_buffered(self, attempt: Attempt) -> str:
         answer = attempt.answer
-        body = await answer.read_all(MAX_ANSWER_BYTES)
+        failed = self._failed_answer
+        kept_bytes = len(failed.body) if failed else 0
+        body = await answer.read_all(
+            MAX_ANSWER_BYTES, lambda size: self._reserve(answer, kept_bytes + size)
+        )
         headers = select_answer_headers(answer.headers)
         is_failure = answer.status >= STATUS_SERVER_ERROR
         if is_failure and self.call.route.is_repeatable and self._can_send_again():
@@ -743,6 +761,7 @@
             # Events that the splitter has counted cannot be asked for again.
             self._check_version(attempt)
             events = self.splitter.feed(chunk)
+            self._reserve(answer, len(self.splitter.partial))
             if events:
                 return events
             if len(self.splitter.partial) > MAX_EVENT_BYTES:
--- a/camphorpath/relay/context.py
+++ b/camphorpath/relay/context.py
@@ -16,6 +16,7 @@
 from ..placement.scheduler import Scheduler
 from ..routing import CallerLimits, RoutingTable, Upstream
 from ..streams import OriginLookup
+from .buffers import BufferPool
 from .caller import CallerConnection
 from .header_names import HeaderNames
 from .metrics import RelayMetrics
@@ -31,6 +32,8 @@
     quota: QuotaLedger
     budget: RetryBudget
     pool: UpstreamPool
+    # Parts of answers that are held until they can be passed on.
+    buffers: BufferPool = attrs.field(factory=BufferPool)
     quarantine: Quarantine = attrs.field(factory=Quarantine)
     # The software versions that began streams.
     origins: OriginLookup = attrs.field(factory=OriginLookup)
--- a/camphorpath/relay/upstream.py
+++ b/camphorpath/relay/upstream.py
@@ -2,6 +2,7 @@
 
 import math
 import re
+from collections.abc import Callable
 
 import attrs
 import h11
@@ -180,12 +181,20 @@
             'connection closed before the end of the answer', step='receive_body', peer=self.peer
         )
 
-    async def read_all(self, max_cost: int) -> bytes:
-        """Return the whole body; raise Truncated, or AnswerTooLarge above a cost of `max_cost`."""
+    async def read_all(self, max_cost: int, reserve: Callable[[int], None]) -> bytes:
+        """Return the whole body; raise Truncated, or AnswerTooLarge above a cost of `max_cost`.
+
+        Calls `reserve` with the size of the parts so far in bytes, and raises what it raises.
+        """
         parts = bytearray()
-        while not self.is_complete:
-            parts += await self.read_chunk(max_cost)
-        return bytes(parts)
+        try:
+            while not self.is_complete:
+                parts += await self.read_chunk(max_cost)
+                reserve(len(parts))
+            return bytes(parts)
+        finally:
+            # The traceback of an error refers to this frame and may outlive the call.
+            parts.clear()
 
 
 @attrs.define
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -193,9 +193,16 @@
 
     def measure_memory_mb(self):
         """Return the resident memory of the process, which must run."""
+        return self._read_memory_mb('VmRSS:')
+
+    def measure_peak_memory_mb(self):
+        """Return the largest resident memory of the process so far, which must run."""
+        return self._read_memory_mb('VmHWM:')
+
+    def _read_memory_mb(self, name):
         text = pathlib.Path(f'/proc/{self.process.pid}/status').read_text()
         for line in text.splitlines():
-            if line.startswith('VmRSS:'):
+            if line.startswith(name):
                 return int(line.split()[1]) / 1024
         return 0.0
 
--- /dev/null
+++ b/tests/processes/test_endless_bytes.py
@@ -0,0 +1,152 @@
+"""Upstreams and stores that send bytes without end to daemons with a limit on their memory."""
+
+import asyncio
+import contextlib
+import itertools
+
+import pytest
+
+from ..relay.support import flood_connections
+from .fleet import ROUTES, make_route, open_fleet
+
+pytestmark = pytest.mark.anyio
+
+SETTLE_S = 1.5
+# Half of what a process of a deployment may take.
+MAX_MEMORY_MB = 150
+FLOODED_CALL_COUNT = 300
+TIMEOUT_MS = 3000
+# Time after its deadline at which a call must have an answer.
+ANSWER_SLACK_S = 0.5
+BOOKING_INTERVAL_S = 0.1
+FILLER = b'x' * 65536
+CHUNK = b'%x\r\n%b\r\n' % (len(FILLER), FILLER)
+EVENT_HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+# By the part of an answer: the bytes at its begin, and those that follow without end.
+FLOODS = {
+    'heads': (
+        (b'HTTP/1.1 200 ', FILLER),
+        (b'HTTP/1.1 200 OK\r\nA: ', FILLER),
+        (b'HTTP/1.1 200 OK\r\n', b'A:\r\n' * 16384),
+        (b'', b'HTTP/1.1 103 E\r\n\r\n' * 4096),
+        (b'', FILLER),
+    ),
+    'bodies': (
+        (b'HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n', FILLER),
+        (b'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n', FILLER),
+        (b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n', CHUNK),
+        (b'HTTP/1.1 500 E\r\nTransfer-Encoding: chunked\r\n\r\n', CHUNK),
+    ),
+    'chunks': (
+        (b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n', b'1'),
+        (b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;', FILLER),
+        (b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n', b'A:\r\n' * 16384),
+    ),
+    'streams': (
+        (EVENT_HEAD + b'Connection: close\r\n\r\ndata: ', FILLER),
+        (EVENT_HEAD + b'Transfer-Encoding: chunked\r\n\r\n', CHUNK),
+        (EVENT_HEAD + b'Connection: close\r\n\r\n', b': \n' * 16384),
+        (EVENT_HEAD + b'Connection: close\r\n\r\n', b'id: 1\n' * 8192),
+    ),
+}
+FLOOD_ROUTES = (
+    *ROUTES,
+    make_route(
+        'flood',
+        '/flood/',
+        'flooding',
+        route_type='non_idempotent',
+        stream_resume=False,
+        session_affinity=False,
+        max_attempts=2,
+        timeout_ms=TIMEOUT_MS,
+    ),
+    make_route('flow', '/flow/', 'flooding', timeout_ms=TIMEOUT_MS, stream_resume=False),
+)
+
+
+async def call(address, path, attempt, timeout_ms):
+    """Return the status of the answer to a call; None if there is none in time."""
+    host, _, port = address.rpartition(':')
+    writer = None
+    try:
+        async with asyncio.timeout(timeout_ms / 1000 + ANSWER_SLACK_S):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(
+                f'POST {path} HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: {attempt}\r\n'
+                f'X-Deadline-Ms: {timeout_ms}\r\nContent-Length: 0\r\n\r\n'.encode()
+            )
+            status = int((await reader.readuntil(b'\r\n')).split()[1])
+            while await reader.read(65536):
+                if status != 200 or path.startswith('/book/'):
+                    break
+            return status
+    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        return None
+    finally:
+        if writer is not None:
+            writer.close()
+
+
+async def book_until(address, is_over):
+    """Make bookings at an interval; return the statuses of all answers."""
+    numbers = itertools.count()
+    calls = []
+    while not is_over.is_set():
+        attempt = f'b{next(numbers):015x}'
+        calls.append(asyncio.create_task(call(address, f'/book/{attempt}', attempt, 1200)))
+        await asyncio.sleep(BOOKING_INTERVAL_S)
+    return await asyncio.gather(*calls)
+
+
+def make_entry(address, service):
+    return {
+        'service': service,
+        'address': address,
+        'zone': 'a',
+        'version': 'v1',
+        'slot_count': FLOODED_CALL_COUNT,
+        'runner_state': 'ready',
+        'cold_remaining_ms': 0,
+        'sequence': 1,
+        'born': 1,
+    }
+
+
+@contextlib.asynccontextmanager
+async def open_flooded_daemon(kind):
+    """Run a daemon whose service `flooding` has upstreams that send a kind of bytes."""
+    with contextlib.ExitStack() as stack:
+        floods = [stack.enter_context(flood_connections(*flood)) for flood in FLOODS[kind]]
+        async with open_fleet(1, routes=FLOOD_ROUTES) as fleet:
+            await fleet.add_upstream('v1', service='ledger')
+            for number, flood in enumerate(floods):
+                entry = make_entry(f'{flood.host}:{flood.port}', 'flooding')
+                fleet.store.put('servers', f'i-flood-{number}', entry)
+            await fleet.start_daemons()
+            await asyncio.sleep(SETTLE_S)
+            yield fleet.daemons[0], floods
+
+
+@pytest.mark.parametrize('kind', FLOODS)
+@pytest.mark.parametrize('path', ['/flood/', '/flow/'])
+async def test_daemon_outlasts_upstreams_that_send_without_end(kind, path):
+    """Guards against a daemon that keeps what it reads until it runs out of memory."""
+    async with open_flooded_daemon(kind) as (daemon, floods):
+        is_over = asyncio.Event()
+        booking = asyncio.create_task(book_until(daemon.address, is_over))
+        statuses = await asyncio.gather(
+            *(
+                call(daemon.address, f'{path}{number}', f'{number:016x}', TIMEOUT_MS)
+                for number in range(FLOODED_CALL_COUNT)
+            )
+        )
+        is_over.set()
+        bookings = await booking
+        memory_mb = daemon.measure_peak_memory_mb()
+        # A call that was sent has failed, and its connection is closed.
+        assert sum(flood.closed_count for flood in floods) >= statuses.count(502)
+        assert daemon.is_running
+        assert set(bookings) == {200}
+        assert None not in statuses
+        assert memory_mb < MAX_MEMORY_MB
