--- a/tests/processes/test_endless_bytes.py
+++ b/tests/processes/test_endless_bytes.py
@@ -31,6 +31,7 @@
         (b'', b'HTTP/1.1 103 E\r\n\r\n' * 4096),
         (b'', FILLER),
     ),
+    'short headers': ((b'HTTP/1.1 200 OK\r\n' + b'A:\r\n' * 16000 + b'\r\n', b'x'),),
     'bodies': (
         (b'HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n', FILLER),
         (b'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n', FILLER),
--- a/tests/relay/test_endless_input.py
+++ b/tests/relay/test_endless_input.py
@@ -93,6 +93,42 @@
     run(test)
 
 
+@pytest.mark.parametrize(('line_count', 'expected'), [(900, 200), (5000, 431)])
+def test_head_of_a_request_has_a_limit_on_its_lines(line_count, expected):
+    """Guards against a head of short lines that takes long to parse and much memory."""
+
+    async def handle(upstream, reader, writer):
+        await upstream.read_request(reader)
+        writer.write(make_answer())
+        await writer.drain()
+
+    async def test():
+        async with open_upstream(handle) as upstream, open_relay(upstream) as relay:
+            request = make_request(headers=b'A:\r\n' * line_count)
+            assert (await ask(relay[1], request))[0] == expected
+
+    run(test)
+
+
+def test_lines_of_a_body_are_no_lines_of_its_head():
+    """Guards against a limit that refuses sound messages."""
+    body = b'\n' * 20000
+
+    async def handle(upstream, reader, writer):
+        await upstream.read_request(reader)
+        writer.write(PLAIN_HEAD.replace(b'Transfer-Encoding: chunked', b'Content-Length: 20000'))
+        writer.write(body)
+        await writer.drain()
+
+    async def test():
+        async with open_upstream(handle) as upstream, open_relay(upstream) as relay:
+            request = make_request(b'/write/x', body=body, method=b'POST')
+            assert (await ask(relay[1], request))[::2] == (200, body)
+            assert upstream.requests[0][1] == body
+
+    run(test)
+
+
 def test_long_request_in_short_chunks_does_not_stop_the_relay():
     """Guards against a caller whose request keeps the daemon from answering the others."""
     chunk_count = 30000
