Wait for versions that a restore of the store may have lost

Callers saw streams of two software versions, answered 200: all daemons were killed while the store came back from a copy that lacked the newer version, and no upstream of it was registered. A started daemon took the versions of the copy for all.

Cause: rows of versions did not tell whether versions of before the last restore are among them.

Rows state the store's era in which all versions of their writer are written, and since when these are complete. A daemon whose first read finds no row of the era, after a restore, takes no version for the only one until no stream of before that read can go on. Daemons that remember the versions write them with the new era, which ends the wait of others; a second kill does not prolong it. Rows of older builds have no known era. A store that was never restored holds up nothing.

A daemon that waits reads again after twice the time, five times within 30 s.

--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -5,6 +5,7 @@
 begun at several versions.
 """
 
+import math
 from collections.abc import Callable, Iterable
 
 import anyio
@@ -13,6 +14,7 @@
 from ..clocks import read_lease_clock
 from ..errors import PlatformError, TableOutcomeUnknown, TableUnavailable
 from ..events import Event, EventLog
+from ..platform.revisions import FIRST_ERA, get_era
 from ..platform.store import MAX_WRITE_ROWS, MetadataStore, Rows, Written
 from ..streams import KnownOrigin, Origin, Source, StreamRecords, VersionHistory
 from ..streams.rows import (
@@ -83,6 +85,12 @@
     is_loaded: bool = False
     # Whether versions may have come and gone unseen since.
     _has_gap: bool = False
+    # The store's era when the versions here were last read or written; 0 before the first read.
+    _era: int = 0
+    # Versions that were registered until then, on the lease clock, may be missing: a restore of
+    # the store lost them before this daemon read it. None if none can be missing.
+    _complete_since: float | None = None
+    _next_load_at: float = math.inf
     # The store's clock minus the lease clock; None if the store never stated its time.
     _store_offset_s: float | None = None
     _own_rows: OwnRows = attrs.field(factory=OwnRows)
@@ -146,7 +154,9 @@
 
     def is_history_complete(self) -> bool:
         """Return whether no version is missing that was registered until the last confirmation."""
-        return self.is_loaded and not (self._has_gap and self.is_view_confirmed())
+        if not self.is_loaded or self._may_lack_versions(self.read_clock()):
+            return False
+        return not (self._has_gap and self.is_view_confirmed())
 
     async def find(self, digest: bytes, answered: frozenset[str]) -> KnownOrigin | None:
         """Look a stream up in the rows of the daemons that have not answered; adopt what is found.
@@ -282,33 +292,84 @@
             self._own_rows.add(self.records.drain_unwritten(ambiguous.__contains__), now)
 
     async def _update_versions(self, registered: set[Pair]) -> None:
-        """Read the versions once and after gaps; write them if this daemon is their writer."""
+        """Read the versions once, after gaps, and while a restore may have lost some.
+
+        The writer of the versions also writes them.
+        """
         is_confirmed = self.is_view_confirmed()
         self._has_gap = self._has_gap or not is_confirmed
-        if not self.is_loaded or (self._has_gap and is_confirmed):
+        if not self.is_loaded or (self._has_gap and is_confirmed) or self._is_reload_due():
             await self._load_versions()
             self._has_gap = not is_confirmed
         now = self.read_clock()
         if self.is_version_writer():
+            era = self._era
             await self._write_versions(registered, now)
+            if self._era != era:
+                # The rows that were just written state the era before the restore.
+                await self._write_versions(registered, now)
         self._forget_versions(now - self._get_retention_s() - FORGET_DELAY_S)
         self._failing.discard('versions')
 
     async def _load_versions(self) -> None:
         rows = await self.store.read_table(VERSION_TABLE)
         self._learn_store_time(rows)
+        found: list[VersionRow] = []
         for row in rows.rows:
             try:
-                found = decode_version_row(row.value)
+                found.append(decode_version_row(row.value))
             except PlatformError as error:
                 self._reject_row(VERSION_TABLE, '', row.key, error)
-                continue
-            age_s: float = 0
-            if found.seen_s is not None and rows.store_time_s is not None:
-                age_s = max(rows.store_time_s - found.seen_s - MAX_SEEN_LAG_S, 0)
-            self.history.record(found.service, found.software_version, rows.answered_at - age_s)
+        for version in found:
+            seen_at = rows.answered_at
+            if version.seen_s is not None:
+                seen_at = min(seen_at, _to_lease_time(version.seen_s, rows) + MAX_SEEN_LAG_S)
+            self.history.record(version.service, version.software_version, seen_at)
+        self._update_completeness(found, rows)
+        self._learn_era(get_era(rows.revision))
         self.is_loaded = True
 
+    def _update_completeness(self, found: list[VersionRow], rows: Rows) -> None:
+        """Find out whether a restore of the store lost versions that this daemon never knew.
+
+        Daemons that knew them write all versions again with the new era. Without such rows the
+        restore may have been at any time until now.
+        """
+        if self.is_loaded and self._complete_since is None:
+            return
+        era = get_era(rows.revision)
+        current = [version for version in found if version.era == era]
+        if era == FIRST_ERA or any(version.complete_since_s is None for version in current):
+            self._complete_since = None
+            return
+        known = [rows.answered_at if self._complete_since is None else self._complete_since]
+        known += [_to_lease_time(version.complete_since_s, rows) for version in current]
+        if self._complete_since is None:
+            self.events.emit(Event.STREAM_VERSIONS_LOST, era=era, rows=len(found))
+        self._complete_since = min(known)
+        # Another daemon may write what it knows soon, or never.
+        pause_s = max(rows.answered_at - self._complete_since, VERSION_INTERVAL_S)
+        self._next_load_at = rows.answered_at + pause_s
+
+    def _may_lack_versions(self, now: float) -> bool:
+        """Return whether a restore may have lost a version that began a recent stream."""
+        if self._complete_since is None:
+            return False
+        services = {service for service, _version in self.history.list_last_seen()}
+        return now - self._complete_since <= self._get_longest_horizon_s(services)
+
+    def _is_reload_due(self) -> bool:
+        now = self.read_clock()
+        return now >= self._next_load_at and self._may_lack_versions(now)
+
+    def _learn_era(self, era: int | None) -> None:
+        """Write all versions again if the store was restored since the last answer."""
+        if era is None or era <= self._era:
+            return
+        if self._era:
+            self._versions_lost.update(self.history.list_last_seen())
+        self._era = era
+
     async def _write_versions(self, registered: set[Pair], now: float) -> None:
         last_seen = self.history.list_last_seen()
         retained_from = now - self._get_retention_s()
@@ -322,13 +383,24 @@
         if not due and not outdated:
             return
         writes = {}
+        complete_since_s = None
+        if self._complete_since is not None:
+            complete_since_s = self._to_store_time(self._complete_since)
+        # Rows of the era state that all others are written.
+        has_all = self._versions_lost.issubset(due) and (
+            self._complete_since is None or complete_since_s is not None
+        )
+        era = self._era if has_all else None
         for pair in due:
-            row = VersionRow(*pair, self._to_store_time(last_seen.get(pair, now)))
+            seen_s = self._to_store_time(last_seen.get(pair, now))
+            row = VersionRow(*pair, seen_s, era, complete_since_s)
             writes[make_version_key(*pair)] = encode_version_row(row)
         removed = [make_version_key(*pair) for pair in outdated]
-        self._learn_store_time(await self.store.write_rows(VERSION_TABLE, '', writes, removed))
+        written = await self.store.write_rows(VERSION_TABLE, '', writes, removed)
+        self._learn_store_time(written)
         self._versions_written.update(dict.fromkeys(due, now))
         self._versions_lost.difference_update(due)
+        self._learn_era(written.era)
         # One that is registered again by now is kept.
         self.history.forget(outdated, retained_from)
 
@@ -380,3 +452,13 @@
         self.events.emit(
             Event.STREAM_ROW_INVALID, table=table, part=part, key=key, problem=error.message
         )
+
+
+def _to_lease_time(store_time_s: float | None, rows: Rows) -> float:
+    """Return an instant of the store's clock on the lease clock, at the latest that of the answer.
+
+    One that is unknown counts as that of the answer.
+    """
+    if store_time_s is None or rows.store_time_s is None:
+        return rows.answered_at
+    return rows.answered_at - max(rows.store_time_s - store_time_s, 0)
--- a/camphorpath/platform/store.py
+++ b/camphorpath/platform/store.py
@@ -75,6 +75,8 @@
     answered_at: float
     # The store's steady clock when it answered, in seconds; None if it stated none.
     store_time_s: float | None
+    # The store's era when it answered; None if it stated no valid one.
+    era: int | None = None
 
 
 class MetadataStore:
@@ -209,7 +211,7 @@
         except TableUnavailable:
             # The status says that the rows are written; only the time is missing.
             return Written(answer.answered_at, None)
-        return Written(answer.answered_at, _decode_store_time(found))
+        return Written(answer.answered_at, _decode_store_time(found), _decode_era(answer))
 
     async def close(self) -> None:
         """Close the connections."""
@@ -273,6 +275,11 @@
     return time_ms / MS_PER_S if 0 <= time_ms <= MAX_NUMBER else None
 
 
+def _decode_era(answer: CompleteAnswer) -> int | None:
+    revision = _decode_revision(answer.headers.get(ERA_HEADER, FIRST_ERA), 0)
+    return None if revision is None else get_era(revision)
+
+
 def _decode_row(document: Any, era: str | int, newest: int) -> StoreRow | None:
     """Return a row, or None if it has no key; without a valid revision it gets the newest one."""
     if not isinstance(document, dict) or not isinstance(document.get('key'), str):
--- a/camphorpath/streams/rows.py
+++ b/camphorpath/streams/rows.py
@@ -2,6 +2,7 @@
 
 import struct
 from collections.abc import Callable, Iterable, Mapping
+from typing import Any
 
 import attrs
 import orjson
@@ -84,6 +85,11 @@
     software_version: str
     # The store's steady clock in seconds; None if it is unknown.
     seen_s: float | None
+    # The store's era when the versions that its writer knew were written; None if it is unknown.
+    era: int | None = None
+    # Versions that were registered until then, on the store's steady clock in seconds, may be
+    # missing; None if the writer knew all.
+    complete_since_s: float | None = None
 
 
 def make_version_key(service: str, software_version: str) -> str:
@@ -93,9 +99,14 @@
 
 def encode_version_row(row: VersionRow) -> bytes:
     """Return the content of the row of a software version."""
-    seen_ms = None if row.seen_s is None else round(row.seen_s * MS_PER_S)
     return orjson.dumps(
-        {'service': row.service, 'version': row.software_version, 'seen_ms': seen_ms}
+        {
+            'service': row.service,
+            'version': row.software_version,
+            'seen_ms': _to_ms(row.seen_s),
+            'era': row.era,
+            'complete_since_ms': _to_ms(row.complete_since_s),
+        }
     )
 
 
@@ -104,14 +115,28 @@
     try:
         document = orjson.loads(content or b'{}')
         service, software_version = document['service'], document['version']
-        seen_ms = document['seen_ms']
+        seen_ms, era = document['seen_ms'], document.get('era')
+        complete_since_ms = document.get('complete_since_ms')
     except (KeyError, TypeError, ValueError) as error:
         raise PlatformError(f'not a row of a version: {error!r}', step='decode') from error
     if not (isinstance(service, str) and isinstance(software_version, str)):
         raise PlatformError('the service or the version is not a text', step='decode')
-    if isinstance(seen_ms, bool) or not isinstance(seen_ms, int | float | None):
+    if isinstance(era, bool) or not isinstance(era, int | None):
+        raise PlatformError('the era is not a whole number', step='decode')
+    return VersionRow(
+        service, software_version, _to_seconds(seen_ms), era, _to_seconds(complete_since_ms)
+    )
+
+
+def _to_ms(time_s: float | None) -> int | None:
+    return None if time_s is None else round(time_s * MS_PER_S)
+
+
+def _to_seconds(time_ms: Any) -> float | None:
+    """Return a time in seconds, None for None; raise PlatformError if it is not a number."""
+    if isinstance(time_ms, bool) or not isinstance(time_ms, int | float | None):
         raise PlatformError('the time is not a number', step='decode')
-    return VersionRow(service, software_version, None if seen_ms is None else seen_ms / MS_PER_S)
+    return None if time_ms is None else time_ms / MS_PER_S
 
 
 @attrs.define
--- a/tests/edge/test_stream_store.py
+++ b/tests/edge/test_stream_store.py
@@ -23,6 +23,7 @@
 from camphorpath.errors import TableUnavailable
 from camphorpath.events import Event, EventLog
 from camphorpath.platform.store import MetadataStore
+from camphorpath.platform.wire import ERA_HEADER
 from camphorpath.schema import camphorpath_pb2 as pb
 from camphorpath.streams import Origin, Source, StreamRecords, VersionHistory, digest_stream
 from camphorpath.streams.rows import (
@@ -88,6 +89,8 @@
     is_hanging: bool = False
     # Parts whose reads are refused.
     refused_parts: frozenset = frozenset()
+    # None if the answers state no era.
+    era: int | None = None
     # Called when a transaction came.
     on_write: object = lambda: None
     reads: list = attrs.field(factory=list)
@@ -128,7 +131,9 @@
         if self.status is None:
             raise httpx.ReadError('reset')
         times = {'row_version': 1, 'server_time_ms': (self.clock.now + STORE_OFFSET_S) * 1000}
-        return httpx.Response(self.status, content=orjson.dumps({**document, **times}))
+        headers = {} if self.era is None else {ERA_HEADER: str(self.era)}
+        content = orjson.dumps({**document, **times})
+        return httpx.Response(self.status, headers=headers, content=content)
 
     def apply(self, body):
         for row in body['write']:
@@ -864,3 +869,116 @@
     await daemon.follow(3)
     assert ('llm', 'v3') in daemon.history.list_last_seen()
     assert len(store.reads) == reads + 1
+
+
+def put_version_of_era(store, pair, era, complete_since=None):
+    complete_since_s = None if complete_since is None else complete_since + STORE_OFFSET_S
+    row = VersionRow(*pair, store.clock.now + STORE_OFFSET_S, era, complete_since_s)
+    store.rows[VERSION_TABLE, '', make_version_key(*pair)] = encode_version_row(row)
+
+
+@pytest.mark.parametrize('era', [None, 1])
+@pytest.mark.parametrize('has_rows', [False, True])
+async def test_store_that_was_never_restored_holds_up_no_take_ups(store, era, has_rows):
+    """Guards against streams that are refused after a start where no version can be lost."""
+    store.era = era
+    if has_rows:
+        put_version(store, ('llm', 'v1'), store.clock.now)
+    daemon = Daemon(store)
+    await daemon.follow(0.5)
+    assert daemon.streams.is_history_complete()
+    assert not daemon.list_events(Event.STREAM_VERSIONS_LOST)
+
+
+@pytest.mark.parametrize('row_era', ['none', None, 1, 2])
+@pytest.mark.parametrize('is_writer', [True, False])
+async def test_versions_that_a_copy_lacks_are_missed_until_their_streams_ended(
+    store, row_era, is_writer
+):
+    """Guards against a started daemon that takes the versions of a copy for all."""
+    store.era = 3
+    if row_era != 'none':
+        put_version_of_era(store, ('llm', 'v1'), row_era)
+    daemon = Daemon(store, is_writer=is_writer)
+    await daemon.follow(HORIZON_S - 1)
+    assert not daemon.streams.is_history_complete()
+    assert len(daemon.list_events(Event.STREAM_VERSIONS_LOST)) == 1
+    assert len(store.reads) <= 7
+    await daemon.follow(2)
+    assert daemon.streams.is_history_complete()
+    reads = len(store.reads)
+    await daemon.follow(60)
+    assert len(store.reads) == reads
+
+
+async def test_second_kill_does_not_prolong_the_wait_for_lost_versions(store):
+    """Guards against take-ups that are refused for as long as daemons are killed."""
+    store.era = 2
+    put_version_of_era(store, ('llm', 'v1'), 1)
+    await Daemon(store).follow(HORIZON_S - 5)
+    second = Daemon(store)
+    await second.follow(3)
+    assert not second.streams.is_history_complete()
+    await second.follow(3)
+    assert second.streams.is_history_complete()
+
+
+async def test_daemons_that_remember_the_versions_end_the_wait_of_others(store):
+    """Guards against take-ups that are refused after a restore that lost nothing."""
+    store.era = 1
+    writer = Daemon(store)
+    await writer.follow(3)
+    store.rows.clear()
+    store.era = 2
+    started = Daemon(store, registered={('llm', 'v1')}, is_writer=False)
+    await started.follow(0.5)
+    assert not started.streams.is_history_complete()
+
+    def restore_once():
+        store.clock.on_advance = lambda: None
+        writer.restore()
+
+    store.clock.on_advance = restore_once
+    await writer.follow(3)
+    await started.follow(1.5)
+    assert started.streams.is_history_complete()
+    assert started.history.list_since('llm', 0) == {'v1', 'v2'}
+    late = Daemon(store, is_writer=False)
+    await late.follow(0.5)
+    assert late.streams.is_history_complete()
+
+
+async def test_refresh_that_a_restore_overtook_does_not_state_the_new_era(store):
+    """Guards against rows of a writer that has not heard of the restore, taken for all rows."""
+    store.era = 1
+    writer = Daemon(store)
+    await writer.follow(3)
+    writer.registered = {('llm', 'v2')}
+    store.rows.clear()
+    store.era = 2
+    at = len(store.writes)
+    await writer.follow(REFRESH_INTERVAL_S + 0.5)
+    first = [
+        decode_version_row(base64.b64decode(row['value'])) for row in store.writes[at][1]['write']
+    ]
+    assert [row.era for row in first] == [1]
+    await writer.follow(1.5)
+    assert set(store.list_versions()) == {('llm', 'v1'), ('llm', 'v2')}
+
+
+async def test_era_is_stated_once_all_versions_are_written(store):
+    """Guards against a started daemon that reads the first of several transactions as all."""
+    store.era = 1
+    writer = Daemon(store, registered={('llm', f'v{number}') for number in range(150)})
+    await writer.follow(3)
+    store.rows.clear()
+    store.era = 2
+    writer.registered = {('llm', 'v0')}
+    at = len(store.writes)
+    await writer.follow(3 * REFRESH_INTERVAL_S)
+    eras = [
+        {decode_version_row(base64.b64decode(row['value'])).era for row in body['write']}
+        for _at, body in store.writes[at:]
+    ]
+    assert eras[:3] == [{1}, {None}, {2}]
+    assert len(store.list_versions()) == 150
--- a/tests/streams/test_rows.py
+++ b/tests/streams/test_rows.py
@@ -75,6 +75,25 @@
     assert found.seen_s == (None if seen_ms is None else pytest.approx(seen_ms / 1000))
 
 
+@given(st.none() | st.integers(1, 1 << 15), st.none() | st.integers(0, 1 << 50))
+def test_version_row_states_its_era(era, complete_since_ms):
+    """Guards against versions of a copy that count as all versions after a restore."""
+    complete_since_s = None if complete_since_ms is None else complete_since_ms / 1000
+    found = decode_version_row(
+        encode_version_row(VersionRow('llm', 'v1', 1.0, era, complete_since_s))
+    )
+    assert found.era == era
+    assert found.complete_since_s == (
+        None if complete_since_ms is None else pytest.approx(complete_since_s)
+    )
+
+
+def test_version_row_of_an_older_build_has_no_known_era():
+    """Guards against rows without an era that are rejected, or taken for ones of this era."""
+    row = decode_version_row(b'{"service": "s", "version": "v", "seen_ms": 1000}')
+    assert row == VersionRow('s', 'v', 1.0, None, None)
+
+
 def test_keys_of_versions_differ():
     """Guards against two versions that overwrite each other's row."""
     pairs = [('a', 'b'), ('ab', ''), ('', 'ab'), ('a', '')]
@@ -93,6 +112,9 @@
         b'{"service": "s", "version": null, "seen_ms": 1}',
         b'{"service": "s", "version": "v", "seen_ms": "1"}',
         b'{"service": "s", "version": "v", "seen_ms": true}',
+        b'{"service": "s", "version": "v", "seen_ms": 1, "era": true}',
+        b'{"service": "s", "version": "v", "seen_ms": 1, "era": "2"}',
+        b'{"service": "s", "version": "v", "seen_ms": 1, "complete_since_ms": "1"}',
     ],
 )
 def test_unreadable_version_row_is_rejected(content):
