Read the software versions after a stream is taken up

Callers saw streams of two software versions: a daemon that was out of step during a release (without the store and its peers for less than 2.3 s, or in a part of the fleet that had lost its peers before the store) took them up and let them go on at the version that it knew.

Cause: OriginLookup assumed the only known version before it asked anybody, on a view that may be 2.3 s old and on heartbeats that may be older. What was not known was taken for equal.

The only version is now assumed only after a read of the upstreams' changes and of the rows of versions that began after the take-up came. After 0.1 s, or if the read fails, the peers and the records in the store are asked.

--- a/camphorpath/cluster/follower.py
+++ b/camphorpath/cluster/follower.py
@@ -259,17 +259,21 @@
 
     async def watch_upstreams(self) -> None:
         """Poll the store for changes of the upstreams, until cancelled."""
-
-        def handle_listing(rows: Rows) -> None:
-            self.rows.apply_listing(_make_shared_rows(rows), rows.revision, read_lease_clock())
-
-        def handle_changes(rows: Rows) -> None:
-            self.rows.apply_changes(_make_shared_rows(rows), rows.revision, read_lease_clock())
-
         await self._watch(
-            UPSTREAM_TABLE, handle_listing, handle_changes, lambda: self.rows.upstreams_revision
+            UPSTREAM_TABLE,
+            self._apply_upstream_listing,
+            self._apply_upstream_changes,
+            lambda: self.rows.upstreams_revision,
         )
 
+    async def read_upstreams(self) -> None:
+        """Read and apply the changes of the upstreams until now; raise TableUnavailable."""
+        revision = self.rows.upstreams_revision if self.rows.is_listed else None
+        try:
+            await self._read_upstreams_after(revision)
+        except HistoryCompacted:
+            await self._read_upstreams_after(None)
+
     async def _watch(
         self,
         table: str,
@@ -327,6 +331,22 @@
         self._apply_and_announce(rows, handle_changes)
         return rows
 
+    async def _read_upstreams_after(self, revision: int | None) -> None:
+        """Read the changes after a revision once, or the whole table; raise TableUnavailable."""
+        if revision is None:
+            rows = await self.store.read_table(UPSTREAM_TABLE)
+            is_first = not self.rows.is_listed
+            self._apply_and_announce(rows, self._apply_upstream_listing, is_first=is_first)
+            return
+        rows = await self.store.read_changes(UPSTREAM_TABLE, revision, 0)
+        self._apply_and_announce(rows, self._apply_upstream_changes)
+
+    def _apply_upstream_listing(self, rows: Rows) -> None:
+        self.rows.apply_listing(_make_shared_rows(rows), rows.revision, read_lease_clock())
+
+    def _apply_upstream_changes(self, rows: Rows) -> None:
+        self.rows.apply_changes(_make_shared_rows(rows), rows.revision, read_lease_clock())
+
     async def _wait_for_turn(
         self,
         table: str,
--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -32,6 +32,7 @@
 from ..relay.upstream import UpstreamPool
 from ..routing import Upstream
 from ..schema import camphorpath_pb2 as pb
+from .history_reads import HistoryReads
 from .output import LogOutput
 from .pages import (
     make_control_handler,
@@ -155,9 +156,13 @@
     stream_queries = StreamQueries(relay.origins.records, state, heartbeats)
     relay.origins.ask_peers = stream_queries.ask
     relay.origins.read_store = streams.find
-    relay.origins.is_history_complete = lambda: (
-        streams.is_history_complete() and state.is_view_current(max_age_s=MAX_CONFIRMATION_AGE_S)
+    history_reads = HistoryReads(
+        events,
+        record_registered=streams.record_registered,
+        read_upstreams=follower.read_upstreams,
+        read_versions=streams.read_versions,
     )
+    relay.origins.confirm_history = history_reads.confirm
     return EdgeDaemon(
         settings=settings,
         relay=relay,
--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -59,8 +59,6 @@
     _sequence: int = 0
     # Checksums of undecodable entries by upstream id, so that each is logged once.
     _invalid_checksums: dict[str, int] = attrs.field(factory=dict)
-    # Daemons that reached the store by their last heartbeat, and when they counted as lost.
-    _lost_connected: dict[str, float] = attrs.field(factory=dict)
     _was_ready: bool = False
     # Whether upstreams have changed since owners were assigned and passed to the scheduler.
     _has_upstream_changes: bool = False
@@ -178,7 +176,6 @@
             self.relay.events.emit(
                 Event.MEMBER_JOINED, member=heartbeat.incarnation, address=heartbeat.callers_address
             )
-        self._lost_connected.pop(heartbeat.name, None)
         self._adopt_quarantined(heartbeat)
         if not heartbeat.store_up:
             self.view.mark_store_unstable(now)
@@ -222,16 +219,10 @@
         lost = self.members.expire(now)
         for member in lost:
             self._discard_member_reports(member)
-            if member.heartbeat.store_up and not member.heartbeat.stopping:
-                self._lost_connected[member.heartbeat.name] = now
             silent_s = round(now - member.heard_at, 2)
             self.relay.events.emit(
                 Event.MEMBER_LOST, member=member.heartbeat.incarnation, silent_s=silent_s
             )
-        confirmed_at = now - self.read_store_age()
-        for name, lost_at in list(self._lost_connected.items()):
-            if lost_at <= confirmed_at:
-                self._lost_connected.pop(name)
         gone = self.view.expire(now)
         for upstream_id in gone:
             self.relay.events.emit(Event.UPSTREAM_GONE, '', upstream_id, reason='not back')
@@ -311,25 +302,6 @@
         best = max(names, key=lambda name: rendezvous_score(key, name), default='')
         return best == self.settings.name
 
-    def is_view_current(self, *, max_age_s: float) -> bool:
-        """Return whether an upstream cannot have registered for longer without being known here.
-
-        While no daemon reaches the store, upstreams cannot register. A daemon that was lost later
-        than the store may still reach it. Without a confirmation, as after a suspension, the
-        heartbeats may be outdated too.
-        """
-        age_s = self.read_store_age()
-        if age_s <= max_age_s:
-            return True
-        if self.is_store_up or not math.isfinite(age_s):
-            return False
-        confirmed_at = read_lease_clock() - age_s
-        if any(lost_at > confirmed_at for lost_at in self._lost_connected.values()):
-            return False
-        heartbeats = [member.heartbeat for member in self.members.known.values()]
-        is_cut_off = bool(self.members.hosts) and not heartbeats
-        return not is_cut_off and not any(heartbeat.store_up for heartbeat in heartbeats)
-
     def list_addresses(self, zone: str, region: str) -> list[str]:
         """Return the addresses of the daemons that a caller in a zone should connect to.
 
--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -130,12 +130,9 @@
             if restored.is_set():
                 restored = self.get_restored()
                 self._versions_lost.update(self.history.list_last_seen())
-            now = self.read_clock()
-            registered = set(self.list_registered())
-            for service, software_version in registered:
-                self.history.record(service, software_version, now)
+            self.record_registered()
             try:
-                await self._update_versions(registered)
+                await self._update_versions(set(self.list_registered()))
             except (TableUnavailable, TableOutcomeUnknown) as error:
                 # Reads and writes can be repeated.
                 self._log_failure('versions', error)
@@ -144,9 +141,27 @@
             paused_s = self.read_clock() - began_at
             self._has_gap = self._has_gap or paused_s > VERSION_INTERVAL_S + MAX_UNSEEN_S
 
-    def is_history_complete(self) -> bool:
-        """Return whether no version is missing that was registered until the last confirmation."""
-        return self.is_loaded and not (self._has_gap and self.is_view_confirmed())
+    def record_registered(self) -> None:
+        """Record the versions of the upstreams that are known here as registered now."""
+        now = self.read_clock()
+        for service, software_version in self.list_registered():
+            self.history.record(service, software_version, now)
+
+    async def read_versions(self) -> None:
+        """Read the versions that the daemons have written; raise TableUnavailable."""
+        rows = await self.store.read_table(VERSION_TABLE)
+        self._learn_store_time(rows)
+        for row in rows.rows:
+            try:
+                found = decode_version_row(row.value)
+            except PlatformError as error:
+                self._reject_row(VERSION_TABLE, '', row.key, error)
+                continue
+            age_s: float = 0
+            if found.seen_s is not None and rows.store_time_s is not None:
+                age_s = max(rows.store_time_s - found.seen_s - MAX_SEEN_LAG_S, 0)
+            self.history.record(found.service, found.software_version, rows.answered_at - age_s)
+        self.is_loaded = True
 
     async def find(self, digest: bytes, answered: frozenset[str]) -> KnownOrigin | None:
         """Look a stream up in the rows of the daemons that have not answered; adopt what is found.
@@ -286,7 +301,7 @@
         is_confirmed = self.is_view_confirmed()
         self._has_gap = self._has_gap or not is_confirmed
         if not self.is_loaded or (self._has_gap and is_confirmed):
-            await self._load_versions()
+            await self.read_versions()
             self._has_gap = not is_confirmed
         now = self.read_clock()
         if self.is_version_writer():
@@ -294,21 +309,6 @@
         self._forget_versions(now - self._get_retention_s() - FORGET_DELAY_S)
         self._failing.discard('versions')
 
-    async def _load_versions(self) -> None:
-        rows = await self.store.read_table(VERSION_TABLE)
-        self._learn_store_time(rows)
-        for row in rows.rows:
-            try:
-                found = decode_version_row(row.value)
-            except PlatformError as error:
-                self._reject_row(VERSION_TABLE, '', row.key, error)
-                continue
-            age_s: float = 0
-            if found.seen_s is not None and rows.store_time_s is not None:
-                age_s = max(rows.store_time_s - found.seen_s - MAX_SEEN_LAG_S, 0)
-            self.history.record(found.service, found.software_version, rows.answered_at - age_s)
-        self.is_loaded = True
-
     async def _write_versions(self, registered: set[Pair], now: float) -> None:
         last_seen = self.history.list_last_seen()
         retained_from = now - self._get_retention_s()
--- a/camphorpath/streams/lookup.py
+++ b/camphorpath/streams/lookup.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable, Iterable
 
+import anyio
 import attrs
 
 from ..clocks import read_lease_clock
@@ -10,6 +11,9 @@
 from .records import KnownOrigin, Origin, Source, StreamRecords, digest_stream
 from .services import ResumableServices
 
+# Peers are not asked for a stream whose version the store confirms within this time.
+HEAD_START_S = 0.1
+
 
 @attrs.frozen
 class Asked:
@@ -31,6 +35,11 @@
     """Return no record; for a daemon without a store."""
 
 
+async def _confirm_at_once() -> bool:
+    """Confirm the versions without a read; for a daemon without a store."""
+    return True
+
+
 @attrs.define(kw_only=True)
 class OriginLookup:
     """The records of this daemon, and the ways to those of the others."""
@@ -38,8 +47,9 @@
     records: StreamRecords = attrs.field(factory=StreamRecords)
     history: VersionHistory = attrs.field(factory=VersionHistory)
     services: ResumableServices = attrs.field(factory=ResumableServices)
-    # Returns whether all versions that were registered within the horizon are in `history`.
-    is_history_complete: Callable[[], bool] = lambda: True
+    # Reads the versions that were registered until the begin of the call; returns whether all of
+    # them that were registered within the horizon are in `history`.
+    confirm_history: Callable[[], Awaitable[bool]] = _confirm_at_once
     ask_peers: Callable[[bytes], Awaitable[Asked]] = _ask_nobody
     # Looks a stream up in the store, but for the rows of the incarnations that answered; raises
     # TableUnavailable.
@@ -51,22 +61,12 @@
         `stream_id` is the attempt id of the call that brought its first event; empty if the caller
         did not state it.
         """
-        digest = digest_stream(stream_id)
-        found = self.records.find(digest) if stream_id else None
-        found = found or self._find_only_version(services)
-        if found is not None or not stream_id:
+        found = self.records.find(digest_stream(stream_id)) if stream_id else None
+        if found is not None:
             return found
-        asked = await self.ask_peers(digest)
-        if asked.known is not None:
-            return asked.known
-        if asked.is_given_up:
-            # The store would have to be read for all daemons.
-            return None
-        try:
-            return await self.read_store(digest, asked.answered)
-        except TableUnavailable:
-            # Logged where it was raised.
-            return None
+        if self._find_only_version(services) is None:
+            return await self._find_record(stream_id)
+        return await self._confirm_only_version(stream_id, services)
 
     def is_ambiguous(self, service: str) -> bool:
         """Return whether only records tell the version that began a recent stream of a service."""
@@ -80,10 +80,57 @@
         longest_s = max(map(self.services.get_horizon_s, services), default=0)
         self.records.expire(now - longest_s)
 
-    def _find_only_version(self, services: Iterable[str]) -> KnownOrigin | None:
-        """Return the only origin that a recent stream can have, if there is just one."""
-        if not self.is_history_complete():
+    async def _confirm_only_version(
+        self, stream_id: bytes, services: Iterable[str]
+    ) -> KnownOrigin | None:
+        """Return the only origin that the stream can have, or what others know of it.
+
+        A version that this daemon has not seen yet may have begun the stream, so the versions are
+        read after its caller took it up. The others are asked if that takes long or fails.
+        """
+        is_read = anyio.Event()
+        outcomes: list[KnownOrigin] = []
+
+        async def confirm() -> None:
+            is_confirmed = await self.confirm_history()
+            found = self._find_only_version(services) if is_confirmed else None
+            finish(found)
+            is_read.set()
+
+        async def find_record() -> None:
+            with anyio.move_on_after(HEAD_START_S):
+                await is_read.wait()
+            finish(await self._find_record(stream_id))
+
+        def finish(found: KnownOrigin | None) -> None:
+            if found is not None:
+                outcomes.append(found)
+                group.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(confirm)
+            group.start_soon(find_record)
+        return outcomes[0] if outcomes else None
+
+    async def _find_record(self, stream_id: bytes) -> KnownOrigin | None:
+        """Return what the peers or the store know of a stream; None if it is unknown."""
+        if not stream_id:
+            return None
+        digest = digest_stream(stream_id)
+        asked = await self.ask_peers(digest)
+        if asked.known is not None:
+            return asked.known
+        if asked.is_given_up:
+            # The store would have to be read for all daemons.
+            return None
+        try:
+            return await self.read_store(digest, asked.answered)
+        except TableUnavailable:
+            # Logged where it was raised.
             return None
+
+    def _find_only_version(self, services: Iterable[str]) -> KnownOrigin | None:
+        """Return the only origin in the history that a recent stream can have, if just one."""
         now = read_lease_clock()
         candidates = self.services.list_dropped(now).union(services)
         origins = [
