Write the version of a stream before its first event

Cause: one daemon writes the rows of versions, once a second, for those that are registered at that moment. It may be the one that is out of step, or the version may be gone by then; the others take a version without a row for none.

A daemon that begins streams of a resumable route at a version whose row it has neither read nor written in the last 300 s writes the row before it sends the first event. It waits for at most 0.3 s, and does not try again for 1 s if that fails.

The tests in test_stream_store.py and test_take_ups.py need the new call.

--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -162,6 +162,7 @@
         read_upstreams=follower.read_upstreams,
         read_versions=streams.read_versions,
     )
+    relay.origins.announce_version = streams.announce_version
     relay.origins.confirm_history = history_reads.confirm
     return EdgeDaemon(
         settings=settings,
--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -5,6 +5,7 @@
 begun at several versions.
 """
 
+import math
 from collections.abc import Callable, Iterable
 
 import anyio
@@ -43,10 +44,14 @@
 REFRESH_INTERVAL_S = 5.0
 # A version may have been registered for so much longer than its row says.
 MAX_SEEN_LAG_S = REFRESH_INTERVAL_S + VERSION_INTERVAL_S
+# The first event of a stream is held up for its version to be written for no longer than this.
+MAX_ANNOUNCE_S = 0.3
 # After a longer pause between two updates, versions may have come and gone unseen.
 MAX_UNSEEN_S = 2.0
 # Rows of versions that were not refreshed for longer, and for the longest horizon, are removed.
 VERSION_RETENTION_S = 600.0
+# The row of a version may have been removed when it was last read or written longer ago than this.
+MAX_KNOWN_ROW_AGE_S = VERSION_RETENTION_S / 2
 # The writer removes the row of a version before the other daemons forget it.
 FORGET_DELAY_S = 60.0
 # Bounds the memory.
@@ -94,6 +99,11 @@
     _stale_parts: dict[str, list[str]] = attrs.field(factory=dict)
     # When this daemon last wrote each version.
     _versions_written: dict[Pair, float] = attrs.field(factory=dict)
+    # When this daemon last read or wrote the row of each version.
+    _version_rows: dict[Pair, float] = attrs.field(factory=dict)
+    _announce_lock: anyio.Lock = attrs.field(factory=anyio.Lock)
+    # When a version may be announced again after a failure, on the lease clock.
+    _next_announce_at: float = -math.inf
     # Versions that the store may have lost when it was restored.
     _versions_lost: set[Pair] = attrs.field(factory=set)
     # Tasks whose last call failed.
@@ -130,6 +140,7 @@
             if restored.is_set():
                 restored = self.get_restored()
                 self._versions_lost.update(self.history.list_last_seen())
+                self._version_rows.clear()
             self.record_registered()
             try:
                 await self._update_versions(set(self.list_registered()))
@@ -141,6 +152,47 @@
             paused_s = self.read_clock() - began_at
             self._has_gap = self._has_gap or paused_s > VERSION_INTERVAL_S + MAX_UNSEEN_S
 
+    async def announce_version(self, service: str, software_version: str) -> None:
+        """Write a version at which streams begin here, unless its row is known to exist.
+
+        The daemon that writes the versions for all may learn of it later, or never if it is
+        registered for a short time. Gives up after MAX_ANNOUNCE_S.
+        """
+        pair = service, software_version
+        if not self._is_announce_due(pair):
+            return
+        with anyio.move_on_after(MAX_ANNOUNCE_S) as scope:
+            async with self._announce_lock:
+                if self._is_announce_due(pair):
+                    await self._announce(pair)
+        if scope.cancelled_caught:
+            self._delay_announcing('out of time')
+
+    async def _announce(self, pair: Pair) -> None:
+        now = self.read_clock()
+        content = encode_version_row(VersionRow(*pair, self._to_store_time(now)))
+        try:
+            # The write is idempotent, and another daemon may write the same row.
+            written = await self.store.write_rows(
+                VERSION_TABLE, '', {make_version_key(*pair): content}
+            )
+        except (TableUnavailable, TableOutcomeUnknown) as error:
+            self._delay_announcing(str(error))
+            return
+        self._learn_store_time(written)
+        self._version_rows[pair] = now
+
+    def _is_announce_due(self, pair: Pair) -> bool:
+        now = self.read_clock()
+        if now < self._next_announce_at or not pair[1]:
+            return False
+        return now - self._version_rows.get(pair, -math.inf) >= MAX_KNOWN_ROW_AGE_S
+
+    def _delay_announcing(self, problem: str) -> None:
+        """Let streams begin without another attempt for a time."""
+        self._next_announce_at = self.read_clock() + RETRY_DELAY_S
+        self.events.emit(Event.STREAM_STORE_FAILED, task='announce', problem=problem)
+
     def record_registered(self) -> None:
         """Record the versions of the upstreams that are known here as registered now."""
         now = self.read_clock()
@@ -160,7 +212,9 @@
             age_s: float = 0
             if found.seen_s is not None and rows.store_time_s is not None:
                 age_s = max(rows.store_time_s - found.seen_s - MAX_SEEN_LAG_S, 0)
-            self.history.record(found.service, found.software_version, rows.answered_at - age_s)
+            seen_at = rows.answered_at - age_s
+            self.history.record(found.service, found.software_version, seen_at)
+            self._version_rows[found.service, found.software_version] = seen_at
         self.is_loaded = True
 
     async def find(self, digest: bytes, answered: frozenset[str]) -> KnownOrigin | None:
@@ -328,6 +382,7 @@
         removed = [make_version_key(*pair) for pair in outdated]
         self._learn_store_time(await self.store.write_rows(VERSION_TABLE, '', writes, removed))
         self._versions_written.update(dict.fromkeys(due, now))
+        self._version_rows.update(dict.fromkeys(due, now))
         self._versions_lost.difference_update(due)
         # One that is registered again by now is kept.
         self.history.forget(outdated, retained_from)
@@ -341,6 +396,9 @@
         for pair, written_at in list(self._versions_written.items()):
             if written_at < before:
                 self._versions_written.pop(pair)
+        for pair, known_at in list(self._version_rows.items()):
+            if known_at < before:
+                self._version_rows.pop(pair)
 
     def _get_write_interval_s(self) -> float:
         """Return the pause between two writes, for which all daemons share the write calls."""
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -780,8 +780,14 @@
             )
             await self.caller.send_part(part)
         else:
+            service, software_version = (
+                attempt.upstream.service,
+                self._find_version(attempt.upstream),
+            )
+            if self.call.route.is_resumable:
+                await self.context.origins.announce_version(service, software_version)
             self.has_answer_started = True
-            self._record_version(attempt.upstream.service, self._find_version(attempt.upstream))
+            self._record_version(service, software_version)
             self._record_first_part()
             headers = select_answer_headers(answer.headers)
             await self.caller.start_stream(answer.status, headers, part)
--- a/camphorpath/streams/lookup.py
+++ b/camphorpath/streams/lookup.py
@@ -35,6 +35,10 @@
     """Return no record; for a daemon without a store."""
 
 
+async def _announce_nothing(_service: str, _software_version: str) -> None:
+    """Announce no version; for a daemon without a store."""
+
+
 async def _confirm_at_once() -> bool:
     """Confirm the versions without a read; for a daemon without a store."""
     return True
@@ -50,6 +54,8 @@
     # Reads the versions that were registered until the begin of the call; returns whether all of
     # them that were registered within the horizon are in `history`.
     confirm_history: Callable[[], Awaitable[bool]] = _confirm_at_once
+    # Lets daemons that have not seen a version know that streams of a service begin at it.
+    announce_version: Callable[[str, str], Awaitable[None]] = _announce_nothing
     ask_peers: Callable[[bytes], Awaitable[Asked]] = _ask_nobody
     # Looks a stream up in the store, but for the rows of the incarnations that answered; raises
     # TableUnavailable.
--- a/tests/edge/test_stream_store.py
+++ b/tests/edge/test_stream_store.py
@@ -854,6 +854,62 @@
     assert ('llm', 'v3') in daemon.history.list_last_seen()
 
 
+async def test_version_is_written_before_streams_of_it_begin(store):
+    """Guards against a version that is gone before the daemon that writes the versions saw it."""
+    daemon = Daemon(store, is_writer=False)
+    await daemon.follow(1)
+    async with anyio.create_task_group() as group:
+        for _ in range(5):
+            group.start_soon(daemon.streams.announce_version, 'llm', 'v3')
+    assert ('llm', 'v3') in store.list_versions()
+    await daemon.streams.announce_version('llm', 'v3')
+    assert len(store.writes) == 1
+    other = Daemon(store, 'other-1', is_writer=False)
+    await other.follow(1)
+    await other.streams.announce_version('llm', 'v3')
+    assert len(store.writes) == 1
+    assert ('llm', 'v3') in other.history.list_last_seen()
+
+
+async def test_version_is_written_again_after_its_row_may_be_gone(store):
+    """Guards against a version that returns after its row was removed, or lost in a restore."""
+    daemon = Daemon(store, is_writer=False)
+    await daemon.streams.announce_version('llm', 'v3')
+    store.clock.now += VERSION_RETENTION_S - 1
+    await daemon.streams.announce_version('llm', 'v3')
+    assert len(store.writes) == 2
+
+    def restore():
+        store.clock.on_advance = lambda: None
+        store.rows.clear()
+        daemon.restore()
+
+    store.clock.on_advance = restore
+    await daemon.follow(3)
+    await daemon.streams.announce_version('llm', 'v3')
+    assert ('llm', 'v3') in store.list_versions()
+
+
+@pytest.mark.parametrize('is_hanging', [False, True])
+async def test_streams_begin_while_their_version_cannot_be_written(store, monkeypatch, is_hanging):
+    """Guards against new streams that wait for a store that is away, one after the other."""
+    monkeypatch.setattr('camphorpath.edge.streams.MAX_ANNOUNCE_S', 0.05)
+    daemon = Daemon(store, is_writer=False)
+    await daemon.follow(1)
+    store.status = 503
+    store.is_hanging = is_hanging
+    with anyio.fail_after(1):
+        for _ in range(100):
+            await daemon.streams.announce_version('llm', 'v3')
+    assert len(store.writes) == 1
+    assert len(daemon.list_events(Event.STREAM_STORE_FAILED)) == 1
+    store.status = 200
+    store.is_hanging = False
+    store.clock.now += 2
+    await daemon.streams.announce_version('llm', 'v3')
+    assert ('llm', 'v3') in store.list_versions()
+
+
 async def test_version_that_came_and_went_during_a_suspension_is_read_from_the_store(store):
     """Guards against a version that a frozen daemon missed, as its first poll confirms the rest."""
     daemon = Daemon(store, is_writer=False)
--- a/tests/processes/test_out_of_step.py
+++ b/tests/processes/test_out_of_step.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from camphorpath.hashing import rendezvous_score
+
 from .callers import Caller
 from .fleet import open_fleet
 
@@ -114,6 +116,27 @@
         assert_in_order(callers)
 
 
+@pytest.mark.parametrize('lose_touch', [freeze, cut_off])
+async def test_streams_of_a_version_that_joined_and_left_unseen_are_not_joined(lose_touch):
+    """The daemon that writes the versions for all misses the version, too."""
+    async with open_fleet(3) as fleet:
+        await fleet.add_upstream('v1')
+        fleet.daemons.sort(key=lambda daemon: rendezvous_score('versions', daemon.name))
+        await fleet.start_daemons()
+        await asyncio.sleep(SETTLE_S)
+        late = fleet.daemons[-1]
+        lose_touch(late)
+        new, callers, readings = await begin_at_new_version(fleet)
+        fleet.deregister(new)
+        await kill_others(fleet)
+        if late.is_frozen:
+            await asyncio.sleep(0.5)
+            late.thaw()
+        late.heal_store()
+        await asyncio.gather(*readings)
+        assert_in_order(callers)
+
+
 async def test_streams_are_not_joined_at_a_part_of_the_fleet_that_lost_its_peers_before_the_store():
     """The heartbeats in that part say that nobody reaches the store."""
     async with open_fleet(4) as fleet:
--- a/tests/relay/test_take_ups.py
+++ b/tests/relay/test_take_ups.py
@@ -12,7 +12,7 @@
 from camphorpath.schema import camphorpath_pb2 as pb
 from camphorpath.streams import Asked, KnownOrigin, Origin, Source, digest_stream
 
-from .support import ask, make_request, open_relay, open_upstream, read_to_end, run
+from .support import ask, make_request, open_relay, open_upstream, read_to_end, run, wait_for
 from .test_streams import HEAD, make_chunk, make_event, read_events, stream_events
 
 BEGIN = make_request(b'/stream/x')
@@ -189,6 +189,40 @@
     run(test)
 
 
+def test_first_event_waits_until_the_version_is_announced():
+    """Guards against a stream that breaks off before the other daemons can know its version."""
+
+    async def test():
+        announced = []
+        is_announced = anyio.Event()
+
+        async def announce_version(service, software_version):
+            announced.append((service, software_version))
+            await is_announced.wait()
+
+        async with (
+            open_upstream(stream_events([1, 2])) as first,
+            open_relay(first) as (context, port),
+            anyio.create_task_group() as group,
+        ):
+            context.origins.announce_version = announce_version
+            received = []
+
+            async def read():
+                received.append(await read_to_end(port, BEGIN))
+
+            group.start_soon(read)
+            await wait_for(lambda: announced)
+            await anyio.sleep(0.05)
+            assert context.origins.records.find(digest_stream(b'1')) is None
+            assert not received
+            is_announced.set()
+        assert announced == [('llm', 'v1')]
+        assert read_events(received[0][0]) == [b'data: e1', b'data: e2']
+
+    run(test)
+
+
 @pytest.mark.parametrize('source', [Source.PEER, Source.STORE])
 def test_take_up_goes_on_at_the_version_that_others_know(source):
     """Guards against take-ups that only the daemon can serve at which the stream began."""
