Merge the reads of versions after a take-up, and the era of their rows

is_history_complete now tells only of versions that a restore may have lost; gaps are covered by the read that each take-up waits for. An announced version learns the era.

--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -45,10 +45,14 @@
 REFRESH_INTERVAL_S = 5.0
 # A version may have been registered for so much longer than its row says.
 MAX_SEEN_LAG_S = REFRESH_INTERVAL_S + VERSION_INTERVAL_S
+# The first event of a stream is held up for its version to be written for no longer than this.
+MAX_ANNOUNCE_S = 0.3
 # After a longer pause between two updates, versions may have come and gone unseen.
 MAX_UNSEEN_S = 2.0
 # Rows of versions that were not refreshed for longer, and for the longest horizon, are removed.
 VERSION_RETENTION_S = 600.0
+# The row of a version may have been removed when it was last read or written longer ago than this.
+MAX_KNOWN_ROW_AGE_S = VERSION_RETENTION_S / 2
 # The writer removes the row of a version before the other daemons forget it.
 FORGET_DELAY_S = 60.0
 # Bounds the memory.
@@ -102,6 +106,11 @@
     _stale_parts: dict[str, list[str]] = attrs.field(factory=dict)
     # When this daemon last wrote each version.
     _versions_written: dict[Pair, float] = attrs.field(factory=dict)
+    # When this daemon last read or wrote the row of each version.
+    _version_rows: dict[Pair, float] = attrs.field(factory=dict)
+    _announce_lock: anyio.Lock = attrs.field(factory=anyio.Lock)
+    # When a version may be announced again after a failure, on the lease clock.
+    _next_announce_at: float = -math.inf
     # Versions that the store may have lost when it was restored.
     _versions_lost: set[Pair] = attrs.field(factory=set)
     # Tasks whose last call failed.
@@ -138,12 +147,10 @@
             if restored.is_set():
                 restored = self.get_restored()
                 self._versions_lost.update(self.history.list_last_seen())
-            now = self.read_clock()
-            registered = set(self.list_registered())
-            for service, software_version in registered:
-                self.history.record(service, software_version, now)
+                self._version_rows.clear()
+            self.record_registered()
             try:
-                await self._update_versions(registered)
+                await self._update_versions(set(self.list_registered()))
             except (TableUnavailable, TableOutcomeUnknown) as error:
                 # Reads and writes can be repeated.
                 self._log_failure('versions', error)
@@ -153,10 +160,76 @@
             self._has_gap = self._has_gap or paused_s > VERSION_INTERVAL_S + MAX_UNSEEN_S
 
     def is_history_complete(self) -> bool:
-        """Return whether no version is missing that was registered until the last confirmation."""
-        if not self.is_loaded or self._may_lack_versions(self.read_clock()):
+        """Return whether no version is missing that was registered until the last read of them."""
+        return self.is_loaded and not self._may_lack_versions(self.read_clock())
+
+    async def announce_version(self, service: str, software_version: str) -> None:
+        """Write a version at which streams begin here, unless its row is known to exist.
+
+        The daemon that writes the versions for all may learn of it later, or never if it is
+        registered for a short time. Gives up after MAX_ANNOUNCE_S.
+        """
+        pair = service, software_version
+        if not self._is_announce_due(pair):
+            return
+        with anyio.move_on_after(MAX_ANNOUNCE_S) as scope:
+            async with self._announce_lock:
+                if self._is_announce_due(pair):
+                    await self._announce(pair)
+        if scope.cancelled_caught:
+            self._delay_announcing('out of time')
+
+    async def _announce(self, pair: Pair) -> None:
+        now = self.read_clock()
+        content = encode_version_row(VersionRow(*pair, self._to_store_time(now)))
+        try:
+            # The write is idempotent, and another daemon may write the same row.
+            written = await self.store.write_rows(
+                VERSION_TABLE, '', {make_version_key(*pair): content}
+            )
+        except (TableUnavailable, TableOutcomeUnknown) as error:
+            self._delay_announcing(str(error))
+            return
+        self._learn_store_time(written)
+        self._learn_era(written.era)
+        self._version_rows[pair] = now
+
+    def _is_announce_due(self, pair: Pair) -> bool:
+        now = self.read_clock()
+        if now < self._next_announce_at or not pair[1]:
             return False
-        return not (self._has_gap and self.is_view_confirmed())
+        return now - self._version_rows.get(pair, -math.inf) >= MAX_KNOWN_ROW_AGE_S
+
+    def _delay_announcing(self, problem: str) -> None:
+        """Let streams begin without another attempt for a time."""
+        self._next_announce_at = self.read_clock() + RETRY_DELAY_S
+        self.events.emit(Event.STREAM_STORE_FAILED, task='announce', problem=problem)
+
+    def record_registered(self) -> None:
+        """Record the versions of the upstreams that are known here as registered now."""
+        now = self.read_clock()
+        for service, software_version in self.list_registered():
+            self.history.record(service, software_version, now)
+
+    async def read_versions(self) -> None:
+        """Read the versions that the daemons have written; raise TableUnavailable."""
+        rows = await self.store.read_table(VERSION_TABLE)
+        self._learn_store_time(rows)
+        found: list[VersionRow] = []
+        for row in rows.rows:
+            try:
+                found.append(decode_version_row(row.value))
+            except PlatformError as error:
+                self._reject_row(VERSION_TABLE, '', row.key, error)
+        for version in found:
+            seen_at = rows.answered_at
+            if version.seen_s is not None:
+                seen_at = min(seen_at, _to_lease_time(version.seen_s, rows) + MAX_SEEN_LAG_S)
+            self.history.record(version.service, version.software_version, seen_at)
+            self._version_rows[version.service, version.software_version] = seen_at
+        self._update_completeness(found, rows)
+        self._learn_era(get_era(rows.revision))
+        self.is_loaded = True
 
     async def find(self, digest: bytes, answered: frozenset[str]) -> KnownOrigin | None:
         """Look a stream up in the rows of the daemons that have not answered; adopt what is found.
@@ -299,7 +372,7 @@
         is_confirmed = self.is_view_confirmed()
         self._has_gap = self._has_gap or not is_confirmed
         if not self.is_loaded or (self._has_gap and is_confirmed) or self._is_reload_due():
-            await self._load_versions()
+            await self.read_versions()
             self._has_gap = not is_confirmed
         now = self.read_clock()
         if self.is_version_writer():
@@ -311,24 +384,6 @@
         self._forget_versions(now - self._get_retention_s() - FORGET_DELAY_S)
         self._failing.discard('versions')
 
-    async def _load_versions(self) -> None:
-        rows = await self.store.read_table(VERSION_TABLE)
-        self._learn_store_time(rows)
-        found: list[VersionRow] = []
-        for row in rows.rows:
-            try:
-                found.append(decode_version_row(row.value))
-            except PlatformError as error:
-                self._reject_row(VERSION_TABLE, '', row.key, error)
-        for version in found:
-            seen_at = rows.answered_at
-            if version.seen_s is not None:
-                seen_at = min(seen_at, _to_lease_time(version.seen_s, rows) + MAX_SEEN_LAG_S)
-            self.history.record(version.service, version.software_version, seen_at)
-        self._update_completeness(found, rows)
-        self._learn_era(get_era(rows.revision))
-        self.is_loaded = True
-
     def _update_completeness(self, found: list[VersionRow], rows: Rows) -> None:
         """Find out whether a restore of the store lost versions that this daemon never knew.
 
@@ -399,6 +454,7 @@
         written = await self.store.write_rows(VERSION_TABLE, '', writes, removed)
         self._learn_store_time(written)
         self._versions_written.update(dict.fromkeys(due, now))
+        self._version_rows.update(dict.fromkeys(due, now))
         self._versions_lost.difference_update(due)
         self._learn_era(written.era)
         # One that is registered again by now is kept.
@@ -413,6 +469,9 @@
         for pair, written_at in list(self._versions_written.items()):
             if written_at < before:
                 self._versions_written.pop(pair)
+        for pair, known_at in list(self._version_rows.items()):
+            if known_at < before:
+                self._version_rows.pop(pair)
 
     def _get_write_interval_s(self) -> float:
         """Return the pause between two writes, for which all daemons share the write calls."""
