Take no answer without an id on a connection that was opened to check an upstream

An upstream may answer a connection that was idle for too long, for instance with 408, just as a call is sent on it; on a connection that counts as unused this became the answer of the call. Found by reading.

Measured: the new test failed before (the call got the 408) and passes now.

--- a/camphorpath/relay/upstream.py
+++ b/camphorpath/relay/upstream.py
@@ -237,6 +237,8 @@
             return True
         self.opened_count += 1
         conn = UpstreamConnection(connection, upstream.address, idle_since=read_lease_clock())
+        # An upstream may answer an idle connection that times out.
+        conn.was_used = True
         self._idle.setdefault(upstream.address, []).append(conn)
         return True
 
--- a/tests/relay/test_killed_upstreams.py
+++ b/tests/relay/test_killed_upstreams.py
@@ -8,7 +8,15 @@
 import anyio
 import pytest
 
-from .support import ScriptedUpstream, make_request, open_relay, open_upstream, read_to_end, run
+from .support import (
+    ScriptedUpstream,
+    ask,
+    make_request,
+    open_relay,
+    open_upstream,
+    read_to_end,
+    run,
+)
 from .test_streams import make_event, read_events, stream_events
 
 HEAD = (
@@ -146,3 +154,27 @@
         assert received.endswith(STREAM_END)
 
     run(test)
+
+
+def test_answer_without_id_is_not_taken_on_the_connection_that_showed_that_an_upstream_lives():
+    """Guards against the answer of an upstream to a connection that was idle for too long."""
+
+    async def handle(upstream, reader, writer):
+        head = await upstream.read_request(reader)
+        if b'/once/' in head:
+            writer.write(make_begin(1, 2))
+        else:
+            writer.write(b'HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n')
+        await writer.drain()
+
+    async def test():
+        async with (
+            open_upstream(handle) as upstream,
+            open_relay(upstream) as (context, port),
+        ):
+            await read_to_end(port, make_request(b'/once/x'))
+            status, _head, _body = await ask(port, make_request(b'/write/x', method=b'POST'))
+            assert context.pool.opened_count == 2
+        assert status == 502
+
+    run(test)
