Start a daemon of a run once only

Two troubles that ended at the same time each started the daemon that they had ended: the second process found its port in use and exited with 1, or one of the two was left behind.

--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -125,6 +125,7 @@
     started_at: float = 0.0
     # Whether the run has told the process to end.
     is_ending: bool = False
+    is_starting: bool = False
 
     @property
     def address(self):
@@ -135,6 +136,10 @@
         return self.process is not None and self.process.returncode is None
 
     async def start(self):
+        """Start a process, unless one runs or is being started."""
+        if self.is_starting or self.is_running:
+            return
+        self.is_starting = True
         environment = {
             'PATH': os.environ['PATH'],
             'HOME': os.environ.get('HOME', ''),
@@ -155,6 +160,7 @@
                 stdout=log,
                 stderr=log,
             )
+        self.is_starting = False
 
     def send_signal(self, number):
         if self.is_running:
