Wait until the sockets of a killed upstream are closed before it is checked

A stream of a killed process still looked complete now and then: the kernel closes the connections of the process before its listening socket, so a check right after the end of the stream found it alive.

Measured on processes with twelve connections that got SIGKILL, 80 each at load 8 to 11: a check at once found a new connection accepted in 13 and 4 of 80 and an idle connection open in 20 and 4; a check after 5, 20 or 50 ms in none. The daemon waits for 50 ms; only the end of a stream without a length or chunks is delayed. The new test, whose listener is closed 20 ms after the stream, failed before.

--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -91,6 +91,8 @@
 # Longest time for which a stream is kept open at a silent upstream after it was sent to another
 # one. Both must not run it for 0.4 s; the rest is for the way to them.
 MAX_OVERLAP_S = 0.33
+# The kernel closes the connections of a killed process before its listening socket.
+PROCESS_EXIT_S = 0.05
 # Assumed, as streams do not state it; only the relative speeds of upstreams matter.
 TOKENS_PER_EVENT = 4
 
@@ -792,6 +794,7 @@
         is_announced = find_header(answer.headers, self._header_names.leaving) == FLAG_SET
         if answer.has_length or is_announced or self._has_left(upstream):
             return
+        await anyio.sleep(PROCESS_EXIT_S)
         if await self.context.pool.is_listening(upstream) or self._has_left(upstream):
             return
         message = 'the upstream refuses connections since the stream has ended'
--- a/tests/relay/test_killed_upstreams.py
+++ b/tests/relay/test_killed_upstreams.py
@@ -1,5 +1,6 @@
 """Upstream processes that are killed while they stream an answer that ends with its connection."""
 
+import asyncio
 import contextlib
 import math
 import subprocess
@@ -115,6 +116,31 @@
     run(test)
 
 
+def test_stream_of_a_process_that_closes_its_listener_late_goes_on_elsewhere():
+    """Guards against taking a process for a sound one while the kernel closes its sockets."""
+
+    async def test():
+        async def handle(reader, writer):
+            await upstream.read_request(reader)
+            writer.write(make_begin(1, 2))
+            await writer.drain()
+            writer.close()
+            await anyio.sleep(0.02)
+            server.close()
+
+        server = await asyncio.start_server(handle, '127.0.0.1', 0)
+        upstream = ScriptedUpstream(*server.sockets[0].getsockname()[:2])
+        async with (
+            open_upstream(stream_events([3])) as second,
+            open_relay(upstream, second) as (_context, port),
+        ):
+            received, _is_reset = await read_to_end(port, make_request(b'/stream/x'))
+        assert read_events(received) == [b'data: e1', b'data: e2', b'data: e3']
+        assert received.endswith(STREAM_END)
+
+    run(test)
+
+
 def test_last_stream_of_a_leaving_process_is_complete():
     """Guards against a sound answer that is broken off as its upstream has left after it."""
 
