--- a/tests/processes/soak.py
+++ b/tests/processes/soak.py
@@ -38,6 +38,8 @@
     trouble_interval_s: float = 1.2
     # Whether upstreams restart under their ids at another version.
     has_version_changes: bool = True
+    # Whether upstreams that leave may crash before they exit.
+    has_crashes_while_leaving: bool = True
 
 
 @attrs.define
@@ -133,6 +135,7 @@
 
 
 async def _drain(fleet, upstream, rng):
+    upstream.is_draining = True
     if rng.random() < 0.5:
         upstream.is_leaving = True
         fleet.register(upstream)
@@ -141,6 +144,7 @@
 
     async def leave():
         await asyncio.sleep(rng.uniform(0.3, 3.0))
+        # Its streams are reset, as it exits before their ends.
         upstream.crash()
         fleet.deregister(upstream)
 
@@ -290,6 +294,8 @@
         upstream = self._choose_upstream('llm')
         if upstream is None:
             return
+        if upstream.is_draining and not self.plan.has_crashes_while_leaving:
+            return
         is_reset = self.rng.random() < 0.5
         self.fleet.log(f'{upstream.upstream_id} crashes, is_reset {is_reset}')
         upstream.crash(is_reset=is_reset)
