Limit the answers and listings of the store

Daemons saw: a store whose listings had pages without end took the memory of a process, without any limit; a store with answers without end took 64 MiB for each of the reads that run in parallel (up to eight of records of streams, besides those of the tables that are followed).

Evidence: tests/processes/test_endless_bytes.py, 4 s at one daemon with 20 calls that take up streams.

Change: an answer of the store may have 4 MiB (a page has 1 MB of rows before their encoding, or 1000 parts of 200 bytes), one of a peer 16 MiB instead of 64. Listings that are being read share a pool of 32 MiB like the answers of upstreams; one alone may have 16 MiB, 30,000 entries of 500 bytes. Changes that exceed an answer are read as a listing, which has pages. The size of a chunk is checked before other tasks run, and a refused answer is released at once.

--- a/camphorpath/platform/store.py
+++ b/camphorpath/platform/store.py
@@ -10,9 +10,10 @@
 import httpx
 import orjson
 
+from ..buffers import BufferPool, Reservation
 from ..clocks import read_lease_clock
 from ..errors import HistoryCompacted, TableOutcomeUnknown, TableUnavailable
-from ..transports import CompleteAnswer, fetch_complete, make_plain_transport
+from ..transports import CompleteAnswer, ContentTooLarge, fetch_complete, make_plain_transport
 from .fields import MAX_NUMBER
 from .revisions import FIRST_ERA, get_era, get_version, make_revision
 from .wire import ERA_HEADER, ROWS_FEED, ROWS_GET, ROWS_PARTS, ROWS_WRITE
@@ -26,6 +27,11 @@
 PAGE_ROW_COUNT = 500
 # The store sends this many parts in an answer.
 PAGE_PART_COUNT = 1000
+# Longest answer. A page holds at most 1 MB of rows, before their values are encoded and the names
+# of their places are added. Longer changes are read as a listing, which has pages.
+MAX_ANSWER_BYTES = 4194304
+# Memory that a row or a part takes besides its text.
+MIN_ENTRY_BYTES = 256
 # Rows that a transaction may write and remove.
 MAX_WRITE_ROWS = 100
 MS_PER_S = 1000
@@ -87,6 +93,8 @@
     def __init__(self, url: str, transport: httpx.AsyncBaseTransport | None = None) -> None:
         """Create the HTTP client; it connects at the first call."""
         self._url = url
+        # Holds the listings that are being read, whose pages may have no end.
+        self._listings = BufferPool()
         self._client = httpx.AsyncClient(
             base_url=url,
             transport=transport or make_plain_transport(SOCKET_OPTIONS),
@@ -97,41 +105,50 @@
         """Return all rows of a part of a table; raise TableUnavailable."""
         rows: list[StoreRow] = []
         skipped_count = 0
+        size = 0
         first: Rows | None = None
         start = ''
-        while True:
-            query = {'table_name': table, 'part': part, 'max_results': str(PAGE_ROW_COUNT)}
-            if start:
-                query['range_start'] = start
-            found, answer = await self._get(ROWS_GET, query, READ_TIMEOUT_S)
-            page = _decode_rows(found, self._url, answer)
-            if any(row.key < start for row in page.rows):
-                message = 'a page of the table repeats rows of an earlier one'
-                raise TableUnavailable(message, step=ROWS_GET, peer=self._url)
-            rows += page.rows
-            skipped_count += page.skipped_count
-            first = first or page
-            if get_era(page.revision) != get_era(first.revision):
-                message = 'the store was restored while the table was read'
-                raise TableUnavailable(message, step=ROWS_GET, peer=self._url)
-            if not found.get('has_more') or not page.rows:
-                # The revision is that of the first page, as its rows may have changed since.
-                return attrs.evolve(first, rows=rows, skipped_count=skipped_count)
-            # The smallest possible key after the last one of the page.
-            start = f'{page.rows[-1].key}\0'
+        with self._listings.open_reservation() as reservation:
+            while True:
+                query = {'table_name': table, 'part': part, 'max_results': str(PAGE_ROW_COUNT)}
+                if start:
+                    query['range_start'] = start
+                found, answer = await self._get(ROWS_GET, query, READ_TIMEOUT_S)
+                page = _decode_rows(found, self._url, answer)
+                if any(row.key < start for row in page.rows):
+                    message = 'a page of the table repeats rows of an earlier one'
+                    raise TableUnavailable(message, step=ROWS_GET, peer=self._url)
+                rows += page.rows
+                skipped_count += page.skipped_count
+                first = first or page
+                if get_era(page.revision) != get_era(first.revision):
+                    message = 'the store was restored while the table was read'
+                    raise TableUnavailable(message, step=ROWS_GET, peer=self._url)
+                if not found.get('has_more') or not page.rows:
+                    # The revision is that of the first page, as its rows may have changed since.
+                    return attrs.evolve(first, rows=rows, skipped_count=skipped_count)
+                size += _get_size(answer, len(page.rows))
+                self._reserve(reservation, size, ROWS_GET)
+                # The smallest possible key after the last one of the page.
+                start = f'{page.rows[-1].key}\0'
 
     async def read_changes(self, table: str, after: int, wait_s: float) -> Rows:
         """Return the changes of a table after a revision; wait up to `wait_s` for the first one.
 
-        Raises HistoryCompacted if the store no longer has them or was restored since, and
-        TableUnavailable on other failures.
+        Raises HistoryCompacted if the store no longer has them, if they exceed MAX_ANSWER_BYTES or
+        if it was restored since, and TableUnavailable on other failures.
         """
         query = {
             'table_name': table,
             'after_revision': str(get_version(after)),
             'wait_ms': str(round(wait_s * MS_PER_S)),
         }
-        found, answer = await self._get(ROWS_FEED, query, wait_s + CALL_TIMEOUT_S)
+        try:
+            found, answer = await self._get(ROWS_FEED, query, wait_s + CALL_TIMEOUT_S)
+        except TableUnavailable as error:
+            if isinstance(error.__cause__, ContentTooLarge):
+                raise HistoryCompacted(error.message, step=ROWS_FEED, peer=self._url) from error
+            raise
         rows = _decode_rows(found, self._url, answer)
         if get_era(rows.revision) > get_era(after):
             # The version belongs to another row now, so that these are not all changes.
@@ -144,22 +161,26 @@
     async def list_parts(self, table: str) -> list[str]:
         """Return the parts of a table that have rows; raise TableUnavailable."""
         parts: list[str] = []
-        while True:
-            query = {'table_name': table}
-            if parts:
-                query['after_revision'] = parts[-1]
-            found, _answer = await self._get(ROWS_PARTS, query, READ_TIMEOUT_S)
-            listed = found.get('parts')
-            if not isinstance(listed, list):
-                message = 'the answer has no parts'
-                raise TableUnavailable(message, step=ROWS_PARTS, peer=self._url)
-            page = [part for part in listed if isinstance(part, str)]
-            if parts and any(part <= parts[-1] for part in page):
-                message = 'a page of the parts repeats parts of an earlier one'
-                raise TableUnavailable(message, step=ROWS_PARTS, peer=self._url)
-            parts += page
-            if not page or not found.get('has_more', len(listed) >= PAGE_PART_COUNT):
-                return parts
+        size = 0
+        with self._listings.open_reservation() as reservation:
+            while True:
+                query = {'table_name': table}
+                if parts:
+                    query['after_revision'] = parts[-1]
+                found, answer = await self._get(ROWS_PARTS, query, READ_TIMEOUT_S)
+                listed = found.get('parts')
+                if not isinstance(listed, list):
+                    message = 'the answer has no parts'
+                    raise TableUnavailable(message, step=ROWS_PARTS, peer=self._url)
+                page = [part for part in listed if isinstance(part, str)]
+                if parts and any(part <= parts[-1] for part in page):
+                    message = 'a page of the parts repeats parts of an earlier one'
+                    raise TableUnavailable(message, step=ROWS_PARTS, peer=self._url)
+                parts += page
+                if not page or not found.get('has_more', len(listed) >= PAGE_PART_COUNT):
+                    return parts
+                size += _get_size(answer, len(page))
+                self._reserve(reservation, size, ROWS_PARTS)
 
     async def write_row(self, table: str, key: str, content: bytes | None) -> None:
         """Write a row of the empty part, or remove it if `content` is None.
@@ -196,7 +217,9 @@
         )
         try:
             with anyio.fail_after(CALL_TIMEOUT_S):
-                answer = await fetch_complete(self._client, request, CALL_TIMEOUT_S)
+                answer = await fetch_complete(
+                    self._client, request, CALL_TIMEOUT_S, MAX_ANSWER_BYTES
+                )
         except NEVER_SENT as error:
             raise TableUnavailable(repr(error), step='write', peer=self._url) from error
         except (httpx.HTTPError, OSError, TimeoutError) as error:
@@ -215,6 +238,12 @@
         """Close the connections."""
         await self._client.aclose()
 
+    def _reserve(self, reservation: Reservation, size: int, step: str) -> None:
+        """Count a listing as held; raise TableUnavailable if all listings take too much."""
+        if not reservation.resize(size):
+            message = f'a listing is too long after {size} bytes'
+            raise TableUnavailable(message, step=step, peer=self._url)
+
     async def _get(
         self, path: str, query: dict[str, str], timeout_s: float
     ) -> tuple[dict[str, Any], CompleteAnswer]:
@@ -225,7 +254,7 @@
         timeout = httpx.Timeout(timeout_s, connect=CONNECT_TIMEOUT_S)
         request = self._client.build_request('GET', path, params=query, timeout=timeout)
         try:
-            answer = await fetch_complete(self._client, request, timeout_s)
+            answer = await fetch_complete(self._client, request, timeout_s, MAX_ANSWER_BYTES)
         except (httpx.HTTPError, OSError, TimeoutError) as error:
             raise TableUnavailable(repr(error), step=path, peer=self._url) from error
         if answer.status == httpx.codes.GONE:
@@ -238,6 +267,11 @@
         return _decode_object(answer.content, path, self._url), answer
 
 
+def _get_size(answer: CompleteAnswer, entry_count: int) -> int:
+    """Return about how many bytes the entries of an answer take when they are decoded."""
+    return max(len(answer.content), entry_count * MIN_ENTRY_BYTES)
+
+
 def _decode_object(body: bytes, step: str, peer: str) -> dict[str, Any]:
     try:
         found = orjson.loads(body)
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -10,6 +10,7 @@
 import attrs
 import h11
 
+from ..buffers import Reservation
 from ..clocks import read_lease_clock
 from ..errors import (
     AnswerTooLarge,
@@ -36,7 +37,6 @@
     check_quarantine,
     get_call_digest,
 )
-from .buffers import Reservation
 from .caller import CallerConnection
 from .context import RelayContext
 from .events import EventSplitter
--- a/camphorpath/relay/context.py
+++ b/camphorpath/relay/context.py
@@ -7,6 +7,7 @@
 import anyio
 import attrs
 
+from ..buffers import BufferPool
 from ..clocks import read_lease_clock
 from ..events import EventLog
 from ..placement.budget import RetryBudget
@@ -16,7 +17,6 @@
 from ..placement.scheduler import Scheduler
 from ..routing import CallerLimits, RoutingTable, Upstream
 from ..streams import OriginLookup
-from .buffers import BufferPool
 from .caller import CallerConnection
 from .header_names import HeaderNames
 from .metrics import RelayMetrics
--- a/camphorpath/transports.py
+++ b/camphorpath/transports.py
@@ -15,8 +15,13 @@
 # The time limit of an answer allows for this transfer rate: a tenth of the slowest link in use,
 # 5 Mbit/s, which calls share.
 MIN_RATE_BYTES_PER_S = 65536.0
-# Longer than any listing or manifest; deflated content of a broken peer may inflate to more.
-MAX_CONTENT_BYTES = 67108864
+# Longer than any manifest and any listing of a peer, of which a daemon reads one at a time;
+# deflated content of a broken peer may inflate to more.
+MAX_CONTENT_BYTES = 16777216
+
+
+class ContentTooLarge(httpx.DecodingError):
+    """The content of an answer exceeds the limit of its reader."""
 
 
 @attrs.frozen
@@ -31,13 +36,16 @@
 
 
 async def fetch_complete(
-    client: httpx.AsyncClient, request: httpx.Request, read_timeout_s: float
+    client: httpx.AsyncClient,
+    request: httpx.Request,
+    read_timeout_s: float,
+    max_bytes: int = MAX_CONTENT_BYTES,
 ) -> CompleteAnswer:
     """Return the answer to a request; the request sets the time limit for each chunk.
 
-    Other tasks run in between, however short the chunks are. Raises the errors of httpx, also if
-    the chunks cost more than MAX_CONTENT_BYTES, and TimeoutError if the whole answer takes longer
-    than `read_timeout_s` seconds plus the time for its length at MIN_RATE_BYTES_PER_S.
+    Other tasks run in between, however short the chunks are. Raises the errors of httpx,
+    ContentTooLarge if the chunks cost more than `max_bytes`, and TimeoutError if the whole answer
+    takes longer than `read_timeout_s` seconds plus the time for its length at MIN_RATE_BYTES_PER_S.
     """
     content = bytearray()
     cost = 0
@@ -48,21 +56,27 @@
         try:
             answered_at = read_lease_clock()
             async for chunk in response.aiter_bytes():
-                await turn.end_if_over()
-                turn.add_work(get_cost(chunk))
-                content += chunk
                 cost += get_cost(chunk)
-                if cost > MAX_CONTENT_BYTES:
-                    message = f'the answer exceeds {MAX_CONTENT_BYTES} bytes'
-                    raise httpx.DecodingError(message, request=request)
+                # Before others run: a chunk may have inflated to much more than was received.
+                if cost > max_bytes:
+                    message = f'the answer exceeds {max_bytes} bytes'
+                    raise ContentTooLarge(message, request=request)
+                content += chunk
+                turn.add_work(get_cost(chunk))
+                await turn.end_if_over()
                 # Deflated content takes less time on the link than its length says.
                 scope.deadline += (
                     response.num_bytes_downloaded - received_bytes
                 ) / MIN_RATE_BYTES_PER_S
                 received_bytes = response.num_bytes_downloaded
+            return CompleteAnswer(
+                response.status_code, response.headers, bytes(content), answered_at
+            )
         finally:
+            # The traceback of an error refers to this frame and may be kept for long.
+            content.clear()
+            chunk = b''
             await response.aclose()
-    return CompleteAnswer(response.status_code, response.headers, bytes(content), answered_at)
 
 
 def make_plain_transport(socket_options: Sequence[SocketOption] = ()) -> httpx.AsyncHTTPTransport:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -428,6 +428,61 @@
     run(test, lambda request: reply({'rows': [], 'row_version': version}))
 
 
+@pytest.mark.parametrize('listing', ['rows', 'parts'])
+def test_listing_whose_pages_do_not_end_is_an_outage(listing):
+    """Guards against a daemon that joins pages until it runs out of memory."""
+
+    def answer(request):
+        start = request.url.params.get('range_start') or request.url.params.get('after_revision')
+        first = int((start or '0').rstrip('\0')) + 1
+        names = [f'{number:0100}' for number in range(first, first + 500)]
+        if listing == 'parts':
+            return reply({'parts': names, 'has_more': True})
+        rows = [make_row(name, b'x' * 1500) for name in names]
+        return reply({'rows': rows, 'row_version': 7, 'has_more': True})
+
+    async def test(store):
+        read = store.read_table if listing == 'rows' else store.list_parts
+        for _ in range(2):
+            with pytest.raises(TableUnavailable, match='too long'):
+                await read('t')
+
+    run(test, answer)
+
+
+def test_changes_that_exceed_an_answer_lead_to_a_full_read():
+    """Guards against a daemon that cannot catch up as its changes are too many for one answer."""
+
+    def answer(request):
+        if request.url.path.endswith('rows-feed'):
+            return reply({'rows': [make_row('a', bytes(4 << 20), revision=8)], 'row_version': 8})
+        return reply({'rows': [make_row('a', b'1', revision=8)], 'row_version': 8})
+
+    async def test(store):
+        with pytest.raises(HistoryCompacted, match='exceeds'):
+            await store.read_changes('t', 7, 0)
+        assert (await store.read_table('t')).rows[0].value == b'1'
+
+    run(test, answer)
+
+
+def test_long_listing_is_read_completely():
+    """Guards against a limit that refuses the listings of large deployments."""
+    names = [f'{number:06}' for number in range(10000)]
+
+    def answer(request):
+        start = request.url.params.get('range_start', '').rstrip('\0')
+        first = names.index(start) + 1 if start else 0
+        rows = [make_row(name, b'x' * 600) for name in names[first : first + 500]]
+        has_more = first + 500 < len(names)
+        return reply({'rows': rows, 'row_version': 7, 'has_more': has_more})
+
+    async def test(store):
+        assert [row.key for row in (await store.read_table('t')).rows] == names
+
+    run(test, answer)
+
+
 @pytest.mark.anyio
 async def test_endless_listing_in_short_chunks_does_not_stop_the_daemon():
     """Guards against a store whose answer keeps the daemon from answering its callers."""
--- a/tests/processes/store.py
+++ b/tests/processes/store.py
@@ -16,6 +16,8 @@
 MAX_PAGE_PARTS = 1000
 HISTORY_S = 20.0
 COPY_INTERVAL_S = 0.25
+# Fills a page to its limit of 1 MB.
+LONG_VALUE = b'x' * 1900
 READ_ONLY_TABLES = ('op', 'servers')
 
 
@@ -51,7 +53,8 @@
     revision: int = 100
     era: int = 1
     # What the daemons get: 'up', 'refusing' (status 503), 'away' (connections are reset), 'hanging'
-    # (no answer), 'endless_head' or 'endless_body' (bytes without end).
+    # (no answer), 'endless_head' or 'endless_body' (bytes without end), 'endless_pages' (listings
+    # whose pages do not end).
     mode: str = 'up'
     delay_s: float = ANSWER_S
     # Share of the writes whose answer is lost, chosen by their number.
@@ -176,7 +179,7 @@
         if self.mode == 'hanging':
             await self.is_closed.wait()
             return False
-        if self.mode.startswith('endless'):
+        if self.mode in {'endless_head', 'endless_body'}:
             await self._send_endlessly(writer)
             return False
         if self.mode == 'refusing':
@@ -205,6 +208,8 @@
 
     async def _answer(self, name, request):
         fields = dict(urllib.parse.parse_qsl(request.target.partition('?')[2]))
+        if self.mode == 'endless_pages' and name != 'rows-tx':
+            return self._make_endless_page(name, fields)
         if name == 'rows-tx':
             return self._write(json.loads(request.body))
         if name == 'rows-get':
@@ -215,6 +220,21 @@
             return await self._follow(fields)
         return 404, {}
 
+    def _make_endless_page(self, name, fields):
+        """Return the next page of a listing that does not end; there is no history to follow."""
+        if name == 'rows-feed':
+            return 410, {'row_version': self.revision}
+        if name == 'rows-parts':
+            first = int(fields.get('after_revision', '0')) + 1
+            parts = [f'{number:0200}' for number in range(first, first + MAX_PAGE_PARTS)]
+            return 200, {'parts': parts, 'has_more': True, 'row_version': self.revision}
+        first = int(fields.get('range_start', '0').rstrip('\0')) + 1
+        rows = [
+            _make_row((fields['table_name'], fields.get('part', ''), f'{number:08}'), LONG_VALUE, 1)
+            for number in range(first, first + MAX_PAGE_ROWS)
+        ]
+        return 200, {'rows': rows, 'has_more': True, 'row_version': self.revision}
+
     def _write(self, body):
         places = [
             *(entry for entry in body.get('write', ())),
--- a/tests/processes/test_endless_bytes.py
+++ b/tests/processes/test_endless_bytes.py
@@ -16,6 +16,9 @@
 MAX_MEMORY_MB = 150
 FLOODED_CALL_COUNT = 300
 TIMEOUT_MS = 3000
+# For this time a store sends without end.
+STORE_FAULT_MS = 4000
+TAKE_UP_COUNT = 20
 # Time after its deadline at which a call must have an answer.
 ANSWER_SLACK_S = 0.5
 BOOKING_INTERVAL_S = 0.1
@@ -66,7 +69,7 @@
 )
 
 
-async def call(address, path, attempt, timeout_ms):
+async def call(address, path, attempt, timeout_ms, headers=''):
     """Return the status of the answer to a call; None if there is none in time."""
     host, _, port = address.rpartition(':')
     writer = None
@@ -75,7 +78,7 @@
             reader, writer = await asyncio.open_connection(host, int(port))
             writer.write(
                 f'POST {path} HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: {attempt}\r\n'
-                f'X-Deadline-Ms: {timeout_ms}\r\nContent-Length: 0\r\n\r\n'.encode()
+                f'X-Deadline-Ms: {timeout_ms}\r\n{headers}Content-Length: 0\r\n\r\n'.encode()
             )
             status = int((await reader.readuntil(b'\r\n')).split()[1])
             while await reader.read(65536):
@@ -151,3 +154,39 @@
         assert set(bookings) == {200}
         assert None not in statuses
         assert memory_mb < MAX_MEMORY_MB
+
+
+@pytest.mark.parametrize('mode', ['endless_head', 'endless_body', 'endless_pages'])
+async def test_daemon_outlasts_a_store_that_sends_without_end(mode):
+    """Guards against a daemon that keeps what the store sends until it runs out of memory."""
+    async with open_fleet(1) as fleet:
+        await fleet.add_upstream('v1', service='ledger')
+        for version in ('v1', 'v2'):
+            await fleet.add_upstream(version)
+        await fleet.start_daemons()
+        await asyncio.sleep(SETTLE_S)
+        daemon = fleet.daemons[0]
+        is_over = asyncio.Event()
+        booking = asyncio.create_task(book_until(daemon.address, is_over))
+        fleet.store.set_mode(mode)
+        # The daemon has to ask the store for the versions of these streams.
+        await asyncio.gather(
+            *(
+                call(
+                    daemon.address,
+                    f'/draft/{number}/9',
+                    f'{number:016x}',
+                    STORE_FAULT_MS,
+                    f'Last-Event-Id: 3\r\nResumes: {number + 100:016x}\r\n',
+                )
+                for number in range(TAKE_UP_COUNT)
+            )
+        )
+        await asyncio.sleep(STORE_FAULT_MS / 1000)
+        is_over.set()
+        bookings = await booking
+        memory_mb = daemon.measure_peak_memory_mb()
+        fleet.store.set_mode('up')
+        assert set(bookings) == {200}
+        assert memory_mb < MAX_MEMORY_MB
+        await fleet.wait_ready([daemon])
--- a/tests/relay/test_buffers.py
+++ b/tests/test_buffers.py
@@ -1,6 +1,6 @@
 """The limit on the answers that all calls of a daemon buffer together."""
 
-from camphorpath.relay.buffers import GUARANTEED_BYTES, BufferPool, Reservation
+from camphorpath.buffers import GUARANTEED_BYTES, BufferPool, Reservation
 
 MAX_BYTES = 64 * GUARANTEED_BYTES
 
