Write a version later if a slow store kept its streams waiting

With a store slower than 0.3 s, the first event of one stream a second was held up for 0.3 s for as long as the version had no row known here, and a version whose write failed was not written at all if no other stream of it began. The write is repeated with the next update of the versions, which may take longer.

Also tests: streams of a killed daemon are refused while the store is away and go on once it is back; those of a live one go on. The test of announcements failed without the change.

--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -101,6 +101,8 @@
     _versions_written: dict[Pair, float] = attrs.field(factory=dict)
     # When this daemon last read or wrote the row of each version.
     _version_rows: dict[Pair, float] = attrs.field(factory=dict)
+    # Versions that could not be written in time.
+    _unannounced: set[Pair] = attrs.field(factory=set)
     _announce_lock: anyio.Lock = attrs.field(factory=anyio.Lock)
     # When a version may be announced again after a failure, on the lease clock.
     _next_announce_at: float = -math.inf
@@ -161,26 +163,31 @@
         pair = service, software_version
         if not self._is_announce_due(pair):
             return
-        with anyio.move_on_after(MAX_ANNOUNCE_S) as scope:
+        problem = 'out of time'
+        with anyio.move_on_after(MAX_ANNOUNCE_S):
             async with self._announce_lock:
-                if self._is_announce_due(pair):
+                if not self._is_announce_due(pair):
+                    return
+                try:
                     await self._announce(pair)
-        if scope.cancelled_caught:
-            self._delay_announcing('out of time')
+                except (TableUnavailable, TableOutcomeUnknown) as error:
+                    problem = str(error)
+                else:
+                    return
+        # It is repeated with the next update of the versions, for which no stream waits.
+        self._unannounced.add(pair)
+        self._next_announce_at = self.read_clock() + RETRY_DELAY_S
+        self.events.emit(Event.STREAM_STORE_FAILED, task='announce', problem=problem)
 
     async def _announce(self, pair: Pair) -> None:
+        """Write the row of a version; raise TableUnavailable or TableOutcomeUnknown."""
         now = self.read_clock()
         content = encode_version_row(VersionRow(*pair, self._to_store_time(now)))
-        try:
-            # The write is idempotent, and another daemon may write the same row.
-            written = await self.store.write_rows(
-                VERSION_TABLE, '', {make_version_key(*pair): content}
-            )
-        except (TableUnavailable, TableOutcomeUnknown) as error:
-            self._delay_announcing(str(error))
-            return
-        self._learn_store_time(written)
+        writes = {make_version_key(*pair): content}
+        # Another daemon may write the same row.
+        self._learn_store_time(await self.store.write_rows(VERSION_TABLE, '', writes))
         self._version_rows[pair] = now
+        self._unannounced.discard(pair)
 
     def _is_announce_due(self, pair: Pair) -> bool:
         now = self.read_clock()
@@ -188,11 +195,6 @@
             return False
         return now - self._version_rows.get(pair, -math.inf) >= MAX_KNOWN_ROW_AGE_S
 
-    def _delay_announcing(self, problem: str) -> None:
-        """Let streams begin without another attempt for a time."""
-        self._next_announce_at = self.read_clock() + RETRY_DELAY_S
-        self.events.emit(Event.STREAM_STORE_FAILED, task='announce', problem=problem)
-
     def record_registered(self) -> None:
         """Record the versions of the upstreams that are known here as registered now."""
         now = self.read_clock()
@@ -357,6 +359,8 @@
         if not self.is_loaded or (self._has_gap and is_confirmed):
             await self.read_versions()
             self._has_gap = not is_confirmed
+        for pair in list(self._unannounced):
+            await self._announce(pair)
         now = self.read_clock()
         if self.is_version_writer():
             await self._write_versions(registered, now)
--- a/tests/edge/test_stream_store.py
+++ b/tests/edge/test_stream_store.py
@@ -905,9 +905,13 @@
     assert len(daemon.list_events(Event.STREAM_STORE_FAILED)) == 1
     store.status = 200
     store.is_hanging = False
-    store.clock.now += 2
-    await daemon.streams.announce_version('llm', 'v3')
+    # Also if no other stream of the version begins.
+    await daemon.follow(2)
     assert ('llm', 'v3') in store.list_versions()
+    writes = len(store.writes)
+    await daemon.streams.announce_version('llm', 'v3')
+    await daemon.follow(2)
+    assert len(store.writes) == writes
 
 
 async def test_version_that_came_and_went_during_a_suspension_is_read_from_the_store(store):
--- a/tests/processes/test_out_of_step.py
+++ b/tests/processes/test_out_of_step.py
@@ -184,3 +184,45 @@
         for caller in callers:
             assert caller.streams[0].is_complete
             assert len(caller.streams[0].tries) == 2
+
+
+async def test_streams_of_a_killed_daemon_go_on_once_the_store_is_back():
+    """Until then a version that only the killed daemon knew may have begun them."""
+    async with open_fleet(3) as fleet:
+        for _ in range(2):
+            await fleet.add_upstream('v1')
+        await fleet.start_daemons()
+        await asyncio.sleep(SETTLE_S)
+        first, *others = fleet.daemons
+        callers, readings = await begin_streams(fleet, 2 * [daemon.address for daemon in others])
+        fleet.store.set_mode('away')
+        await first.kill()
+        await wait_until(lambda: all(len(caller.streams[0].tries) > 2 for caller in callers))
+        fleet.store.set_mode('up')
+        await asyncio.gather(*readings)
+        assert_in_order(callers)
+        for caller in callers:
+            tries = caller.streams[0].tries
+            assert (tries[1].status, tries[1].end) == (503, 'refused')
+            assert caller.streams[0].is_complete
+
+
+async def test_streams_of_a_live_daemon_go_on_elsewhere_while_the_store_is_away():
+    """Guards against take-ups that are refused though a daemon knows the version."""
+    async with open_fleet(3) as fleet:
+        for _ in range(2):
+            await fleet.add_upstream('v1')
+        await fleet.start_daemons()
+        await asyncio.sleep(SETTLE_S)
+        fleet.store.set_mode('away')
+        others = [daemon.address for daemon in fleet.daemons[1:]]
+        callers, readings = await begin_streams(fleet, 2 * others)
+        for caller in callers:
+            caller.max_gap_s = 0.3
+        # The callers give up on a daemon that stands still and then answers its peers.
+        fleet.daemons[0].freeze()
+        await wait_until(lambda: all(len(caller.streams[0].tries) > 1 for caller in callers))
+        fleet.daemons[0].thaw()
+        await asyncio.gather(*readings)
+        assert_in_order(callers)
+        assert [caller.streams[0].is_complete for caller in callers] == [True] * len(callers)
