--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -780,10 +780,8 @@
             )
             await self.caller.send_part(part)
         else:
-            service, software_version = (
-                attempt.upstream.service,
-                self._find_version(attempt.upstream),
-            )
+            service = attempt.upstream.service
+            software_version = self._find_version(attempt.upstream)
             if self.call.route.is_resumable:
                 await self.context.origins.announce_version(service, software_version)
             self.has_answer_started = True
