Keep in the store to which services resumable routes lead

Callers saw streams of two services, answered 200: a manifest moved their route to another service and all daemons were killed at once. Streams that had begun at the former service went on at the new one.

Cause: only the memory of daemons that saw the change held which services routes left, and the longer timeouts of before.

The daemon that keeps the versions also keeps a row for each service of each resumable route, in a part of its own of the same table, from the first manifest on. A row states the longest timeout, and when the route left the service. A daemon reads the rows before it takes any version for the only one; what its own manifest does not have counts as left, also if no daemon lived to write that. Rows are written when they change and after a restore, and removed when no stream of theirs can go on. The rows of versions state a new era once these are written too. Builds that do not know the part do not read it.

--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -151,6 +151,7 @@
         get_horizon_s=relay.origins.services.get_horizon_s,
         get_restored=lambda: state.restored,
         is_view_confirmed=lambda: follower.store_age() <= MAX_CONFIRMATION_AGE_S,
+        services=relay.origins.services,
     )
     stream_queries = StreamQueries(relay.origins.records, state, heartbeats)
     relay.origins.ask_peers = stream_queries.ask
--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -16,7 +16,7 @@
 from ..events import Event, EventLog
 from ..platform.revisions import FIRST_ERA, get_era
 from ..platform.store import MAX_WRITE_ROWS, MetadataStore, Rows, Written
-from ..streams import KnownOrigin, Origin, Source, StreamRecords, VersionHistory
+from ..streams import KnownOrigin, Origin, ResumableServices, Source, StreamRecords, VersionHistory
 from ..streams.rows import (
     OwnRow,
     OwnRows,
@@ -30,6 +30,7 @@
 )
 from .reads import SharedReads
 from .settings import EdgeSettings
+from .targets import TargetStore
 
 STREAM_TABLE = 'camphorpath-streams'
 VERSION_TABLE = 'camphorpath-versions'
@@ -81,6 +82,8 @@
     # Returns whether the store confirmed the upstreams known here lately.
     is_view_confirmed: Callable[[], bool]
     read_clock: Callable[[], float] = read_lease_clock
+    # Services at which streams may have begun; None for a daemon without routes.
+    services: ResumableServices | None = None
     # Whether the versions were read from the store.
     is_loaded: bool = False
     # Whether versions may have come and gone unseen since.
@@ -107,6 +110,13 @@
     # Tasks whose last call failed.
     _failing: set[str] = attrs.field(factory=set)
     _rejected: set[tuple[str, str, str]] = attrs.field(factory=set)
+    _targets: TargetStore | None = attrs.field(init=False)
+
+    @_targets.default
+    def _make_targets(self) -> TargetStore | None:
+        if self.services is None:
+            return None
+        return TargetStore(VERSION_TABLE, self.services, self.store, self._reject_row)
 
     async def write_records(self) -> None:
         """Write the records of services with several versions until cancelled."""
@@ -137,7 +147,7 @@
         while True:
             if restored.is_set():
                 restored = self.get_restored()
-                self._versions_lost.update(self.history.list_last_seen())
+                self._mark_lost()
             now = self.read_clock()
             registered = set(self.list_registered())
             for service, software_version in registered:
@@ -302,6 +312,7 @@
             await self._load_versions()
             self._has_gap = not is_confirmed
         now = self.read_clock()
+        await self._update_targets(now)
         if self.is_version_writer():
             era = self._era
             await self._write_versions(registered, now)
@@ -311,7 +322,21 @@
         self._forget_versions(now - self._get_retention_s() - FORGET_DELAY_S)
         self._failing.discard('versions')
 
+    async def _update_targets(self, now: float) -> None:
+        if self._targets is None:
+            return
+        try:
+            await self._targets.update(now, is_writer=self.is_version_writer())
+        except (TableUnavailable, TableOutcomeUnknown) as error:
+            # The versions are written without them; the next update tries again.
+            self._log_failure('targets', error)
+            return
+        self._failing.discard('targets')
+
     async def _load_versions(self) -> None:
+        if self._targets is not None:
+            # Before the versions, whose rows tell whether a restore lost any.
+            await self._targets.load()
         rows = await self.store.read_table(VERSION_TABLE)
         self._learn_store_time(rows)
         found: list[VersionRow] = []
@@ -367,9 +392,15 @@
         if era is None or era <= self._era:
             return
         if self._era:
-            self._versions_lost.update(self.history.list_last_seen())
+            self._mark_lost()
         self._era = era
 
+    def _mark_lost(self) -> None:
+        """Write all versions and targets again, as the store was restored from a copy."""
+        self._versions_lost.update(self.history.list_last_seen())
+        if self._targets is not None:
+            self._targets.mark_lost()
+
     async def _write_versions(self, registered: set[Pair], now: float) -> None:
         last_seen = self.history.list_last_seen()
         retained_from = now - self._get_retention_s()
@@ -386,9 +417,11 @@
         complete_since_s = None
         if self._complete_since is not None:
             complete_since_s = self._to_store_time(self._complete_since)
-        # Rows of the era state that all others are written.
-        has_all = self._versions_lost.issubset(due) and (
-            self._complete_since is None or complete_since_s is not None
+        # Rows of the era state that all others are written, those of targets too.
+        has_all = (
+            self._versions_lost.issubset(due)
+            and (self._complete_since is None or complete_since_s is not None)
+            and not (self._targets is not None and self._targets.list_unwritten(now))
         )
         era = self._era if has_all else None
         for pair in due:
--- a/camphorpath/streams/__init__.py
+++ b/camphorpath/streams/__init__.py
@@ -4,6 +4,7 @@
 from .lookup import Asked, OriginLookup
 from .records import KnownOrigin, Origin, Source, StreamRecords, digest_stream
 from .services import ResumableServices
+from .targets import RouteTarget
 
 __all__ = (
     'Asked',
@@ -11,6 +12,7 @@
     'Origin',
     'OriginLookup',
     'ResumableServices',
+    'RouteTarget',
     'Source',
     'StreamRecords',
     'VersionHistory',
--- a/camphorpath/streams/rows.py
+++ b/camphorpath/streams/rows.py
@@ -103,9 +103,9 @@
         {
             'service': row.service,
             'version': row.software_version,
-            'seen_ms': _to_ms(row.seen_s),
+            'seen_ms': convert_to_ms(row.seen_s),
             'era': row.era,
-            'complete_since_ms': _to_ms(row.complete_since_s),
+            'complete_since_ms': convert_to_ms(row.complete_since_s),
         }
     )
 
@@ -124,16 +124,17 @@
     if isinstance(era, bool) or not isinstance(era, int | None):
         raise PlatformError('the era is not a whole number', step='decode')
     return VersionRow(
-        service, software_version, _to_seconds(seen_ms), era, _to_seconds(complete_since_ms)
+        service, software_version, read_seconds(seen_ms), era, read_seconds(complete_since_ms)
     )
 
 
-def _to_ms(time_s: float | None) -> int | None:
+def convert_to_ms(time_s: float | None) -> int | None:
+    """Return a time in ms, None for None."""
     return None if time_s is None else round(time_s * MS_PER_S)
 
 
-def _to_seconds(time_ms: Any) -> float | None:
-    """Return a time in seconds, None for None; raise PlatformError if it is not a number."""
+def read_seconds(time_ms: Any) -> float | None:
+    """Return a time in ms in seconds, None for None; raise PlatformError if it is no number."""
     if isinstance(time_ms, bool) or not isinstance(time_ms, int | float | None):
         raise PlatformError('the time is not a number', step='decode')
     return None if time_ms is None else time_ms / MS_PER_S
--- a/camphorpath/streams/services.py
+++ b/camphorpath/streams/services.py
@@ -5,6 +5,7 @@
 import attrs
 
 from ..routing import Route
+from .targets import RouteTarget
 
 # A stream is taken up no later than this many timeouts of its route after its first event: its
 # caller may have taken it up before.
@@ -22,26 +23,65 @@
     _targets: dict[tuple[str, str], frozenset[str]] = attrs.field(factory=dict)
     # Services of routes that lead to several ones.
     _shared: frozenset[str] = frozenset()
-    # When a route last ceased to lead to a service, on the lease clock.
-    _dropped_at: dict[str, float] = attrs.field(factory=dict)
+    # When a route ceased to lead to a service, on the lease clock, by host, prefix and service.
+    _dropped_at: dict[tuple[str, str, str], float] = attrs.field(factory=dict)
+    # Whether the routes of a manifest are known.
+    _is_applied: bool = False
 
     def apply_routes(self, routes: Iterable[Route], now: float) -> None:
         """Replace the routes by those of a newer manifest."""
         former = self._targets
         self._targets = {}
+        self._is_applied = True
         for route in routes:
             if not route.is_resumable:
                 continue
             services = frozenset(name for name, _weight in route.targets)
             self._targets[route.host, route.prefix] = services
             for service in services:
-                longest_s = self._longest_timeouts_s.get(service, 0)
-                self._longest_timeouts_s[service] = max(longest_s, route.timeout_s)
+                self._learn_timeout(service, route.timeout_s)
         split = (services for services in self._targets.values() if len(services) > 1)
         self._shared = frozenset().union(*split)
-        for key, services in former.items():
-            for service in services - self._targets.get(key, frozenset()):
-                self._dropped_at[service] = now
+        for (host, prefix), services in former.items():
+            for service in services:
+                self._dropped_at[host, prefix, service] = now
+        for (host, prefix), services in self._targets.items():
+            for service in services:
+                self._dropped_at.pop((host, prefix, service), None)
+
+    def learn_target(self, target: RouteTarget, now: float) -> None:
+        """Add a target that another daemon knew; `dropped_s` is on the lease clock.
+
+        One that no route leads to any more was dropped at an unknown time until now.
+        """
+        self._learn_timeout(target.service, target.timeout_s)
+        route = target.host, target.prefix
+        services = self._targets.get(route, frozenset())
+        if target.service in services:
+            return
+        if target.dropped_s is None and not self._is_applied:
+            # The manifest will tell whether the route leads to it.
+            self._targets[route] = services | {target.service}
+            return
+        dropped_at = now if target.dropped_s is None else target.dropped_s
+        self._dropped_at.setdefault((*route, target.service), dropped_at)
+
+    def list_targets(self) -> list[RouteTarget]:
+        """Return the targets of the routes, and the dropped ones; times on the lease clock."""
+        targets = [
+            RouteTarget(host, prefix, service, self._longest_timeouts_s[service])
+            for (host, prefix), services in self._targets.items()
+            for service in services
+        ]
+        targets += [
+            RouteTarget(*key, self._longest_timeouts_s[key[-1]], dropped_at)
+            for key, dropped_at in self._dropped_at.items()
+        ]
+        return targets
+
+    def forget_target(self, target: RouteTarget) -> None:
+        """Forget a dropped target."""
+        self._dropped_at.pop((target.host, target.prefix, target.service), None)
 
     def get_horizon_s(self, service: str) -> float:
         """Return the seconds for which a stream may have run when its caller takes it up."""
@@ -55,10 +95,14 @@
         """Return the services at which streams may have begun on a route that left them since."""
         return frozenset(
             service
-            for service, dropped_at in self._dropped_at.items()
+            for (_host, _prefix, service), dropped_at in self._dropped_at.items()
             if now <= dropped_at + self.get_horizon_s(service)
         )
 
     def is_shared(self, service: str, now: float) -> bool:
         """Return whether a stream of a service may be taken for one of another service."""
         return service in self._shared or bool(self.list_dropped(now))
+
+    def _learn_timeout(self, service: str, timeout_s: float) -> None:
+        longest_s = self._longest_timeouts_s.get(service, 0)
+        self._longest_timeouts_s[service] = max(longest_s, timeout_s)
--- a/tests/edge/test_stream_store.py
+++ b/tests/edge/test_stream_store.py
@@ -25,7 +25,14 @@
 from camphorpath.platform.store import MetadataStore
 from camphorpath.platform.wire import ERA_HEADER
 from camphorpath.schema import camphorpath_pb2 as pb
-from camphorpath.streams import Origin, Source, StreamRecords, VersionHistory, digest_stream
+from camphorpath.streams import (
+    Origin,
+    ResumableServices,
+    Source,
+    StreamRecords,
+    VersionHistory,
+    digest_stream,
+)
 from camphorpath.streams.rows import (
     VersionRow,
     decode_row,
@@ -174,6 +181,7 @@
     actives: int = 9
     is_writer: bool = True
     is_confirmed: bool = True
+    services: ResumableServices | None = None
     restored: anyio.Event = attrs.field(factory=anyio.Event)
     records: StreamRecords = attrs.field(factory=StreamRecords)
     history: VersionHistory = attrs.field(factory=VersionHistory)
@@ -198,6 +206,7 @@
             get_restored=lambda: self.restored,
             is_view_confirmed=lambda: self.is_confirmed,
             read_clock=self.store.clock.read,
+            services=self.services,
         )
 
     def mix(self, *origins):
--- a/tests/processes/test_kills.py
+++ b/tests/processes/test_kills.py
@@ -8,7 +8,7 @@
 from camphorpath.streams.rows import decode_version_row
 
 from .callers import Caller, count_take_ups
-from .fleet import open_fleet
+from .fleet import ROUTES, make_manifest, make_route, open_fleet
 
 pytestmark = pytest.mark.anyio
 
@@ -112,3 +112,21 @@
         streams = await finish_streams(callers, tasks)
     assert list_faults(streams) == []
     assert all(stream.is_complete for stream in streams)
+
+
+async def test_streams_of_a_service_that_their_route_left_are_not_joined_with_another():
+    """No daemon that is killed has seen the manifest that moves the route."""
+    async with open_fleet(3) as fleet:
+        await fleet.add_upstream('v1')
+        await fleet.add_upstream('v2', service='other')
+        await fleet.start_daemons()
+        await asyncio.sleep(SETTLE_S)
+        callers, tasks = begin_streams(fleet)
+        await wait_for_streams(callers)
+        await kill_all(fleet)
+        routes = (make_route('draft', '/draft/', 'other'), *ROUTES[1:])
+        fleet.store.put('op', 'config', make_manifest(8, routes))
+        await fleet.start_daemons()
+        streams = await finish_streams(callers, tasks)
+    assert list_faults(streams) == []
+    assert count_take_ups(streams)[0] >= STREAM_COUNT
