Limit the memory of the bodies of all requests together

Callers would see: 90 callers with requests of 4 MiB, the limit of the manifest, take more memory than a daemon may have, and the process ends with all calls.

Cause: as for answers, a limit on each body and none on their sum.

Change: the bodies of requests share a pool of 32 MiB, until their answers are sent. A request that does not fit gets 503 with Retry-After, as it has not run.

--- a/camphorpath/buffers.py
+++ b/camphorpath/buffers.py
@@ -1,13 +1,13 @@
-"""Limits the memory of all answers together that a daemon holds until they are complete."""
+"""Limits the memory of all messages together that a daemon holds until they are complete."""
 
 import contextlib
 from collections.abc import Iterator
 
 import attrs
 
-# A daemon may have some 300 MB, and has two pools. What they hold is copied once when it is used.
+# A daemon may have some 300 MB, and has a few pools. What they hold is copied when it is used.
 MAX_BUFFERED_BYTES = 33554432
-# Each answer may have this much, however much the others hold.
+# Each message may have this much, however much the others hold.
 GUARANTEED_BYTES = 65536
 
 
@@ -15,8 +15,8 @@
 class Reservation:
     """The share of one reader in a pool.
 
-    It may grow to as much as is left for the others, so that large answers pass while there are few
-    and many endless ones do not take the room of a sound one.
+    It may grow to as much as is left for the others, so that large messages pass while there are
+    few and many endless ones do not take the room of a sound one.
     """
 
     _pool: 'BufferPool'
@@ -32,7 +32,7 @@
 
 @attrs.define
 class BufferPool:
-    """The bytes that answers of one kind hold, and their limit."""
+    """The bytes that messages of one kind hold, and their limit."""
 
     max_bytes: int = MAX_BUFFERED_BYTES
     used_bytes: int = 0
--- a/camphorpath/relay/caller.py
+++ b/camphorpath/relay/caller.py
@@ -8,6 +8,7 @@
 import attrs
 import h11
 
+from ..buffers import BufferPool, Reservation
 from ..errors import CallerDisconnected, Refusal
 from ..routing import CallerLimits
 from .headers import Headers, find_header
@@ -18,6 +19,8 @@
 STATUS_TIMEOUT = 408
 STATUS_TOO_LARGE = 413
 STATUS_HEAD_TOO_LARGE = 431
+# Of a request for whose body there is no memory; the calls in progress end within seconds.
+MEMORY_RETRY_AFTER_S = 0.5
 # Pipelined bytes that are buffered while a request is answered; more stay unread in the socket.
 MAX_READ_AHEAD_BYTES = 65536
 # Time that the caller has to read the last answer on a connection and to close it.
@@ -71,10 +74,18 @@
     is_idle: bool = False
     # Returns the current limits when a request begins; None if they never change.
     read_limits: Callable[[], CallerLimits] | None = None
+    # The bodies of the requests of all callers.
+    buffers: BufferPool = attrs.field(factory=BufferPool)
+    # The body of the current request.
+    _reservation: Reservation = attrs.field(init=False)
     _is_sending: bool = False
     # Whether the answer to the current request has no body.
     _is_head_request: bool = False
 
+    @_reservation.default
+    def _make_reservation(self) -> Reservation:
+        return Reservation(self.buffers)
+
     @http.default
     def _make_http(self) -> h11.Connection:
         # The limit of h11 is fixed, while `limits` may change during a connection.
@@ -87,6 +98,7 @@
         connection is lost before its end.
         """
         self._is_head_request = False
+        self._reservation.resize(0)
         if not self.http.trailing_data[0] and not await self._wait_for_first_byte():
             return None
         self.limits = self._get_current_limits()
@@ -193,6 +205,7 @@
 
         The kernel goes on sending what the caller has not received yet, and a reset would drop it.
         """
+        self._reservation.resize(0)
         self.connection.close(reset=self.is_answer_incomplete)
 
     async def _discard_input(self) -> bytes:
@@ -283,11 +296,24 @@
                     'connection closed before the end of the request', step='read_request'
                 )
             body += event.data
+            self._reserve(body)
             if self._exceeds(len(body), get_max_body_bytes):
                 raise _refuse(
                     f'request body exceeds {self.limits.max_body_bytes} bytes', STATUS_TOO_LARGE
                 )
 
+    def _reserve(self, body: bytearray) -> None:
+        """Count a body as held; clear it and raise Refusal if those of all callers are too long."""
+        if self._reservation.resize(len(body)):
+            return
+        body.clear()
+        raise Refusal(
+            'no_memory',
+            'the requests in progress exceed the memory for their bodies',
+            retry_after_s=MEMORY_RETRY_AFTER_S,
+            step='read_request',
+        )
+
     def _has_next_input(self) -> bool:
         return bool(self.http.trailing_data[0]) or self.connection.has_input()
 
--- a/camphorpath/relay/context.py
+++ b/camphorpath/relay/context.py
@@ -34,6 +34,8 @@
     pool: UpstreamPool
     # Parts of answers that are held until they can be passed on.
     buffers: BufferPool = attrs.field(factory=BufferPool)
+    # Bodies of requests.
+    request_buffers: BufferPool = attrs.field(factory=BufferPool)
     quarantine: Quarantine = attrs.field(factory=Quarantine)
     # The software versions that began streams.
     origins: OriginLookup = attrs.field(factory=OriginLookup)
--- a/camphorpath/relay/server.py
+++ b/camphorpath/relay/server.py
@@ -51,7 +51,12 @@
     """Serve calls until the listener is closed; the tasks of connections run in `group`."""
 
     async def serve(connection: Connection) -> None:
-        caller = CallerConnection(connection, context.limits, read_limits=lambda: context.limits)
+        caller = CallerConnection(
+            connection,
+            context.limits,
+            read_limits=lambda: context.limits,
+            buffers=context.request_buffers,
+        )
         context.connections.add(caller)
         try:
             await _serve_connection(context, caller)
--- a/tests/processes/test_endless_bytes.py
+++ b/tests/processes/test_endless_bytes.py
@@ -16,12 +16,14 @@
 MAX_MEMORY_MB = 150
 FLOODED_CALL_COUNT = 300
 TIMEOUT_MS = 3000
-# For this time a store sends without end.
+# For this time a store sends without end, and callers wait for answers to large requests.
 STORE_FAULT_MS = 4000
 TAKE_UP_COUNT = 20
 # Time after its deadline at which a call must have an answer.
 ANSWER_SLACK_S = 0.5
 BOOKING_INTERVAL_S = 0.1
+LARGE_BODY_BYTES = 4194304
+LARGE_REQUEST_COUNT = 90
 FILLER = b'x' * 65536
 CHUNK = b'%x\r\n%b\r\n' % (len(FILLER), FILLER)
 EVENT_HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
@@ -190,3 +192,44 @@
         assert set(bookings) == {200}
         assert memory_mb < MAX_MEMORY_MB
         await fleet.wait_ready([daemon])
+
+
+async def send_all_but_the_last_byte(address, attempt):
+    """Return the status of the answer to a large request that does not end; 0 without one."""
+    host, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(
+            f'POST /book/{attempt} HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: {attempt}\r\n'
+            f'X-Deadline-Ms: 1200\r\nContent-Length: {LARGE_BODY_BYTES}\r\n\r\n'.encode()
+        )
+        writer.write(bytes(LARGE_BODY_BYTES - 1))
+        async with asyncio.timeout(STORE_FAULT_MS / 1000):
+            return int((await reader.readuntil(b'\r\n')).split()[1])
+    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        return 0
+    finally:
+        writer.transport.abort()
+
+
+async def test_daemon_outlasts_large_requests_that_do_not_end():
+    """Guards against a daemon that runs out of memory as each request may be large."""
+    async with open_fleet(1) as fleet:
+        await fleet.add_upstream('v1', service='ledger')
+        await fleet.start_daemons()
+        await asyncio.sleep(SETTLE_S)
+        daemon = fleet.daemons[0]
+        is_over = asyncio.Event()
+        booking = asyncio.create_task(book_until(daemon.address, is_over))
+        statuses = await asyncio.gather(
+            *(
+                send_all_but_the_last_byte(daemon.address, f'{number:016x}')
+                for number in range(LARGE_REQUEST_COUNT)
+            )
+        )
+        is_over.set()
+        bookings = await booking
+        assert set(bookings) == {200}
+        assert 503 in statuses
+        assert set(statuses) <= {0, 503}
+        assert daemon.measure_peak_memory_mb() < MAX_MEMORY_MB
