--- a/camphorpath/transports.py
+++ b/camphorpath/transports.py
@@ -61,9 +61,9 @@
                 if cost > max_bytes:
                     message = f'the answer exceeds {max_bytes} bytes'
                     raise ContentTooLarge(message, request=request)
-                content += chunk
-                turn.add_work(get_cost(chunk))
                 await turn.end_if_over()
+                turn.add_work(get_cost(chunk))
+                content += chunk
                 # Deflated content takes less time on the link than its length says.
                 scope.deadline += (
                     response.num_bytes_downloaded - received_bytes
