--- a/tests/processes/test_endless_bytes.py
+++ b/tests/processes/test_endless_bytes.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import multiprocessing
 
 import pytest
 
@@ -16,12 +17,14 @@
 MAX_MEMORY_MB = 150
 FLOODED_CALL_COUNT = 300
 TIMEOUT_MS = 3000
-# For this time a store sends without end.
+# For this time a store sends without end, and callers wait for answers to large requests.
 STORE_FAULT_MS = 4000
 TAKE_UP_COUNT = 20
 # Time after its deadline at which a call must have an answer.
 ANSWER_SLACK_S = 0.5
 BOOKING_INTERVAL_S = 0.1
+LARGE_BODY_BYTES = 4194304
+LARGE_REQUEST_COUNT = 90
 FILLER = b'x' * 65536
 CHUNK = b'%x\r\n%b\r\n' % (len(FILLER), FILLER)
 EVENT_HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
@@ -117,26 +120,56 @@
     }
 
 
+def serve_floods(kind, pipe):
+    """Serve a kind of floods until the other end of the pipe asks how many connections ended."""
+    with contextlib.ExitStack() as stack:
+        floods = [stack.enter_context(flood_connections(*flood)) for flood in FLOODS[kind]]
+        pipe.send([f'{flood.host}:{flood.port}' for flood in floods])
+        pipe.recv()
+        pipe.send(sum(flood.closed_count for flood in floods))
+
+
+@contextlib.contextmanager
+def open_floods(kind):
+    """Yield the addresses of upstreams, and a function that ends them and counts connections.
+
+    They run in a process of their own, so that they do not delay the callers and sound upstreams.
+    """
+    context = multiprocessing.get_context('spawn')
+    pipe, other_end = context.Pipe()
+    process = context.Process(target=serve_floods, args=(kind, other_end), daemon=True)
+    process.start()
+
+    def count_closed():
+        pipe.send('end')
+        return pipe.recv()
+
+    try:
+        yield pipe.recv(), count_closed
+    finally:
+        process.kill()
+        process.join()
+
+
 @contextlib.asynccontextmanager
 async def open_flooded_daemon(kind):
     """Run a daemon whose service `flooding` has upstreams that send a kind of bytes."""
-    with contextlib.ExitStack() as stack:
-        floods = [stack.enter_context(flood_connections(*flood)) for flood in FLOODS[kind]]
+    with open_floods(kind) as (addresses, count_closed):
         async with open_fleet(1, routes=FLOOD_ROUTES) as fleet:
             await fleet.add_upstream('v1', service='ledger')
-            for number, flood in enumerate(floods):
-                entry = make_entry(f'{flood.host}:{flood.port}', 'flooding')
+            for number, address in enumerate(addresses):
+                entry = make_entry(address, 'flooding')
                 fleet.store.put('servers', f'i-flood-{number}', entry)
             await fleet.start_daemons()
             await asyncio.sleep(SETTLE_S)
-            yield fleet.daemons[0], floods
+            yield fleet.daemons[0], count_closed
 
 
 @pytest.mark.parametrize('kind', FLOODS)
 @pytest.mark.parametrize('path', ['/flood/', '/flow/'])
 async def test_daemon_outlasts_upstreams_that_send_without_end(kind, path):
     """Guards against a daemon that keeps what it reads until it runs out of memory."""
-    async with open_flooded_daemon(kind) as (daemon, floods):
+    async with open_flooded_daemon(kind) as (daemon, count_closed):
         is_over = asyncio.Event()
         booking = asyncio.create_task(book_until(daemon.address, is_over))
         statuses = await asyncio.gather(
@@ -149,7 +182,7 @@
         bookings = await booking
         memory_mb = daemon.measure_peak_memory_mb()
         # A call that was sent has failed, and its connection is closed.
-        assert sum(flood.closed_count for flood in floods) >= statuses.count(502)
+        assert count_closed() >= statuses.count(502)
         assert daemon.is_running
         assert set(bookings) == {200}
         assert None not in statuses
@@ -190,3 +223,44 @@
         assert set(bookings) == {200}
         assert memory_mb < MAX_MEMORY_MB
         await fleet.wait_ready([daemon])
+
+
+async def send_all_but_the_last_byte(address, attempt):
+    """Return the status of the answer to a large request that does not end; 0 without one."""
+    host, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(
+            f'POST /book/{attempt} HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: {attempt}\r\n'
+            f'X-Deadline-Ms: 1200\r\nContent-Length: {LARGE_BODY_BYTES}\r\n\r\n'.encode()
+        )
+        writer.write(bytes(LARGE_BODY_BYTES - 1))
+        async with asyncio.timeout(STORE_FAULT_MS / 1000):
+            return int((await reader.readuntil(b'\r\n')).split()[1])
+    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        return 0
+    finally:
+        writer.transport.abort()
+
+
+async def test_daemon_outlasts_large_requests_that_do_not_end():
+    """Guards against a daemon that runs out of memory as each request may be large."""
+    async with open_fleet(1) as fleet:
+        await fleet.add_upstream('v1', service='ledger')
+        await fleet.start_daemons()
+        await asyncio.sleep(SETTLE_S)
+        daemon = fleet.daemons[0]
+        is_over = asyncio.Event()
+        booking = asyncio.create_task(book_until(daemon.address, is_over))
+        statuses = await asyncio.gather(
+            *(
+                send_all_but_the_last_byte(daemon.address, f'{number:016x}')
+                for number in range(LARGE_REQUEST_COUNT)
+            )
+        )
+        is_over.set()
+        bookings = await booking
+        assert set(bookings) == {200}
+        assert 503 in statuses
+        assert set(statuses) <= {0, 503}
+        assert daemon.measure_peak_memory_mb() < MAX_MEMORY_MB
