Ask an upstream which process it is before a stream goes on there

Callers saw streams of two software versions: an upstream ended and started again under its id and address at another version, and a daemon that still held the entry of before sent the rest of a stream there, or recorded the old version for a stream that began there. X-Expected-Runner compares the id only.

A connection belongs to one process. Before a resumable stream is sent, the report is asked for once on each connection; its incarnation is kept with the connection. The version of a stream is that of an entry of this incarnation, and unknown without one. A stream that has begun goes on only at a known version; one that begins is sent anyway, and is recorded as unknown. Reports are bounded in bytes and to 0.25 s; without an incarnation, new streams begin without another report for 2 s. A late entry still names the version of a stream in progress. Event 516 tells what did not match.

The stand-in of the process tests counted the end of a run of a former process against the next one (running fell to -1), which failed the process test in one of its runs.

tests/edge/test_kill_of_all_daemons.py: 12 cases failed with it, as the scripted upstreams answer no report; its fixture now sets no report, as it does for the header names.

--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -23,10 +23,12 @@
 from ..placement.quota import QuotaBounds, QuotaLedger
 from ..placement.scheduler import Scheduler
 from ..platform.fields import decode_fields
+from ..platform.reports import REPORT_FORMAT
 from ..platform.store import MetadataStore
 from ..platform.wire import HEADER_NAMES
 from ..relay.context import RelayContext
 from ..relay.metrics import RelayMetrics
+from ..relay.reports import ReportReader
 from ..relay.server import serve_calls, serve_pages
 from ..relay.sockets import open_listener
 from ..relay.upstream import UpstreamPool
@@ -110,6 +112,7 @@
         ),
         budget=RetryBudget(bounds.retry_ratio, bounds.retry_window_s, bounds.retry_allowance),
         pool=UpstreamPool(),
+        reports=ReportReader(REPORT_FORMAT),
         events=events,
         metrics=RelayMetrics(),
         get_budget_share=lambda: state.compute_budget_share(),
--- a/camphorpath/errors.py
+++ b/camphorpath/errors.py
@@ -65,6 +65,10 @@
     """No byte of the request reached the upstream."""
 
 
+class ProcessUnconfirmed(NotSent):
+    """A stream was not sent on, as the process that answers may not be the registered one."""
+
+
 @enum.unique
 class LossCause(enum.Enum):
     """Why the outcome of a request that may have been sent is unknown."""
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -16,6 +16,7 @@
     EndedEarly,
     NotExecuted,
     NotSent,
+    ProcessUnconfirmed,
     Refusal,
     SentUnknown,
     Truncated,
@@ -41,6 +42,7 @@
 from .events import EventSplitter
 from .header_names import HeaderNames
 from .headers import Headers, find_header, select_answer_headers, select_request_headers
+from .reports import ProcessIdentity
 from .stalls import get_stall_timeout
 from .statements import read_backoff, read_load, read_rate
 from .upstream import UpstreamAnswer, UpstreamConnection, get_connect_timeout, read_answer
@@ -76,7 +78,7 @@
 FLAG_SET = b'1'
 # Ids of events that a header can carry; after another one, a stream cannot be resumed.
 RESUMABLE_ID = re.compile(rb'[!-~](?:[ -~]*[!-~])?')
-# The upstream may have restarted since its slot was granted.
+# The upstream may have restarted since its slot was granted, or its entry may be outdated.
 OTHER_VERSION = 'the upstream may run another software version than that of the stream'
 # Longest time for finding out which software version began a stream.
 MAX_LOOKUP_S = 0.6
@@ -400,18 +402,65 @@
         return outcome
 
     async def _connect(self, attempt: Attempt) -> None:
+        """Connect an attempt to its upstream.
+
+        Raises NotSent, or ProcessUnconfirmed if a stream that has begun cannot go on there.
+        """
+        await self._acquire_connection(attempt)
+        await self._identify_process(attempt)
+        if self._origin is not None and not self._has_begun_version(attempt):
+            raise ProcessUnconfirmed(OTHER_VERSION, step='send', peer=attempt.upstream.address)
+
+    async def _acquire_connection(self, attempt: Attempt) -> None:
         route = self.call.route
         attempt.conn = await self.context.pool.acquire(
             attempt.upstream,
             is_recent=not route.is_repeatable,
             connect_s=get_connect_timeout(route),
         )
-        if self._origin is not None and not self._has_begun_version(attempt):
-            raise NotSent(OTHER_VERSION, step='send', peer=attempt.upstream.address)
+
+    async def _identify_process(self, attempt: Attempt) -> None:
+        """Ask the upstream of a resumable stream which process it is, once on each connection.
+
+        An entry may be outdated: the upstream may have restarted under its id and address. A
+        connection belongs to one process. A stream that begins is sent also if nothing is learned.
+        """
+        reports, upstream = self.context.reports, attempt.upstream
+        route = self.call.route
+        if reports is None or route.kind is not CallKind.STREAM or not route.is_resumable:
+            return
+        while attempt.conn.incarnation is None:
+            now = read_lease_clock()
+            if self._origin is None and reports.is_paused(upstream, now):
+                return
+            conn = attempt.conn
+            may_be_closed = conn.was_used
+            identity = await reports.identify(conn, upstream, now)
+            self._log_identity(upstream, identity)
+            if conn.make_reusable():
+                conn.incarnation = identity.incarnation
+                return
+            if self._origin is not None and not (identity.is_lost and may_be_closed):
+                return
+            conn.connection.close(reset=True)
+            await self._acquire_connection(attempt)
+
+    def _log_identity(self, upstream: Upstream, identity: ProcessIdentity) -> None:
+        if identity.incarnation and identity.incarnation == upstream.incarnation:
+            return
+        self.context.events.emit(
+            Event.UPSTREAM_UNCONFIRMED,
+            self.call.text_id,
+            upstream.upstream_id,
+            registered=upstream.incarnation,
+            reported=identity.incarnation,
+            problem=identity.problem,
+            has_begun=self._origin is not None,
+        )
 
     def _send(self, attempt: Attempt) -> None:
         attempt.ran_before = self.call.may_have_run
-        self._log_continuation(attempt.upstream)
+        self._log_continuation(attempt)
         attempt.conn.send(self._build_request(attempt.upstream), self.call.request.body)
         attempt.is_sent = True
         self._record_send(attempt.upstream)
@@ -484,7 +533,23 @@
             rate_limit=slots.rate_limit.rate,
         )
 
-    def _find_version(self, upstream: Upstream) -> str:
+    def _find_version(self, attempt: Attempt) -> str:
+        """Return the software version of the process that an attempt is connected to.
+
+        It is empty if it is unknown: if neither the entry at the grant nor the current one is that
+        of the process.
+        """
+        if self.context.reports is None:
+            return self._find_registered_version(attempt.upstream)
+        incarnation = attempt.conn.incarnation
+        if not incarnation:
+            return ''
+        for entry in (attempt.upstream, self._find_slots(attempt.upstream).upstream):
+            if entry.incarnation == incarnation:
+                return entry.software_version
+        return ''
+
+    def _find_registered_version(self, upstream: Upstream) -> str:
         """Return the software version of the granted upstream; empty if its entry has changed it.
 
         Then a restart of the upstream cannot be told from an answer of the process before it.
@@ -496,25 +561,29 @@
 
     def _has_begun_version(self, attempt: Attempt) -> bool:
         """Return whether the upstream of an attempt has the version that began the stream."""
-        version = self._find_version(attempt.upstream)
+        version = self._find_version(attempt)
         return bool(version) and version == self._origin.origin.software_version
 
     def _check_version(self, attempt: Attempt) -> None:
         """Check the version before bytes of a stream that has begun are taken; raise Truncated.
 
-        Events that were passed on before a change of the entry may be of either version.
+        Events that were passed on before a change of the entry may be of either version, unless
+        the connection tells which process sent them: its entry may arrive later.
         """
         if self._origin is None or self._has_begun_version(attempt):
             return
         if not attempt.received_parts:
             raise Truncated(OTHER_VERSION, step='receive_body', peer=attempt.upstream.address)
-        self._record_version(attempt.upstream.service, '')
+        version = '' if self.context.reports is None else self._find_version(attempt)
+        if version != self._origin.origin.software_version:
+            self._record_version(attempt.upstream.service, version)
 
-    def _log_continuation(self, upstream: Upstream) -> None:
+    def _log_continuation(self, attempt: Attempt) -> None:
         """Log the upstream at which a stream goes on, if its first event came from another run."""
         known = self._origin
         if known is None:
             return
+        upstream = attempt.upstream
         last_id = self.splitter.last_id or self._find_header(self._header_names.last_event_id)
         age_s = self.context.read_store_age()
         registered = sorted(self.context.scheduler.list_versions(self.call.service))
@@ -527,7 +596,7 @@
             begun_version=known.origin.software_version,
             source=known.source.value,
             known_ms=round((read_lease_clock() - known.known_since) * MS_PER_S),
-            version=upstream.software_version,
+            version=self._find_version(attempt),
             registered=registered[:MAX_LOGGED_VERSIONS],
             registered_age_ms=round(age_s * MS_PER_S) if math.isfinite(age_s) else None,
         )
@@ -781,7 +850,7 @@
             await self.caller.send_part(part)
         else:
             self.has_answer_started = True
-            self._record_version(attempt.upstream.service, self._find_version(attempt.upstream))
+            self._record_version(attempt.upstream.service, self._find_version(attempt))
             self._record_first_part()
             headers = select_answer_headers(answer.headers)
             await self.caller.start_stream(answer.status, headers, part)
@@ -824,7 +893,8 @@
         upstream = attempt.upstream
         # A refused connection means that nothing listens; a timeout may be a lost packet.
         is_certain = isinstance(error, NotSent) and not isinstance(error.__cause__, TimeoutError)
-        if self._find_version(upstream) == upstream.software_version:
+        is_entry_current = self._find_registered_version(upstream) == upstream.software_version
+        if is_entry_current and not isinstance(error, ProcessUnconfirmed):
             # Else the upstream has restarted since.
             self._fail_upstream(upstream, error.message, is_certain=is_certain)
         if _is_connection_lost(error):
--- a/camphorpath/relay/context.py
+++ b/camphorpath/relay/context.py
@@ -19,6 +19,7 @@
 from .caller import CallerConnection
 from .header_names import HeaderNames
 from .metrics import RelayMetrics
+from .reports import ReportReader
 from .upstream import UpstreamPool
 
 
@@ -31,6 +32,8 @@
     quota: QuotaLedger
     budget: RetryBudget
     pool: UpstreamPool
+    # None if upstreams report no incarnation; then their entries tell their versions.
+    reports: ReportReader | None = None
     quarantine: Quarantine = attrs.field(factory=Quarantine)
     # The software versions that began streams.
     origins: OriginLookup = attrs.field(factory=OriginLookup)
--- a/camphorpath/relay/upstream.py
+++ b/camphorpath/relay/upstream.py
@@ -51,6 +51,9 @@
     keep_alive_s: float = DEFAULT_KEEP_ALIVE_S
     idle_since: float = 0
     was_used: bool = False
+    # Incarnation of the process at the other end by its report; None before it was asked for, 0 if
+    # it is unknown.
+    incarnation: int | None = None
     # Whether the body of an answer to an earlier request is being skipped.
     is_skipping: bool = False
     # Cost of the parts of the current body that were read, in bytes.
--- a/tests/edge/test_kill_of_all_daemons.py
+++ b/tests/edge/test_kill_of_all_daemons.py
@@ -138,6 +138,8 @@
         )
     network.daemons[host] = edge.stream_queries
     edge.relay.header_names = HEADER_NAMES
+    # The scripted upstreams report no incarnation.
+    edge.relay.reports = None
     routes = [attrs.evolve(route, targets=((service, 1.0),)) for route in ROUTES]
     edge.relay.apply_routing_table(make_table(*routes, customers={'secret': CUSTOMER}))
     state = edge.state
--- a/tests/processes/upstreams.py
+++ b/tests/processes/upstreams.py
@@ -106,6 +106,7 @@
             return await self._refuse(writer, 400, attempt)
         if self.running >= self.slots:
             return await self._refuse(writer, 503, attempt)
+        born = self.born
         self.running += 1
         self.runs.append((attempt, headers.get('last-event-id', '')))
         self.on_run(self, request)
@@ -114,7 +115,9 @@
                 return await self._answer_booking(attempt, writer)
             return await self._stream(request, attempt, writer)
         finally:
-            self.running -= 1
+            if born == self.born:
+                # Else the process that ran it has ended, and another one counts from 0.
+                self.running -= 1
 
     async def _refuse(self, writer, status, attempt):
         named = {'X-Attempt-Id': attempt, 'X-Not-Executed': 1, 'Content-Length': 0}
--- a/tests/relay/support.py
+++ b/tests/relay/support.py
@@ -80,6 +80,8 @@
     port: int
     software_version: str = 'v1'
     requests: list = attrs.field(factory=list)
+    # Reports that were asked for; `requests` does not hold them.
+    report_count: int = 0
     # Connections that the relay closed.
     closed_count: int = 0
 
