--- a/camphorpath/relay/context.py
+++ b/camphorpath/relay/context.py
@@ -20,6 +20,7 @@
 from .caller import CallerConnection
 from .header_names import HeaderNames
 from .metrics import RelayMetrics
+from .reports import ReportReader
 from .upstream import UpstreamPool
 
 
@@ -36,6 +37,8 @@
     buffers: BufferPool = attrs.field(factory=BufferPool)
     # Bodies of requests.
     request_buffers: BufferPool = attrs.field(factory=BufferPool)
+    # None if upstreams report no incarnation; then their entries tell their versions.
+    reports: ReportReader | None = None
     quarantine: Quarantine = attrs.field(factory=Quarantine)
     # The software versions that began streams.
     origins: OriginLookup = attrs.field(factory=OriginLookup)
--- a/tests/processes/upstreams.py
+++ b/tests/processes/upstreams.py
@@ -129,6 +129,7 @@
             return await self._refuse(writer, 503, attempt, {'Retry-After': f'{resting_s:.3f}'})
         if self.running >= self.slots:
             return await self._refuse(writer, 503, attempt)
+        born = self.born
         self.running += 1
         self.runs.append(Run(attempt, headers.get('last-event-id', ''), request.path))
         self.on_run(self, request)
@@ -137,7 +138,9 @@
                 return await self._answer_booking(attempt, writer)
             return await self._stream(request, attempt, writer)
         finally:
-            self.running -= 1
+            if born == self.born:
+                # Else the process that ran it has ended, and another one counts from 0.
+                self.running -= 1
 
     async def _refuse(self, writer, status, attempt, more_headers=None):
         named = {'X-Attempt-Id': attempt, 'X-Not-Executed': 1, 'Content-Length': 0}
