Keep announced versions apart from the rows that state the store's era

Callers saw take-ups refused for the longest horizon after a kill of all daemons, though daemons had outlived the restore before it; and with a slow store (0.4 s) take-ups of a killed daemon's streams were refused. Both came with joining the parts: an announced version replaced the row that states the era, the second write after a restore stated none as the targets were marked lost in between, and targets and versions were read one after the other for each take-up.

Announced versions have rows of their own; targets are written before that second write; targets and versions are read at the same time, except while a restore may have lost some.

test_take_ups_go_on_after_a_kill_if_daemons_outlived_a_restore and test_streams_of_a_killed_daemon_go_on_while_one_version_serves[0.4] failed before. The first passes twice, all of tests/processes/test_out_of_step.py once.

--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -163,8 +163,7 @@
     history_reads = HistoryReads(
         events,
         record_registered=streams.record_registered,
-        read_upstreams=follower.read_upstreams,
-        read_versions=streams.read_versions,
+        reads=(follower.read_upstreams, streams.read_versions, streams.read_targets),
     )
     relay.origins.announce_version = streams.announce_version
 
--- a/camphorpath/edge/history_reads.py
+++ b/camphorpath/edge/history_reads.py
@@ -1,7 +1,7 @@
 """Reads of the software versions that can have begun a stream that is taken up."""
 
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import anyio
 import attrs
@@ -25,14 +25,13 @@
 
 @attrs.define
 class HistoryReads:
-    """Reads the registered upstreams and the rows of versions for the take-ups of this daemon."""
+    """Reads the upstreams and the rows of versions and targets for the take-ups of a daemon."""
 
     events: EventLog
     # Records the versions of the upstreams that are known here as registered now.
     record_registered: Callable[[], None]
-    # Both raise TableUnavailable.
-    read_upstreams: Callable[[], Awaitable[None]]
-    read_versions: Callable[[], Awaitable[None]]
+    # Called at once; each raises TableUnavailable.
+    reads: Iterable[Callable[[], Awaitable[None]]]
     # The read that has not begun yet; None if no take-up waits for it.
     _next_read: _Read | None = None
     # When the next read may begin, on the lease clock.
@@ -69,7 +68,7 @@
             read.ended.set()
 
     async def _read_all(self) -> bool:
-        """Return whether the upstreams and the rows of versions could be read."""
+        """Return whether all could be read."""
         # A version whose last upstream is removed by the read still counts.
         self.record_registered()
         errors: list[TableUnavailable] = []
@@ -81,8 +80,8 @@
                 errors.append(error)
 
         async with anyio.create_task_group() as group:
-            group.start_soon(attempt, self.read_upstreams)
-            group.start_soon(attempt, self.read_versions)
+            for read in self.reads:
+                group.start_soon(attempt, read)
         if errors and not self._is_failing:
             self.events.emit(Event.STREAM_STORE_FAILED, task='confirm', problem=str(errors[0]))
         self._is_failing = bool(errors)
--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -26,6 +26,7 @@
     decode_version_row,
     encode_row,
     encode_version_row,
+    make_announced_key,
     make_version_key,
 )
 from .reads import SharedReads
@@ -203,7 +204,7 @@
         """Write the row of a version; raise TableUnavailable or TableOutcomeUnknown."""
         now = self.read_clock()
         content = encode_version_row(VersionRow(*pair, self._to_store_time(now)))
-        writes = {make_version_key(*pair): content}
+        writes = {make_announced_key(*pair): content}
         # Another daemon may write the same row.
         written = await self.store.write_rows(VERSION_TABLE, '', writes)
         self._learn_store_time(written)
@@ -223,11 +224,16 @@
         for service, software_version in self.list_registered():
             self.history.record(service, software_version, now)
 
+    async def read_targets(self) -> None:
+        """Read to which services resumable routes lead or have led; raise TableUnavailable."""
+        if self._targets is not None:
+            await self._targets.load()
+
     async def read_versions(self) -> None:
         """Read the versions that the daemons have written; raise TableUnavailable."""
-        if self._targets is not None:
+        if not self.is_loaded or self._complete_since is not None:
             # Before the versions, whose rows tell whether a restore lost any.
-            await self._targets.load()
+            await self.read_targets()
         rows = await self.store.read_table(VERSION_TABLE)
         self._learn_store_time(rows)
         found: list[VersionRow] = []
@@ -398,6 +404,7 @@
             await self._write_versions(registered, now)
             if self._era != era:
                 # The rows that were just written state the era before the restore.
+                await self._update_targets(now)
                 await self._write_versions(registered, now)
         self._forget_versions(now - self._get_retention_s() - FORGET_DELAY_S)
         self._failing.discard('versions')
@@ -470,7 +477,8 @@
         due = [pair for pair in registered if self._is_refresh_due(pair, now)]
         due += self._versions_lost.difference(due)
         due = due[:MAX_WRITE_ROWS]
-        outdated = outdated[: MAX_WRITE_ROWS - len(due)]
+        # A version may have two rows.
+        outdated = outdated[: (MAX_WRITE_ROWS - len(due)) // 2]
         if not due and not outdated:
             return
         writes = {}
@@ -489,6 +497,7 @@
             row = VersionRow(*pair, seen_s, era, complete_since_s)
             writes[make_version_key(*pair)] = encode_version_row(row)
         removed = [make_version_key(*pair) for pair in outdated]
+        removed += [make_announced_key(*pair) for pair in outdated]
         written = await self.store.write_rows(VERSION_TABLE, '', writes, removed)
         self._learn_store_time(written)
         self._versions_written.update(dict.fromkeys(due, now))
--- a/camphorpath/streams/rows.py
+++ b/camphorpath/streams/rows.py
@@ -97,6 +97,14 @@
     return digest_bytes(orjson.dumps([service, software_version])).hex()
 
 
+def make_announced_key(service: str, software_version: str) -> str:
+    """Return the key of the row of a version that another daemon than the writer announces.
+
+    It replaces no row that states what the writer of the versions knows.
+    """
+    return f'{make_version_key(service, software_version)}-announced'
+
+
 def encode_version_row(row: VersionRow) -> bytes:
     """Return the content of the row of a software version."""
     return orjson.dumps(
--- a/tests/edge/test_history_reads.py
+++ b/tests/edge/test_history_reads.py
@@ -46,7 +46,7 @@
 
     def __attrs_post_init__(self):
         self.reads = HistoryReads(
-            self.events, self.record_registered, self.read_upstreams, self.read_versions
+            self.events, self.record_registered, (self.read_upstreams, self.read_versions)
         )
         self.lookup = OriginLookup(
             history=self.history, confirm_history=self.reads.confirm, ask_peers=self.ask_peers
