--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -114,6 +114,8 @@
     _version_rows: dict[Pair, float] = attrs.field(factory=dict)
     # Versions that could not be written in time.
     _unannounced: set[Pair] = attrs.field(factory=set)
+    # Versions that this daemon wrote before their first events.
+    _announced: set[Pair] = attrs.field(factory=set)
     _announce_lock: anyio.Lock = attrs.field(factory=anyio.Lock)
     # When a version may be announced again after a failure, on the lease clock.
     _next_announce_at: float = -math.inf
@@ -210,13 +212,18 @@
         self._learn_store_time(written)
         self._learn_era(written.era)
         self._version_rows[pair] = now
+        self._announced.add(pair)
         self._unannounced.discard(pair)
 
     def _is_announce_due(self, pair: Pair) -> bool:
         now = self.read_clock()
-        if now < self._next_announce_at or not pair[1]:
+        known_at = self._version_rows.get(pair, -math.inf)
+        if not pair[1] or now - known_at < MAX_KNOWN_ROW_AGE_S:
             return False
-        return now - self._version_rows.get(pair, -math.inf) >= MAX_KNOWN_ROW_AGE_S
+        if now < self._next_announce_at:
+            self._unannounced.add(pair)
+            return False
+        return True
 
     def record_registered(self) -> None:
         """Record the versions of the upstreams that are known here as registered now."""
@@ -247,7 +254,9 @@
             if version.seen_s is not None:
                 seen_at = min(seen_at, _to_lease_time(version.seen_s, rows) + MAX_SEEN_LAG_S)
             self.history.record(version.service, version.software_version, seen_at)
-            self._version_rows[version.service, version.software_version] = seen_at
+            # A version may have two rows.
+            pair = version.service, version.software_version
+            self._version_rows[pair] = max(seen_at, self._version_rows.get(pair, seen_at))
         self._update_completeness(found, rows)
         self._learn_era(get_era(rows.revision))
         self.is_loaded = True
@@ -464,6 +473,7 @@
     def _mark_lost(self) -> None:
         """Write all versions and targets again, as the store was restored from a copy."""
         self._versions_lost.update(self.history.list_last_seen())
+        self._unannounced.update(self._announced)
         self._version_rows.clear()
         if self._targets is not None:
             self._targets.mark_lost()
@@ -519,6 +529,7 @@
         for pair, known_at in list(self._version_rows.items()):
             if known_at < before:
                 self._version_rows.pop(pair)
+        self._announced.intersection_update(self._version_rows)
 
     def _get_write_interval_s(self) -> float:
         """Return the pause between two writes, for which all daemons share the write calls."""
