Compare the process at the end of a stream, and ask again after a bad report

A stream without a marked end looked complete if its upstream was killed and a new process listened at its address within 50 ms. The incarnation is compared now.

A connection whose first report could not be used had no version for good, so that its streams could not go on. It is asked again after the pause.

With four or more outdated entries, take-ups gave up before they came to a sound upstream. An upstream whose process does not match no longer counts as an unsent attempt; each is tried once.

--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -452,7 +452,8 @@
             identity = await reports.identify(conn, upstream, now)
             self._log_identity(upstream, identity)
             if conn.make_reusable():
-                conn.incarnation = identity.incarnation
+                # Asked again later if it is unknown.
+                conn.incarnation = identity.incarnation or None
                 return
             if self._origin is not None and not (identity.is_lost and may_be_closed):
                 return
@@ -883,11 +884,30 @@
         if answer.has_length or is_announced or self._has_left(upstream):
             return
         await anyio.sleep(PROCESS_EXIT_S)
-        if await self.context.pool.is_listening(upstream) or self._has_left(upstream):
+        is_listening = await self.context.pool.is_listening(upstream)
+        if self._has_left(upstream) or (is_listening and await self._is_same_process(attempt)):
             return
-        message = 'the upstream refuses connections since the stream has ended'
+        message = 'the process of the upstream has ended with the stream'
         raise EndedEarly(message, step='receive_body', peer=answer.peer)
 
+    async def _is_same_process(self, attempt: Attempt) -> bool:
+        """Return whether the process that sent an answer still runs; true if that is unknown."""
+        reports, incarnation = self.context.reports, attempt.conn.incarnation
+        if reports is None or not incarnation:
+            return True
+        pool, upstream = self.context.pool, attempt.upstream
+        try:
+            conn = await pool.acquire(upstream, is_recent=False)
+        except NotSent:
+            return True
+        is_asked = False
+        try:
+            identity = await reports.identify(conn, upstream, read_lease_clock())
+            is_asked = True
+        finally:
+            pool.release(conn, is_complete=is_asked)
+        return identity.incarnation in {0, incarnation}
+
     def _has_left(self, upstream: Upstream) -> bool:
         """Return whether the entry of an upstream was removed or says that it leaves."""
         slots = self.context.scheduler.slots.get(upstream.upstream_id)
@@ -1019,6 +1039,9 @@
     def _may_retry(self, error: UpstreamError) -> bool:
         """Return whether to send the call to another upstream; charge the retry budget if so."""
         call = self.call
+        if isinstance(error, ProcessUnconfirmed):
+            # Each upstream is tried once; many entries may be outdated at the same time.
+            return self._is_version_served()
         if isinstance(error, NotSent):
             self.unsent_attempts += 1
             return self.unsent_attempts < MAX_UNSENT_ATTEMPTS
