Write the row of a version again if a stream begins later than it tells

Callers saw a stream go on at another software version: its version had been registered again for a moment, or was registered only in the view of a daemon that was cut off, and the daemon at which the stream was taken up had not seen it. A row younger than 300 s suppressed the announcement of the version, but readers count a row for a horizon only: two timeouts of the route and 10 s.

A daemon now compares when a stream began with how long the row tells that the version was registered. Versions that are registered without a gap in a confirmed view are refreshed by the daemon that writes the versions and cost no writes; so are they after a restore of the store, in which each daemon wrote them again before. What began during a cut is written after it, once the rows were read. The lists of announced and of unwritten versions are gone: both follow from the same comparison.

--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -29,6 +29,7 @@
     make_announced_key,
     make_version_key,
 )
+from ..streams.services import HORIZON_MARGIN_S
 from .reads import SharedReads
 from .settings import EdgeSettings
 from .targets import TargetStore
@@ -55,6 +56,8 @@
 VERSION_RETENTION_S = 600.0
 # The row of a version may have been removed when it was last read or written longer ago than this.
 MAX_KNOWN_ROW_AGE_S = VERSION_RETENTION_S / 2
+# A stream may begin at a version so much later than its row tells. The horizon has a margin for it.
+MAX_UNTOLD_S = HORIZON_MARGIN_S / 2
 # The writer removes the row of a version before the other daemons forget it.
 FORGET_DELAY_S = 60.0
 # Bounds the memory.
@@ -110,12 +113,12 @@
     _stale_parts: dict[str, list[str]] = attrs.field(factory=dict)
     # When this daemon last wrote each version.
     _versions_written: dict[Pair, float] = attrs.field(factory=dict)
-    # When this daemon last read or wrote the row of each version.
+    # Until when each version was registered, as its row tells that was last read or written here.
     _version_rows: dict[Pair, float] = attrs.field(factory=dict)
-    # Versions that could not be written in time.
-    _unannounced: set[Pair] = attrs.field(factory=set)
-    # Versions that this daemon wrote before their first events.
-    _announced: set[Pair] = attrs.field(factory=set)
+    # When each version was last seen as registered while its row was refreshed for all daemons.
+    _followed: dict[Pair, float] = attrs.field(factory=dict)
+    # When a stream last began here at each version.
+    _begun: dict[Pair, float] = attrs.field(factory=dict)
     _announce_lock: anyio.Lock = attrs.field(factory=anyio.Lock)
     # When a version may be announced again after a failure, on the lease clock.
     _next_announce_at: float = -math.inf
@@ -178,18 +181,20 @@
         return self.is_loaded and not self._may_lack_versions(self.read_clock())
 
     async def announce_version(self, service: str, software_version: str) -> None:
-        """Write a version at which streams begin here, unless its row is known to exist.
+        """Write a version at which a stream begins here, unless its row tells so.
 
         The daemon that writes the versions for all may learn of it later, or never if it is
         registered for a short time. Gives up after MAX_ANNOUNCE_S.
         """
         pair = service, software_version
-        if not self._is_announce_due(pair):
+        now = self.read_clock()
+        self._begun[pair] = now
+        if not self._is_announce_due(pair, now):
             return
         problem = 'out of time'
         with anyio.move_on_after(MAX_ANNOUNCE_S):
             async with self._announce_lock:
-                if not self._is_announce_due(pair):
+                if not self._is_announce_due(pair, now):
                     return
                 try:
                     await self._announce(pair)
@@ -198,7 +203,6 @@
                 else:
                     return
         # It is repeated with the next update of the versions, for which no stream waits.
-        self._unannounced.add(pair)
         self._next_announce_at = self.read_clock() + RETRY_DELAY_S
         self.events.emit(Event.STREAM_STORE_FAILED, task='announce', problem=problem)
 
@@ -211,25 +215,47 @@
         written = await self.store.write_rows(VERSION_TABLE, '', writes)
         self._learn_store_time(written)
         self._learn_era(written.era)
-        self._version_rows[pair] = now
-        self._announced.add(pair)
-        self._unannounced.discard(pair)
+        self._learn_row(pair, now)
 
-    def _is_announce_due(self, pair: Pair) -> bool:
-        now = self.read_clock()
-        known_at = self._version_rows.get(pair, -math.inf)
-        if not pair[1] or now - known_at < MAX_KNOWN_ROW_AGE_S:
+    def _is_announce_due(self, pair: Pair, begun_at: float) -> bool:
+        if not pair[1] or self._is_told(pair, begun_at):
             return False
-        if now < self._next_announce_at:
-            self._unannounced.add(pair)
+        if self.read_clock() < self._next_announce_at:
             return False
-        return True
+        # The row is read again when the store is back.
+        return pair not in self._version_rows or self.is_view_confirmed()
+
+    def _is_told(self, pair: Pair, begun_at: float) -> bool:
+        """Return whether readers count a version while a stream of it may be taken up."""
+        told_until = self._version_rows.get(pair, -math.inf)
+        followed_at = self._followed.get(pair, -math.inf)
+        return begun_at - max(told_until, followed_at) <= MAX_UNTOLD_S
+
+    def _list_untold(self, now: float) -> list[Pair]:
+        """Return the versions of streams that began here and that their rows do not tell."""
+        for pair, begun_at in list(self._begun.items()):
+            if now - begun_at > self.get_horizon_s(pair[0]):
+                self._begun.pop(pair)
+        return [
+            pair
+            for pair, begun_at in self._begun.items()
+            if pair[1] and not self._is_told(pair, begun_at)
+        ]
+
+    def _learn_row(self, pair: Pair, seen_at: float) -> None:
+        """Record what the row of a version says; readers add the same lag."""
+        told_until = seen_at + MAX_SEEN_LAG_S
+        self._version_rows[pair] = max(told_until, self._version_rows.get(pair, told_until))
 
     def record_registered(self) -> None:
         """Record the versions of the upstreams that are known here as registered now."""
         now = self.read_clock()
-        for service, software_version in self.list_registered():
-            self.history.record(service, software_version, now)
+        is_confirmed = self.is_view_confirmed()
+        for pair in self.list_registered():
+            self.history.record(*pair, now)
+            row_age_s = now - self._version_rows.get(pair, -math.inf)
+            if is_confirmed and row_age_s < MAX_KNOWN_ROW_AGE_S and self._is_told(pair, now):
+                self._followed[pair] = now
 
     async def read_targets(self) -> None:
         """Read to which services resumable routes lead or have led; raise TableUnavailable."""
@@ -250,13 +276,11 @@
             except PlatformError as error:
                 self._reject_row(VERSION_TABLE, '', row.key, error)
         for version in found:
-            seen_at = rows.answered_at
-            if version.seen_s is not None:
-                seen_at = min(seen_at, _to_lease_time(version.seen_s, rows) + MAX_SEEN_LAG_S)
+            row_at = _to_lease_time(version.seen_s, rows)
+            seen_at = min(rows.answered_at, row_at + MAX_SEEN_LAG_S)
             self.history.record(version.service, version.software_version, seen_at)
             # A version may have two rows.
-            pair = version.service, version.software_version
-            self._version_rows[pair] = max(seen_at, self._version_rows.get(pair, seen_at))
+            self._learn_row((version.service, version.software_version), row_at)
         self._update_completeness(found, rows)
         self._learn_era(get_era(rows.revision))
         self.is_loaded = True
@@ -404,9 +428,11 @@
         if not self.is_loaded or (self._has_gap and is_confirmed) or self._is_reload_due():
             await self.read_versions()
             self._has_gap = not is_confirmed
-        for pair in list(self._unannounced):
-            await self._announce(pair)
         now = self.read_clock()
+        for pair in self._list_untold(now):
+            # After a gap, its row has to be read first.
+            if is_confirmed or pair not in self._version_rows:
+                await self._announce(pair)
         await self._update_targets(now)
         if self.is_version_writer():
             era = self._era
@@ -473,8 +499,8 @@
     def _mark_lost(self) -> None:
         """Write all versions and targets again, as the store was restored from a copy."""
         self._versions_lost.update(self.history.list_last_seen())
-        self._unannounced.update(self._announced)
-        self._version_rows.clear()
+        # The writer of the versions writes those again that are registered.
+        self._version_rows = dict(self._followed)
         if self._targets is not None:
             self._targets.mark_lost()
 
@@ -511,7 +537,8 @@
         written = await self.store.write_rows(VERSION_TABLE, '', writes, removed)
         self._learn_store_time(written)
         self._versions_written.update(dict.fromkeys(due, now))
-        self._version_rows.update(dict.fromkeys(due, now))
+        for pair in due:
+            self._learn_row(pair, last_seen.get(pair, now))
         self._versions_lost.difference_update(due)
         self._learn_era(written.era)
         # One that is registered again by now is kept.
@@ -526,10 +553,10 @@
         for pair, written_at in list(self._versions_written.items()):
             if written_at < before:
                 self._versions_written.pop(pair)
-        for pair, known_at in list(self._version_rows.items()):
-            if known_at < before:
-                self._version_rows.pop(pair)
-        self._announced.intersection_update(self._version_rows)
+        for known in (self._version_rows, self._followed):
+            for pair, known_at in list(known.items()):
+                if known_at < before:
+                    known.pop(pair)
 
     def _get_write_interval_s(self) -> float:
         """Return the pause between two writes, for which all daemons share the write calls."""
--- a/tests/edge/test_unregistered_versions.py
+++ b/tests/edge/test_unregistered_versions.py
@@ -3,7 +3,8 @@
 
 import pytest
 
-from camphorpath.edge.streams import MAX_KNOWN_ROW_AGE_S
+from camphorpath.edge.streams import MAX_KNOWN_ROW_AGE_S, MAX_UNTOLD_S, VERSION_INTERVAL_S
+from camphorpath.events import Event
 from camphorpath.streams.lookup import OriginLookup
 
 # The fixtures of a store with a scripted clock.
@@ -67,6 +68,53 @@
     assert await find_at(started, monkeypatch) is None
 
 
+async def test_version_of_a_stream_that_began_during_a_cut_is_announced_after_it(
+    store,
+    horizon,
+    monkeypatch,
+):
+    """Guards against a version that only a daemon out of touch had still registered."""
+    writer = Daemon(store, 'writer-1', registered={('llm', 'v1')})
+    await writer.follow(2)
+    cut = Daemon(store, registered={('llm', 'v1')}, is_writer=False)
+    await cut.follow(2)
+    cut.is_confirmed = False
+    store.status = 503
+    await cut.follow(2 * HORIZON_S)
+    await cut.streams.announce_version('llm', 'v1')
+    assert not cut.list_events(Event.STREAM_STORE_FAILED)
+    store.status = 200
+    cut.registered, cut.is_confirmed = {('llm', 'v2')}, True
+    await cut.follow(3)
+    started = Daemon(store, 'started-1', registered={('llm', 'v2')}, is_writer=False)
+    await started.follow(1)
+    assert await find_at(started, monkeypatch) is None
+
+
+async def test_daemon_that_reads_no_rows_announces_no_registered_version(store, horizon):
+    """Guards against daemons that all write each version while nothing changes."""
+    daemon = Daemon(store, registered={('llm', 'v1')}, is_writer=False)
+    await daemon.follow(1)
+
+    def restore():
+        store.clock.on_advance = lambda: None
+        daemon.restore()
+
+    for second in range(100):
+        await daemon.streams.announce_version('llm', 'v1')
+        if second == 50:
+            store.clock.on_advance = restore
+        await daemon.follow(2 * VERSION_INTERVAL_S)
+    assert len(store.writes) == 1
+    # Streams whose first event comes just after their upstream was removed.
+    daemon.registered = set()
+    await daemon.streams.announce_version('llm', 'v1')
+    assert len(store.writes) == 1
+    await daemon.follow(2 * MAX_UNTOLD_S)
+    await daemon.streams.announce_version('llm', 'v1')
+    assert len(store.writes) == 2
+
+
 async def test_old_row_does_not_replace_what_is_known_of_a_newer_one(store):
     """Guards against announcements that are repeated though the version has a fresh row."""
     writer = Daemon(store, 'writer-1', registered={('llm', 'v1')})
