Write versions that left later than their rows tell

Callers could see a stream go on at another software version if its own one served and left while the store was away for longer than a horizon, or while the daemon that writes the versions was frozen or gone: on its return, or at its successor, only the versions that are registered then were refreshed, so that daemons that started later did not count the one that had left. The same holds for a version that was registered between two updates of the writer.

The writer now compares when it last saw each version with its row. Before it writes one that has left it reads the rows, as another daemon may have written a newer one.

test_version_that_left_while_the_store_was_away_is_written_when_it_is_back, test_version_that_left_while_nobody_wrote_it_is_written_by_the_next_writer and test_version_that_was_registered_between_two_updates_is_written failed before; test_next_writer_does_not_replace_a_row_by_an_older_one guards the change.

--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -435,6 +435,9 @@
                 await self._announce(pair)
         await self._update_targets(now)
         if self.is_version_writer():
+            if self._list_late(registered, now):
+                # Another daemon may have written them since.
+                await self.read_versions()
             era = self._era
             await self._write_versions(registered, now)
             if self._era != era:
@@ -511,7 +514,7 @@
         self._versions_lost.intersection_update(last_seen)
         self._versions_lost.difference_update(outdated)
         due = [pair for pair in registered if self._is_refresh_due(pair, now)]
-        due += self._versions_lost.difference(due)
+        due += self._versions_lost.union(self._list_late(registered, now)).difference(due)
         due = due[:MAX_WRITE_ROWS]
         # A version may have two rows.
         outdated = outdated[: (MAX_WRITE_ROWS - len(due)) // 2]
@@ -544,6 +547,19 @@
         # One that is registered again by now is kept.
         self.history.forget(outdated, retained_from)
 
+    def _list_late(self, registered: set[Pair], now: float) -> list[Pair]:
+        """Return the versions that left lately, and later than their rows tell.
+
+        They left while the store was away, or before this daemon became the writer of the versions.
+        """
+        return [
+            pair
+            for pair, seen_at in self.history.list_last_seen().items()
+            if pair not in registered
+            and seen_at > self._version_rows.get(pair, -math.inf)
+            and now - seen_at <= self.get_horizon_s(pair[0])
+        ]
+
     def _is_refresh_due(self, pair: Pair, now: float) -> bool:
         written_at = self._versions_written.get(pair)
         return written_at is None or now - written_at >= REFRESH_INTERVAL_S
--- a/tests/edge/test_unregistered_versions.py
+++ b/tests/edge/test_unregistered_versions.py
@@ -3,9 +3,14 @@
 
 import pytest
 
-from camphorpath.edge.streams import MAX_KNOWN_ROW_AGE_S, MAX_UNTOLD_S, VERSION_INTERVAL_S
+from camphorpath.edge.streams import (
+    MAX_KNOWN_ROW_AGE_S,
+    MAX_UNTOLD_S,
+    VERSION_INTERVAL_S,
+)
 from camphorpath.events import Event
 from camphorpath.streams.lookup import OriginLookup
+from camphorpath.streams.rows import make_version_key
 
 # The fixtures of a store with a scripted clock.
 from .test_stream_store import HORIZON_S, Daemon, clock, store  # noqa: F401
@@ -166,3 +171,81 @@
     await started.follow(1)
     is_known = ('llm', 'v3') in started.history.list_last_seen()
     assert is_known or not started.streams.is_history_complete()
+
+
+def count_writes(store, software_version, since=0):
+    """Return how often the row of a version was written since an instant."""
+    key = make_version_key('llm', software_version)
+    return sum(
+        row['key'] == key for at, body in store.writes if at >= since for row in body['write']
+    )
+
+
+async def find_without_memory(store, monkeypatch):
+    """Return the version at which a daemon that has just started lets an unknown stream go on."""
+    started = Daemon(store, 'started-1', registered={('llm', 'v2')}, is_writer=False)
+    await started.follow(1)
+    return await find_at(started, monkeypatch)
+
+
+async def test_version_that_left_while_the_store_was_away_is_written_when_it_is_back(
+    store,
+    horizon,
+    monkeypatch,
+):
+    """Guards against rows that are as old as the last contact with the store."""
+    writer = Daemon(store, 'writer-1', registered={('llm', 'v1')})
+    await writer.follow(2)
+    writer.is_confirmed = False
+    store.status = 503
+    await writer.follow(2 * HORIZON_S)
+    writer.registered = {('llm', 'v2')}
+    await writer.follow(2)
+    writer.is_confirmed = True
+    store.status = 200
+    since = store.clock.now
+    await writer.follow(2)
+    assert await find_without_memory(store, monkeypatch) is None
+    await writer.follow(HORIZON_S)
+    assert count_writes(store, 'v1', since) == 1
+
+
+async def test_version_that_left_while_nobody_wrote_it_is_written_by_the_next_writer(
+    store,
+    horizon,
+    monkeypatch,
+):
+    """Guards against a version whose last refresh the writer of the versions did not live to do."""
+    ended = Daemon(store, 'ended-1', registered={('llm', 'v1')})
+    await ended.follow(2)
+    writer = Daemon(store, 'writer-1', registered={('llm', 'v1')}, is_writer=False)
+    await writer.follow(2 * HORIZON_S)
+    writer.registered = {('llm', 'v2')}
+    await writer.follow(1)
+    writer.is_writer = True
+    await writer.follow(2)
+    assert await find_without_memory(store, monkeypatch) is None
+
+
+async def test_next_writer_does_not_replace_a_row_by_an_older_one(store, horizon):
+    """Guards against a writer that saw a version for a shorter time than the one before it."""
+    writer = Daemon(store, 'writer-1', registered={('llm', 'v1')}, is_writer=False)
+    await writer.follow(2)
+    writer.registered = set()
+    ended = Daemon(store, 'ended-1', registered={('llm', 'v1')})
+    await ended.follow(20)
+    rows = store.list_versions()
+    writer.is_writer = True
+    await writer.follow(2)
+    assert store.list_versions() == rows
+
+
+async def test_version_that_was_registered_between_two_updates_is_written(store):
+    """Guards against a version that the writer of the versions saw and did not write."""
+    writer = Daemon(store, 'writer-1', registered={('llm', 'v1')})
+    await writer.follow(2)
+    writer.history.record('llm', 'v3', store.clock.now)
+    await writer.follow(1)
+    assert ('llm', 'v3') in store.list_versions()
+    await writer.follow(HORIZON_S)
+    assert count_writes(store, 'v3') == 1
