Read the entries before the first event of an unknown process

A stream that began at an upstream which had just restarted was recorded as one of an unknown version, and went on nowhere, if the new entry reached the daemon later than the first event, although the store mostly has it by then.

The daemon reads the changes of the entries once for a process that no entry describes, before the first event.

--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -34,6 +34,7 @@
 from ..relay.upstream import UpstreamPool
 from ..routing import Upstream
 from ..schema import camphorpath_pb2 as pb
+from .entry_reads import EntryReads
 from .history_reads import HistoryReads
 from .output import LogOutput
 from .pages import (
@@ -166,6 +167,10 @@
         reads=(follower.read_upstreams, streams.read_versions, streams.read_targets),
     )
     relay.origins.announce_version = streams.announce_version
+    process_reads = HistoryReads(
+        events, record_registered=streams.record_registered, reads=(follower.read_upstreams,)
+    )
+    relay.look_up_process = EntryReads(process_reads.confirm, lambda: follower.store_up).look_up
 
     async def confirm_history() -> bool:
         return await history_reads.confirm() and streams.is_history_complete()
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -559,13 +559,25 @@
         """
         if self.context.reports is None:
             return self._find_registered_version(attempt.upstream)
+        entry = self._find_entry(attempt)
+        return entry.software_version if entry else ''
+
+    def _find_entry(self, attempt: Attempt) -> Upstream | None:
+        """Return the entry of the process that an attempt is connected to, or None."""
         incarnation = attempt.conn.incarnation
         if not incarnation:
-            return ''
+            return None
         for entry in (attempt.upstream, self._find_slots(attempt.upstream).upstream):
             if entry.incarnation == incarnation:
-                return entry.software_version
-        return ''
+                return entry
+        return None
+
+    async def _look_up_version(self, attempt: Attempt) -> str:
+        """Return the version that begins a stream; its entry may have to be read first."""
+        incarnation = attempt.conn.incarnation
+        if self.context.reports is not None and incarnation and self._find_entry(attempt) is None:
+            await self.context.look_up_process(attempt.upstream.upstream_id, incarnation)
+        return self._find_version(attempt)
 
     def _find_registered_version(self, upstream: Upstream) -> str:
         """Return the software version of the granted upstream; empty if its entry has changed it.
@@ -933,7 +945,7 @@
         else:
             service = attempt.upstream.service
             if self.call.route.is_resumable:
-                version = self._find_version(attempt)
+                version = await self._look_up_version(attempt)
                 await self.context.origins.announce_version(service, version)
             self.has_answer_started = True
             self._is_event_stream = answer.is_event_stream
--- a/camphorpath/relay/context.py
+++ b/camphorpath/relay/context.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import math
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 
 import anyio
 import attrs
@@ -24,6 +24,10 @@
 from .upstream import UpstreamPool
 
 
+async def _look_up_nothing(_upstream_id: str, _incarnation: int) -> None:
+    """Read no entries; for a daemon without a store."""
+
+
 @attrs.define(kw_only=True)
 class RelayContext:
     """The components that calls use, and the calls in progress."""
@@ -48,6 +52,8 @@
     get_budget_share: Callable[[], float]
     # Called for an upstream whose answer states that it is leaving.
     on_leaving: Callable[[Upstream], None] = lambda upstream: None
+    # Brings the entries up to date for an incarnation of an upstream that none describes.
+    look_up_process: Callable[[str, int], Awaitable[None]] = _look_up_nothing
     # Returns whether this daemon may send a call with a pattern that is in quarantine as a probe.
     is_prober: Callable[[Pattern], bool] = lambda pattern: True
     # None before the first manifest is received.
--- a/tests/relay/test_restarted_upstreams.py
+++ b/tests/relay/test_restarted_upstreams.py
@@ -187,6 +187,54 @@
     run(test)
 
 
+def test_entry_of_a_restarted_upstream_is_read_before_its_first_event():
+    """Guards against streams of an unknown version though the store holds the entry already."""
+
+    async def test():
+        announced = []
+
+        async def announce(service, software_version):
+            announced.append((service, software_version))
+
+        process = serve_process(make_report(RESTARTED), [1, 2])
+        async with open_upstream(process) as only, open_relay_with_reports(only) as (context, port):
+
+            async def look_up(upstream_id, incarnation):
+                assert incarnation == RESTARTED
+                replace_entry(context, upstream_id, incarnation=RESTARTED, software_version='v2')
+
+            context.look_up_process = look_up
+            context.origins.announce_version = announce
+            received, _is_reset = await read_to_end(port, BEGIN)
+            version = find_recorded_version(context)
+        assert read_events(received) == [b'data: e1', b'data: e2']
+        assert version == 'v2'
+        assert announced == [('llm', 'v2')]
+
+    run(test)
+
+
+def test_entries_are_read_for_no_process_that_they_describe():
+    """Guards against reads of the store for streams of upstreams whose entry is known."""
+
+    async def test():
+        asked = []
+
+        async def look_up(*process):
+            asked.append(process)
+
+        async with (
+            open_upstream(serve_process(make_report(REGISTERED), [1, 2])) as first,
+            open_relay_with_reports(first) as (context, port),
+        ):
+            context.look_up_process = look_up
+            await read_to_end(port, BEGIN)
+            assert find_recorded_version(context) == 'v1'
+        assert not asked
+
+    run(test)
+
+
 @pytest.mark.parametrize(
     'report',
     [
