Announce that streams of an unknown version begin

What callers saw: all four streams of a process that had restarted at v2 and not registered yet went on at v1 after a kill of their daemon, answered 200 (tests/processes/test_order.py, real daemons). The daemon had recorded them as ones of an unknown version, but other daemons knew of one version only and took it for theirs.

An unknown version is announced like any other: a row with an empty version. Nobody takes a version for the only one within a horizon of it. Daemons that are alive learn of it by datagram, so that they write the records of their streams at once, and do not write the same row: of all daemons together one writes it in 5 to 12 s while such streams begin. Versions that are registered are not sent, as the daemons learn them from the upstreams. If the row cannot be written the datagram is sent all the same, once in 5 s, and the daemon that writes the versions writes it.

The other new cases of tests/edge/test_unregistered_versions.py cover the datagram and the number of writes. tests/edge, tests/streams, tests/relay/test_restarted_upstreams.py and test_take_ups.py pass; of six further runs of tests/edge/test_kill_of_all_daemons.py on a loaded machine one failed in test_chain_of_take_ups_stays_at_its_version_over_two_kills, not reproduced.

--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -48,6 +48,7 @@
 from .state import DaemonState
 from .stream_queries import StreamQueries
 from .streams import StreamStore
+from .version_news import VersionNews, list_begun_versions
 
 MEMBER_TABLE = 'camphorpath-members'
 METRICS_PORT = 9100
@@ -157,6 +158,7 @@
         get_restored=lambda: state.restored,
         is_view_confirmed=lambda: follower.store_age() <= MAX_CONFIRMATION_AGE_S,
         services=relay.origins.services,
+        share_version=VersionNews(state, heartbeats).send,
     )
     stream_queries = StreamQueries(relay.origins.records, state, heartbeats)
     relay.origins.ask_peers = stream_queries.ask
@@ -263,6 +265,10 @@
             daemon.state.apply_announcement(heartbeat)
             daemon.stream_queries.handle_query(heartbeat)
             daemon.stream_queries.handle_answer(heartbeat)
+            for version in list_begun_versions(heartbeat):
+                daemon.streams.learn_begun(
+                    version.service, version.software_version, is_written=version.is_written
+                )
             return
         daemon.state.apply_heartbeat(heartbeat)
         daemon.follower.record_peer(heartbeat, address)
--- a/camphorpath/edge/stream_queries.py
+++ b/camphorpath/edge/stream_queries.py
@@ -144,7 +144,7 @@
         query = self._queries.get(message.number)
         if query is None or heartbeat.host not in query.hosts:
             return
-        if not _is_name(heartbeat.incarnation):
+        if not is_name(heartbeat.incarnation):
             return
         answer = query.answers.get(heartbeat.host)
         if answer is None or answer.incarnation != heartbeat.incarnation:
@@ -277,12 +277,13 @@
     return len(digest) == DIGEST_BYTES
 
 
-def _is_name(name: str) -> bool:
+def is_name(name: str) -> bool:
+    """Return whether a text of a peer can be the name of a service, a version or a daemon."""
     return 0 < len(name) <= MAX_NAME_CHARS and name.isprintable()
 
 
 def _is_valid(message: pb.StreamOrigin) -> bool:
     version = message.software_version
-    if not _is_name(message.service) or not (version == '' or _is_name(version)):
+    if not is_name(message.service) or not (version == '' or is_name(version)):
         return False
     return math.isfinite(message.age) and message.age >= 0
--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -7,6 +7,7 @@
 
 import math
 from collections.abc import Callable, Iterable
+from typing import Protocol
 
 import anyio
 import attrs
@@ -66,6 +67,17 @@
 Pair = tuple[str, str]
 
 
+class ShareVersion(Protocol):
+    """Tells the other daemons that a stream begins at a version."""
+
+    def __call__(self, service: str, software_version: str, *, is_written: bool) -> None:
+        """Send a service and a version, and whether the store holds its row."""
+
+
+def _share_nothing(_service: str, _software_version: str, *, is_written: bool) -> None:
+    """Tell nobody; for a daemon without peers."""
+
+
 @attrs.define
 class StreamStore:
     """Writes the records of this daemon, looks up those of others, and follows the versions."""
@@ -92,6 +104,8 @@
     read_clock: Callable[[], float] = read_lease_clock
     # Services at which streams may have begun; None for a daemon without routes.
     services: ResumableServices | None = None
+    # Called for versions that the other daemons may not learn from the upstreams.
+    share_version: ShareVersion = _share_nothing
     # Whether the versions were read from the store.
     is_loaded: bool = False
     # Whether versions may have come and gone unseen since.
@@ -119,6 +133,8 @@
     _followed: dict[Pair, float] = attrs.field(factory=dict)
     # When a stream last began here at each version.
     _begun: dict[Pair, float] = attrs.field(factory=dict)
+    # When this daemon, or another one, last told all others of each version.
+    _shared: dict[Pair, float] = attrs.field(factory=dict)
     _announce_lock: anyio.Lock = attrs.field(factory=anyio.Lock)
     # When a version may be announced again after a failure, on the lease clock.
     _next_announce_at: float = -math.inf
@@ -184,11 +200,13 @@
         """Write a version at which a stream begins here, unless its row tells so.
 
         The daemon that writes the versions for all may learn of it later, or never if it is
-        registered for a short time. Gives up after MAX_ANNOUNCE_S.
+        registered for a short time. An empty version is unknown; it keeps others from taking the
+        stream for one of the only version that they know. Gives up after MAX_ANNOUNCE_S.
         """
         pair = service, software_version
         now = self.read_clock()
         self._begun[pair] = now
+        self.history.record(service, software_version, now)
         if not self._is_announce_due(pair, now):
             return
         problem = 'out of time'
@@ -204,6 +222,7 @@
                     return
         # It is repeated with the next update of the versions, for which no stream waits.
         self._next_announce_at = self.read_clock() + RETRY_DELAY_S
+        self._share(pair, is_written=False)
         self.events.emit(Event.STREAM_STORE_FAILED, task='announce', problem=problem)
 
     async def _announce(self, pair: Pair) -> None:
@@ -216,9 +235,28 @@
         self._learn_store_time(written)
         self._learn_era(written.era)
         self._learn_row(pair, now)
+        self._share(pair, is_written=True)
+
+    def learn_begun(self, service: str, software_version: str, *, is_written: bool) -> None:
+        """Record that a stream begins at a version at another daemon."""
+        pair = service, software_version
+        now = self.read_clock()
+        self.history.record(service, software_version, now)
+        self._shared[pair] = now
+        if is_written:
+            self._learn_row(pair, now)
+
+    def _share(self, pair: Pair, *, is_written: bool) -> None:
+        """Tell the other daemons of a version that they may not learn from the upstreams."""
+        now = self.read_clock()
+        is_known = now - self._shared.get(pair, -math.inf) <= MAX_UNTOLD_S
+        if pair in set(self.list_registered()) or (is_known and not is_written):
+            return
+        self._shared[pair] = now
+        self.share_version(*pair, is_written=is_written)
 
     def _is_announce_due(self, pair: Pair, begun_at: float) -> bool:
-        if not pair[1] or self._is_told(pair, begun_at):
+        if self._is_told(pair, begun_at):
             return False
         if self.read_clock() < self._next_announce_at:
             return False
@@ -236,11 +274,7 @@
         for pair, begun_at in list(self._begun.items()):
             if now - begun_at > self.get_horizon_s(pair[0]):
                 self._begun.pop(pair)
-        return [
-            pair
-            for pair, begun_at in self._begun.items()
-            if pair[1] and not self._is_told(pair, begun_at)
-        ]
+        return [pair for pair, begun_at in self._begun.items() if not self._is_told(pair, begun_at)]
 
     def _learn_row(self, pair: Pair, seen_at: float) -> None:
         """Record what the row of a version says; readers add the same lag."""
@@ -569,7 +603,7 @@
         for pair, written_at in list(self._versions_written.items()):
             if written_at < before:
                 self._versions_written.pop(pair)
-        for known in (self._version_rows, self._followed):
+        for known in (self._version_rows, self._followed, self._shared):
             for pair, known_at in list(known.items()):
                 if known_at < before:
                     known.pop(pair)
--- a/tests/edge/test_unregistered_versions.py
+++ b/tests/edge/test_unregistered_versions.py
@@ -1,17 +1,26 @@
 # ruff: noqa: F811
 """Versions of streams that the rows of versions do not tell, or no longer."""
 
+import itertools
+
+import attrs
 import pytest
 
+from camphorpath.edge.daemon import _make_receiver, build_edge
 from camphorpath.edge.streams import (
     MAX_KNOWN_ROW_AGE_S,
+    MAX_SEEN_LAG_S,
     MAX_UNTOLD_S,
     VERSION_INTERVAL_S,
 )
+from camphorpath.edge.version_news import VersionNews
 from camphorpath.events import Event
+from camphorpath.schema import camphorpath_pb2 as pb
 from camphorpath.streams.lookup import OriginLookup
 from camphorpath.streams.rows import make_version_key
 
+from .test_state import SETTINGS
+
 # The fixtures of a store with a scripted clock.
 from .test_stream_store import HORIZON_S, Daemon, clock, store  # noqa: F401
 
@@ -249,3 +258,106 @@
     assert ('llm', 'v3') in store.list_versions()
     await writer.follow(HORIZON_S)
     assert count_writes(store, 'v3') == 1
+
+
+@attrs.define
+class News:
+    """What a daemon tells the others of versions; they hear it at once."""
+
+    others: list = attrs.field(factory=list)
+    sent: list = attrs.field(factory=list)
+
+    def send(self, service, software_version, *, is_written):
+        self.sent.append((service, software_version, is_written))
+        for other in self.others:
+            other.streams.learn_begun(service, software_version, is_written=is_written)
+
+
+async def test_daemons_learn_at_once_of_streams_of_an_unknown_version(store, horizon):
+    """Guards against take-ups that are refused after a kill as others wrote no records."""
+    first, other = (
+        Daemon(store, name, registered={('llm', 'v1')}, is_writer=False)
+        for name in ('first-1', 'other-1')
+    )
+    first.streams.share_version = News([other]).send
+    for daemon in (first, other):
+        await daemon.follow(2)
+    digest = other.begin(1)
+    await other.write()
+    assert not store.list_origins('other-1')
+    await first.streams.announce_version('llm', '')
+    await other.write()
+    assert digest in store.list_origins('other-1')
+
+
+async def test_version_that_another_daemon_has_announced_is_not_written_again(store, horizon):
+    """Guards against a write of each daemon whenever an upstream restarts."""
+    daemons = [Daemon(store, f'd{number}-1', is_writer=False) for number in range(9)]
+    for daemon in daemons:
+        daemon.streams.share_version = News([other for other in daemons if other != daemon]).send
+        await daemon.follow(1)
+    for _second in range(60):
+        for daemon in daemons:
+            await daemon.streams.announce_version('llm', '')
+        store.clock.now += 1
+    writes = [at for at, _body in store.writes]
+    gaps = [after - before for before, after in itertools.pairwise(writes)]
+    assert min(gaps) > MAX_UNTOLD_S
+    assert max(gaps) <= MAX_UNTOLD_S + MAX_SEEN_LAG_S + 1
+
+
+async def test_registered_versions_are_not_sent_to_the_other_daemons(store, horizon):
+    """Guards against datagrams of all daemons to all others in a release."""
+    daemon = Daemon(store, registered={('llm', 'v1'), ('llm', 'v2')}, is_writer=False)
+    news = News()
+    daemon.streams.share_version = news.send
+    await daemon.follow(1)
+    await daemon.streams.announce_version('llm', 'v2')
+    assert ('llm', 'v2') in store.list_versions()
+    assert not news.sent
+
+
+async def test_version_that_its_daemon_could_not_write_is_written_by_another_one(
+    store,
+    horizon,
+    monkeypatch,
+):
+    """Guards against a version that is lost with its daemon as it was not written in time."""
+    writer = Daemon(store, 'writer-1', registered={('llm', 'v1')})
+    await writer.follow(2)
+    killed = Daemon(store, 'killed-1', registered={('llm', 'v1')}, is_writer=False)
+    await killed.follow(2)
+    news = News([writer])
+    killed.streams.share_version = news.send
+    store.status = 503
+    for _ in range(3):
+        await killed.streams.announce_version('llm', 'v3')
+        store.clock.now += 1.1
+    assert news.sent == [('llm', 'v3', False)]
+    store.status = 200
+    await writer.follow(2)
+    started = Daemon(store, 'started-1', registered={('llm', 'v1')}, is_writer=False)
+    await started.follow(1)
+    assert await find_at(started, monkeypatch) is None
+
+
+async def test_unknown_version_is_sent_to_the_other_daemons_by_datagram():
+    """Guards against announcements that get lost between the streams and the socket."""
+    sender = build_edge(attrs.evolve(SETTINGS, host='127.0.0.1', heartbeat_port=0))
+    receiver = build_edge(attrs.evolve(SETTINGS, name='other', host='127.0.0.2', heartbeat_port=0))
+    sent = []
+
+    class Socket:
+        def send(self, message, hosts):
+            sent.append(message.SerializeToString())
+
+    news = VersionNews(sender.state, Socket())
+    news.send('llm', '', is_written=False)
+    # Odd ones are dropped.
+    news.send('llm', 'v\n', is_written=True)
+    news.send('', 'v1', is_written=True)
+    for datagram in sent:
+        _make_receiver(receiver)(pb.EdgeHeartbeat.FromString(datagram))
+    assert list(receiver.relay.origins.history.list_last_seen()) == [('llm', '')]
+    for daemon in (sender, receiver):
+        await daemon.close()
--- a/tests/processes/test_order.py
+++ b/tests/processes/test_order.py
@@ -1,6 +1,8 @@
 """Streams of callers at real daemons: whole, in order, and of one software version."""
 
 import asyncio
+import functools
+import itertools
 
 import pytest
 
@@ -37,3 +39,27 @@
             stream = await reading
             assert stream.list_faults() == []
         caller.close()
+
+
+async def test_stream_of_a_process_that_has_not_registered_is_not_joined_after_a_kill():
+    """The daemon at which the streams began is gone, and the other one knows of one version."""
+    async with open_fleet(2) as fleet:
+        restarted = await fleet.add_upstream('v1')
+        await fleet.start_daemons()
+        await asyncio.sleep(SETTLE_S)
+        await fleet.restart_upstream(restarted, 'v2', is_registered=False)
+        first, second = fleet.daemons
+        tried = [itertools.chain([first.address], itertools.repeat(second.address)) for _ in '1234']
+        callers = [
+            Caller(fleet.rng, functools.partial(next, addresses), log=fleet.log)
+            for addresses in tried
+        ]
+        tasks = [asyncio.create_task(caller.fetch_stream('/draft/', 60)) for caller in callers]
+        while not all(caller.streams and caller.streams[0].events for caller in callers):  # noqa: ASYNC110  no event
+            await asyncio.sleep(0.02)
+        await first.kill()
+        await fleet.add_upstream('v1')
+        streams = await asyncio.gather(*tasks)
+        assert [fault for stream in streams for fault in stream.list_faults()] == []
+        for caller in callers:
+            caller.close()
