Copy the records of streams to three other daemons

The record of a stream had one holder. While one version serves no record is needed, so that none is in the store; the version that joins makes it the only evidence, and its holder answers nobody.

A daemon sends the records of resumable streams that begin there to three live daemons within 50 ms, each twice. They are chosen by rendezvous, in two zones at least; one that replaces another gets the recent records. A later record of a daemon replaces the copy. A copy counts only if its daemon does not answer a query, or is no member any more; if daemons disagree, the version is unknown. Own and learned records have separate bounds.

--- a/camphorpath/cluster/members.py
+++ b/camphorpath/cluster/members.py
@@ -115,6 +115,14 @@
         for member in self.known.values():
             member.heard_at += seconds
 
+    def list_live(self) -> dict[str, Member]:
+        """Return the members that do not stop, by incarnation."""
+        return {
+            member.heartbeat.incarnation: member
+            for member in self.known.values()
+            if not member.heartbeat.stopping
+        }
+
     def list_candidates(self) -> list[Candidate]:
         """Return the members that are ready to take calls."""
         return [
--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -45,6 +45,7 @@
 from .quarantine import QuarantineSync
 from .settings import EdgeSettings
 from .state import DaemonState
+from .stream_copies import StreamCopies
 from .stream_queries import StreamQueries
 from .streams import StreamStore
 
@@ -85,6 +86,7 @@
     quarantine: QuarantineSync
     streams: StreamStore
     stream_queries: StreamQueries
+    stream_copies: StreamCopies
     peers: httpx.AsyncClient
 
     async def close(self) -> None:
@@ -181,6 +183,7 @@
         quarantine=QuarantineSync(relay, state, heartbeats, store),
         streams=streams,
         stream_queries=stream_queries,
+        stream_copies=StreamCopies(relay.origins.records, state, heartbeats),
         peers=peers,
     )
 
@@ -258,6 +261,7 @@
             daemon.state.apply_announcement(heartbeat)
             daemon.stream_queries.handle_query(heartbeat)
             daemon.stream_queries.handle_answer(heartbeat)
+            daemon.stream_copies.handle_copies(heartbeat)
             return
         daemon.state.apply_heartbeat(heartbeat)
         daemon.follower.record_peer(heartbeat, address)
@@ -329,6 +333,7 @@
         last = now
         daemon.relay.scheduler.expire(now)
         daemon.quarantine.update(now)
+        daemon.stream_copies.send()
 
 
 async def _close_idle_upstream_connections(daemon: EdgeDaemon) -> None:
@@ -433,6 +438,7 @@
     relay.cancel_calls()
     with anyio.move_on_after(times.margin_s / 2):
         await _wait_until_callers_left(relay)
+    daemon.stream_copies.send()
     await daemon.streams.flush(times.margin_s / 4)
     with contextlib.suppress(TableUnavailable, TableOutcomeUnknown):
         # If the row remains, the others merely send heartbeats to a host that no longer listens.
--- a/camphorpath/edge/stream_queries.py
+++ b/camphorpath/edge/stream_queries.py
@@ -65,6 +65,8 @@
     digests: frozenset[bytes]
     hosts: set[str] = attrs.field(factory=set)
     answers: dict[str, _Answer] = attrs.field(factory=dict)
+    # Digests of the streams that a daemon stated from its own record.
+    vouched: set[bytes] = attrs.field(factory=set)
 
     def has_answer(self, host: str) -> bool:
         """Return whether a host has answered and no message of its answer is missing."""
@@ -100,7 +102,7 @@
         have to wait.
         """
         known = self.records.find(digest)
-        if known is not None or not self.state.members.hosts:
+        if not self.state.members.hosts or (known and self._is_final(known)):
             return Asked(known, frozenset())
         ask = self._asks.get(digest)
         if ask is None:
@@ -144,15 +146,16 @@
         query = self._queries.get(message.number)
         if query is None or heartbeat.host not in query.hosts:
             return
-        if not _is_name(heartbeat.incarnation):
+        if not is_name(heartbeat.incarnation):
             return
         answer = query.answers.get(heartbeat.host)
         if answer is None or answer.incarnation != heartbeat.incarnation:
             answer = _Answer(heartbeat.incarnation)
             query.answers[heartbeat.host] = answer
-        answer.origins.update(self._adopt_origins(query, message.origins))
+        adopted = set(self._adopt_origins(query, heartbeat.incarnation, message.origins))
+        answer.origins |= adopted
         answer.is_complete = len(answer.origins) >= message.known_count
-        self._finish_known(query)
+        self._finish_known(query, adopted)
         if self._is_answered(query):
             self._finish(message.number)
 
@@ -194,14 +197,32 @@
         query.hosts.update(hosts)
         self.heartbeats.send(query.announcement, hosts)
 
-    def _adopt_origins(self, query: _Query, origins: Sequence[pb.StreamOrigin]) -> Iterator[bytes]:
+    def _is_final(self, known: KnownOrigin) -> bool:
+        """Return whether no live daemon may have changed the record of a stream since."""
+        if known.source is Source.OWN:
+            return True
+        return known.holder not in self.state.members.list_live()
+
+    def _adopt_origins(
+        self, query: _Query, sender: str, origins: Sequence[pb.StreamOrigin]
+    ) -> Iterator[bytes]:
         """Adopt the valid origins of streams in the query; yield their digests."""
         now = read_lease_clock()
         for message in origins:
             if message.digest not in query.digests or not _is_valid(message):
                 continue
-            origin = Origin(message.service, message.software_version)
-            self.records.adopt(message.digest, origin, now - message.age, Source.PEER)
+            if not message.holder:
+                query.vouched.add(message.digest)
+            self.records.adopt(
+                message.digest,
+                KnownOrigin(
+                    Origin(message.service, message.software_version),
+                    now - message.age,
+                    Source.PEER,
+                    message.holder or sender,
+                    message.number,
+                ),
+            )
             yield message.digest
 
     def _is_answered(self, query: _Query) -> bool:
@@ -223,10 +244,17 @@
         if query is not None:
             self._finish_asks(query, list(query.asks))
 
-    def _finish_known(self, query: _Query) -> None:
-        known = [digest for digest in query.asks if self.records.find(digest) is not None]
-        if known:
-            self._finish_asks(query, known)
+    def _finish_known(self, query: _Query, adopted: Iterable[bytes]) -> None:
+        """Finish the asks for streams that their holders stated, or whose holders are gone."""
+        finished = []
+        for digest in adopted:
+            known = self.records.find(digest)
+            if digest not in query.asks or known is None:
+                continue
+            if digest in query.vouched or self._is_final(known):
+                finished.append(digest)
+        if finished:
+            self._finish_asks(query, finished)
 
     def _finish_asks(self, query: _Query, digests: Iterable[bytes]) -> None:
         answered = query.list_answered()
@@ -270,6 +298,8 @@
         service=known.origin.service,
         software_version=known.origin.software_version,
         age=max(now - known.known_since, 0),
+        holder=known.holder,
+        number=known.number,
     )
 
 
@@ -277,12 +307,13 @@
     return len(digest) == DIGEST_BYTES
 
 
-def _is_name(name: str) -> bool:
+def is_name(name: str) -> bool:
+    """Return whether a text in a message may be the name of a service, version or daemon."""
     return 0 < len(name) <= MAX_NAME_CHARS and name.isprintable()
 
 
 def _is_valid(message: pb.StreamOrigin) -> bool:
-    version = message.software_version
-    if not _is_name(message.service) or not (version == '' or _is_name(version)):
+    optional = filter(None, (message.software_version, message.holder))
+    if not is_name(message.service) or not all(map(is_name, optional)):
         return False
     return math.isfinite(message.age) and message.age >= 0
--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -274,7 +274,8 @@
                 continue
             origin = found.get(digest)
             if origin is not None:
-                return self.records.adopt(digest, origin, self.read_clock(), Source.STORE)
+                known = KnownOrigin(origin, self.read_clock(), Source.STORE)
+                return self.records.adopt(digest, known)
         if error is None:
             return None
         self.events.emit(Event.STREAM_STORE_FAILED, task='find', problem=str(error))
--- a/camphorpath/streams/lookup.py
+++ b/camphorpath/streams/lookup.py
@@ -68,8 +68,11 @@
         did not state it.
         """
         found = self.records.find(digest_stream(stream_id)) if stream_id else None
-        if found is not None:
+        if found is not None and found.source is Source.OWN:
             return found
+        if found is not None:
+            # The daemon that recorded the stream may know better by now.
+            return await self._find_record(stream_id)
         if self._find_only_version(services) is None:
             return await self._find_record(stream_id)
         return await self._confirm_only_version(stream_id, services)
--- a/tests/edge/test_stream_queries.py
+++ b/tests/edge/test_stream_queries.py
@@ -521,7 +521,7 @@
             queries.handle_answer(make_answer(queries, other.state.settings.host, **answer))
         assert results == [Asked(None, frozenset())]
         assert queries.records.find(digest_stream(b'other-st')) is None
-        assert not queries.records._known
+        assert not queries.records._learned
 
     anyio.run(test)
 
@@ -613,8 +613,8 @@
                 assert len(queries._queries) <= 1
         assert len(results) == 1
         assert not queries._queries and not queries._asks and not queries._unsent
-        assert set(queries.records._known) <= {DIGEST}
-        for known in queries.records._known.values():
+        assert set(queries.records._learned) <= {DIGEST}
+        for known in queries.records._learned.values():
             assert math.isfinite(known.known_since)
         assert len(results[0].answered) <= 1
 
@@ -637,7 +637,7 @@
             )
             queries.handle_query(heartbeat)
             queries.handle_answer(heartbeat)
-        assert not queries._queries and not queries._asks and not queries.records._known
+        assert not queries._queries and not queries._asks and not queries.records._learned
 
     anyio.run(test)
 
