--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -46,6 +46,7 @@
 from .quarantine import QuarantineSync
 from .settings import EdgeSettings
 from .state import DaemonState
+from .stream_copies import StreamCopies
 from .stream_queries import StreamQueries
 from .streams import StreamStore
 from .version_news import VersionNews, list_begun_versions
@@ -87,6 +88,7 @@
     quarantine: QuarantineSync
     streams: StreamStore
     stream_queries: StreamQueries
+    stream_copies: StreamCopies
     peers: httpx.AsyncClient
 
     async def close(self) -> None:
@@ -188,6 +190,7 @@
         quarantine=QuarantineSync(relay, state, heartbeats, store),
         streams=streams,
         stream_queries=stream_queries,
+        stream_copies=StreamCopies(relay.origins.records, state, heartbeats),
         peers=peers,
     )
 
@@ -269,6 +272,7 @@
                 daemon.streams.learn_begun(
                     version.service, version.software_version, is_written=version.is_written
                 )
+            daemon.stream_copies.handle_copies(heartbeat)
             return
         daemon.state.apply_heartbeat(heartbeat)
         daemon.follower.record_peer(heartbeat, address)
@@ -340,6 +344,7 @@
         last = now
         daemon.relay.scheduler.expire(now)
         daemon.quarantine.update(now)
+        daemon.stream_copies.send()
 
 
 async def _close_idle_upstream_connections(daemon: EdgeDaemon) -> None:
@@ -444,6 +449,7 @@
     relay.cancel_calls()
     with anyio.move_on_after(times.margin_s / 2):
         await _wait_until_callers_left(relay)
+    daemon.stream_copies.send()
     await daemon.streams.flush(times.margin_s / 4)
     with contextlib.suppress(TableUnavailable, TableOutcomeUnknown):
         # If the row remains, the others merely send heartbeats to a host that no longer listens.
