Reset unfinished streams of HTTP/1.0 callers if the daemon is killed

Callers of HTTP/1.0 take no chunks, so that the end of the connection is that of the stream. The kernel ends the connections of a killed process in order, and such a caller took the part of a stream that it had for a whole one.

The connection now lingers for no time while such a stream is being sent, so that the kernel resets it at a kill; after the end this is taken back, and the end is orderly as before.

Tests: tests/processes/test_old_callers.py with real daemons. The one with a kill failed before (no reset), the one of a whole stream that is read late passed before and passes.

--- a/camphorpath/relay/caller.py
+++ b/camphorpath/relay/caller.py
@@ -149,7 +149,13 @@
         await self._send(payload)
 
     async def start_stream(self, status: int, headers: Headers, first: bytes) -> None:
-        """Send the head and the first part of a chunked answer; raise CallerDisconnected."""
+        """Send the head and the first part of a chunked answer; raise CallerDisconnected.
+
+        The end of the connection is that of the answer for a caller of HTTP/1.0, so that it must
+        not look orderly before.
+        """
+        if self._is_end_unmarked:
+            self.connection.set_reset_on_exit(is_set=True)
         payload = self._render_head(status, [*headers, (b'transfer-encoding', b'chunked')])
         await self._send(payload + (self.http.send(h11.Data(data=first)) or b''))
 
@@ -160,6 +166,8 @@
     async def end_stream(self) -> None:
         """Send the end of a chunked answer; raise CallerDisconnected."""
         await self._send(self.http.send(h11.EndOfMessage()) or b'')
+        if self._is_end_unmarked:
+            self.connection.set_reset_on_exit(is_set=False)
 
     @property
     def can_answer(self) -> bool:
@@ -314,6 +322,11 @@
             step='read_request',
         )
 
+    @property
+    def _is_end_unmarked(self) -> bool:
+        """Whether the caller takes no chunks, so that a stream ends with the connection."""
+        return self.http.their_http_version == b'1.0'
+
     def _has_next_input(self) -> bool:
         return bool(self.http.trailing_data[0]) or self.connection.has_input()
 
--- a/camphorpath/relay/sockets.py
+++ b/camphorpath/relay/sockets.py
@@ -25,6 +25,7 @@
 MS_PER_S = 1000
 # Value of SO_LINGER that makes close() send a reset.
 LINGER_RESET = struct.pack('ii', 1, 0)
+LINGER_OFF = struct.pack('ii', 0, 0)
 ACCEPT_RETRY_DELAY_S = 0.05
 # Polling interval for a close by the peer behind unread input: work for a caller that left must end
 # within half a second.
@@ -122,6 +123,16 @@
                 self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
         self._sock.close()
 
+    def set_reset_on_exit(self, *, is_set: bool) -> None:
+        """Choose whether the kernel resets the connection if this process is killed.
+
+        Otherwise the peer sees an orderly end.
+        """
+        option = LINGER_RESET if is_set else LINGER_OFF
+        # A connection that is lost raises the error when it is used.
+        with contextlib.suppress(OSError):
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+
     def finish_sending(self) -> None:
         """Shut down the sending side, so that the peer sees the end of input."""
         with contextlib.suppress(OSError):
