Believe the unmarked end of a stream only if its process goes on

The entry of their upstream had been removed, and it was killed about a second later. The kernel closes the connections of a killed process like a process closes one after its last answer, and an upstream that leaves was believed in both cases. The lack of evidence that the stream was cut off was taken for evidence that it was whole.

The same cause was found for an upstream that cannot be reached after the end (a VM that is shut down), for one that reported its incarnation before and does not any more (a supervisor may hold the listening socket), and for a new process at the address if the incarnation had not been asked for, as on routes that cannot be resumed.

The end is believed now if the process reports the incarnation of the connection or of the entry; an upstream that is not known to report has to listen after 50 ms, as before. Else a resumable stream goes to another upstream of its version, within attempts and retry budget. An empty rest that is marked (a length, chunks, 204) confirms the end. Otherwise the answer is broken off. An upstream that leaves, or that cannot be reached, gets no failure and no crash counted for it.

--- a/camphorpath/errors.py
+++ b/camphorpath/errors.py
@@ -101,6 +101,10 @@
     """The answer ended with its connection where it cannot be complete."""
 
 
+class EndUnclear(Truncated):
+    """The answer ended with its connection where nothing shows whether it is complete."""
+
+
 class NotExecuted(UpstreamError):
     """The upstream reported that it did not run the request."""
 
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -15,6 +15,7 @@
 from ..errors import (
     AnswerTooLarge,
     EndedEarly,
+    EndUnclear,
     NotExecuted,
     NotSent,
     ProcessUnconfirmed,
@@ -46,6 +47,7 @@
 from .reports import ProcessIdentity
 from .stalls import get_stall_timeout
 from .statements import read_backoff, read_load, read_rate
+from .survival import Survival, check_survival
 from .upstream import UpstreamAnswer, UpstreamConnection, get_connect_timeout, read_answer
 
 Answer = TypeVar('Answer')
@@ -53,6 +55,7 @@
 SERVED = 'served'
 FAILED = 'failed_at_upstream'
 STATUS_OK = 200
+STATUS_NO_CONTENT = 204
 STATUS_REDIRECT = 300
 STATUS_MISDIRECTED = 421
 STATUS_SERVER_ERROR = 500
@@ -94,8 +97,6 @@
 # Longest time for which a stream is kept open at a silent upstream after it was sent to another
 # one. Both must not run it for 0.4 s; the rest is for the way to them.
 MAX_OVERLAP_S = 0.33
-# The kernel closes the connections of a killed process before its listening socket.
-PROCESS_EXIT_S = 0.05
 # Assumed, as streams do not state it; only the relative speeds of upstreams matter.
 TOKENS_PER_EVENT = 4
 
@@ -489,17 +490,19 @@
         self.context.scheduler.record_first_byte(
             upstream.upstream_id, attempt.waiting, read_lease_clock(), is_failure=is_failure
         )
-        if self.has_answer_started and answer.status != STATUS_OK:
+        is_rest_empty = self.has_answer_started and answer.status == STATUS_NO_CONTENT
+        if self.has_answer_started and answer.status != STATUS_OK and not is_rest_empty:
             message = f'resuming a stream failed with status {answer.status}'
             raise Truncated(message, step='receive_head', peer=upstream.address)
-        if self._is_event_stream and not answer.is_event_stream:
+        if self._is_event_stream and not (answer.is_event_stream or is_rest_empty):
             message = 'resuming a stream of events failed with an answer of another kind'
             raise Truncated(message, step='receive_head', peer=upstream.address)
         attempt.answer = answer
 
     async def _relay(self, attempt: Attempt) -> str:
         answer = attempt.answer
-        if self.call.route.kind is CallKind.STREAM and answer.status == STATUS_OK:
+        is_stream = self.call.route.kind is CallKind.STREAM and answer.status == STATUS_OK
+        if is_stream or self.has_answer_started:
             return await self._relay_stream(attempt)
         return await self._relay_buffered(attempt)
 
@@ -873,40 +876,22 @@
             raise EndedEarly(message, step='receive_body', peer=answer.peer)
 
     async def _check_process(self, attempt: Attempt) -> None:
-        """Raise EndedEarly if a stream without a marked end ended as its upstream crashed.
+        """Raise EndedEarly or EndUnclear unless the end of an answer is marked or intended.
 
-        The kernel closes the connections of a killed process like the upstream closes one at the
-        end of such a stream, but then nothing listens at its address. The same holds for an
-        upstream that leaves, which sends its answers to their end.
+        An upstream that leaves may exit after its last answer, or be killed before the end of it.
         """
         upstream, answer = attempt.upstream, attempt.answer
-        is_announced = find_header(answer.headers, self._header_names.leaving) == FLAG_SET
-        if answer.has_length or is_announced or self._has_left(upstream):
+        if answer.has_length:
             return
-        await anyio.sleep(PROCESS_EXIT_S)
-        is_listening = await self.context.pool.is_listening(upstream)
-        if self._has_left(upstream) or (is_listening and await self._is_same_process(attempt)):
+        survival = await check_survival(self.context, attempt.conn, upstream)
+        if survival is Survival.GOES_ON:
             return
-        message = 'the process of the upstream has ended with the stream'
-        raise EndedEarly(message, step='receive_body', peer=answer.peer)
-
-    async def _is_same_process(self, attempt: Attempt) -> bool:
-        """Return whether the process that sent an answer still runs; true if that is unknown."""
-        reports, incarnation = self.context.reports, attempt.conn.incarnation
-        if reports is None or not incarnation:
-            return True
-        pool, upstream = self.context.pool, attempt.upstream
-        try:
-            conn = await pool.acquire(upstream, is_recent=False)
-        except NotSent:
-            return True
-        is_asked = False
-        try:
-            identity = await reports.identify(conn, upstream, read_lease_clock())
-            is_asked = True
-        finally:
-            pool.release(conn, is_complete=is_asked)
-        return identity.incarnation in {0, incarnation}
+        is_announced = find_header(answer.headers, self._header_names.leaving) == FLAG_SET
+        if survival is Survival.ENDED and not (is_announced or self._has_left(upstream)):
+            message = 'the process of the upstream has ended with the answer'
+            raise EndedEarly(message, step='receive_body', peer=answer.peer)
+        message = 'the answer ended without a mark, and its process may have ended before'
+        raise EndUnclear(message, step='receive_body', peer=answer.peer)
 
     def _has_left(self, upstream: Upstream) -> bool:
         """Return whether the entry of an upstream was removed or says that it leaves."""
@@ -988,8 +973,8 @@
         # A refused connection means that nothing listens; a timeout may be a lost packet.
         is_certain = isinstance(error, NotSent) and not isinstance(error.__cause__, TimeoutError)
         is_entry_current = self._find_registered_version(upstream) == upstream.software_version
-        if is_entry_current and not isinstance(error, ProcessUnconfirmed):
-            # Else the upstream has restarted since.
+        if is_entry_current and not isinstance(error, (ProcessUnconfirmed, EndUnclear)):
+            # Else the upstream has restarted since, or may have left as planned.
             self._fail_upstream(upstream, error.message, is_certain=is_certain)
         if _is_connection_lost(error):
             # The call may have crashed the upstream.
--- a/camphorpath/relay/upstream.py
+++ b/camphorpath/relay/upstream.py
@@ -34,6 +34,8 @@
 # send them without end.
 MAX_SKIPPED_HEADS = 16
 MAX_SKIPPED_BODY_BYTES = 1024 * 1024
+# No Content, Not Modified.
+STATUSES_WITHOUT_BODY = frozenset((204, 304))
 # Longer numbers count as not stated.
 KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=([0-9]{1,6})(?![0-9])')
 
@@ -154,6 +156,8 @@
     @property
     def has_length(self) -> bool:
         """Whether the end of the body is marked; otherwise it ends with the connection."""
+        if self.status in STATUSES_WITHOUT_BODY:
+            return True
         names = {name for name, _text in self.headers}
         return bool(names & {b'content-length', b'transfer-encoding'})
 
@@ -233,9 +237,10 @@
         return UpstreamConnection(connection, upstream.address)
 
     async def is_listening(self, upstream: Upstream) -> bool:
-        """Return whether an upstream accepts connections; true unless it refuses a new one.
+        """Return whether an upstream accepts connections.
 
-        Keeps the connection that shows it for the next call.
+        Keeps the connection that shows it for the next call. Raises NotSent if none can be opened
+        within MAX_CONNECT_TIMEOUT_S seconds, which does not tell whether the process has ended.
         """
         idle = self._idle.get(upstream.address, ())
         if any(not conn.connection.has_input() for conn in idle):
@@ -244,9 +249,8 @@
             connection = await open_connection(upstream.host, upstream.port, MAX_CONNECT_TIMEOUT_S)
         except ConnectionRefusedError:
             return False
-        except (OSError, TimeoutError):
-            # A network failure does not tell whether the process has ended.
-            return True
+        except (OSError, TimeoutError) as error:
+            raise NotSent(repr(error), step='connect', peer=upstream.address) from error
         self.opened_count += 1
         conn = UpstreamConnection(connection, upstream.address, idle_since=read_lease_clock())
         # An upstream may answer an idle connection that times out.
