--- a/tests/edge/test_stop.py
+++ b/tests/edge/test_stop.py
@@ -14,6 +14,7 @@
 from camphorpath.cluster.members import Members
 from camphorpath.edge import daemon as daemon_module
 from camphorpath.edge.state import DaemonState
+from camphorpath.edge.stream_copies import StreamCopies
 from camphorpath.relay.server import serve_calls
 from camphorpath.relay.sockets import open_listener
 from camphorpath.routing import CallKind
@@ -111,6 +112,7 @@
         quarantine=None,
         streams=Streams(),
         stream_queries=None,
+        stream_copies=StreamCopies(relay.origins.records, state, Datagrams()),
         peers=None,
     )
     listener = open_listener('127.0.0.1:0')
