Keep the version of a process when the entry of the next one arrives

A stream that began at a restarted process whose entry came after its grant was recorded as one of an unknown version, and went on nowhere, once a second restart replaced that entry, though other daemons may have adopted its version. An attempt now keeps the entry of its process.

test_version_of_a_process_stays_known_when_the_entry_of_the_next_one_arrives failed before; tests/relay/test_restarted_upstreams.py passes.

--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -111,6 +111,8 @@
     upstream: Upstream
     waiting: WaitingCall
     conn: UpstreamConnection | None = None
+    # The entry of the process that the connection leads to, once there was one.
+    process_entry: Upstream = attrs.field(init=False)
     is_sent: bool = False
     # Whether the call may have run before this attempt.
     ran_before: bool = False
@@ -123,6 +125,10 @@
     # Raised by reading the answer while it was not awaited.
     read_error: Exception | None = None
 
+    @process_entry.default
+    def _get_granted_entry(self) -> Upstream:
+        return self.upstream
+
     def has_unread_bytes(self) -> bool:
         """Return whether the upstream has sent bytes that were not read."""
         return self.conn is not None and self.conn.connection.has_unread_bytes()
@@ -554,8 +560,7 @@
     def _find_version(self, attempt: Attempt) -> str:
         """Return the software version of the process that an attempt is connected to.
 
-        It is empty if it is unknown: if neither the entry at the grant nor the current one is that
-        of the process.
+        It is empty if it is unknown: if no entry since the grant was that of the process.
         """
         if self.context.reports is None:
             return self._find_registered_version(attempt.upstream)
@@ -567,8 +572,11 @@
         incarnation = attempt.conn.incarnation
         if not incarnation:
             return None
-        for entry in (attempt.upstream, self._find_slots(attempt.upstream).upstream):
+        current = self._find_slots(attempt.upstream).upstream
+        for entry in (attempt.process_entry, current):
             if entry.incarnation == incarnation:
+                # A later entry may be that of the next process.
+                attempt.process_entry = entry
                 return entry
         return None
 
--- a/tests/relay/test_restarted_upstreams.py
+++ b/tests/relay/test_restarted_upstreams.py
@@ -187,6 +187,43 @@
     run(test)
 
 
+def test_version_of_a_process_stays_known_when_the_entry_of_the_next_one_arrives():
+    """Guards against streams that are lost since their upstream has restarted once more."""
+
+    async def test():
+        contexts = []
+
+        async def restart_again(upstream, reader, writer):
+            await upstream.read_request(reader)
+            writer.write(make_report(RESTARTED))
+            await upstream.read_request(reader)
+            replace_entry(contexts[0], 'i-0', incarnation=RESTARTED, software_version='v2')
+            writer.write(HEAD + make_chunk(make_event(1)))
+            await writer.drain()
+            await anyio.sleep(0.05)
+            replace_entry(contexts[0], 'i-0', incarnation=RESTARTED + 1, software_version='v3')
+            writer.write(make_chunk(make_event(2)))
+            await writer.drain()
+            await anyio.sleep(0.05)
+            writer.transport.abort()
+
+        async with (
+            open_upstream(restart_again) as first,
+            open_upstream(serve_process(make_report(REGISTERED), [3])) as second,
+            open_upstream(serve_process(make_report(REGISTERED), [3]), 'v2') as third,
+            open_relay_with_reports(first, second, third) as (context, port),
+        ):
+            contexts.append(context)
+            received, is_reset = await read_to_end(port, BEGIN)
+            version = find_recorded_version(context)
+        assert read_events(received) == [b'data: e1', b'data: e2', b'data: e3']
+        assert not is_reset
+        assert version == 'v2'
+        assert not second.requests
+
+    run(test)
+
+
 def test_entry_of_a_restarted_upstream_is_read_before_its_first_event():
     """Guards against streams of an unknown version though the store holds the entry already."""
 
