Treat a daemon that was suspended over a restore as one that has just started

A daemon that stands still while the store is restored from a copy does not know the versions that were registered and lost meanwhile. It took its memory for complete: it took a version for the only one, and as the writer of the versions it stated in their rows that they are all, which daemons that start believe, so that a stream of a lost version could go on at another one.

If the era of the store has risen since before the suspension, the versions are read again like after a start: rows of daemons that knew all end the wait at once, else the longest horizon does. Rows state no era until then. A daemon that was cut off and not suspended is not covered: it cannot tell a cut from a store that is away.

test_daemon_that_was_suspended_over_a_restore_does_not_take_its_versions_for_all failed before, at the writer and at another daemon, and passes, as do all of test_stream_store.py and test_unregistered_versions.py.

--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -110,6 +110,8 @@
     is_loaded: bool = False
     # Whether versions may have come and gone unseen since.
     _has_gap: bool = False
+    # Whether this daemon was suspended since the last read in a confirmed view.
+    _was_suspended: bool = False
     # The store's era when the versions here were last read or written; 0 before the first read.
     _era: int = 0
     # Versions that were registered until then, on the lease clock, may be missing: a restore of
@@ -190,7 +192,9 @@
             began_at = self.read_clock()
             await anyio.sleep(VERSION_INTERVAL_S)
             paused_s = self.read_clock() - began_at
-            self._has_gap = self._has_gap or paused_s > VERSION_INTERVAL_S + MAX_UNSEEN_S
+            if paused_s > VERSION_INTERVAL_S + MAX_UNSEEN_S:
+                self._has_gap = True
+                self._was_suspended = True
 
     def is_history_complete(self) -> bool:
         """Return whether no version is missing that was registered until the last read of them."""
@@ -303,6 +307,7 @@
             await self.read_targets()
         rows = await self.store.read_table(VERSION_TABLE)
         self._learn_store_time(rows)
+        self._learn_era(get_era(rows.revision))
         found: list[VersionRow] = []
         for row in rows.rows:
             try:
@@ -316,7 +321,6 @@
             # A version may have two rows.
             self._learn_row((version.service, version.software_version), row_at)
         self._update_completeness(found, rows)
-        self._learn_era(get_era(rows.revision))
         self.is_loaded = True
 
     async def find(self, digest: bytes, answered: frozenset[str]) -> KnownOrigin | None:
@@ -462,6 +466,7 @@
         if not self.is_loaded or (self._has_gap and is_confirmed) or self._is_reload_due():
             await self.read_versions()
             self._has_gap = not is_confirmed
+            self._was_suspended = self._was_suspended and not is_confirmed
         now = self.read_clock()
         for pair in self._list_untold(now):
             # After a gap, its row has to be read first.
@@ -531,6 +536,9 @@
             return
         if self._era:
             self._mark_lost()
+        if self._was_suspended:
+            # The restore may have lost versions that were registered meanwhile.
+            self.is_loaded = False
         self._era = era
 
     def _mark_lost(self) -> None:
@@ -560,7 +568,8 @@
             complete_since_s = self._to_store_time(self._complete_since)
         # Rows of the era state that all others are written, those of targets too.
         has_all = (
-            self._versions_lost.issubset(due)
+            self.is_loaded
+            and self._versions_lost.issubset(due)
             and (self._complete_since is None or complete_since_s is not None)
             and not (self._targets is not None and self._targets.list_unwritten(now))
         )
--- a/tests/edge/test_stream_store.py
+++ b/tests/edge/test_stream_store.py
@@ -1,4 +1,5 @@
 import base64
+import functools
 import itertools
 import math
 import time
@@ -1023,6 +1024,58 @@
     assert late.streams.is_history_complete()
 
 
+def suspend_over_restore(store, daemon):
+    """Suspend a daemon while the store is restored from a copy that lacks v3."""
+    store.clock.on_advance = lambda: None
+    store.clock.now += 10
+    store.clock.end += 10
+    store.era += 1
+    daemon.restore()
+
+
+@pytest.mark.parametrize('is_writer', [True, False])
+async def test_daemon_that_was_suspended_over_a_restore_does_not_take_its_versions_for_all(
+    store,
+    is_writer,
+):
+    """Guards against versions that were registered and lost while a daemon stood still."""
+    store.era = 1
+    other = Daemon(store, 'other-1', registered={('llm', 'v1')}, is_writer=not is_writer)
+    daemon = Daemon(store, registered={('llm', 'v1')}, is_writer=is_writer)
+    for member in (other, daemon):
+        await member.follow(3)
+    store.clock.on_advance = functools.partial(suspend_over_restore, store, daemon)
+    await daemon.follow(4)
+    assert not daemon.streams.is_history_complete()
+    started = Daemon(store, 'started-1', registered={('llm', 'v1')}, is_writer=False)
+    await started.follow(0.5)
+    assert not started.streams.is_history_complete()
+    # One that has seen all versions writes them.
+    other.is_writer = True
+    other.history.record('llm', 'v3', store.clock.now)
+    await other.follow(3)
+    await daemon.follow(8)
+    assert daemon.streams.is_history_complete()
+    assert ('llm', 'v3') in daemon.history.list_last_seen()
+
+
+async def test_suspended_daemon_takes_its_versions_for_all_if_the_store_was_not_restored(store):
+    """Guards against take-ups that are refused after each freeze of a VM."""
+    store.era = 2
+    daemon = Daemon(store)
+    put_version_of_era(store, ('llm', 'v1'), 2)
+    await daemon.follow(3)
+
+    def suspend():
+        store.clock.on_advance = lambda: None
+        store.clock.now += 10
+        store.clock.end += 10
+
+    store.clock.on_advance = suspend
+    await daemon.follow(3)
+    assert daemon.streams.is_history_complete()
+
+
 async def test_refresh_that_a_restore_overtook_does_not_state_the_new_era(store):
     """Guards against rows of a writer that has not heard of the restore, taken for all rows."""
     store.era = 1
