Bind take-ups also where the route is not resumable now

What callers saw: streams that had begun at v1 went on at v2, answered 200, once their route was no longer resumable; so did ones whose route had become one of another kind.

Cause: whether a call takes a stream up was read from the route in force at that moment, not from those that may have been in force when the stream began. The call was then a new one.

Change: each call on a stream route that names an event is bound to the version that began the stream. On a route that is not resumable only records tell it, as streams of such a route leave none; the call still runs at most once. On a route of another kind the call is refused (503, not run) if streams may have begun on the path. Services that a route left count for the paths of that route only, no longer for all.

New and failing before: six cases of tests/relay/test_take_ups.py, and a kill of all daemons after the change, after which the streams go on at their version by the store. The relay of tests/relay/support.py puts its manifest in force like a daemon; before, its routes were unknown to the services of streams.

--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -30,7 +30,7 @@
 from ..placement.scheduler import NO_UPSTREAM
 from ..placement.slots import Slots
 from ..routing import CallKind, Upstream
-from ..streams import KnownOrigin, Origin, Source
+from ..streams import KnownOrigin, Origin, Source, StreamPath
 from .acceptance import (
     CRASHES_UPSTREAMS,
     MS_PER_S,
@@ -198,16 +198,20 @@
     async def _bind_to_origin(self) -> None:
         """Bind a stream that the caller takes up to the service and version that began it.
 
-        Raises Refusal if they are not known, or not those of a service of the route.
+        The stream may have begun under other routes than those in force now. Raises Refusal if the
+        service and version are not known, or not those of a service of the route.
         """
-        call = self.call
-        last_id = self._find_header(self._header_names.last_event_id)
-        if not (last_id and call.route.kind is CallKind.STREAM and call.route.is_resumable):
+        call, route = self.call, self.call.route
+        if not self._find_header(self._header_names.last_event_id):
+            return
+        path = StreamPath(route.host, call.request.path, route.prefix)
+        if route.kind is not CallKind.STREAM:
+            await self._check_no_stream(path)
             return
-        services = [name for name, _weight in call.route.targets]
+        services = [name for name, _weight in route.targets]
         stream_id = self._find_header(self._header_names.resumed_attempt_id)
         with anyio.move_on_after(MAX_LOOKUP_S):
-            self._origin = await self.context.origins.find(stream_id, services)
+            self._origin = await self.context.origins.find(stream_id, services, path)
         if self._origin is None:
             shown_id = stream_id[:MAX_LOGGED_ID_BYTES].decode('latin-1')
             raise Refusal(
@@ -221,6 +225,17 @@
         call.service = service
         call.part_digests = digest_parts(service, call.shared_parts)
 
+    async def _check_no_stream(self, path: StreamPath) -> None:
+        """Raise Refusal if the call may take up a stream that its route no longer serves."""
+        with anyio.move_on_after(MAX_LOOKUP_S):
+            if not await self.context.origins.may_have_begun(path):
+                return
+        raise Refusal(
+            'stream_route_changed',
+            'the route serves no streams, but the call may take one up',
+            retry_after_s=UNKNOWN_VERSION_RETRY_AFTER_S,
+        )
+
     async def _try_upstreams(self) -> str:
         failure: UpstreamError | None = None
         await self._bind_to_origin()
@@ -440,8 +455,7 @@
         connection belongs to one process. A stream that begins is sent also if nothing is learned.
         """
         reports, upstream = self.context.reports, attempt.upstream
-        route = self.call.route
-        if reports is None or route.kind is not CallKind.STREAM or not route.is_resumable:
+        if reports is None or not self._may_go_on_elsewhere():
             return
         while attempt.conn.incarnation is None:
             now = read_lease_clock()
@@ -951,9 +965,16 @@
         origin = Origin(service, software_version)
         self._origin = KnownOrigin(origin, now, Source.OWN)
         stream_id = self._get_stream_id()
-        if stream_id and self.call.route.is_resumable:
+        if stream_id and self._may_go_on_elsewhere():
             self.context.origins.records.record(stream_id, origin, now)
 
+    def _may_go_on_elsewhere(self) -> bool:
+        """Return whether several calls or upstreams may bring the events of the stream."""
+        route = self.call.route
+        if route.kind is not CallKind.STREAM:
+            return False
+        return route.is_resumable or bool(self._find_header(self._header_names.last_event_id))
+
     def _get_stream_id(self) -> bytes:
         """Return the attempt id of the call that brought the first event of the stream."""
         if not self._find_header(self._header_names.last_event_id):
@@ -963,9 +984,7 @@
 
     def _get_resumed_id(self) -> bytes:
         """Return the id of the event after which the next run goes on; empty at the begin."""
-        if self.splitter.last_id or not self.call.route.is_resumable:
-            return self.splitter.last_id
-        return self._find_header(self._header_names.last_event_id)
+        return self.splitter.last_id or self._find_header(self._header_names.last_event_id)
 
     def _find_header(self, name: bytes) -> bytes:
         return find_header(self.call.request.headers, name)
--- a/camphorpath/streams/__init__.py
+++ b/camphorpath/streams/__init__.py
@@ -3,7 +3,7 @@
 from .history import VersionHistory
 from .lookup import Asked, OriginLookup
 from .records import KnownOrigin, Origin, Source, StreamRecords, digest_stream
-from .services import ResumableServices
+from .services import ResumableServices, StreamPath
 from .targets import RouteTarget
 
 __all__ = (
@@ -14,6 +14,7 @@
     'ResumableServices',
     'RouteTarget',
     'Source',
+    'StreamPath',
     'StreamRecords',
     'VersionHistory',
     'digest_stream',
--- a/camphorpath/streams/lookup.py
+++ b/camphorpath/streams/lookup.py
@@ -9,7 +9,7 @@
 from ..errors import TableUnavailable
 from .history import VersionHistory
 from .records import KnownOrigin, Origin, Source, StreamRecords, digest_stream
-from .services import ResumableServices
+from .services import ResumableServices, StreamPath
 
 # Peers are not asked for a stream whose version the store confirms within this time.
 HEAD_START_S = 0.1
@@ -61,18 +61,28 @@
     # TableUnavailable.
     read_store: Callable[[bytes, frozenset[str]], Awaitable[KnownOrigin | None]] = _read_nothing
 
-    async def find(self, stream_id: bytes, services: Iterable[str]) -> KnownOrigin | None:
-        """Return the origin of a stream that began at one of the services; None if it is unknown.
+    async def find(
+        self, stream_id: bytes, services: Iterable[str], path: StreamPath | None = None
+    ) -> KnownOrigin | None:
+        """Return the origin of a stream; None if it is unknown.
 
         `stream_id` is the attempt id of the call that brought its first event; empty if the caller
-        did not state it.
+        did not state it. `services` are those of its route now; with a path, it may have begun at
+        those of other routes, too.
         """
         found = self.records.find(digest_stream(stream_id)) if stream_id else None
         if found is not None:
             return found
-        if self._find_only_version(services) is None:
+        if self._find_only_version(services, path) is None:
             return await self._find_record(stream_id)
-        return await self._confirm_only_version(stream_id, services)
+        return await self._confirm_only_version(stream_id, services, path)
+
+    async def may_have_begun(self, path: StreamPath) -> bool:
+        """Return whether a stream may have begun on a path whose route serves none now."""
+        if self.services.has_streams(path, read_lease_clock()):
+            return True
+        is_confirmed = await self.confirm_history()
+        return not is_confirmed or self.services.has_streams(path, read_lease_clock())
 
     def is_ambiguous(self, service: str) -> bool:
         """Return whether only records tell the version that began a recent stream of a service."""
@@ -87,7 +97,7 @@
         self.records.expire(now - longest_s)
 
     async def _confirm_only_version(
-        self, stream_id: bytes, services: Iterable[str]
+        self, stream_id: bytes, services: Iterable[str], path: StreamPath | None
     ) -> KnownOrigin | None:
         """Return the only origin that the stream can have, or what others know of it.
 
@@ -99,7 +109,7 @@
 
         async def confirm() -> None:
             is_confirmed = await self.confirm_history()
-            found = self._find_only_version(services) if is_confirmed else None
+            found = self._find_only_version(services, path) if is_confirmed else None
             finish(found)
             is_read.set()
 
@@ -135,10 +145,17 @@
             # Logged where it was raised.
             return None
 
-    def _find_only_version(self, services: Iterable[str]) -> KnownOrigin | None:
+    def _find_only_version(
+        self, services: Iterable[str], path: StreamPath | None
+    ) -> KnownOrigin | None:
         """Return the only origin in the history that a recent stream can have, if just one."""
         now = read_lease_clock()
-        candidates = self.services.list_dropped(now).union(services)
+        candidates = frozenset(services)
+        if path is not None:
+            others = self.services.list_candidates(path, now)
+            if others is None:
+                return None
+            candidates |= others
         origins = [
             Origin(service, software_version)
             for service in candidates
--- a/camphorpath/streams/services.py
+++ b/camphorpath/streams/services.py
@@ -1,6 +1,6 @@
 """The services at which streams that callers take up can have begun."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import attrs
 
@@ -14,6 +14,16 @@
 HORIZON_MARGIN_S = 10.0
 
 
+@attrs.frozen
+class StreamPath:
+    """The path of a call that takes a stream up, and the route that it has now."""
+
+    host: str
+    path: str
+    # That of the route.
+    prefix: str
+
+
 @attrs.define
 class ResumableServices:
     """The services to which resumable routes lead or have led lately."""
@@ -93,16 +103,40 @@
 
     def list_dropped(self, now: float) -> frozenset[str]:
         """Return the services at which streams may have begun on a route that left them since."""
-        return frozenset(
+        return frozenset(service for _host, _prefix, service in self._iterate_dropped(now))
+
+    def list_candidates(self, path: StreamPath, now: float) -> frozenset[str] | None:
+        """Return the services at which a stream of a path may have begun; None if any may be one.
+
+        Streams that began while the route was not resumable left no trace.
+        """
+        current = self._targets.get((path.host, path.prefix))
+        if current is None:
+            return None
+        return current.union(
             service
-            for (_host, _prefix, service), dropped_at in self._dropped_at.items()
-            if now <= dropped_at + self.get_horizon_s(service)
+            for host, prefix, service in self._iterate_dropped(now)
+            if _is_below(path, host, prefix)
         )
 
+    def has_streams(self, path: StreamPath, now: float) -> bool:
+        """Return whether streams of a path may have begun on any resumable route."""
+        places = {(host, prefix) for host, prefix, _service in self._iterate_dropped(now)}
+        return any(_is_below(path, *place) for place in places.union(self._targets))
+
     def is_shared(self, service: str, now: float) -> bool:
         """Return whether a stream of a service may be taken for one of another service."""
         return service in self._shared or bool(self.list_dropped(now))
 
+    def _iterate_dropped(self, now: float) -> Iterator[tuple[str, str, str]]:
+        for key, dropped_at in self._dropped_at.items():
+            if now <= dropped_at + self.get_horizon_s(key[-1]):
+                yield key
+
     def _learn_timeout(self, service: str, timeout_s: float) -> None:
         longest_s = self._longest_timeouts_s.get(service, 0)
         self._longest_timeouts_s[service] = max(longest_s, timeout_s)
+
+
+def _is_below(path: StreamPath, host: str, prefix: str) -> bool:
+    return path.host == host and path.path.startswith(prefix)
--- a/tests/processes/test_routes.py
+++ b/tests/processes/test_routes.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from .callers import count_take_ups
 from .fleet import ROUTES, make_manifest, make_route, open_fleet
 from .test_kills import begin_streams, finish_streams, kill_all, list_faults, wait_for_streams
 
@@ -32,6 +33,26 @@
     assert list_faults(streams) == []
 
 
+async def test_streams_of_a_route_that_ceased_to_be_resumable_go_on_after_a_kill():
+    """Guards against take-ups that are refused though the store may tell their version."""
+    async with open_fleet(1) as fleet:
+        await fleet.add_upstream('v1')
+        await fleet.start_daemons()
+        await asyncio.sleep(SETTLE_S)
+        callers, tasks = begin_streams(fleet)
+        await wait_for_streams(callers)
+        routes = (make_route('draft', '/draft/', 'llm', stream_resume=False), *ROUTES[1:])
+        fleet.store.put('op', 'config', make_manifest(8, routes))
+        await fleet.add_upstream('v2')
+        await asyncio.sleep(APPLY_S)
+        await kill_all(fleet)
+        await fleet.start_daemons()
+        streams = await finish_streams(callers, tasks)
+    assert list_faults(streams) == []
+    assert count_take_ups(streams)[0] >= len(streams)
+    assert all(stream.is_complete for stream in streams)
+
+
 async def test_streams_are_not_joined_after_a_kill_if_a_route_of_a_longer_prefix_was_added():
     """The new routes take a part of the paths of another one, which stays as it was."""
     async with open_fleet(1) as fleet:
--- a/tests/relay/support.py
+++ b/tests/relay/support.py
@@ -187,6 +187,7 @@
             *ROUTES, customers={'secret': CUSTOMER}, limits=limits or CallerLimits()
         ),
     )
+    context.apply_routing_table(context.routing_table)
     for entry in entries:
         context.origins.history.record('llm', entry.software_version, read_lease_clock())
     return context
--- a/tests/relay/test_take_ups.py
+++ b/tests/relay/test_take_ups.py
@@ -9,21 +9,32 @@
 from camphorpath.clocks import read_lease_clock
 from camphorpath.events import Event
 from camphorpath.placement.crashes import Pattern, digest_parts
+from camphorpath.routing import CallKind
 from camphorpath.schema import camphorpath_pb2 as pb
 from camphorpath.streams import Asked, KnownOrigin, Origin, Source, digest_stream
 
-from .support import ask, make_request, open_relay, open_upstream, read_to_end, run, wait_for
+from .support import (
+    answer_with,
+    ask,
+    make_answer,
+    make_request,
+    open_relay,
+    open_upstream,
+    read_to_end,
+    run,
+    wait_for,
+)
 from .test_streams import HEAD, make_chunk, make_event, read_events, stream_events
 
 BEGIN = make_request(b'/stream/x')
 
 
-def take_up(attempt=b'2', begun_by=b'1', more_headers=b''):
+def take_up(attempt=b'2', begun_by=b'1', more_headers=b'', path=b'/stream/x'):
     """Return the request of a caller that has received two events of a stream."""
     headers = b'Last-Event-Id: 2\r\n' + more_headers
     if begun_by:
         headers += b'Resumes: %b\r\n' % begun_by
-    return make_request(b'/stream/x', attempt=attempt, headers=headers)
+    return make_request(path, attempt=attempt, headers=headers)
 
 
 def go_on(numbers, attempt=b'2', *, ends=True):
@@ -63,6 +74,15 @@
         yield context, port, first, second
 
 
+def change_routes(context, **fields):
+    """Put a manifest in force in which the route of streams has other fields."""
+    routes = [
+        attrs.evolve(route, **fields) if route.prefix == '/stream/' else route
+        for route in context.routing_table.routes
+    ]
+    context.apply_routing_table(attrs.evolve(context.routing_table, routes=tuple(routes)))
+
+
 def record_begin(context, version, service='llm', stream_id=b'1'):
     context.origins.records.record(stream_id, Origin(service, version), read_lease_clock())
 
@@ -363,3 +383,72 @@
         assert versions == ['v1', 'v2']
 
     run(test)
+
+
+def test_stream_of_a_route_that_ceased_to_be_resumable_goes_on_at_its_version_once():
+    """Guards against a take-up that is taken for a new call, or runs twice."""
+
+    async def test():
+        old = answer_in_turn(go_on([3], ends=False), go_on([4]))
+        async with open_mixed(old, go_on([3])) as (context, port, first, second):
+            record_begin(context, 'v1')
+            change_routes(context, is_resumable=False)
+            received, _is_reset = await read_to_end(port, take_up())
+            known = context.origins.records.find(digest_stream(b'1'))
+        assert read_events(received) == [b'data: e3']
+        assert len(first.requests) == 1
+        assert not second.requests
+        assert known.origin == Origin('llm', 'v1')
+
+    run(test)
+
+
+@pytest.mark.parametrize('path', [b'/stream/x', b'/once/x'])
+def test_take_up_on_a_route_that_is_not_resumable_is_refused_if_its_version_is_unknown(path):
+    """Guards against a version that is guessed, as streams of such a route leave no records."""
+
+    async def test():
+        async with open_upstream(go_on([3])) as only, open_relay(only) as (context, port):
+            change_routes(context, is_resumable=False)
+            status, _head, body = await ask(port, take_up(path=path))
+        assert (status, body) == (503, b'stream_version_unknown\n')
+        assert not only.requests
+
+    run(test)
+
+
+@pytest.mark.parametrize('kind', [CallKind.IDEMPOTENT, CallKind.NON_IDEMPOTENT])
+def test_take_up_is_refused_if_its_route_became_one_of_another_kind(kind):
+    """Guards against the rest of a stream that any upstream brings as another kind of answer."""
+
+    async def test():
+        async with open_upstream(go_on([3])) as only, open_relay(only) as (context, port):
+            record_begin(context, 'v1')
+            change_routes(context, is_resumable=False, kind=kind)
+            status, _head, body = await ask(port, take_up())
+        assert (status, body) == (503, b'stream_route_changed\n')
+        assert not only.requests
+
+    run(test)
+
+
+@pytest.mark.parametrize('is_confirmed', [False, True])
+def test_call_with_an_event_id_on_a_path_without_streams_is_served_if_that_is_certain(
+    is_confirmed,
+):
+    """Guards against ordinary calls that are refused, and streams before the daemon's start."""
+
+    async def test():
+        async def confirm_history():
+            return is_confirmed
+
+        async with (
+            open_upstream(answer_with(make_answer(attempt=b'2'))) as only,
+            open_relay(only) as (context, port),
+        ):
+            context.origins.confirm_history = confirm_history
+            status, _head, _body = await ask(port, take_up(path=b'/read/x'))
+        assert status == (200 if is_confirmed else 503)
+        assert len(only.requests) == is_confirmed
+
+    run(test)
--- a/tests/streams/test_services.py
+++ b/tests/streams/test_services.py
@@ -1,7 +1,7 @@
 import pytest
 
 from camphorpath.routing import CallKind
-from camphorpath.streams import ResumableServices, RouteTarget
+from camphorpath.streams import ResumableServices, RouteTarget, StreamPath
 from camphorpath.streams.services import HORIZON_MARGIN_S
 
 from ..routing.test_table import make_route
@@ -54,6 +54,52 @@
     assert not services.list_services()
 
 
+def list_candidates(services, now, prefix='/s/', path='/s/x/1'):
+    return services.list_candidates(StreamPath('h', path, prefix), now)
+
+
+def test_any_service_may_have_begun_a_stream_on_a_route_that_is_not_resumable():
+    """Guards against a stream of a route that was resumable, or is not any more."""
+    services = ResumableServices()
+    services.apply_routes([make_stream_route('/s/', 'llm')], 0)
+    assert list_candidates(services, 1) == {'llm'}
+    services.apply_routes([make_stream_route('/s/', 'llm', is_resumable=False)], 5)
+    assert list_candidates(services, 6) is None
+    assert services.is_shared('llm', 6)
+
+
+def test_service_of_a_longer_prefix_that_was_removed_is_a_candidate_for_its_paths():
+    """Guards against a stream that goes on at the service of the shorter prefix."""
+    services = ResumableServices()
+    routes = [make_stream_route('/s/', 'llm'), make_stream_route('/s/x/', 'other')]
+    services.apply_routes(routes, 0)
+    services.apply_routes(routes[:1], 5)
+    assert list_candidates(services, 6) == {'llm', 'other'}
+    assert list_candidates(services, 6, path='/s/y/1') == {'llm'}
+    assert list_candidates(services, 6 + services.get_horizon_s('other')) == {'llm'}
+
+
+def test_route_of_another_host_is_no_candidate():
+    """Guards against take-ups that are refused because of a change on another host."""
+    services = ResumableServices()
+    services.apply_routes([make_stream_route('/s/', 'llm')], 0)
+    services.learn_target(RouteTarget('other', '/s/', 'older', 8, 0), 1)
+    assert list_candidates(services, 1) == {'llm'}
+
+
+@pytest.mark.parametrize('is_dropped', [False, True])
+def test_streams_may_have_begun_on_the_paths_of_routes_that_are_or_were_resumable(is_dropped):
+    """Guards against a take-up that counts as a call of another kind."""
+    services = ResumableServices()
+    services.apply_routes([make_stream_route('/s/', 'llm')], 0)
+    services.apply_routes([] if is_dropped else [make_stream_route('/s/', 'llm')], 5)
+    late = 6 + services.get_horizon_s('llm')
+    assert services.has_streams(StreamPath('h', '/s/x/1', '/s/x/'), 6)
+    assert services.has_streams(StreamPath('h', '/s/x/1', '/s/x/'), late) is not is_dropped
+    assert not services.has_streams(StreamPath('h', '/t/x', '/t/'), 6)
+    assert not services.has_streams(StreamPath('other', '/s/x/1', '/s/x/'), 6)
+
+
 def make_target(service, timeout_s=8, dropped_s=None):
     return RouteTarget('h', '/s/', service, timeout_s, dropped_s)
 
