Remember since when routes are resumable

What callers saw: after a kill of all daemons, streams that had begun at the service of a shorter prefix went on at that of a longer one, added meanwhile; so did streams that had begun while their route was not resumable and led elsewhere. All were answered 200.

Cause: the services at which a stream may have begun were those of the route in force now, and those dropped lately. A route that is new drops nothing.

Change: targets state since when their route is resumable without a break, also in their rows. A stream whose route is so for less than a horizon needs a record, and records of all services are written meanwhile. A route that no row names when a daemon starts counts as new, unless the store holds no rows of daemons at all: so neither the first manifest nor a start makes services ambiguous. A row without the time (older builds) counts as new for a horizon. A daemon that reads a later time, or that a target of its manifest was dropped, has missed a manifest and follows the row. A route with a shorter prefix that was dropped no longer counts for paths of a longer one.

--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -257,6 +257,10 @@
             # A version may have two rows.
             pair = version.service, version.software_version
             self._version_rows[pair] = max(seen_at, self._version_rows.get(pair, seen_at))
+        if not self.is_loaded and self._targets is not None:
+            # The writer writes targets before versions; a copy may lack both.
+            has_versions = bool(rows.rows) or get_era(rows.revision) != FIRST_ERA
+            self._targets.complete_load(rows.answered_at, has_versions=has_versions)
         self._update_completeness(found, rows)
         self._learn_era(get_era(rows.revision))
         self.is_loaded = True
@@ -404,6 +408,8 @@
         if not self.is_loaded or (self._has_gap and is_confirmed) or self._is_reload_due():
             await self.read_versions()
             self._has_gap = not is_confirmed
+        elif self.services is not None and self.services.has_unconfirmed:
+            await self.read_targets()
         for pair in list(self._unannounced):
             await self._announce(pair)
         now = self.read_clock()
--- a/camphorpath/edge/targets.py
+++ b/camphorpath/edge/targets.py
@@ -4,6 +4,7 @@
 that callers take up.
 """
 
+import math
 from collections.abc import Callable
 
 import attrs
@@ -17,8 +18,19 @@
 # The writer removes the row of a dropped target before the other daemons forget it.
 FORGET_DELAY_S = 60.0
 
-# The timeout in seconds that a row states, and whether it states when the target was dropped.
-State = tuple[float, bool]
+# Daemons put a manifest in force at slightly different times; a row is not rewritten for that.
+MAX_SINCE_DIFFERENCE_S = 1.0
+
+
+@attrs.frozen
+class _RowState:
+    """What the row of a target states."""
+
+    timeout_s: float
+    # Whether it states when the target was dropped.
+    is_dropped: bool
+    # On the lease clock; None if the row does not state it.
+    since: float | None
 
 
 @attrs.define
@@ -31,23 +43,32 @@
     # Logs an unreadable row: table, part, key and error.
     reject_row: Callable[[str, str, str, PlatformError], None]
     # What the rows state, by key, as far as it was read or written here.
-    _states: dict[str, State] = attrs.field(factory=dict)
+    _states: dict[str, _RowState] = attrs.field(factory=dict)
     # The store's clock minus the lease clock; None if the store never stated its time.
     _store_offset_s: float | None = None
+    _has_rows: bool = False
 
     async def load(self) -> None:
         """Read the rows; raise TableUnavailable."""
         rows = await self.store.read_table(self.table, TARGET_PART)
         self._learn_store_time(rows)
         self._states.clear()
+        self._has_rows = bool(rows.rows)
         for row in rows.rows:
             try:
                 target = decode_target(row.value)
             except PlatformError as error:
                 self.reject_row(self.table, TARGET_PART, row.key, error)
                 continue
-            self._states[target.key] = target.timeout_s, target.dropped_s is not None
-            self.services.learn_target(self._convert_to_lease(target, rows), rows.answered_at)
+            known = _convert_to_lease(target, rows)
+            self._states[target.key] = _RowState(
+                target.timeout_s, target.dropped_s is not None, known.since_s
+            )
+            self.services.learn_target(known, rows.answered_at)
+
+    def complete_load(self, now: float, *, has_versions: bool) -> None:
+        """Tell the services that the rows were read, and whether daemons have run before."""
+        self.services.complete_load(now, is_new=not (self._has_rows or has_versions))
 
     async def update(self, now: float, *, is_writer: bool) -> None:
         """Forget targets that were dropped long ago; write new and changed ones if `is_writer`.
@@ -59,7 +80,7 @@
         self._states = {
             key: state
             for key, state in self._states.items()
-            if key in targets and state == self._get_state(targets[key])
+            if key in targets and self._is_stated(targets[key], state)
         }
         outdated = [target for target in targets.values() if self._is_outdated(target, now)]
         if is_writer:
@@ -74,7 +95,7 @@
         return [
             target
             for target in self.services.list_targets()
-            if self._states.get(target.key) != self._get_state(target)
+            if not self._is_stated(target, self._states.get(target.key))
             and not self._is_outdated(target, now)
         ]
 
@@ -87,7 +108,11 @@
             return
         writes = {
             target.key: encode_target(
-                attrs.evolve(target, dropped_s=self._to_store_time(target.dropped_s))
+                attrs.evolve(
+                    target,
+                    dropped_s=self._to_store_time(target.dropped_s),
+                    since_s=self._to_store_time(target.since_s),
+                )
             )
             for target in due
         }
@@ -100,8 +125,19 @@
         for target in outdated:
             self.services.forget_target(target)
 
-    def _get_state(self, target: RouteTarget) -> State:
-        return target.timeout_s, self._to_store_time(target.dropped_s) is not None
+    def _get_state(self, target: RouteTarget) -> _RowState:
+        is_dropped = self._to_store_time(target.dropped_s) is not None
+        since = None if self._store_offset_s is None else target.since_s
+        return _RowState(target.timeout_s, is_dropped, since)
+
+    def _is_stated(self, target: RouteTarget, state: _RowState | None) -> bool:
+        """Return whether a row in a state tells what is known of a target here."""
+        wanted = self._get_state(target)
+        if state is None or attrs.evolve(state, since=wanted.since) != wanted:
+            return False
+        if wanted.since is None:
+            return True
+        return state.since is not None and wanted.since <= state.since + MAX_SINCE_DIFFERENCE_S
 
     def _is_outdated(self, target: RouteTarget, now: float) -> bool:
         if target.dropped_s is None:
@@ -118,9 +154,14 @@
             return None
         return max(at + self._store_offset_s, 0)
 
-    def _convert_to_lease(self, target: RouteTarget, rows: Rows) -> RouteTarget:
-        """Return a target with the lease clock's time; one that is unknown is left out."""
-        if target.dropped_s is None or rows.store_time_s is None:
-            return attrs.evolve(target, dropped_s=None)
-        age_s = max(rows.store_time_s - target.dropped_s, 0)
-        return attrs.evolve(target, dropped_s=rows.answered_at - age_s)
+
+def _convert_to_lease(target: RouteTarget, rows: Rows) -> RouteTarget:
+    """Return a target with the lease clock's times; those that are unknown are left out."""
+
+    def convert(at: float | None) -> float | None:
+        if at is None or rows.store_time_s is None:
+            return None
+        return rows.answered_at - max(rows.store_time_s - at, 0)
+
+    since = -math.inf if target.since_s == 0 else convert(target.since_s)
+    return attrs.evolve(target, dropped_s=convert(target.dropped_s), since_s=since)
--- a/camphorpath/streams/services.py
+++ b/camphorpath/streams/services.py
@@ -1,5 +1,6 @@
 """The services at which streams that callers take up can have begun."""
 
+import math
 from collections.abc import Iterable, Iterator
 
 import attrs
@@ -35,14 +36,29 @@
     _shared: frozenset[str] = frozenset()
     # When a route ceased to lead to a service, on the lease clock, by host, prefix and service.
     _dropped_at: dict[tuple[str, str, str], float] = attrs.field(factory=dict)
+    # Since when each of these routes is resumable, on the lease clock; streams of its paths that
+    # began before are not known. Minus infinity if there can be none.
+    _since: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    # Routes of the first manifest for which no other daemon has told that.
+    _unconfirmed: set[tuple[str, str]] = attrs.field(factory=set)
+    # Since when a route of the first manifest is resumable, unless another daemon tells it; None
+    # for the time of the manifest.
+    _first_since: float | None = -math.inf
     # Whether the routes of a manifest are known.
     _is_applied: bool = False
 
+    @property
+    def has_unconfirmed(self) -> bool:
+        """Whether other daemons may know for longer than this one that a route is resumable."""
+        return bool(self._unconfirmed)
+
     def apply_routes(self, routes: Iterable[Route], now: float) -> None:
         """Replace the routes by those of a newer manifest."""
         former = self._targets
         self._targets = {}
-        self._is_applied = True
+        since = now
+        if not self._is_applied and self._first_since is not None:
+            since = self._first_since
         for route in routes:
             if not route.is_resumable:
                 continue
@@ -50,6 +66,12 @@
             self._targets[route.host, route.prefix] = services
             for service in services:
                 self._learn_timeout(service, route.timeout_s)
+        added = self._targets.keys() - former.keys()
+        if not self._is_applied:
+            self._unconfirmed |= added
+        self._is_applied = True
+        self._unconfirmed &= self._targets.keys()
+        self._since = {place: self._since.get(place, since) for place in self._targets}
         split = (services for services in self._targets.values() if len(services) > 1)
         self._shared = frozenset().union(*split)
         for (host, prefix), services in former.items():
@@ -62,26 +84,41 @@
     def learn_target(self, target: RouteTarget, now: float) -> None:
         """Add a target that another daemon knew; `dropped_s` is on the lease clock.
 
-        One that no route leads to any more was dropped at an unknown time until now.
+        One that no route leads to any more was dropped at an unknown time until now. `since_s` is
+        on the lease clock, too.
         """
         self._learn_timeout(target.service, target.timeout_s)
-        route = target.host, target.prefix
-        services = self._targets.get(route, frozenset())
-        if target.service in services:
-            return
-        if target.dropped_s is None and not self._is_applied:
-            # The manifest will tell whether the route leads to it.
-            self._targets[route] = services | {target.service}
-            return
+        place = target.host, target.prefix
+        if target.dropped_s is None:
+            if not self._is_applied:
+                # The manifest will tell whether the route leads to it.
+                services = self._targets.get(place, frozenset())
+                self._targets[place] = services | {target.service}
+            self._learn_since(place, target.since_s, now)
         dropped_at = now if target.dropped_s is None else target.dropped_s
-        self._dropped_at.setdefault((*route, target.service), dropped_at)
+        if target.service not in self._targets.get(place, frozenset()):
+            self._dropped_at.setdefault((*place, target.service), dropped_at)
+        elif target.dropped_s is not None:
+            # Another daemon has seen a manifest that this one has missed.
+            self._since[place] = max(self._since[place], dropped_at)
+
+    def complete_load(self, now: float, *, is_new: bool) -> None:
+        """Take routes that no other daemon knows for ones that became resumable now.
+
+        `is_new` tells that no daemon has run before: then no streams can have begun.
+        """
+        if is_new:
+            self._unconfirmed.clear()
+            return
+        self._first_since = None
+        self._since.update(dict.fromkeys(self._unconfirmed, now))
 
     def list_targets(self) -> list[RouteTarget]:
         """Return the targets of the routes, and the dropped ones; times on the lease clock."""
         targets = [
-            RouteTarget(host, prefix, service, self._longest_timeouts_s[service])
-            for (host, prefix), services in self._targets.items()
-            for service in services
+            RouteTarget(*place, service, self._longest_timeouts_s[service], since_s=since)
+            for place, since in self._since.items()
+            for service in self._targets[place]
         ]
         targets += [
             RouteTarget(*key, self._longest_timeouts_s[key[-1]], dropped_at)
@@ -108,15 +145,16 @@
     def list_candidates(self, path: StreamPath, now: float) -> frozenset[str] | None:
         """Return the services at which a stream of a path may have begun; None if any may be one.
 
-        Streams that began while the route was not resumable left no trace.
+        Streams that began while the route was not resumable left no trace, and the paths of one
+        that became resumable lately may have belonged to any other route.
         """
-        current = self._targets.get((path.host, path.prefix))
-        if current is None:
+        place = path.host, path.prefix
+        if place not in self._targets or self._is_recent(self._since[place], now):
             return None
-        return current.union(
+        return self._targets[place].union(
             service
             for host, prefix, service in self._iterate_dropped(now)
-            if _is_below(path, host, prefix)
+            if _is_below(path, host, prefix) and len(prefix) >= len(path.prefix)
         )
 
     def has_streams(self, path: StreamPath, now: float) -> bool:
@@ -126,7 +164,28 @@
 
     def is_shared(self, service: str, now: float) -> bool:
         """Return whether a stream of a service may be taken for one of another service."""
-        return service in self._shared or bool(self.list_dropped(now))
+        if service in self._shared or self.list_dropped(now):
+            return True
+        return self._is_recent(max(self._since.values(), default=-math.inf), now)
+
+    def _is_recent(self, since: float, now: float) -> bool:
+        """Return whether streams from before an instant may still be taken up."""
+        longest_s = max(map(self.get_horizon_s, self._longest_timeouts_s), default=0)
+        return now - since <= longest_s
+
+    def _learn_since(self, place: tuple[str, str], since: float | None, now: float) -> None:
+        """Learn since when a route is resumable; None if another daemon does not tell it."""
+        if place not in self._targets:
+            return
+        if place in self._unconfirmed:
+            # The other daemon has known the route for longer.
+            self._unconfirmed.remove(place)
+            self._since.pop(place)
+        known = self._since.get(place)
+        if since is None:
+            since = now if known is None else known
+        # The other daemon may have seen a manifest that this one has missed.
+        self._since[place] = since if known is None else max(known, since)
 
     def _iterate_dropped(self, now: float) -> Iterator[tuple[str, str, str]]:
         for key, dropped_at in self._dropped_at.items():
--- a/camphorpath/streams/targets.py
+++ b/camphorpath/streams/targets.py
@@ -20,6 +20,9 @@
     # When the route ceased to lead to it, in seconds; None if it leads to it. Rows state it on the
     # store's steady clock, and None also if that is unknown.
     dropped_s: float | None = None
+    # Since when the route is resumable without a break, in seconds; rows state it on the store's
+    # steady clock, with zero for the begin of that clock or earlier. None if it is unknown.
+    since_s: float | None = None
 
     @property
     def key(self) -> str:
@@ -36,6 +39,7 @@
             'service': target.service,
             'timeout_ms': convert_to_ms(target.timeout_s),
             'dropped_ms': convert_to_ms(target.dropped_s),
+            'since_ms': convert_to_ms(target.since_s),
         }
     )
 
@@ -47,10 +51,12 @@
         names = document['host'], document['prefix'], document['service']
         timeout_s = read_seconds(document['timeout_ms'])
         dropped_s = read_seconds(document['dropped_ms'])
+        # Older builds do not write it.
+        since_s = read_seconds(document.get('since_ms'))
     except (KeyError, TypeError, ValueError) as error:
         raise PlatformError(f'not a row of a target: {error!r}', step='decode') from error
     if not all(isinstance(name, str) for name in names):
         raise PlatformError('the host, the prefix or the service is not a text', step='decode')
     if timeout_s is None or timeout_s < 0:
         raise PlatformError('the timeout is missing or negative', step='decode')
-    return RouteTarget(*names, timeout_s, dropped_s)
+    return RouteTarget(*names, timeout_s, dropped_s, since_s)
--- a/tests/edge/test_targets.py
+++ b/tests/edge/test_targets.py
@@ -1,9 +1,10 @@
+import orjson
 import pytest
 
 from camphorpath.edge.streams import REFRESH_INTERVAL_S, VERSION_INTERVAL_S, VERSION_TABLE
 from camphorpath.edge.targets import FORGET_DELAY_S, TARGET_PART
 from camphorpath.events import Event
-from camphorpath.streams import ResumableServices
+from camphorpath.streams import ResumableServices, StreamPath
 from camphorpath.streams.targets import decode_target
 
 from ..streams.test_services import make_stream_route
@@ -44,6 +45,18 @@
     }
 
 
+def apply_prefixes(daemon, *prefixes):
+    """Put a manifest in force with a route for each prefix; the prefix names the service, too."""
+    routes = [make_stream_route(prefix, prefix) for prefix in prefixes]
+    daemon.services.apply_routes(routes, daemon.store.clock.now)
+
+
+def list_candidates(daemon, prefix='/s/x/'):
+    return daemon.services.list_candidates(
+        StreamPath('h', '/s/x/1', prefix), daemon.store.clock.now
+    )
+
+
 def list_dropped(daemon):
     return daemon.services.list_dropped(daemon.store.clock.now)
 
@@ -194,3 +207,117 @@
     assert ('llm', 'v1') in store.list_versions()
     assert not list_rows(store)
     assert len(daemon.list_events(Event.STREAM_STORE_FAILED)) == 1
+
+
+@pytest.mark.parametrize('is_applied_first', [False, True])
+async def test_started_daemon_knows_that_a_route_was_added(store, is_applied_first):
+    """Guards against a longer prefix that was added during a kill of all daemons."""
+    writer = start_daemon(store)
+    apply_prefixes(writer, '/s/')
+    await writer.follow(60)
+    started = start_daemon(store)
+    for is_due in (is_applied_first, True):
+        if is_due:
+            apply_prefixes(started, '/s/', '/s/x/')
+        await started.follow(3)
+    added_at = store.clock.now
+    assert list_candidates(started) is None
+    assert list_candidates(started, '/s/') == {'/s/'}
+    late = start_daemon(store, is_writer=False)
+    apply_prefixes(late, '/s/', '/s/x/')
+    await late.follow(3)
+    assert list_candidates(late) is None
+    horizon_s = late.services.get_horizon_s('/s/')
+    await late.follow(added_at + horizon_s - store.clock.now)
+    last = start_daemon(store)
+    apply_prefixes(last, '/s/', '/s/x/')
+    await last.follow(3)
+    for daemon in (late, last):
+        assert list_candidates(daemon) == {'/s/x/'}
+        assert not daemon.services.is_shared('/s/', store.clock.now)
+
+
+@pytest.mark.parametrize('is_applied_first', [False, True])
+async def test_first_manifest_makes_no_service_ambiguous(store, is_applied_first):
+    """Guards against records of all streams after the first start, and after the next ones."""
+    for is_writer in (True, False):
+        daemon = start_daemon(store, is_writer=is_writer)
+        for is_due in (is_applied_first, True):
+            if is_due:
+                apply_prefixes(daemon, '/s/', '/s/x/')
+            await daemon.follow(2)
+        assert list_candidates(daemon) == {'/s/x/'}
+        assert not daemon.services.is_shared('/s/', store.clock.now)
+
+
+async def test_manifest_after_a_start_without_rows_of_targets_adds_routes(store):
+    """Guards against daemons that ran without resumable routes and count as new."""
+    first = start_daemon(store)
+    first.registered.add(('llm', 'v1'))
+    await first.follow(3)
+    daemon = start_daemon(store)
+    apply_prefixes(daemon, '/s/')
+    await daemon.follow(3)
+    assert list_candidates(daemon, '/s/') is None
+
+
+async def test_started_daemon_takes_the_time_of_a_route_from_a_row_that_is_written_later(store):
+    """Guards against a daemon that counts a route as new for longer than the others."""
+    writer, started = start_daemon(store), start_daemon(store, is_writer=False)
+    writer.registered.add(('llm', 'v1'))
+    await writer.follow(3)
+    apply_prefixes(writer, '/s/')
+    apply_prefixes(started, '/s/')
+    await started.follow(2)
+    assert started.services.has_unconfirmed
+    await writer.follow(2)
+    await started.follow(2)
+    assert not started.services.has_unconfirmed
+    assert started.services.list_targets() == writer.services.list_targets()
+
+
+async def test_route_that_was_removed_and_added_between_two_updates_is_written(store):
+    """Guards against a row that tells a started daemon that the route was there all along."""
+    writer = start_daemon(store)
+    apply_prefixes(writer, '/s/', '/s/x/')
+    await writer.follow(60)
+    apply_prefixes(writer, '/s/')
+    apply_prefixes(writer, '/s/', '/s/x/')
+    await writer.follow(3)
+    started = start_daemon(store)
+    apply_prefixes(started, '/s/', '/s/x/')
+    await started.follow(1)
+    assert list_candidates(started) is None
+    assert len(store.writes) == 2
+
+
+async def test_rows_of_an_older_build_are_completed_once(store):
+    """Guards against rows that never state since when a route is resumable."""
+    await start_daemon(store, 'llm').follow(2)
+    for place, content in store.rows.items():
+        document = orjson.loads(content)
+        document.pop('since_ms')
+        store.rows[place] = orjson.dumps(document)
+    daemon = start_daemon(store, 'llm')
+    await daemon.follow(30)
+    assert len(store.writes) == 2
+    started = start_daemon(store, 'llm')
+    await started.follow(30)
+    assert list_candidates(started, '/s/') == {'llm'}
+    assert len(store.writes) == 2
+
+
+async def test_two_daemons_do_not_rewrite_the_row_of_the_other_one(store):
+    """Guards against writes that go on, as daemons put a manifest in force one after the other."""
+    daemons = [start_daemon(store), start_daemon(store)]
+    for daemon in daemons:
+        await daemon.follow(3)
+    for daemon in daemons:
+        apply(daemon, 'llm')
+        await daemon.follow(3)
+    count = len(store.writes)
+    for _ in range(3):
+        for daemon in daemons:
+            await daemon.follow(3)
+            await daemon.streams.read_targets()
+    assert len(store.writes) == count
--- a/tests/streams/test_services.py
+++ b/tests/streams/test_services.py
@@ -1,3 +1,5 @@
+import math
+
 import pytest
 
 from camphorpath.routing import CallKind
@@ -100,8 +102,129 @@
     assert not services.has_streams(StreamPath('other', '/s/x/1', '/s/x/'), 6)
 
 
-def make_target(service, timeout_s=8, dropped_s=None):
-    return RouteTarget('h', '/s/', service, timeout_s, dropped_s)
+def test_any_service_may_have_begun_a_stream_of_a_route_that_was_added_lately():
+    """Guards against a stream that began at a shorter prefix and goes on at the longer one."""
+    services = ResumableServices()
+    routes = [make_stream_route('/s/', 'llm'), make_stream_route('/s/x/', 'other', timeout_s=2)]
+    services.apply_routes(routes[:1], 0)
+    services.apply_routes(routes, 5)
+    assert list_candidates(services, 6, '/s/x/') is None
+    assert list_candidates(services, 6, path='/s/y/1') == {'llm'}
+    assert services.is_shared('llm', 6)
+    late = 6 + services.get_horizon_s('llm')
+    assert list_candidates(services, late, '/s/x/') == {'other'}
+    assert not services.is_shared('llm', late)
+
+
+def test_any_service_may_have_begun_a_stream_of_a_route_that_became_resumable():
+    """Guards against streams that left no records and go on at the service of the route now."""
+    services = ResumableServices()
+    services.apply_routes([make_stream_route('/s/', 'old', is_resumable=False)], 0)
+    services.apply_routes([make_stream_route('/s/', 'new')], 5)
+    assert list_candidates(services, 6) is None
+    assert list_candidates(services, 6 + services.get_horizon_s('new')) == {'new'}
+
+
+def test_any_service_may_have_begun_a_stream_of_a_route_that_returned():
+    """Guards against two manifests in quick succession, the first of which lacks the route."""
+    services = ResumableServices()
+    routes = [make_stream_route('/s/', 'llm'), make_stream_route('/s/x/', 'other')]
+    for now, applied in enumerate((routes, routes[:1], routes)):
+        services.apply_routes(applied, now)
+    assert list_candidates(services, 3, '/s/x/') is None
+
+
+@pytest.mark.parametrize('names', [('llm', 'canary'), ('canary',)])
+def test_services_of_a_route_that_was_split_or_moved_are_candidates(names):
+    """Guards against take-ups that need a record although the route was resumable all along."""
+    services = ResumableServices()
+    for now, targets in enumerate((('llm',), names)):
+        services.apply_routes([make_stream_route('/s/', *targets)], now)
+    assert list_candidates(services, 3) == {'llm', 'canary'}
+
+
+def test_route_that_became_resumable_counts_for_the_longest_timeout_of_all():
+    """Guards against streams that began on a route with a longer timeout."""
+    services = ResumableServices()
+    routes = [make_stream_route('/s/', 'llm', timeout_s=20)]
+    services.apply_routes(routes, 0)
+    services.apply_routes([*routes, make_stream_route('/s/x/', 'other', timeout_s=1)], 5)
+    horizon_s = 2 * 20 + HORIZON_MARGIN_S
+    assert list_candidates(services, 5 + horizon_s, '/s/x/') is None
+    assert list_candidates(services, 6 + horizon_s, '/s/x/') == {'other'}
+
+
+def make_target(service, timeout_s=8, dropped_s=None, since_s=None, prefix='/s/'):
+    return RouteTarget('h', prefix, service, timeout_s, dropped_s, since_s)
+
+
+def start(targets, routes, *, is_applied_first, now=5, is_new=False):
+    """Return the services of a daemon that starts with some rows and a manifest."""
+    services = ResumableServices()
+    if is_applied_first:
+        services.apply_routes(routes, now)
+    for target in targets:
+        services.learn_target(target, now)
+    services.complete_load(now, is_new=is_new)
+    services.apply_routes(routes, now)
+    return services
+
+
+@pytest.mark.parametrize('is_applied_first', [False, True])
+def test_route_without_rows_was_added_at_the_start(is_applied_first):
+    """Guards against a manifest that changed while all daemons were down."""
+    routes = [make_stream_route('/s/', 'llm'), make_stream_route('/s/x/', 'other')]
+    targets = [make_target('llm', since_s=-math.inf)]
+    services = start(targets, routes, is_applied_first=is_applied_first)
+    assert list_candidates(services, 6, path='/s/y/1') == {'llm'}
+    assert list_candidates(services, 6, '/s/x/') is None
+    assert services.has_unconfirmed
+    services.learn_target(make_target('other', since_s=4, prefix='/s/x/'), 7)
+    assert not services.has_unconfirmed
+    assert list_candidates(services, 4 + services.get_horizon_s('llm'), '/s/x/') is None
+    assert list_candidates(services, 4.5 + services.get_horizon_s('llm'), '/s/x/') == {'other'}
+
+
+@pytest.mark.parametrize('is_applied_first', [False, True])
+def test_streams_of_a_new_deployment_are_not_ambiguous(is_applied_first):
+    """Guards against records of all streams after the first start of all daemons."""
+    routes = [make_stream_route('/s/', 'llm'), make_stream_route('/s/x/', 'other')]
+    services = start([], routes, is_applied_first=is_applied_first, is_new=True)
+    assert list_candidates(services, 6, '/s/x/') == {'other'}
+    assert not services.is_shared('llm', 6)
+    services.apply_routes([*routes, make_stream_route('/t/', 'llm')], 7)
+    assert services.is_shared('llm', 8)
+
+
+@pytest.mark.parametrize('is_applied_first', [False, True])
+def test_row_that_does_not_state_the_time_counts_for_a_horizon(is_applied_first):
+    """Guards against rows of older builds that make services ambiguous for good, or never."""
+    routes = [make_stream_route('/s/', 'llm')]
+    services = start([make_target('llm')], routes, is_applied_first=is_applied_first)
+    assert list_candidates(services, 6) is None
+    services.learn_target(make_target('llm'), 20)
+    assert list_candidates(services, 6 + services.get_horizon_s('llm')) == {'llm'}
+
+
+def test_daemon_with_an_older_manifest_learns_of_a_newer_one_from_the_rows():
+    """Guards against a take-up at a daemon that has missed a manifest."""
+    routes = [make_stream_route('/s/', 'llm'), make_stream_route('/s/x/', 'other')]
+    rows = [make_target('llm', since_s=0), make_target('other', since_s=0, prefix='/s/x/')]
+    services = start(rows, routes, is_applied_first=False, now=100)
+    assert list_candidates(services, 100, '/s/x/') == {'other'}
+    services.learn_target(make_target('third', since_s=101, prefix='/s/y/'), 102)
+    assert list_candidates(services, 102, path='/s/y/1') == {'llm', 'third'}
+    services.learn_target(make_target('other', dropped_s=101, prefix='/s/x/'), 102)
+    assert list_candidates(services, 102, '/s/x/') is None
+
+
+def test_daemon_that_missed_a_break_of_a_route_learns_of_it_from_the_rows():
+    """Guards against a daemon that was cut off while a route was removed and added again."""
+    routes = [make_stream_route('/s/', 'llm')]
+    rows = [make_target('llm', since_s=0)]
+    services = start(rows, routes, is_applied_first=False, now=100)
+    services.learn_target(make_target('llm', since_s=99), 101)
+    assert list_candidates(services, 102) is None
 
 
 @pytest.mark.parametrize('is_applied_first', [False, True])
