--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -320,6 +320,10 @@
             self.history.record(version.service, version.software_version, seen_at)
             # A version may have two rows.
             self._learn_row((version.service, version.software_version), row_at)
+        if not self.is_loaded and self._targets is not None:
+            # The writer writes targets before versions; a copy may lack both.
+            has_versions = bool(rows.rows) or get_era(rows.revision) != FIRST_ERA
+            self._targets.complete_load(rows.answered_at, has_versions=has_versions)
         self._update_completeness(found, rows)
         self.is_loaded = True
 
@@ -468,11 +472,10 @@
             await self.read_versions()
             self._has_gap = not is_confirmed
             self._was_suspended = self._was_suspended and not is_confirmed
+        elif self.services is not None and self.services.has_unconfirmed:
+            await self.read_targets()
         now = self.read_clock()
-        for pair in self._list_untold(now):
-            # After a gap, its row has to be read first.
-            if is_confirmed or pair not in self._version_rows:
-                await self._announce(pair)
+        await self._announce_untold(now, is_confirmed=is_confirmed)
         await self._update_targets(now)
         if self.is_version_writer():
             if self._list_late(registered, now):
@@ -487,6 +490,13 @@
         self._forget_versions(now - self._get_retention_s() - FORGET_DELAY_S)
         self._failing.discard('versions')
 
+    async def _announce_untold(self, now: float, *, is_confirmed: bool) -> None:
+        """Write the versions of streams that began here and that their rows do not tell."""
+        for pair in self._list_untold(now):
+            # After a gap, its row has to be read first.
+            if is_confirmed or pair not in self._version_rows:
+                await self._announce(pair)
+
     async def _update_targets(self, now: float) -> None:
         if self._targets is None:
             return
