Do not pass on a part of a plain answer whose upstream was killed

Callers got half of a body, with a length that made it look whole, if an upstream was killed while it sent a plain answer with neither a length nor chunks: the end of the connection was taken for the end of the body, and only streams were checked.

The end of such an answer is believed under the same condition as that of a stream: its process goes on. Else a call that may be repeated goes elsewhere, and another one gets 502. An answer to a HEAD request, 204 or 304 has no body and is not checked.

The runs by hand send bookings without a length in two halves now, and their ledgers crash, too. Their bookings have paths of their own, as calls that are alike and crash upstreams are refused.

--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -715,6 +715,7 @@
         body = await answer.read_all(
             MAX_ANSWER_BYTES, lambda size: self._reserve(answer, kept_bytes + size)
         )
+        await self._check_process(attempt)
         headers = select_answer_headers(answer.headers)
         is_failure = answer.status >= STATUS_SERVER_ERROR
         if is_failure and self.call.route.is_repeatable and self._can_send_again():
--- a/camphorpath/relay/upstream.py
+++ b/camphorpath/relay/upstream.py
@@ -99,6 +99,11 @@
                     break
             self.http.receive_data(await self.connection.receive())
 
+    @property
+    def is_head_request(self) -> bool:
+        """Whether the answer to the current request has no body."""
+        return self._request is not None and self._request.method == b'HEAD'
+
     async def skip_answer(self) -> None:
         """Skip the body of an answer to an earlier request, whose head was read.
 
@@ -156,7 +161,7 @@
     @property
     def has_length(self) -> bool:
         """Whether the end of the body is marked; otherwise it ends with the connection."""
-        if self.status in STATUSES_WITHOUT_BODY:
+        if self.status in STATUSES_WITHOUT_BODY or self._conn.is_head_request:
             return True
         names = {name for name, _text in self.headers}
         return bool(names & {b'content-length', b'transfer-encoding'})
--- a/tests/processes/soak.py
+++ b/tests/processes/soak.py
@@ -104,7 +104,8 @@
 async def _call(fleet, caller, until):
     while fleet.now() < until:
         if caller.rng.random() < 0.3:
-            await caller.book('/book/x')
+            # Calls that are alike and crash upstreams are refused.
+            await caller.book(f'/book/{caller.rng.getrandbits(40):x}')
         is_resumable = caller.rng.random() < 0.85
         total = caller.rng.randint(5, 60)
         await caller.fetch_stream(
@@ -288,7 +289,7 @@
         self.fleet.log(f'{daemon.name} is connected')
 
     async def _crash_upstream(self):
-        upstream = self._choose_upstream('llm')
+        upstream = self._choose_upstream('llm', 'ledger')
         if upstream is None:
             return
         is_reset = self.rng.random() < 0.5
--- a/tests/processes/upstreams.py
+++ b/tests/processes/upstreams.py
@@ -150,13 +150,26 @@
         await asyncio.sleep(self.event_interval_s)
         await self._wait_out_stall()
         body = f'done {attempt}'.encode()
-        writer.write(make_head(200, self._make_headers(attempt) | {'Content-Length': len(body)}))
+        headers = self._make_headers(attempt)
+        if self.rng.choice(self.framings) == 'close':
+            await self._answer_in_halves(headers, body, writer)
+            return False
+        writer.write(make_head(200, headers | {'Content-Length': len(body)}))
         writer.write(body)
         await writer.drain()
         if self.rng.random() < self.repeat_share:
             await self._repeat_answer(writer)
         return True
 
+    async def _answer_in_halves(self, headers, body, writer):
+        """Send a body without a length, with a pause in which the process may be killed."""
+        middle = len(body) // 2
+        writer.write(make_head(200, headers | {'Connection': 'close'}) + body[:middle])
+        await writer.drain()
+        await asyncio.sleep(self.event_interval_s)
+        writer.write(body[middle:])
+        await writer.drain()
+
     async def _repeat_answer(self, writer):
         """Send an answer to an earlier request, if any, where the next one is expected."""
         earlier = self.rng.choice(self.runs).attempt
--- a/tests/relay/test_unmarked_ends.py
+++ b/tests/relay/test_unmarked_ends.py
@@ -36,6 +36,7 @@
 STREAM = make_request(b'/stream/x')
 STREAM_ONCE = make_request(b'/once/x')
 LEAVING = b'Leaving: 1\r\n'
+PLAIN_BEGIN = b'HTTP/1.1 200 OK\r\nAttempt: 1\r\nSignature: s\r\n%bConnection: close\r\n\r\nbeg'
 TWO_EVENTS = [b'data: e1', b'data: e2']
 THREE_EVENTS = [*TWO_EVENTS, b'data: e3']
 EMPTY_CHUNKS = HEAD + STREAM_END
@@ -270,6 +271,50 @@
     run(test)
 
 
+@pytest.mark.parametrize('extra', [b'', LEAVING])
+@pytest.mark.parametrize(('method', 'expected'), [(b'GET', (200, b'ok')), (b'POST', (502, None))])
+def test_plain_answer_of_a_killed_process_does_not_look_complete(extra, method, expected):
+    """Guards against half of a body that is passed on as a whole one."""
+
+    async def test():
+        path = b'/read/x' if method == b'GET' else b'/twice/x'
+        statuses = []
+
+        async def call():
+            statuses.append(await ask(port, make_request(path, method=method)))
+
+        with open_process(PLAIN_BEGIN % extra) as (first, kill):
+            async with (
+                open_upstream(answer_with(make_answer())) as second,
+                open_relay(first, second) as (_context, port),
+                anyio.create_task_group() as group,
+            ):
+                group.start_soon(call)
+                await kill()
+        status, _head, body = statuses[0]
+        assert (status, body if expected[1] else None) == expected
+        assert len(second.requests) == (method == b'GET')
+
+    run(test)
+
+
+@pytest.mark.parametrize('path', [b'/read/x', b'/twice/x'])
+def test_plain_answer_that_ends_with_its_connection_is_delivered(path):
+    """Guards against a sound answer that is asked for again."""
+
+    async def test():
+        async with (
+            open_upstream(send_and_close(PLAIN_BEGIN % b'')) as first,
+            open_upstream(answer_with(make_answer())) as second,
+            open_relay(first, second) as (_context, port),
+        ):
+            status, _head, body = await ask(port, make_request(path))
+            assert not second.requests
+        assert (status, body) == (200, b'beg')
+
+    run(test)
+
+
 def restart_after(answer):
     """Return a handler whose process is killed after a part of an answer, and back at once."""
     incarnations = [REGISTERED]
@@ -303,6 +348,20 @@
     run(test)
 
 
+def test_plain_answer_of_a_process_that_is_back_at_once_does_not_look_complete():
+    """Guards against half of a body that is passed on as a whole one."""
+
+    async def test():
+        async with (
+            open_upstream(restart_after(PLAIN_BEGIN % b'')) as only,
+            open_relay_with_reports(only) as (_context, port),
+        ):
+            status, _head, _body = await ask(port, make_request(b'/twice/x'))
+        assert status == 502
+
+    run(test)
+
+
 def test_stream_goes_on_elsewhere_if_its_process_does_not_report_any_more():
     """Guards against an address at which a supervisor listens while its process is gone."""
 
@@ -364,6 +423,20 @@
     run(test)
 
 
+def test_answer_to_a_head_request_is_delivered_at_once():
+    """Guards against a check of the end of an answer that has no body."""
+
+    async def test():
+        head = b'HTTP/1.1 200 OK\r\nAttempt: 1\r\nSignature: s\r\nConnection: close\r\n\r\n'
+        with open_process(head) as (only, kill):
+            async with open_relay(only) as (context, port):
+                received = await read_while(kill, port, make_request(b'/twice/x', method=b'HEAD'))
+                assert context.pool.opened_count == 1
+        assert received.startswith(b'HTTP/1.1 200')
+
+    run(test)
+
+
 def test_event_of_a_stream_is_whole():
     """Guards against a stream that looks complete after a part of a character or of an event."""
     event = make_event(3)[:-2] + 'ä'.encode()
