Count routes that were removed whether they were resumable or not

What callers saw: nothing was reported. A stream of a route that is not resumable was broken off; the route was removed, so that its path belonged to a shorter prefix whose route is resumable; taken up there, the stream went on at the service of that route.

Change: the services of a removed route of streams count for its paths, like those of a resumable one.

Tests, run: the new case of tests/processes/test_routes.py failed before (all 8 streams joined) and one of two in tests/streams/test_services.py. The upstreams of tests/processes accept longer paths.

--- a/camphorpath/streams/services.py
+++ b/camphorpath/streams/services.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from ..routing import Route
+from ..routing import CallKind, Route
 from .targets import RouteTarget
 
 # A stream is taken up no later than this many timeouts of its route after its first event: its
@@ -32,6 +32,8 @@
     _longest_timeouts_s: dict[str, float] = attrs.field(factory=dict)
     # The services of each resumable route, by host and prefix.
     _targets: dict[tuple[str, str], frozenset[str]] = attrs.field(factory=dict)
+    # The routes of streams that are not resumable, by host and prefix.
+    _unresumable: dict[tuple[str, str], Route] = attrs.field(factory=dict)
     # Services of routes that lead to several ones.
     _shared: frozenset[str] = frozenset()
     # When a route ceased to lead to a service, on the lease clock, by host, prefix and service.
@@ -56,11 +58,16 @@
         """Replace the routes by those of a newer manifest."""
         former = self._targets
         self._targets = {}
+        former_unresumable = self._unresumable
+        self._unresumable = {}
         since = now
         if not self._is_applied and self._first_since is not None:
             since = self._first_since
         for route in routes:
+            if route.kind is not CallKind.STREAM:
+                continue
             if not route.is_resumable:
+                self._unresumable[route.host, route.prefix] = route
                 continue
             services = frozenset(name for name, _weight in route.targets)
             self._targets[route.host, route.prefix] = services
@@ -80,6 +87,12 @@
         for (host, prefix), services in self._targets.items():
             for service in services:
                 self._dropped_at.pop((host, prefix, service), None)
+        # Their streams may be taken up on the routes to which their paths belong now.
+        for place in former_unresumable.keys() - self._unresumable.keys() - self._targets.keys():
+            route = former_unresumable[place]
+            for service in dict(route.targets):
+                self._learn_timeout(service, route.timeout_s)
+                self._dropped_at[*place, service] = now
 
     def learn_target(self, target: RouteTarget, now: float) -> None:
         """Add a target that another daemon knew; `dropped_s` is on the lease clock.
--- a/tests/processes/test_kills.py
+++ b/tests/processes/test_kills.py
@@ -20,7 +20,7 @@
 COPY_AGE_S = 1.5
 
 
-def begin_streams(fleet):
+def begin_streams(fleet, prefix='/draft/'):
     """Begin streams whose callers try again until their deadline."""
     callers = [
         Caller(
@@ -32,7 +32,7 @@
         )
         for _ in range(STREAM_COUNT)
     ]
-    tasks = [asyncio.create_task(caller.fetch_stream('/draft/', EVENT_COUNT)) for caller in callers]
+    tasks = [asyncio.create_task(caller.fetch_stream(prefix, EVENT_COUNT)) for caller in callers]
     return callers, tasks
 
 
--- a/tests/processes/test_routes.py
+++ b/tests/processes/test_routes.py
@@ -109,3 +109,23 @@
     assert list_faults(streams) == []
     assert count_take_ups(streams)[0] >= len(streams)
     assert all(stream.is_complete for stream in streams)
+
+
+async def test_streams_are_not_joined_if_a_route_that_is_not_resumable_was_removed():
+    """Its paths belong to a shorter prefix then, whose route is resumable all along."""
+    async with open_fleet(1) as fleet:
+        added = make_route('once', '/draft/once/', 'other', stream_resume=False)
+        fleet.store.put('op', 'config', make_manifest(8, (*ROUTES, added)))
+        await fleet.add_upstream('v1')
+        older = await fleet.add_upstream('v2', service='other')
+        await fleet.start_daemons()
+        await asyncio.sleep(SETTLE_S)
+        callers, tasks = begin_streams(fleet, '/draft/once/')
+        await wait_for_streams(callers)
+        fleet.store.put('op', 'config', make_manifest(9))
+        await asyncio.sleep(APPLY_S)
+        older.crash()
+        fleet.deregister(older)
+        streams = await finish_streams(callers, tasks)
+    assert list_faults(streams) == []
+    assert count_take_ups(streams)[0] >= len(streams)
--- a/tests/processes/upstreams.py
+++ b/tests/processes/upstreams.py
@@ -182,7 +182,7 @@
         return headers
 
     async def _stream(self, request, attempt, writer):
-        _empty, _prefix, key, count = request.path.split('/')
+        *_prefix, key, count = request.path.split('/')
         total = int(count)
         first = int(request.headers.get('last-event-id') or 0) + 1
         if first > 1 and self.rng.random() < self.misplaced_share:
--- a/tests/streams/test_services.py
+++ b/tests/streams/test_services.py
@@ -125,6 +125,21 @@
     assert list_candidates(services, 6 + services.get_horizon_s('new')) == {'new'}
 
 
+@pytest.mark.parametrize('is_resumable', [False, True])
+def test_service_of_a_removed_route_counts_whether_that_was_resumable_or_not(is_resumable):
+    """Guards against a stream that goes on at the service of a shorter prefix."""
+    services = ResumableServices()
+    routes = [
+        make_stream_route('/s/', 'llm'),
+        make_stream_route('/s/x/', 'other', is_resumable=is_resumable),
+    ]
+    services.apply_routes(routes, 0)
+    services.apply_routes(routes[:1], 5)
+    assert list_candidates(services, 6) == {'llm', 'other'}
+    assert services.is_shared('llm', 6)
+    assert list_candidates(services, 6 + services.get_horizon_s('other')) == {'llm'}
+
+
 def test_any_service_may_have_begun_a_stream_of_a_route_that_returned():
     """Guards against two manifests in quick succession, the first of which lacks the route."""
     services = ResumableServices()
