Keep the exit code of a daemon that ends as it gets a signal

Popen.send_signal polls the process and so may reap it before asyncio's watcher, which then reports 255. Signals are sent with os.kill now.

--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -165,7 +165,9 @@
     def send_signal(self, number):
         if self.is_running:
             self.is_ending = self.is_ending or number in {signal.SIGTERM, signal.SIGKILL}
-            self.process.send_signal(number)
+            # `Process.send_signal` may reap a process that has just ended; its exit code is lost.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, number)
 
     def list_faults(self):
         """Return how processes have ended otherwise than told."""
