Widen the seeded runs of real daemons, and measure their take-ups

The runs lacked releases that overlap, versions that return after a horizon, entries that come some time after their process serves, a long loss of the store with a kill of all daemons, and manifests that end the right to resume streams or add routes of longer prefixes, also while all daemons are down.

A run states how many of the take-ups that could go on did (the daemon took the connection, ran, was not frozen or cut off, and two upstreams of the version served with current entries), beside the new streams that began at the same daemons within a second, and the reasons of the others. Those that met a faulty store are counted apart.

--- a/tests/processes/__main__.py
+++ b/tests/processes/__main__.py
@@ -4,7 +4,13 @@
 import asyncio
 import pathlib
 
+import attrs
+
 from .soak import Plan, run
+from .take_ups import TakeUps
+
+# What may be left out of a run.
+PARTS = [field.name for field in attrs.fields(Plan) if field.name.startswith('has_')]
 
 
 def main():
@@ -14,11 +20,18 @@
     parser.add_argument('--daemons', type=int, default=5)
     parser.add_argument('--upstreams', type=int, default=4)
     parser.add_argument('--callers', type=int, default=16)
+    parser.add_argument('--trouble-interval-s', type=float, default=1.2)
+    parser.add_argument('--timeout-ms', type=int, default=3000, help='timeout of streams')
+    parser.add_argument('--without', choices=PARTS, action='append', default=[])
     parser.add_argument('--without-version-changes', action='store_true')
     parser.add_argument('--records', type=pathlib.Path, help='folder for the records and logs')
     options = parser.parse_args()
     first, _, last = options.seeds.partition('-')
+    left_out = {*options.without}
+    if options.without_version_changes:
+        left_out.add('has_version_changes')
     has_faults = False
+    take_ups = TakeUps()
     for seed in range(int(first), int(last or first) + 1):
         plan = Plan(
             seed=seed,
@@ -26,7 +39,9 @@
             daemon_count=options.daemons,
             upstream_count=options.upstreams,
             caller_count=options.callers,
-            has_version_changes=not options.without_version_changes,
+            trouble_interval_s=options.trouble_interval_s,
+            timeout_ms=options.timeout_ms,
+            **dict.fromkeys(left_out, False),
         )
         folder = options.records and options.records / f'{seed}'
         if folder:
@@ -35,9 +50,11 @@
         print(f'seed {seed}: {outcome.summarize()}', flush=True)
         for fault in outcome.faults[:10]:
             print('  ', fault, flush=True)
+        take_ups.merge(outcome.take_ups)
         has_faults = has_faults or bool(outcome.faults)
         if options.records:
             (folder / 'record.txt').write_text('\n'.join([*outcome.record, *outcome.faults]))
+    print(f'all: {take_ups.summarize()}')
     raise SystemExit(has_faults)
 
 
--- a/tests/processes/callers.py
+++ b/tests/processes/callers.py
@@ -12,6 +12,7 @@
 
 RETRY_PAUSE_S = 0.25
 CONNECT_LIMIT_S = 1.0
+DEADLINE_S = 8.0
 # Statuses that promise that a call has not run and will not.
 REFUSALS = frozenset((408, 421, 429, 503))
 
@@ -41,6 +42,10 @@
     event_count: int = 0
     # Bytes of the stream after its last whole event.
     partial: bytes = b''
+    # The body of an answer that is no stream; a refusal states its reason there.
+    body: bytes = b''
+    # What `Caller.judge_try` returned when the call was sent; None if it was not.
+    chance: object = None
 
 
 @attrs.define
@@ -127,7 +132,7 @@
     rng: random.Random
     # Returns the address at which to call a daemon, or None to wait.
     choose_address: object
-    deadline_s: float = 8.0
+    deadline_s: float = DEADLINE_S
     max_gap_s: float = 2.5
     max_tries: int = 6
     # Seconds between two reads of a slow caller; 0 for others.
@@ -135,6 +140,8 @@
     read_bytes: int = 65536
     # Called with what happened.
     log: object = lambda text: None
+    # Called with a path, a stream and its try when a call for it is sent.
+    judge_try: object = lambda path, stream, tried: None
     streams: list = attrs.field(factory=list)
     bookings: list = attrs.field(factory=list)
     _kept: dict = attrs.field(factory=dict)
@@ -192,6 +199,9 @@
         ]
         if tried.last_event_id:
             headers += [('Last-Event-Id', str(tried.last_event_id)), ('Resumes', tried.resumes)]
+        if reader.exception() is None:
+            # Else it is a kept connection to a process that has ended.
+            tried.chance = self.judge_try(path, stream, tried)
         connection = h11.Connection(h11.CLIENT)
         is_kept = False
         try:
@@ -290,6 +300,8 @@
             elif isinstance(event, h11.Data):
                 if tried.status == 200:
                     self._receive(stream, tried, bytes(event.data))
+                else:
+                    tried.body += bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 tried.end = 'complete' if tried.status == 200 else 'refused'
                 return retry_after_s
--- a/tests/processes/soak.py
+++ b/tests/processes/soak.py
@@ -1,26 +1,26 @@
 """Seeded runs of real daemons under releases, kills, freezes, cuts and faults of the store."""
 
 import asyncio
+import functools
 import random
 import signal
 import time
 
 import attrs
 
-from .callers import Caller, count_take_ups, list_run_faults
-from .fleet import ROUTES, make_manifest, open_fleet
+from camphorpath.edge.streams import MAX_SEEN_LAG_S
+from camphorpath.streams.services import HORIZON_MARGIN_S, HORIZON_TIMEOUTS
+
+from .callers import DEADLINE_S, Caller, count_take_ups, list_run_faults
+from .fleet import ROUTES, make_manifest, make_route, open_fleet
+from .releases import OLD, SHARES, list_releases
+from .take_ups import TakeUps, judge_try, measure_take_ups
 
 SETTLE_S = 2.0
-OLD, NEW, NEWEST = 'v1', 'v2', 'v3'
 # Services between which a manifest may move the routes of streams.
 SERVICES = ('llm', 'spare')
-# Troubles of the upstreams of streams, as shares of their answers.
-SHARES = {
-    'break_share': 0.1,
-    'silent_share': 0.05,
-    'misplaced_share': 0.03,
-    'repeat_share': 0.05,
-}
+# Part of the paths that a route of a longer prefix may take.
+LONGER_PREFIX = '/draft/a/'
 # A process handles signals from its start, but not while its interpreter starts.
 SIGNAL_DELAY_S = 1.0
 
@@ -40,6 +40,32 @@
     has_version_changes: bool = True
     # Whether upstreams that leave may crash before they exit.
     has_crashes_while_leaving: bool = True
+    # Timeout of the routes of streams.
+    timeout_ms: int = 3000
+    # Whether streams of another kind, with a longer timeout, come on a route of their own.
+    has_second_kind: bool = True
+    # Whether several releases may run at the same time.
+    has_overlapping_releases: bool = True
+    # Whether manifests end and restore the right of a route to resume streams, and add and remove
+    # routes of longer prefixes, perhaps while all daemons are down.
+    has_route_changes: bool = True
+    # Whether upstreams that restart under their ids may be registered after they serve.
+    has_late_entries: bool = True
+    # Whether versions pass by and return after daemons may have forgotten them, and the store is
+    # away for long while versions change; both only with overlapping releases.
+    has_returning_version: bool = True
+    has_long_store_loss: bool = True
+
+    @property
+    def longest_timeout_ms(self):
+        """The timeout of the second kind of streams."""
+        return self.timeout_ms * 3 // 2
+
+    @property
+    def forget_s(self):
+        """The time after which daemons may forget that a version was registered."""
+        horizon_s = HORIZON_TIMEOUTS * self.longest_timeout_ms / 1000 + HORIZON_MARGIN_S
+        return horizon_s + MAX_SEEN_LAG_S
 
 
 @attrs.define
@@ -51,6 +77,7 @@
     bookings: list
     record: list
     exit_codes: list
+    take_ups: TakeUps
 
     def summarize(self):
         taken_up, gone_on = count_take_ups(self.streams)
@@ -59,13 +86,14 @@
             f'{len(self.streams)} streams, {complete} complete, {taken_up} take-ups, '
             f'{gone_on} went on, {len(self.bookings)} bookings, '
             f'{sum(booking.status is None for booking in self.bookings)} unanswered, '
-            f'{len(self.faults)} faults, exit codes {self.exit_codes}'
+            f'{len(self.faults)} faults, exit codes {self.exit_codes}; {self.take_ups.summarize()}'
         )
 
 
 async def run(plan, folder=None):
     """Play a run and return its outcome."""
-    async with open_fleet(plan.daemon_count, plan.seed, folder=folder) as fleet:
+    routes = make_routes(plan)
+    async with open_fleet(plan.daemon_count, plan.seed, routes=routes, folder=folder) as fleet:
         for number in range(plan.upstream_count):
             await fleet.add_upstream(OLD, zone='abc'[number % 3], **SHARES)
         for zone in 'ab':
@@ -77,9 +105,11 @@
         until = fleet.now() + plan.duration_s
         async with asyncio.TaskGroup() as group:
             for caller in callers:
-                group.create_task(_call(fleet, caller, until))
-            group.create_task(Troubles(fleet, plan).play(until))
-            group.create_task(_release(fleet, plan, until))
+                group.create_task(_call(fleet, caller, plan, until))
+            troubles = Troubles(fleet, plan)
+            group.create_task(troubles.play(until))
+            for release in list_releases(fleet, plan, until, troubles.kill_all):
+                group.create_task(release)
         for caller in callers:
             caller.close()
         streams = [stream for caller in callers for stream in caller.streams]
@@ -88,7 +118,22 @@
         faults += list_run_faults(callers, fleet.upstreams)
         faults += [fault for daemon in fleet.daemons for fault in daemon.list_faults()]
         codes = [code for daemon in fleet.daemons for code in daemon.exit_codes if code != -9]
-        return Outcome(faults, streams, bookings, fleet.record, codes)
+        take_ups = measure_take_ups(streams)
+        return Outcome(faults, streams, bookings, fleet.record, codes, take_ups)
+
+
+def make_routes(plan, *, service=SERVICES[0], is_resumable=True, has_longer_prefix=False):
+    """Return the routes of a manifest; those of streams lead to a service."""
+    changes = {'service': service, 'timeout_ms': plan.timeout_ms}
+    routes = [route | (changes if route['service'] in SERVICES else {}) for route in ROUTES]
+    if not is_resumable:
+        routes[0] |= {'stream_resume': False}
+    if plan.has_second_kind:
+        routes.append(make_route('tale', '/tale/', service, timeout_ms=plan.longest_timeout_ms))
+    if has_longer_prefix:
+        other = SERVICES[1] if service == SERVICES[0] else SERVICES[0]
+        routes.append(make_route('longer', LONGER_PREFIX, other, timeout_ms=plan.timeout_ms))
+    return routes
 
 
 def _make_caller(fleet, number, plan):
@@ -100,55 +145,29 @@
         read_pause_s=0.3 if is_slow else 0.0,
         read_bytes=256 if is_slow else 65536,
         log=fleet.log,
+        judge_try=functools.partial(judge_try, fleet),
+        # Daemons may forget a stream that is older.
+        deadline_s=min(DEADLINE_S, HORIZON_TIMEOUTS * plan.timeout_ms / 1000),
     )
 
 
-async def _call(fleet, caller, until):
+async def _call(fleet, caller, plan, until):
     while fleet.now() < until:
         if caller.rng.random() < 0.3:
             await caller.book('/book/x')
         is_resumable = caller.rng.random() < 0.85
         total = caller.rng.randint(5, 60)
-        await caller.fetch_stream(
-            '/draft/' if is_resumable else '/once/', total, is_resumable=is_resumable
-        )
+        path = _choose_path(caller.rng, plan) if is_resumable else '/once/'
+        await caller.fetch_stream(path, total, is_resumable=is_resumable)
         await asyncio.sleep(caller.rng.uniform(0, 0.2))
 
 
-async def _release(fleet, plan, until):
-    """Replace the upstreams one after the other by ones of a newer version, and again."""
-    rng = random.Random(f'{plan.seed}/release')
-    for version in (NEW, NEWEST):
-        await asyncio.sleep(rng.uniform(2, plan.duration_s / 4))
-        for upstream in [upstream for upstream in fleet.upstreams if upstream.service == 'llm']:
-            if fleet.now() > until:
-                return
-            if upstream.software_version == version or not upstream.is_up:
-                continue
-            if rng.random() < 0.3 and plan.has_version_changes:
-                fleet.log(f'{upstream.upstream_id} restarts under its id as {version}')
-                await fleet.restart_upstream(upstream, version)
-            else:
-                await fleet.add_upstream(version, zone=upstream.zone, **SHARES)
-                await _drain(fleet, upstream, rng)
-            await asyncio.sleep(rng.uniform(0.2, 2.0))
-
-
-async def _drain(fleet, upstream, rng):
-    upstream.is_draining = True
-    if rng.random() < 0.5:
-        upstream.is_leaving = True
-        fleet.register(upstream)
-    else:
-        fleet.deregister(upstream)
-
-    async def leave():
-        await asyncio.sleep(rng.uniform(0.3, 3.0))
-        # Its streams are reset, as it exits before their ends.
-        upstream.crash()
-        fleet.deregister(upstream)
-
-    asyncio.get_running_loop().create_task(leave())
+def _choose_path(rng, plan):
+    if plan.has_second_kind and rng.random() < 0.4:
+        return '/tale/'
+    if plan.has_route_changes and rng.random() < 0.5:
+        return LONGER_PREFIX
+    return '/draft/'
 
 
 @attrs.define
@@ -160,16 +179,18 @@
     rng: random.Random = attrs.field(init=False)
     _is_restarting_all: bool = False
     _manifest_version: int = 7
+    # What the newest manifest states of the routes of streams, as arguments of `make_routes`.
+    _route_changes: dict = attrs.field(factory=dict)
     _tasks: set = attrs.field(factory=set)
 
     def __attrs_post_init__(self):
         self.rng = random.Random(f'{self.plan.seed}/troubles')
 
     async def play(self, until):
-        troubles = (
+        troubles = [
             self._kill,
             self._kill,
-            self._kill_all,
+            self.kill_all,
             self._stop,
             self._freeze,
             self._freeze,
@@ -187,7 +208,9 @@
             self._restart_all,
             self._fail_store,
             self._restore_store,
-        )
+        ]
+        if self.plan.has_route_changes:
+            troubles += [self._change_routes, self._change_routes_while_down]
         while self.fleet.now() < until:
             await asyncio.sleep(self.rng.expovariate(1 / self.plan.trouble_interval_s))
             trouble = self.rng.choice(troubles)
@@ -206,7 +229,8 @@
         if daemon is not None:
             await self._kill_for(daemon, self.rng.uniform(0.1, 3))
 
-    async def _kill_all(self):
+    async def kill_all(self):
+        """Kill all daemons, and start each again after a random time."""
         await asyncio.gather(
             *(
                 self._kill_for(daemon, self.rng.uniform(0.1, 2))
@@ -336,19 +360,31 @@
     async def _change_manifests(self):
         """Move the routes of streams to another service and back, several times."""
         for _ in range(self.rng.randint(1, 3)):
-            self._publish_manifest(self.rng.choice(SERVICES))
+            self._publish_manifest(service=self.rng.choice(SERVICES))
             await asyncio.sleep(self.rng.uniform(0, 1))
-        self._publish_manifest(SERVICES[0])
-
-    def _publish_manifest(self, service):
+        self._publish_manifest(service=SERVICES[0])
+
+    async def _change_routes(self):
+        """Change which streams may be resumed, or the prefixes of routes, and undo it later."""
+        change = self.rng.choice(('is_resumable', 'has_longer_prefix'))
+        self._publish_manifest(**{change: change != 'is_resumable'})
+        await asyncio.sleep(self.rng.uniform(0.3, 4))
+        self._publish_manifest(**{change: change == 'is_resumable'})
+
+    async def _change_routes_while_down(self):
+        killing = asyncio.create_task(self.kill_all())
+        # By then all have ended, and none has started.
+        await asyncio.sleep(0.05)
+        await self._change_routes()
+        await killing
+
+    def _publish_manifest(self, **changes):
         self._manifest_version += self.rng.randint(1, 3)
-        routes = [
-            route | {'service': service} if route['service'] in SERVICES else route
-            for route in ROUTES
-        ]
+        self._route_changes |= changes
+        routes = make_routes(self.plan, **self._route_changes)
         manifest = make_manifest(self._manifest_version, routes, SERVICES)
         self.fleet.store.put('op', 'config', manifest)
-        self.fleet.log(f'manifest {self._manifest_version} leads streams to {service}')
+        self.fleet.log(f'manifest {self._manifest_version}: {self._route_changes}')
 
     async def _fail_store(self):
         store = self.fleet.store
--- a/tests/processes/store.py
+++ b/tests/processes/store.py
@@ -69,6 +69,11 @@
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     _writers: set = attrs.field(factory=set)
 
+    @property
+    def is_sound(self):
+        """Whether the store answers without a fault."""
+        return self.mode == 'up' and self.delay_s <= ANSWER_S and not self.lost_writes
+
     @contextlib.asynccontextmanager
     async def serve(self, host, port):
         server = await asyncio.start_server(self._serve_connection, host, port)
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -19,6 +19,11 @@
         trouble_interval_s=0.6,
         has_version_changes=False,
         has_crashes_while_leaving=False,
+        timeout_ms=8000,
+        has_second_kind=False,
+        has_overlapping_releases=False,
+        has_route_changes=False,
+        has_late_entries=False,
     )
     outcome = await run(plan, tmp_path)
     assert outcome.faults == []
--- a/tests/processes/upstreams.py
+++ b/tests/processes/upstreams.py
@@ -26,7 +26,7 @@
 class StreamUpstream:
     """An upstream that streams numbered events; its process may restart under its id.
 
-    The path of a request states the number of events: `/draft/KEY/COUNT`.
+    The path of a request ends with the number of events: `/draft/KEY/COUNT`.
     """
 
     upstream_id: str
@@ -182,7 +182,7 @@
         return headers
 
     async def _stream(self, request, attempt, writer):
-        _empty, _prefix, key, count = request.path.split('/')
+        key, count = request.path.split('/')[-2:]
         total = int(count)
         first = int(request.headers.get('last-event-id') or 0) + 1
         if first > 1 and self.rng.random() < self.misplaced_share:
