--- a/tests/processes/test_kills.py
+++ b/tests/processes/test_kills.py
@@ -20,19 +20,19 @@
 COPY_AGE_S = 1.5
 
 
-def begin_streams(fleet):
+def begin_streams(fleet, event_count=EVENT_COUNT, deadline_s=DEADLINE_S):
     """Begin streams whose callers try again until their deadline."""
     callers = [
         Caller(
             fleet.rng,
             fleet.choose_address,
-            deadline_s=DEADLINE_S,
+            deadline_s=deadline_s,
             max_tries=200,
             log=fleet.log,
         )
         for _ in range(STREAM_COUNT)
     ]
-    tasks = [asyncio.create_task(caller.fetch_stream('/draft/', EVENT_COUNT)) for caller in callers]
+    tasks = [asyncio.create_task(caller.fetch_stream('/draft/', event_count)) for caller in callers]
     return callers, tasks
 
 
