--- a/camphorpath/streams/services.py
+++ b/camphorpath/streams/services.py
@@ -1,7 +1,7 @@
 """The services at which streams that callers take up can have begun."""
 
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Set
 
 import attrs
 
@@ -56,43 +56,46 @@
 
     def apply_routes(self, routes: Iterable[Route], now: float) -> None:
         """Replace the routes by those of a newer manifest."""
-        former = self._targets
+        former, former_unresumable = self._targets, self._unresumable
+        self._replace_routes(routes)
+        self._date_routes(former.keys(), now)
+        split = (services for services in self._targets.values() if len(services) > 1)
+        self._shared = frozenset().union(*split)
+        for place, services in former.items():
+            self._drop(place, services, now)
+        for (host, prefix), services in self._targets.items():
+            for service in services:
+                self._dropped_at.pop((host, prefix, service), None)
+        # Their streams may be taken up on the routes to which their paths belong now.
+        for place in former_unresumable.keys() - self._unresumable.keys() - self._targets.keys():
+            route = former_unresumable[place]
+            self._learn_timeouts(route)
+            self._drop(place, dict(route.targets), now)
+
+    def _replace_routes(self, routes: Iterable[Route]) -> None:
         self._targets = {}
-        former_unresumable = self._unresumable
         self._unresumable = {}
-        since = now
-        if not self._is_applied and self._first_since is not None:
-            since = self._first_since
         for route in routes:
             if route.kind is not CallKind.STREAM:
                 continue
             if not route.is_resumable:
                 self._unresumable[route.host, route.prefix] = route
                 continue
-            services = frozenset(name for name, _weight in route.targets)
-            self._targets[route.host, route.prefix] = services
-            for service in services:
-                self._learn_timeout(service, route.timeout_s)
-        added = self._targets.keys() - former.keys()
+            self._targets[route.host, route.prefix] = frozenset(dict(route.targets))
+            self._learn_timeouts(route)
+
+    def _date_routes(self, former: Set[tuple[str, str]], now: float) -> None:
+        """Keep since when each of the routes is resumable; `former` are the places of before."""
+        since = now
         if not self._is_applied:
-            self._unconfirmed |= added
+            since = now if self._first_since is None else self._first_since
+            self._unconfirmed |= self._targets.keys() - former
         self._is_applied = True
         self._unconfirmed &= self._targets.keys()
         self._since = {place: self._since.get(place, since) for place in self._targets}
-        split = (services for services in self._targets.values() if len(services) > 1)
-        self._shared = frozenset().union(*split)
-        for (host, prefix), services in former.items():
-            for service in services:
-                self._dropped_at[host, prefix, service] = now
-        for (host, prefix), services in self._targets.items():
-            for service in services:
-                self._dropped_at.pop((host, prefix, service), None)
-        # Their streams may be taken up on the routes to which their paths belong now.
-        for place in former_unresumable.keys() - self._unresumable.keys() - self._targets.keys():
-            route = former_unresumable[place]
-            for service in dict(route.targets):
-                self._learn_timeout(service, route.timeout_s)
-                self._dropped_at[*place, service] = now
+
+    def _drop(self, place: tuple[str, str], services: Iterable[str], now: float) -> None:
+        self._dropped_at.update({(*place, service): now for service in services})
 
     def learn_target(self, target: RouteTarget, now: float) -> None:
         """Add a target that another daemon knew; `dropped_s` is on the lease clock.
@@ -205,6 +208,10 @@
             if now <= dropped_at + self.get_horizon_s(key[-1]):
                 yield key
 
+    def _learn_timeouts(self, route: Route) -> None:
+        for service, _weight in route.targets:
+            self._learn_timeout(service, route.timeout_s)
+
     def _learn_timeout(self, service: str, timeout_s: float) -> None:
         longest_s = self._longest_timeouts_s.get(service, 0)
         self._longest_timeouts_s[service] = max(longest_s, timeout_s)
