Tell the other daemons of a version also if its row cannot be tried

A daemon that is out of touch with the store does not try to replace the row of a version that it wrote earlier, and after a failed write it makes a pause; it told the other daemons of a stream of an unknown version only after a write.

test_daemon_without_the_store_tells_the_others_of_an_unknown_version failed before and passes, as do all of test_unregistered_versions.py and test_stream_store.py.

--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -211,12 +211,15 @@
         now = self.read_clock()
         self._begun[pair] = now
         self.history.record(service, software_version, now)
-        if not self._is_announce_due(pair, now):
+        if self._is_told(pair, now):
+            return
+        if not self._may_announce(pair):
+            self._share(pair, is_written=False)
             return
         problem = 'out of time'
         with anyio.move_on_after(MAX_ANNOUNCE_S):
             async with self._announce_lock:
-                if not self._is_announce_due(pair, now):
+                if self._is_told(pair, now) or not self._may_announce(pair):
                     return
                 try:
                     await self._announce(pair)
@@ -259,12 +262,11 @@
         self._shared[pair] = now
         self.share_version(*pair, is_written=is_written)
 
-    def _is_announce_due(self, pair: Pair, begun_at: float) -> bool:
-        if self._is_told(pair, begun_at):
-            return False
+    def _may_announce(self, pair: Pair) -> bool:
+        """Return whether to write a row at once; else the next update of the versions does it."""
         if self.read_clock() < self._next_announce_at:
             return False
-        # The row is read again when the store is back.
+        # After a gap, its row has to be read first.
         return pair not in self._version_rows or self.is_view_confirmed()
 
     def _is_told(self, pair: Pair, begun_at: float) -> bool:
@@ -469,7 +471,6 @@
             self._was_suspended = self._was_suspended and not is_confirmed
         now = self.read_clock()
         for pair in self._list_untold(now):
-            # After a gap, its row has to be read first.
             if is_confirmed or pair not in self._version_rows:
                 await self._announce(pair)
         await self._update_targets(now)
--- a/tests/edge/test_unregistered_versions.py
+++ b/tests/edge/test_unregistered_versions.py
@@ -341,6 +341,21 @@
     assert await find_at(started, monkeypatch) is None
 
 
+async def test_daemon_without_the_store_tells_the_others_of_an_unknown_version(store, horizon):
+    """Guards against a stream of an unknown version that only its daemon knows of."""
+    daemon = Daemon(store, registered={('llm', 'v1')}, is_writer=False)
+    await daemon.follow(1)
+    await daemon.streams.announce_version('llm', '')
+    news = News()
+    daemon.streams.share_version = news.send
+    daemon.is_confirmed = False
+    store.status = 503
+    await daemon.follow(2 * HORIZON_S)
+    for _ in range(3):
+        await daemon.streams.announce_version('llm', '')
+    assert news.sent == [('llm', '', False)]
+
+
 async def test_unknown_version_is_sent_to_the_other_daemons_by_datagram():
     """Guards against announcements that get lost between the streams and the socket."""
     sender = build_edge(attrs.evolve(SETTINGS, host='127.0.0.1', heartbeat_port=0))
