Add a failing test of streams that are not written after a restore

For a horizon after such a restore no daemon takes the only known version for that of an unknown stream, as the copy may lack versions (event 610); but the service does not count as ambiguous, so that no daemon writes records. Three streams of the killed daemon were refused at the others, 11 tries in all (503, not joined); that this is why they were unknown is read from the code and the test, not from the log, which has no line for records that are not written.

--- a/tests/edge/test_unregistered_versions.py
+++ b/tests/edge/test_unregistered_versions.py
@@ -7,7 +7,7 @@
 from camphorpath.streams.lookup import OriginLookup
 
 # The fixtures of a store with a scripted clock.
-from .test_stream_store import HORIZON_S, Daemon, clock, store  # noqa: F401
+from .test_stream_store import HORIZON_S, OLD, Daemon, clock, store  # noqa: F401
 
 pytestmark = pytest.mark.anyio
 
@@ -118,3 +118,14 @@
     await started.follow(1)
     is_known = ('llm', 'v3') in started.history.list_last_seen()
     assert is_known or not started.streams.is_history_complete()
+
+
+async def test_streams_are_written_while_a_restore_may_have_lost_versions(store):
+    """Guards against streams that no other daemon can continue, as it cannot know all versions."""
+    store.era = 2
+    daemon = Daemon(store, registered={('llm', 'v1')}, is_writer=False)
+    await daemon.follow(2)
+    assert not daemon.streams.is_history_complete()
+    digest = daemon.begin(1, OLD)
+    await daemon.write(2)
+    assert digest in store.list_origins()
