--- a/camphorpath/streams/services.py
+++ b/camphorpath/streams/services.py
@@ -1,7 +1,8 @@
 """The services at which streams that callers take up can have begun."""
 
 import math
-from collections.abc import Iterable, Iterator, Set
+from collections.abc import Iterable, Iterator
+from collections.abc import Set as AbstractSet
 
 import attrs
 
@@ -14,6 +15,9 @@
 # For daemons and upstreams that learn late of a removed upstream.
 HORIZON_MARGIN_S = 10.0
 
+# Host and prefix of a route.
+Place = tuple[str, str]
+
 
 @attrs.frozen
 class StreamPath:
@@ -31,18 +35,18 @@
 
     _longest_timeouts_s: dict[str, float] = attrs.field(factory=dict)
     # The services of each resumable route, by host and prefix.
-    _targets: dict[tuple[str, str], frozenset[str]] = attrs.field(factory=dict)
+    _targets: dict[Place, frozenset[str]] = attrs.field(factory=dict)
     # The routes of streams that are not resumable, by host and prefix.
-    _unresumable: dict[tuple[str, str], Route] = attrs.field(factory=dict)
+    _unresumable: dict[Place, Route] = attrs.field(factory=dict)
     # Services of routes that lead to several ones.
     _shared: frozenset[str] = frozenset()
     # When a route ceased to lead to a service, on the lease clock, by host, prefix and service.
     _dropped_at: dict[tuple[str, str, str], float] = attrs.field(factory=dict)
     # Since when each of these routes is resumable, on the lease clock; streams of its paths that
     # began before are not known. Minus infinity if there can be none.
-    _since: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    _since: dict[Place, float] = attrs.field(factory=dict)
     # Routes of the first manifest for which no other daemon has told that.
-    _unconfirmed: set[tuple[str, str]] = attrs.field(factory=set)
+    _unconfirmed: set[Place] = attrs.field(factory=set)
     # Since when a route of the first manifest is resumable, unless another daemon tells it; None
     # for the time of the manifest.
     _first_since: float | None = -math.inf
@@ -56,46 +60,21 @@
 
     def apply_routes(self, routes: Iterable[Route], now: float) -> None:
         """Replace the routes by those of a newer manifest."""
-        former, former_unresumable = self._targets, self._unresumable
-        self._replace_routes(routes)
-        self._date_routes(former.keys(), now)
-        split = (services for services in self._targets.values() if len(services) > 1)
-        self._shared = frozenset().union(*split)
+        former = self._targets
+        former_unresumable = self._unresumable
+        self._take_routes(routes)
+        self._update_since(self._targets.keys() - former.keys(), now)
         for place, services in former.items():
-            self._drop(place, services, now)
-        for (host, prefix), services in self._targets.items():
-            for service in services:
-                self._dropped_at.pop((host, prefix, service), None)
+            self._drop(place, services - self._targets.get(place, frozenset()), now)
         # Their streams may be taken up on the routes to which their paths belong now.
         for place in former_unresumable.keys() - self._unresumable.keys() - self._targets.keys():
             route = former_unresumable[place]
-            self._learn_timeouts(route)
-            self._drop(place, dict(route.targets), now)
-
-    def _replace_routes(self, routes: Iterable[Route]) -> None:
-        self._targets = {}
-        self._unresumable = {}
-        for route in routes:
-            if route.kind is not CallKind.STREAM:
-                continue
-            if not route.is_resumable:
-                self._unresumable[route.host, route.prefix] = route
-                continue
-            self._targets[route.host, route.prefix] = frozenset(dict(route.targets))
-            self._learn_timeouts(route)
-
-    def _date_routes(self, former: Set[tuple[str, str]], now: float) -> None:
-        """Keep since when each of the routes is resumable; `former` are the places of before."""
-        since = now
-        if not self._is_applied:
-            since = now if self._first_since is None else self._first_since
-            self._unconfirmed |= self._targets.keys() - former
-        self._is_applied = True
-        self._unconfirmed &= self._targets.keys()
-        self._since = {place: self._since.get(place, since) for place in self._targets}
-
-    def _drop(self, place: tuple[str, str], services: Iterable[str], now: float) -> None:
-        self._dropped_at.update({(*place, service): now for service in services})
+            for service in dict(route.targets):
+                self._learn_timeout(service, route.timeout_s)
+                self._drop(place, [service], now)
+        for place, services in self._targets.items():
+            for service in services:
+                self._dropped_at.pop((*place, service), None)
 
     def learn_target(self, target: RouteTarget, now: float) -> None:
         """Add a target that another daemon knew; `dropped_s` is on the lease clock.
@@ -189,7 +168,7 @@
         longest_s = max(map(self.get_horizon_s, self._longest_timeouts_s), default=0)
         return now - since <= longest_s
 
-    def _learn_since(self, place: tuple[str, str], since: float | None, now: float) -> None:
+    def _learn_since(self, place: Place, since: float | None, now: float) -> None:
         """Learn since when a route is resumable; None if another daemon does not tell it."""
         if place not in self._targets:
             return
@@ -203,15 +182,41 @@
         # The other daemon may have seen a manifest that this one has missed.
         self._since[place] = since if known is None else max(known, since)
 
+    def _take_routes(self, routes: Iterable[Route]) -> None:
+        self._targets = {}
+        self._unresumable = {}
+        for route in routes:
+            if route.kind is not CallKind.STREAM:
+                continue
+            place = route.host, route.prefix
+            if not route.is_resumable:
+                self._unresumable[place] = route
+                continue
+            self._targets[place] = frozenset(dict(route.targets))
+            for service in self._targets[place]:
+                self._learn_timeout(service, route.timeout_s)
+        split = (services for services in self._targets.values() if len(services) > 1)
+        self._shared = frozenset().union(*split)
+
+    def _update_since(self, added: AbstractSet[Place], now: float) -> None:
+        since = now
+        if not self._is_applied:
+            self._unconfirmed |= added
+            if self._first_since is not None:
+                since = self._first_since
+        self._is_applied = True
+        self._unconfirmed &= self._targets.keys()
+        self._since = {place: self._since.get(place, since) for place in self._targets}
+
+    def _drop(self, place: Place, services: Iterable[str], now: float) -> None:
+        for service in services:
+            self._dropped_at[*place, service] = now
+
     def _iterate_dropped(self, now: float) -> Iterator[tuple[str, str, str]]:
         for key, dropped_at in self._dropped_at.items():
             if now <= dropped_at + self.get_horizon_s(key[-1]):
                 yield key
 
-    def _learn_timeouts(self, route: Route) -> None:
-        for service, _weight in route.targets:
-            self._learn_timeout(service, route.timeout_s)
-
     def _learn_timeout(self, service: str, timeout_s: float) -> None:
         longest_s = self._longest_timeouts_s.get(service, 0)
         self._longest_timeouts_s[service] = max(longest_s, timeout_s)
--- a/tests/edge/test_unregistered_versions.py
+++ b/tests/edge/test_unregistered_versions.py
@@ -22,7 +22,7 @@
 from .test_state import SETTINGS
 
 # The fixtures of a store with a scripted clock.
-from .test_stream_store import HORIZON_S, Daemon, clock, store  # noqa: F401
+from .test_stream_store import HORIZON_S, OLD, Daemon, clock, store  # noqa: F401
 
 pytestmark = pytest.mark.anyio
 
@@ -376,3 +376,14 @@
     assert list(receiver.relay.origins.history.list_last_seen()) == [('llm', '')]
     for daemon in (sender, receiver):
         await daemon.close()
+
+
+async def test_streams_are_written_while_a_restore_may_have_lost_versions(store):
+    """Guards against streams that no other daemon can continue, as it cannot know all versions."""
+    store.era = 2
+    daemon = Daemon(store, registered={('llm', 'v1')}, is_writer=False)
+    await daemon.follow(2)
+    assert not daemon.streams.is_history_complete()
+    digest = daemon.begin(1, OLD)
+    await daemon.write(2)
+    assert digest in store.list_origins()
--- a/tests/processes/test_out_of_step.py
+++ b/tests/processes/test_out_of_step.py
@@ -186,6 +186,24 @@
             assert len(caller.streams[0].tries) == 2
 
 
+async def test_streams_of_a_killed_daemon_go_on_while_the_store_is_away():
+    """Guards against take-ups that wait for the store though other daemons have the records."""
+    async with open_fleet(3) as fleet:
+        for _ in range(2):
+            await fleet.add_upstream('v1')
+        await fleet.start_daemons()
+        await asyncio.sleep(SETTLE_S)
+        first, *others = fleet.daemons
+        callers, readings = await begin_streams(fleet, 2 * [daemon.address for daemon in others])
+        fleet.store.set_mode('away')
+        await first.kill()
+        await asyncio.gather(*readings)
+        assert_in_order(callers)
+        for caller in callers:
+            assert caller.streams[0].is_complete
+            assert len(caller.streams[0].tries) == 2
+
+
 async def test_streams_of_a_killed_daemon_go_on_once_the_store_is_back():
     """Until then a version that only the killed daemon knew may have begun them."""
     async with open_fleet(3) as fleet:
@@ -194,6 +212,8 @@
         await fleet.start_daemons()
         await asyncio.sleep(SETTLE_S)
         first, *others = fleet.daemons
+        # No other daemon gets the records of the streams.
+        first.cut_peers()
         callers, readings = await begin_streams(fleet, 2 * [daemon.address for daemon in others])
         fleet.store.set_mode('away')
         await first.kill()
