Write the records of streams while a restore may have lost versions

Cause: while versions may be missing no daemon takes one for the only one, but records are only written while a service has several versions, so that only the daemon itself knew its streams. Change: records are written in that time, too.

test_streams_are_written_while_a_restore_may_have_lost_versions failed before and passes; tests/streams, test_stream_store, test_targets and test_kill_of_all_daemons pass.

--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -459,7 +459,9 @@
         if not (services and self.records.has_unwritten):
             return
         self.records.expire(now - self._get_longest_horizon_s(services))
-        ambiguous = {service for service in services if self.is_ambiguous(service)}
+        # Only records tell the version while daemons may lack some.
+        is_all = self._may_lack_versions(now)
+        ambiguous = {service for service in services if is_all or self.is_ambiguous(service)}
         if ambiguous:
             self._own_rows.add(self.records.drain_unwritten(ambiguous.__contains__), now)
 
