Tell the other daemons of each version that cannot be written now

Callers could get events of two software versions in one stream: a stream began at a process of an unknown version while its daemon did not reach the store, and after the daemon was lost another one took it for one of the only version.

For a second after a version could not be announced, further versions were neither written nor sent to the other daemons; nor was one whose row is known here but too old, while the store does not confirm the upstreams.

Each version that its row does not tell is sent to the other daemons, at most once in MAX_UNTOLD_S for all daemons as before, also if it cannot be written now.

Both new tests failed before; they pass, as do all of tests/edge/test_unregistered_versions.py and test_stream_store.py.

--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -212,11 +212,13 @@
         self._begun[pair] = now
         self.history.record(service, software_version, now)
         if not self._is_announce_due(pair, now):
+            self._share_untold(pair, now)
             return
         problem = 'out of time'
         with anyio.move_on_after(MAX_ANNOUNCE_S):
             async with self._announce_lock:
                 if not self._is_announce_due(pair, now):
+                    self._share_untold(pair, now)
                     return
                 try:
                     await self._announce(pair)
@@ -259,6 +261,11 @@
         self._shared[pair] = now
         self.share_version(*pair, is_written=is_written)
 
+    def _share_untold(self, pair: Pair, begun_at: float) -> None:
+        """Tell the other daemons of a version that cannot be written now."""
+        if not self._is_told(pair, begun_at):
+            self._share(pair, is_written=False)
+
     def _is_announce_due(self, pair: Pair, begun_at: float) -> bool:
         if self._is_told(pair, begun_at):
             return False
--- a/tests/edge/test_unregistered_versions.py
+++ b/tests/edge/test_unregistered_versions.py
@@ -341,6 +341,43 @@
     assert await find_at(started, monkeypatch) is None
 
 
+async def test_versions_that_begin_while_the_store_is_away_are_all_sent_to_the_other_daemons(
+    store,
+    horizon,
+):
+    """Guards against a version that nobody learns of as another one could not be written."""
+    daemon = Daemon(store, registered={('llm', 'v1'), ('asr', 'v1')}, is_writer=False)
+    await daemon.follow(2)
+    news = News()
+    daemon.streams.share_version = news.send
+    store.status = 503
+    for service in ('llm', 'asr'):
+        await daemon.streams.announce_version(service, '')
+    assert news.sent == [('llm', '', False), ('asr', '', False)]
+
+
+async def test_unknown_version_is_sent_again_while_the_store_does_not_confirm_the_view(
+    store,
+    horizon,
+    monkeypatch,
+):
+    """Guards against a stream of an unknown version whose row is too old to tell of it."""
+    cut, other = (
+        Daemon(store, name, registered={('llm', 'v1')}, is_writer=False)
+        for name in ('cut-1', 'other-1')
+    )
+    cut.streams.share_version = News([other]).send
+    for daemon in (cut, other):
+        await daemon.follow(2)
+    await cut.streams.announce_version('llm', '')
+    store.clock.now += 2 * HORIZON_S
+    await other.follow(2)
+    assert await find_at(other, monkeypatch) == 'v1'
+    cut.is_confirmed = False
+    await cut.streams.announce_version('llm', '')
+    assert await find_at(other, monkeypatch) is None
+
+
 async def test_unknown_version_is_sent_to_the_other_daemons_by_datagram():
     """Guards against announcements that get lost between the streams and the socket."""
     sender = build_edge(attrs.evolve(SETTINGS, host='127.0.0.1', heartbeat_port=0))
