Count suspensions also during calls to the store

Callers could get events of two software versions in one stream if a daemon was suspended over a restore of the store: it took the versions that it knew for all, and as the writer of the versions told others so, as before.

The loop that follows the versions measured only its own pauses. While the store is away it mostly waits for a call, so that a suspension then went unseen. A suspension during a read was also forgotten when that read ended, although its answer may be older.

The timers of the daemon, which see each suspension, tell it to the versions, and a read ends the doubt only if the daemon was not suspended meanwhile.

The three new tests failed before: two where the timers told nothing (the method had no effect), the one of a suspension during a read without the count. They pass, as do all of tests/edge/test_stream_store.py, test_stream_copies.py and test_unregistered_versions.py.

--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -341,6 +341,7 @@
             daemon.state.members.extend_deadlines(now - last)
             # Heartbeats that were queued in the socket may confirm state that is outdated by now.
             daemon.follower.mark_unconfirmed()
+            daemon.streams.record_suspension(now - last)
         last = now
         daemon.relay.scheduler.expire(now)
         daemon.quarantine.update(now)
--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -112,6 +112,7 @@
     _has_gap: bool = False
     # Whether this daemon was suspended since the last read in a confirmed view.
     _was_suspended: bool = False
+    _suspension_count: int = 0
     # The store's era when the versions here were last read or written; 0 before the first read.
     _era: int = 0
     # Versions that were registered until then, on the lease clock, may be missing: a restore of
@@ -192,9 +193,14 @@
             began_at = self.read_clock()
             await anyio.sleep(VERSION_INTERVAL_S)
             paused_s = self.read_clock() - began_at
-            if paused_s > VERSION_INTERVAL_S + MAX_UNSEEN_S:
-                self._has_gap = True
-                self._was_suspended = True
+            self.record_suspension(paused_s - VERSION_INTERVAL_S)
+
+    def record_suspension(self, paused_s: float) -> None:
+        """Record that this daemon stood still for some seconds, perhaps during a call."""
+        if paused_s > MAX_UNSEEN_S:
+            self._has_gap = True
+            self._was_suspended = True
+            self._suspension_count += 1
 
     def is_history_complete(self) -> bool:
         """Return whether no version is missing that was registered until the last read of them."""
@@ -476,9 +482,11 @@
         is_confirmed = self.is_view_confirmed()
         self._has_gap = self._has_gap or not is_confirmed
         if not self.is_loaded or (self._has_gap and is_confirmed) or self._is_reload_due():
+            suspension_count = self._suspension_count
             await self.read_versions()
-            self._has_gap = not is_confirmed
-            self._was_suspended = self._was_suspended and not is_confirmed
+            if suspension_count == self._suspension_count:
+                self._has_gap = not is_confirmed
+                self._was_suspended = self._was_suspended and not is_confirmed
         elif self.services is not None and self.services.has_unconfirmed:
             await self.read_targets()
         now = self.read_clock()
--- a/tests/edge/test_stream_copies.py
+++ b/tests/edge/test_stream_copies.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import itertools
 
 import anyio
 import attrs
@@ -516,6 +517,26 @@
     anyio.run(test)
 
 
+def test_timers_tell_the_versions_of_a_suspension(monkeypatch):
+    """Guards against a suspension that only the members and the follower learn of."""
+
+    async def test():
+        settings = attrs.evolve(SETTINGS, host='127.0.0.1', heartbeat_port=47394)
+        daemon = daemon_module.build_edge(settings)
+        instants = itertools.chain([0, 10], itertools.repeat(10))
+        recorded = []
+        monkeypatch.setattr(daemon_module, 'read_lease_clock', lambda: next(instants))
+        monkeypatch.setattr(
+            type(daemon.streams), 'record_suspension', lambda _, s: recorded.append(s)
+        )
+        with anyio.move_on_after(0.3):
+            await daemon_module._run_timers(daemon)
+        await daemon.close()
+        assert recorded == [10]
+
+    anyio.run(test)
+
+
 @pytest.mark.parametrize('count', [2, 3, 4, 9, 81, 420])
 def test_holders_are_spread_evenly(count):
     """Guards against a daemon of a large fleet that keeps the records of many others."""
--- a/tests/edge/test_stream_store.py
+++ b/tests/edge/test_stream_store.py
@@ -1059,6 +1059,54 @@
     assert ('llm', 'v3') in daemon.history.list_last_seen()
 
 
+async def test_daemon_suspended_during_a_call_does_not_take_its_versions_for_all(
+    store,
+):
+    """Guards against a suspension that is not seen between two updates of the versions."""
+    store.era = 1
+    daemon = Daemon(store, registered={('llm', 'v1')})
+    await daemon.follow(3)
+
+    def return_to_service():
+        store.clock.on_advance = lambda: None
+        store.status = 200
+
+    def suspend():
+        store.on_write = lambda: None
+        suspend_over_restore(store, daemon)
+        store.status = 503
+        store.clock.on_advance = return_to_service
+        daemon.streams.record_suspension(10)
+
+    store.on_write = suspend
+    await daemon.follow(8)
+    assert store.status == 200
+    assert store.era == 2
+    assert not daemon.streams.is_history_complete()
+
+
+async def test_suspension_during_a_read_of_the_versions_is_not_forgotten_with_it(
+    store, monkeypatch
+):
+    """Guards against an answer from before a suspension that ends the doubt."""
+    store.era = 1
+    daemon = Daemon(store, registered={('llm', 'v1')}, is_writer=False)
+    await daemon.follow(3)
+    read_versions = StreamStore.read_versions
+
+    async def suspend(streams):
+        monkeypatch.setattr(StreamStore, 'read_versions', read_versions)
+        await read_versions(streams)
+        suspend_over_restore(store, daemon)
+        daemon.streams.record_suspension(10)
+
+    monkeypatch.setattr(StreamStore, 'read_versions', suspend)
+    daemon.streams.record_suspension(3)
+    await daemon.follow(3)
+    assert store.era == 2
+    assert not daemon.streams.is_history_complete()
+
+
 async def test_suspended_daemon_takes_its_versions_for_all_if_the_store_was_not_restored(store):
     """Guards against take-ups that are refused after each freeze of a VM."""
     store.era = 2
