Refuse calls of a plain route below a resumable one only for a while

A call with the id of an event got 503 stream_route_changed for good if its route serves no streams and its path is below the prefix of a resumable route, as the path could have belonged to that one.

It can only if the plain route was added lately. Since when each route of another kind is known is kept, and after the longest horizon its calls are served. A daemon that starts takes the routes of its first manifest for new ones. A daemon that misses a manifest in which the plain route was absent does not notice that; such a call brings no events of a stream, but an answer of the plain route.

Both new tests of tests/streams/test_services.py failed before; they pass, as do all of tests/streams, tests/edge/test_targets.py and tests/relay/test_take_ups.py. No test was changed.

--- a/camphorpath/streams/services.py
+++ b/camphorpath/streams/services.py
@@ -34,6 +34,9 @@
     _targets: dict[tuple[str, str], frozenset[str]] = attrs.field(factory=dict)
     # The routes of streams that are not resumable, by host and prefix.
     _unresumable: dict[tuple[str, str], Route] = attrs.field(factory=dict)
+    # Since when routes of other kinds are known here without a break, on the lease clock, by host
+    # and prefix.
+    _plain_since: dict[tuple[str, str], float] = attrs.field(factory=dict)
     # Services of routes that lead to several ones.
     _shared: frozenset[str] = frozenset()
     # When a route ceased to lead to a service, on the lease clock, by host, prefix and service.
@@ -57,7 +60,7 @@
     def apply_routes(self, routes: Iterable[Route], now: float) -> None:
         """Replace the routes by those of a newer manifest."""
         former, former_unresumable = self._targets, self._unresumable
-        self._replace_routes(routes)
+        self._replace_routes(routes, now)
         self._date_routes(former.keys(), now)
         split = (services for services in self._targets.values() if len(services) > 1)
         self._shared = frozenset().union(*split)
@@ -72,11 +75,15 @@
             self._learn_timeouts(route)
             self._drop(place, dict(route.targets), now)
 
-    def _replace_routes(self, routes: Iterable[Route]) -> None:
+    def _replace_routes(self, routes: Iterable[Route], now: float) -> None:
+        plain_since = self._plain_since
+        self._plain_since = {}
         self._targets = {}
         self._unresumable = {}
         for route in routes:
+            place = route.host, route.prefix
             if route.kind is not CallKind.STREAM:
+                self._plain_since[place] = plain_since.get(place, now)
                 continue
             if not route.is_resumable:
                 self._unresumable[route.host, route.prefix] = route
@@ -174,9 +181,16 @@
         )
 
     def has_streams(self, path: StreamPath, now: float) -> bool:
-        """Return whether streams of a path may have begun on any resumable route."""
+        """Return whether recent streams of a path may have begun on any resumable route.
+
+        `path` belongs to a route of another kind, at least now.
+        """
         places = {(host, prefix) for host, prefix, _service in self._iterate_dropped(now)}
-        return any(_is_below(path, *place) for place in places.union(self._targets))
+        plain_since = self._plain_since.get((path.host, path.prefix), now)
+        if self._is_recent(plain_since, now):
+            # The path may have belonged to the route of a shorter prefix.
+            places |= self._targets.keys()
+        return any(_is_below(path, *place) for place in places)
 
     def is_shared(self, service: str, now: float) -> bool:
         """Return whether a stream of a service may be taken for one of another service."""
--- a/tests/streams/test_services.py
+++ b/tests/streams/test_services.py
@@ -102,6 +102,34 @@
     assert not services.has_streams(StreamPath('other', '/s/x/1', '/s/x/'), 6)
 
 
+def test_calls_of_a_plain_route_below_a_resumable_one_are_not_refused_for_good():
+    """Guards against calls with an event id that count as take-ups of long ended streams."""
+    services = ResumableServices()
+    stream, plain = make_stream_route('/s/', 'llm'), make_route('/s/x/')
+    path = StreamPath('h', '/s/x/1', '/s/x/')
+    services.apply_routes([stream], 0)
+    services.apply_routes([stream, plain], 5)
+    services.apply_routes([stream, plain], 9)
+    added_for = services.get_horizon_s('llm')
+    assert services.has_streams(path, 5 + added_for)
+    assert not services.has_streams(path, 6 + added_for)
+    services.apply_routes([stream], 100)
+    services.apply_routes([stream, plain], 200)
+    assert services.has_streams(path, 200 + added_for)
+    assert not services.has_streams(path, 201 + added_for)
+
+
+def test_plain_route_that_was_a_resumable_one_may_have_streams_for_their_horizon():
+    """Guards against a take-up that counts as a call after its route changed its kind."""
+    services = ResumableServices()
+    path = StreamPath('h', '/s/x/1', '/s/x/')
+    services.apply_routes([make_route('/s/x/'), make_stream_route('/s/', 'llm')], 0)
+    services.apply_routes([make_stream_route('/s/x/', 'llm')], 100)
+    services.apply_routes([make_route('/s/x/'), make_stream_route('/s/', 'llm')], 200)
+    assert services.has_streams(path, 200 + services.get_horizon_s('llm'))
+    assert not services.has_streams(path, 201 + services.get_horizon_s('llm'))
+
+
 def test_any_service_may_have_begun_a_stream_of_a_route_that_was_added_lately():
     """Guards against a stream that began at a shorter prefix and goes on at the longer one."""
     services = ResumableServices()
