Count late news of a written version as no row of it

Callers could get events of two software versions in one stream: a daemon that had been suspended did not write the version at which a stream began, and after it was lost another daemon took the stream for one of the only version.

News that a version is written waits in the socket of a suspended daemon. It counted as a row of the instant at which it was read, though the row was older by the suspension and perhaps by more than a horizon.

Such news counts as a row only while the store confirms the upstreams known here, which it does not after a suspension. The version still counts as begun.

test_late_news_of_a_written_version_does_not_count_as_its_row failed before; it passes, as do all of tests/edge/test_unregistered_versions.py and test_stream_store.py.

--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -255,7 +255,8 @@
         now = self.read_clock()
         self.history.record(service, software_version, now)
         self._shared[pair] = now
-        if is_written:
+        # The news may have waited in the socket while this daemon was suspended.
+        if is_written and self.is_view_confirmed():
             self._learn_row(pair, now)
 
     def _share(self, pair: Pair, *, is_written: bool) -> None:
--- a/tests/edge/test_unregistered_versions.py
+++ b/tests/edge/test_unregistered_versions.py
@@ -378,6 +378,29 @@
     assert await find_at(other, monkeypatch) is None
 
 
+async def test_late_news_of_a_written_version_does_not_count_as_its_row(
+    store,
+    horizon,
+    monkeypatch,
+):
+    """Guards against news that waited in the socket of a suspended daemon, as its row is older."""
+    frozen, other = (
+        Daemon(store, name, registered={('llm', 'v1')}, is_writer=False)
+        for name in ('frozen-1', 'other-1')
+    )
+    for daemon in (frozen, other):
+        await daemon.follow(2)
+    await other.streams.announce_version('llm', '')
+    store.clock.now += 2 * HORIZON_S
+    frozen.is_confirmed = False
+    frozen.streams.learn_begun('llm', '', is_written=True)
+    frozen.is_confirmed = True
+    await frozen.streams.announce_version('llm', '')
+    started = Daemon(store, 'started-1', registered={('llm', 'v1')}, is_writer=False)
+    await started.follow(1)
+    assert await find_at(started, monkeypatch) is None
+
+
 async def test_unknown_version_is_sent_to_the_other_daemons_by_datagram():
     """Guards against announcements that get lost between the streams and the socket."""
     sender = build_edge(attrs.evolve(SETTINGS, host='127.0.0.1', heartbeat_port=0))
