Add a failing test of a removed route whose streams may not be resumed

A caller that takes up a stream of such a route gets its rest from another service if the route was removed while all daemons were down and its paths belong to a resumable route of a shorter prefix now. The rows of targets, from which a started daemon learns of former routes, hold resumable routes only.

--- a/tests/edge/test_targets.py
+++ b/tests/edge/test_targets.py
@@ -321,3 +321,19 @@
             await daemon.follow(3)
             await daemon.streams.read_targets()
     assert len(store.writes) == count
+
+
+async def test_started_daemon_knows_that_a_route_without_resumption_was_removed(store):
+    """Guards against a stream of a removed route that goes on at the one of a shorter prefix."""
+    routes = [
+        make_stream_route('/s/', 'llm'),
+        make_stream_route('/s/x/', 'other', is_resumable=False),
+    ]
+    writer = start_daemon(store)
+    writer.services.apply_routes(routes, store.clock.now)
+    await writer.follow(60)
+    # All daemons were killed, and the manifest was changed before they started again.
+    started = start_daemon(store)
+    started.services.apply_routes(routes[:1], store.clock.now)
+    await started.follow(1)
+    assert list_candidates(started, '/s/') != {'llm'}
