Log the failure of an announcement once for the streams that wait for it

While the store was silent, each stream that waited for its version to be announced wrote a line stream_store_failed, 49 of 50 streams that began together.

They run out of time at the same instant, before any of them has set the time of the next try. Only a failure that is not known yet is logged, at most once in RETRY_DELAY_S.

test_streams_that_wait_for_the_same_failing_announcement_are_logged_once failed before with 49 lines; it passes, as do all of tests/edge/test_unregistered_versions.py and test_stream_store.py.

--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -233,9 +233,12 @@
                 else:
                     return
         # It is repeated with the next update of the versions, for which no stream waits.
-        self._next_announce_at = self.read_clock() + RETRY_DELAY_S
+        failed_at = self.read_clock()
+        is_known_to_fail = failed_at < self._next_announce_at
+        self._next_announce_at = failed_at + RETRY_DELAY_S
         self._share(pair, is_written=False)
-        self.events.emit(Event.STREAM_STORE_FAILED, task='announce', problem=problem)
+        if not is_known_to_fail:
+            self.events.emit(Event.STREAM_STORE_FAILED, task='announce', problem=problem)
 
     async def _announce(self, pair: Pair) -> None:
         """Write the row of a version; raise TableUnavailable or TableOutcomeUnknown."""
--- a/tests/edge/test_unregistered_versions.py
+++ b/tests/edge/test_unregistered_versions.py
@@ -3,6 +3,7 @@
 
 import itertools
 
+import anyio
 import attrs
 import pytest
 
@@ -378,6 +379,17 @@
     assert await find_at(other, monkeypatch) is None
 
 
+async def test_streams_that_wait_for_the_same_failing_announcement_are_logged_once(store, horizon):
+    """Guards against a log line of each stream while the store is silent."""
+    daemon = Daemon(store, registered={('llm', 'v1')}, is_writer=False)
+    await daemon.follow(2)
+    store.is_hanging = True
+    async with anyio.create_task_group() as group:
+        for _ in range(50):
+            group.start_soon(daemon.streams.announce_version, 'llm', '')
+    assert len(daemon.list_events(Event.STREAM_STORE_FAILED)) == 1
+
+
 async def test_late_news_of_a_written_version_does_not_count_as_its_row(
     store,
     horizon,
