--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -112,6 +112,7 @@
     _has_gap: bool = False
     # Whether this daemon was suspended since the last read in a confirmed view.
     _was_suspended: bool = False
+    _suspension_count: int = 0
     # The store's era when the versions here were last read or written; 0 before the first read.
     _era: int = 0
     # Versions that were registered until then, on the lease clock, may be missing: a restore of
@@ -192,9 +193,14 @@
             began_at = self.read_clock()
             await anyio.sleep(VERSION_INTERVAL_S)
             paused_s = self.read_clock() - began_at
-            if paused_s > VERSION_INTERVAL_S + MAX_UNSEEN_S:
-                self._has_gap = True
-                self._was_suspended = True
+            self.record_suspension(paused_s - VERSION_INTERVAL_S)
+
+    def record_suspension(self, paused_s: float) -> None:
+        """Record that this daemon stood still for some seconds, perhaps during a call."""
+        if paused_s > MAX_UNSEEN_S:
+            self._has_gap = True
+            self._was_suspended = True
+            self._suspension_count += 1
 
     def is_history_complete(self) -> bool:
         """Return whether no version is missing that was registered until the last read of them."""
@@ -211,15 +217,14 @@
         now = self.read_clock()
         self._begun[pair] = now
         self.history.record(service, software_version, now)
-        if self._is_told(pair, now):
-            return
-        if not self._may_announce(pair):
-            self._share(pair, is_written=False)
+        if not self._is_announce_due(pair, now):
+            self._share_untold(pair, now)
             return
         problem = 'out of time'
         with anyio.move_on_after(MAX_ANNOUNCE_S):
             async with self._announce_lock:
-                if self._is_told(pair, now) or not self._may_announce(pair):
+                if not self._is_announce_due(pair, now):
+                    self._share_untold(pair, now)
                     return
                 try:
                     await self._announce(pair)
@@ -228,9 +233,12 @@
                 else:
                     return
         # It is repeated with the next update of the versions, for which no stream waits.
-        self._next_announce_at = self.read_clock() + RETRY_DELAY_S
+        failed_at = self.read_clock()
+        is_known_to_fail = failed_at < self._next_announce_at
+        self._next_announce_at = failed_at + RETRY_DELAY_S
         self._share(pair, is_written=False)
-        self.events.emit(Event.STREAM_STORE_FAILED, task='announce', problem=problem)
+        if not is_known_to_fail:
+            self.events.emit(Event.STREAM_STORE_FAILED, task='announce', problem=problem)
 
     async def _announce(self, pair: Pair) -> None:
         """Write the row of a version; raise TableUnavailable or TableOutcomeUnknown."""
@@ -250,7 +258,8 @@
         now = self.read_clock()
         self.history.record(service, software_version, now)
         self._shared[pair] = now
-        if is_written:
+        # The news may have waited in the socket while this daemon was suspended.
+        if is_written and self.is_view_confirmed():
             self._learn_row(pair, now)
 
     def _share(self, pair: Pair, *, is_written: bool) -> None:
@@ -262,8 +271,14 @@
         self._shared[pair] = now
         self.share_version(*pair, is_written=is_written)
 
-    def _may_announce(self, pair: Pair) -> bool:
-        """Return whether to write a row at once; else the next update of the versions does it."""
+    def _share_untold(self, pair: Pair, begun_at: float) -> None:
+        """Tell the other daemons of a version that cannot be written now."""
+        if not self._is_told(pair, begun_at):
+            self._share(pair, is_written=False)
+
+    def _is_announce_due(self, pair: Pair, begun_at: float) -> bool:
+        if self._is_told(pair, begun_at):
+            return False
         if self.read_clock() < self._next_announce_at:
             return False
         # After a gap, its row has to be read first.
@@ -473,9 +488,11 @@
         is_confirmed = self.is_view_confirmed()
         self._has_gap = self._has_gap or not is_confirmed
         if not self.is_loaded or (self._has_gap and is_confirmed) or self._is_reload_due():
+            suspension_count = self._suspension_count
             await self.read_versions()
-            self._has_gap = not is_confirmed
-            self._was_suspended = self._was_suspended and not is_confirmed
+            if suspension_count == self._suspension_count:
+                self._has_gap = not is_confirmed
+                self._was_suspended = self._was_suspended and not is_confirmed
         elif self.services is not None and self.services.has_unconfirmed:
             await self.read_targets()
         now = self.read_clock()
--- a/camphorpath/streams/services.py
+++ b/camphorpath/streams/services.py
@@ -38,6 +38,8 @@
     _targets: dict[Place, frozenset[str]] = attrs.field(factory=dict)
     # The routes of streams that are not resumable, by host and prefix.
     _unresumable: dict[Place, Route] = attrs.field(factory=dict)
+    # Since when routes of other kinds are known here without a break, on the lease clock.
+    _plain_since: dict[Place, float] = attrs.field(factory=dict)
     # Services of routes that lead to several ones.
     _shared: frozenset[str] = frozenset()
     # When a route ceased to lead to a service, on the lease clock, by host, prefix and service.
@@ -62,7 +64,7 @@
         """Replace the routes by those of a newer manifest."""
         former = self._targets
         former_unresumable = self._unresumable
-        self._take_routes(routes)
+        self._take_routes(routes, now)
         self._update_since(self._targets.keys() - former.keys(), now)
         for place, services in former.items():
             self._drop(place, services - self._targets.get(place, frozenset()), now)
@@ -153,9 +155,16 @@
         )
 
     def has_streams(self, path: StreamPath, now: float) -> bool:
-        """Return whether streams of a path may have begun on any resumable route."""
+        """Return whether recent streams of a path may have begun on any resumable route.
+
+        `path` belongs to a route of another kind, at least now.
+        """
         places = {(host, prefix) for host, prefix, _service in self._iterate_dropped(now)}
-        return any(_is_below(path, *place) for place in places.union(self._targets))
+        plain_since = self._plain_since.get((path.host, path.prefix), now)
+        if self._is_recent(plain_since, now):
+            # The path may have belonged to the route of a shorter prefix.
+            places |= self._targets.keys()
+        return any(_is_below(path, *place) for place in places)
 
     def is_shared(self, service: str, now: float) -> bool:
         """Return whether a stream of a service may be taken for one of another service."""
@@ -182,13 +191,16 @@
         # The other daemon may have seen a manifest that this one has missed.
         self._since[place] = since if known is None else max(known, since)
 
-    def _take_routes(self, routes: Iterable[Route]) -> None:
+    def _take_routes(self, routes: Iterable[Route], now: float) -> None:
+        plain_since = self._plain_since
+        self._plain_since = {}
         self._targets = {}
         self._unresumable = {}
         for route in routes:
+            place = route.host, route.prefix
             if route.kind is not CallKind.STREAM:
+                self._plain_since[place] = plain_since.get(place, now)
                 continue
-            place = route.host, route.prefix
             if not route.is_resumable:
                 self._unresumable[place] = route
                 continue
--- a/tests/edge/test_unregistered_versions.py
+++ b/tests/edge/test_unregistered_versions.py
@@ -3,6 +3,7 @@
 
 import itertools
 
+import anyio
 import attrs
 import pytest
 
@@ -356,6 +357,77 @@
     assert news.sent == [('llm', '', False)]
 
 
+async def test_versions_that_begin_while_the_store_is_away_are_all_sent_to_the_other_daemons(
+    store,
+    horizon,
+):
+    """Guards against a version that nobody learns of as another one could not be written."""
+    daemon = Daemon(store, registered={('llm', 'v1'), ('asr', 'v1')}, is_writer=False)
+    await daemon.follow(2)
+    news = News()
+    daemon.streams.share_version = news.send
+    store.status = 503
+    for service in ('llm', 'asr'):
+        await daemon.streams.announce_version(service, '')
+    assert news.sent == [('llm', '', False), ('asr', '', False)]
+
+
+async def test_unknown_version_is_sent_again_while_the_store_does_not_confirm_the_view(
+    store,
+    horizon,
+    monkeypatch,
+):
+    """Guards against a stream of an unknown version whose row is too old to tell of it."""
+    cut, other = (
+        Daemon(store, name, registered={('llm', 'v1')}, is_writer=False)
+        for name in ('cut-1', 'other-1')
+    )
+    cut.streams.share_version = News([other]).send
+    for daemon in (cut, other):
+        await daemon.follow(2)
+    await cut.streams.announce_version('llm', '')
+    store.clock.now += 2 * HORIZON_S
+    await other.follow(2)
+    assert await find_at(other, monkeypatch) == 'v1'
+    cut.is_confirmed = False
+    await cut.streams.announce_version('llm', '')
+    assert await find_at(other, monkeypatch) is None
+
+
+async def test_streams_that_wait_for_the_same_failing_announcement_are_logged_once(store, horizon):
+    """Guards against a log line of each stream while the store is silent."""
+    daemon = Daemon(store, registered={('llm', 'v1')}, is_writer=False)
+    await daemon.follow(2)
+    store.is_hanging = True
+    async with anyio.create_task_group() as group:
+        for _ in range(50):
+            group.start_soon(daemon.streams.announce_version, 'llm', '')
+    assert len(daemon.list_events(Event.STREAM_STORE_FAILED)) == 1
+
+
+async def test_late_news_of_a_written_version_does_not_count_as_its_row(
+    store,
+    horizon,
+    monkeypatch,
+):
+    """Guards against news that waited in the socket of a suspended daemon, as its row is older."""
+    frozen, other = (
+        Daemon(store, name, registered={('llm', 'v1')}, is_writer=False)
+        for name in ('frozen-1', 'other-1')
+    )
+    for daemon in (frozen, other):
+        await daemon.follow(2)
+    await other.streams.announce_version('llm', '')
+    store.clock.now += 2 * HORIZON_S
+    frozen.is_confirmed = False
+    frozen.streams.learn_begun('llm', '', is_written=True)
+    frozen.is_confirmed = True
+    await frozen.streams.announce_version('llm', '')
+    started = Daemon(store, 'started-1', registered={('llm', 'v1')}, is_writer=False)
+    await started.follow(1)
+    assert await find_at(started, monkeypatch) is None
+
+
 async def test_unknown_version_is_sent_to_the_other_daemons_by_datagram():
     """Guards against announcements that get lost between the streams and the socket."""
     sender = build_edge(attrs.evolve(SETTINGS, host='127.0.0.1', heartbeat_port=0))
