Name the rows of versions by what they cover

No change of behaviour: the functions spoke of versions that rows tell or do not. tests/edge/test_unregistered_versions.py and test_stream_store.py pass.

--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -57,8 +57,9 @@
 VERSION_RETENTION_S = 600.0
 # The row of a version may have been removed when it was last read or written longer ago than this.
 MAX_KNOWN_ROW_AGE_S = VERSION_RETENTION_S / 2
-# A stream may begin at a version so much later than its row tells. The horizon has a margin for it.
-MAX_UNTOLD_S = HORIZON_MARGIN_S / 2
+# A stream may begin this much after the time that the row of its version covers, within the margin
+# of the horizon.
+MAX_UNCOVERED_S = HORIZON_MARGIN_S / 2
 # The writer removes the row of a version before the other daemons forget it.
 FORGET_DELAY_S = 60.0
 # Bounds the memory.
@@ -218,13 +219,13 @@
         self._begun[pair] = now
         self.history.record(service, software_version, now)
         if not self._is_announce_due(pair, now):
-            self._share_untold(pair, now)
+            self._share_uncovered(pair, now)
             return
         problem = 'out of time'
         with anyio.move_on_after(MAX_ANNOUNCE_S):
             async with self._announce_lock:
                 if not self._is_announce_due(pair, now):
-                    self._share_untold(pair, now)
+                    self._share_uncovered(pair, now)
                     return
                 try:
                     await self._announce(pair)
@@ -265,42 +266,44 @@
     def _share(self, pair: Pair, *, is_written: bool) -> None:
         """Tell the other daemons of a version that they may not learn from the upstreams."""
         now = self.read_clock()
-        is_known = now - self._shared.get(pair, -math.inf) <= MAX_UNTOLD_S
+        is_known = now - self._shared.get(pair, -math.inf) <= MAX_UNCOVERED_S
         if pair in set(self.list_registered()) or (is_known and not is_written):
             return
         self._shared[pair] = now
         self.share_version(*pair, is_written=is_written)
 
-    def _share_untold(self, pair: Pair, begun_at: float) -> None:
+    def _share_uncovered(self, pair: Pair, begun_at: float) -> None:
         """Tell the other daemons of a version that cannot be written now."""
-        if not self._is_told(pair, begun_at):
+        if not self._is_covered(pair, begun_at):
             self._share(pair, is_written=False)
 
     def _is_announce_due(self, pair: Pair, begun_at: float) -> bool:
-        if self._is_told(pair, begun_at):
+        if self._is_covered(pair, begun_at):
             return False
         if self.read_clock() < self._next_announce_at:
             return False
         # After a gap, its row has to be read first.
         return pair not in self._version_rows or self.is_view_confirmed()
 
-    def _is_told(self, pair: Pair, begun_at: float) -> bool:
+    def _is_covered(self, pair: Pair, begun_at: float) -> bool:
         """Return whether readers count a version while a stream of it may be taken up."""
-        told_until = self._version_rows.get(pair, -math.inf)
+        covered_until = self._version_rows.get(pair, -math.inf)
         followed_at = self._followed.get(pair, -math.inf)
-        return begun_at - max(told_until, followed_at) <= MAX_UNTOLD_S
+        return begun_at - max(covered_until, followed_at) <= MAX_UNCOVERED_S
 
-    def _list_untold(self, now: float) -> list[Pair]:
-        """Return the versions of streams that began here and that their rows do not tell."""
+    def _list_uncovered(self, now: float) -> list[Pair]:
+        """Return the versions of streams that began here, where their rows do not cover it."""
         for pair, begun_at in list(self._begun.items()):
             if now - begun_at > self.get_horizon_s(pair[0]):
                 self._begun.pop(pair)
-        return [pair for pair, begun_at in self._begun.items() if not self._is_told(pair, begun_at)]
+        return [
+            pair for pair, begun_at in self._begun.items() if not self._is_covered(pair, begun_at)
+        ]
 
     def _learn_row(self, pair: Pair, seen_at: float) -> None:
         """Record what the row of a version says; readers add the same lag."""
-        told_until = seen_at + MAX_SEEN_LAG_S
-        self._version_rows[pair] = max(told_until, self._version_rows.get(pair, told_until))
+        covered_until = seen_at + MAX_SEEN_LAG_S
+        self._version_rows[pair] = max(covered_until, self._version_rows.get(pair, covered_until))
 
     def record_registered(self) -> None:
         """Record the versions of the upstreams that are known here as registered now."""
@@ -309,7 +312,7 @@
         for pair in self.list_registered():
             self.history.record(*pair, now)
             row_age_s = now - self._version_rows.get(pair, -math.inf)
-            if is_confirmed and row_age_s < MAX_KNOWN_ROW_AGE_S and self._is_told(pair, now):
+            if is_confirmed and row_age_s < MAX_KNOWN_ROW_AGE_S and self._is_covered(pair, now):
                 self._followed[pair] = now
 
     async def read_targets(self) -> None:
@@ -474,9 +477,9 @@
         if not (services and self.records.has_unwritten):
             return
         self.records.expire(now - self._get_longest_horizon_s(services))
-        # Only records tell the version while daemons may lack some.
-        is_all = self._may_lack_versions(now)
-        ambiguous = {service for service in services if is_all or self.is_ambiguous(service)}
+        # While daemons may lack some versions, only records tell that of a stream.
+        may_lack = self._may_lack_versions(now)
+        ambiguous = {service for service in services if may_lack or self.is_ambiguous(service)}
         if ambiguous:
             self._own_rows.add(self.records.drain_unwritten(ambiguous.__contains__), now)
 
@@ -496,7 +499,7 @@
         elif self.services is not None and self.services.has_unconfirmed:
             await self.read_targets()
         now = self.read_clock()
-        await self._announce_untold(now, is_confirmed=is_confirmed)
+        await self._announce_uncovered(now, is_confirmed=is_confirmed)
         await self._update_targets(now)
         if self.is_version_writer():
             if self._list_late(registered, now):
@@ -511,9 +514,9 @@
         self._forget_versions(now - self._get_retention_s() - FORGET_DELAY_S)
         self._failing.discard('versions')
 
-    async def _announce_untold(self, now: float, *, is_confirmed: bool) -> None:
-        """Write the versions of streams that began here and that their rows do not tell."""
-        for pair in self._list_untold(now):
+    async def _announce_uncovered(self, now: float, *, is_confirmed: bool) -> None:
+        """Write the versions of streams that began here, where their rows do not cover it."""
+        for pair in self._list_uncovered(now):
             # After a gap, its row has to be read first.
             if is_confirmed or pair not in self._version_rows:
                 await self._announce(pair)
--- a/tests/edge/test_unregistered_versions.py
+++ b/tests/edge/test_unregistered_versions.py
@@ -11,7 +11,7 @@
 from camphorpath.edge.streams import (
     MAX_KNOWN_ROW_AGE_S,
     MAX_SEEN_LAG_S,
-    MAX_UNTOLD_S,
+    MAX_UNCOVERED_S,
     VERSION_INTERVAL_S,
 )
 from camphorpath.edge.version_news import VersionNews
@@ -125,7 +125,7 @@
     daemon.registered = set()
     await daemon.streams.announce_version('llm', 'v1')
     assert len(store.writes) == 1
-    await daemon.follow(2 * MAX_UNTOLD_S)
+    await daemon.follow(2 * MAX_UNCOVERED_S)
     await daemon.streams.announce_version('llm', 'v1')
     assert len(store.writes) == 2
 
@@ -303,8 +303,8 @@
         store.clock.now += 1
     writes = [at for at, _body in store.writes]
     gaps = [after - before for before, after in itertools.pairwise(writes)]
-    assert min(gaps) > MAX_UNTOLD_S
-    assert max(gaps) <= MAX_UNTOLD_S + MAX_SEEN_LAG_S + 1
+    assert min(gaps) > MAX_UNCOVERED_S
+    assert max(gaps) <= MAX_UNCOVERED_S + MAX_SEEN_LAG_S + 1
 
 
 async def test_registered_versions_are_not_sent_to_the_other_daemons(store, horizon):
