--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -4,7 +4,6 @@
 decisions are delivered through `WaitingCall.on_decision`.
 """
 
-import collections
 import math
 import statistics
 from collections.abc import Collection, Iterable, Mapping
@@ -13,6 +12,7 @@
 
 from ..routing import Upstream
 from .costs import estimate_cost
+from .lending import PeerDemand, choose_borrower, count_lendable, lend_requests
 from .ownership import Assignment
 from .queue import CallQueue, make_refusal
 from .rate_limits import RateLimit
@@ -77,10 +77,7 @@
     _services: dict[str, _ServiceState] = attrs.field(factory=dict)
     # Upstreams in the last report of each other daemon, by incarnation of the daemon.
     _reported_upstreams: dict[str, frozenset[str]] = attrs.field(factory=dict)
-    # Names of other daemons and their waiting calls by service, by incarnation of the daemon.
-    _waiting_elsewhere: dict[str, tuple[str, dict[str, int]]] = attrs.field(factory=dict)
-    # The same for calls that were refused in the last seconds at services with rate limits.
-    _refused_elsewhere: dict[str, tuple[str, dict[str, int]]] = attrs.field(factory=dict)
+    _demand_elsewhere: PeerDemand = attrs.field(factory=PeerDemand)
     # Names of the daemons to which callers are directed.
     _actives: list[str] = attrs.field(factory=list)
     # Load reports made so far; rotates the borrowers.
@@ -130,8 +127,7 @@
         the rate limit began or ended with the report.
         """
         changed = []
-        self._waiting_elsewhere[incarnation] = name, dict(waiting)
-        self._refused_elsewhere[incarnation] = name, dict(refused or {})
+        self._demand_elsewhere.apply(name, incarnation, waiting, refused or {})
         for upstream_id in self._reported_upstreams.get(incarnation, frozenset()) - loads.keys():
             known_slots = self.slots.get(upstream_id)
             if known_slots is not None:
@@ -163,8 +159,7 @@
     def remove_daemon(self, incarnation: str) -> None:
         """Drop the reported loads of a daemon that has stopped or was lost."""
         self._reported_upstreams.pop(incarnation, None)
-        self._waiting_elsewhere.pop(incarnation, None)
-        self._refused_elsewhere.pop(incarnation, None)
+        self._demand_elsewhere.remove(incarnation)
         for slots in self.slots.values():
             slots.peer_in_flight.pop(incarnation, None)
 
@@ -178,23 +173,42 @@
         self._report_count += 1
         loads = {}
         for number, (upstream_id, slots) in enumerate(self.slots.items()):
-            statement = slots.rate_limit.statement
             turn = number + self._report_count
             if not slots.is_owner:
                 if slots.running or slots.rate_limit.should_report(now):
+                    statement = slots.rate_limit.statement
                     loads[upstream_id] = Load(len(slots.running), rate_statement=statement)
                 continue
-            lent, borrower = 0, ''
-            lent_requests: dict[str, int] = {}
-            if slots.rate_limit.is_limited:
-                lent_requests = self._lend_requests(slots, turn, now)
-            else:
-                lent, borrower = self._lend_slots(slots, turn, borrower_count, now)
-            loads[upstream_id] = Load(
-                len(slots.running), lent, borrower, slots.speed.factor, statement, lent_requests
-            )
+            loads[upstream_id] = self._report_owned(slots, turn, borrower_count, now)
         return loads
 
+    def _report_owned(self, slots: Slots, turn: int, borrower_count: int, now: float) -> Load:
+        service = slots.upstream.service
+        state = self._services.setdefault(service, _ServiceState())
+        lent, borrower = 0, ''
+        lent_requests: dict[str, int] = {}
+        if slots.rate_limit.is_limited:
+            lent_requests = lend_requests(
+                slots,
+                self._demand_elsewhere.count(service),
+                len(state.queue.calls) + state.count_refused(now),
+                (name for name in self._actives if name != self.name),
+                turn,
+                now,
+            )
+        else:
+            lendable = count_lendable(slots, state.queue.calls, now)
+            waiting_daemons = self._demand_elsewhere.list_waiting(service) if lendable else []
+            lent, borrower = choose_borrower(lendable, waiting_daemons, turn, borrower_count)
+        return Load(
+            len(slots.running),
+            lent,
+            borrower,
+            slots.speed.factor,
+            slots.rate_limit.statement,
+            lent_requests,
+        )
+
     def count_waiting(self) -> dict[str, int]:
         """Return the number of waiting calls by service; services without any are left out."""
         return {
@@ -340,65 +354,6 @@
             reason = NO_UPSTREAM if is_version_gone else 'waited_too_long'
             call.on_decision(make_refusal(reason, wait_s, call, now, waiting))
 
-    def _count_lendable(self, slots: Slots, now: float) -> int:
-        """Return how many free slots of an upstream can be lent; 0 while calls wait for it here."""
-        service = self._services.get(slots.upstream.service)
-        waiting = () if service is None else service.queue.calls
-        if any(call.may_run_at(slots.upstream) for call in waiting):
-            return 0
-        if not slots.may_lend(now):
-            return 0
-        return max(slots.count_free(now) - 1, 0)
-
-    def _lend_slots(
-        self, slots: Slots, turn: int, borrower_count: int, now: float
-    ) -> tuple[int, str]:
-        """Return how many slots of an upstream are lent, and to which daemon; '' for all."""
-        lent = self._count_lendable(slots, now)
-        names = self._list_waiting_daemons(slots.upstream.service) if lent else []
-        if names:
-            return lent, names[turn % len(names)]
-        if borrower_count > 1:
-            # Several daemons may borrow at the same moment.
-            return (lent + 1) // 2, ''
-        return lent, ''
-
-    def _lend_requests(self, slots: Slots, turn: int, now: float) -> dict[str, int]:
-        """Return the requests of a rate-limited upstream that are lent, by name of the daemon.
-
-        Daemons with calls that wait or were refused lately get a share by the number of these
-        calls. Without any, the other active daemons get what this one leaves.
-        """
-        service = slots.upstream.service
-        demand: dict[str, float] = dict(self._count_demand_elsewhere(service))
-        state = self._services.get(service)
-        own_demand = len(state.queue.calls) + state.count_refused(now) if state else 0
-        total = sum(demand.values())
-        slots.rate_limit.lent_share = total / (total + own_demand + 1)
-        if not slots.may_lend(now):
-            return {}
-        if not demand:
-            demand = dict.fromkeys((name for name in self._actives if name != self.name), math.inf)
-        names = sorted(demand)
-        first = turn % max(len(names), 1)
-        ordered = {name: demand[name] for name in names[first:] + names[:first]}
-        return slots.rate_limit.lend(ordered, slots.count_free_slots(now), now)
-
-    def _count_demand_elsewhere(self, service: str) -> collections.Counter[str]:
-        """Return the calls that wait or were refused lately, by name of the other daemon."""
-        demand: collections.Counter[str] = collections.Counter()
-        for reports in (self._waiting_elsewhere, self._refused_elsewhere):
-            for name, counts in reports.values():
-                if counts.get(service):
-                    demand[name] += counts[service]
-        return demand
-
-    def _list_waiting_daemons(self, service: str) -> list[str]:
-        """Return the names of other daemons at which calls of a service wait."""
-        return sorted(
-            name for name, waiting in self._waiting_elsewhere.values() if waiting.get(service)
-        )
-
     def _record_ended_calls(self, slots: Slots | None) -> None:
         """Record that the calls of an upstream's earlier incarnation ended with it."""
         if slots is None:
