Reject answers whose status is none of HTTP

An answer with a status from 600 to 999 was relayed to its caller; h11 rejects those below 100 only. They are now a malformed answer, so that the call is sent again if it may be, and gets 502 else.

--- a/camphorpath/relay/upstream.py
+++ b/camphorpath/relay/upstream.py
@@ -36,6 +36,8 @@
 MAX_SKIPPED_BODY_BYTES = 1024 * 1024
 # No Content, Not Modified.
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
+# Higher numbers are no status of HTTP; h11 rejects the lower ones.
+MAX_STATUS = 599
 # Longer numbers count as not stated.
 KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=([0-9]{1,6})(?![0-9])')
 
@@ -327,6 +329,8 @@
             continue
         if not isinstance(event, h11.Response):
             raise h11.RemoteProtocolError('connection closed without an answer')
+        if event.status_code > MAX_STATUS:
+            raise h11.RemoteProtocolError(f'{event.status_code} is not a status')
         found = find_header(event.headers, name) or _infer_attempt(conn, attempt_id)
         if found == attempt_id:
             return event
