Add a review of manifests before they are sent

Cause: a manifest with a route that can never match, limits that contradict each other or a version that is not newer is noticed only when calls fail.

--- a/camphorpath/platform/manifest.py
+++ b/camphorpath/platform/manifest.py
@@ -1,6 +1,7 @@
 """Decodes the manifest of the platform into a routing table."""
 
 import math
+from collections.abc import Callable, Iterable
 
 from ..errors import PlatformError
 from ..routing import CallerLimits, CallKind, Customer, Route, RoutingTable, Service
@@ -26,6 +27,37 @@
     )
 
 
+def list_manifest_faults(text: bytes) -> list[str]:
+    """Return why a manifest cannot be used, one line for each entry; empty if it can be decoded."""
+    try:
+        fields = decode_fields(text)
+        version = fields.whole('version', highest=MAX_VERSION)
+        routes, services = fields.objects('routes'), fields.objects('services')
+        customers, limits = fields.objects('tenants'), fields.section('limits')
+    except PlatformError as error:
+        return [error.message]
+    faults = [] if version else ['version is 0']
+    faults += _list_faults(_decode_route, routes)
+    faults += _list_faults(_decode_service, services)
+    faults += _list_faults(_decode_customer, customers)
+    faults += _list_faults(lambda entry: entry.texts('api_keys'), customers)
+    faults += _list_faults(_decode_limits, [limits])
+    if faults:
+        return faults
+    keys = [key for entry in customers for key in entry.texts('api_keys')]
+    return [] if len(keys) == len(set(keys)) else ['a key stands twice']
+
+
+def _list_faults(decode: Callable[[Fields], object], entries: Iterable[Fields]) -> list[str]:
+    faults = []
+    for entry in entries:
+        try:
+            decode(entry)
+        except PlatformError as error:
+            faults.append(error.message)
+    return faults
+
+
 def read_manifest_version(text: bytes) -> int | None:
     """Return the version of a manifest, or None if it cannot be read."""
     try:
@@ -92,16 +124,20 @@
 def _decode_customers(fields: Fields) -> dict[str, Customer]:
     customers = {}
     for entry in fields.objects('tenants'):
-        customer = Customer(
-            name=entry.text('name'),
-            priority=int(entry.number('priority', 0)),
-            rate=entry.number('rate_per_s', 0),
-            burst=entry.number('burst_size', 0),
-            counts_tokens=entry.has('unit') and entry.text('unit') == UNIT_TOKENS,
-            # The field is named after uncached prompts, but applies to each request without a token
-            # header.
-            default_units=entry.number('uncached_tokens', 0),
-        )
+        customer = _decode_customer(entry)
         for key in entry.texts('api_keys'):
             customers[key] = customer
     return customers
+
+
+def _decode_customer(entry: Fields) -> Customer:
+    return Customer(
+        name=entry.text('name'),
+        priority=int(entry.number('priority', 0)),
+        rate=entry.number('rate_per_s', 0),
+        burst=entry.number('burst_size', 0),
+        counts_tokens=entry.has('unit') and entry.text('unit') == UNIT_TOKENS,
+        # The field is named after uncached prompts, but applies to each request without a token
+        # header.
+        default_units=entry.number('uncached_tokens', 0),
+    )
--- a/camphorpath/ui/cli.py
+++ b/camphorpath/ui/cli.py
@@ -10,7 +10,7 @@
 
 # The module of each command defines `add_parser(subparsers)`, which sets `func` to a function that
 # takes the parsed options and returns the exit code.
-COMMANDS = ('serve', 'edge', 'check', 'defaults', 'config', 'status', 'timeline')
+COMMANDS = ('serve', 'edge', 'check', 'manifest', 'defaults', 'config', 'status', 'timeline')
 
 
 def run_command(argv: Sequence[str] | None = None) -> int:
