--- a/camphorpath/placement/customers.py
+++ b/camphorpath/placement/customers.py
@@ -243,9 +243,9 @@
     limited = [customer for customer in customers if customer.rate > 0]
     counts_tokens = any(customer.counts_tokens for customer in limited)
     rates = {
-        customer.name: customer.rate
+        customer.name: min(customer.rate, MAX_SERVED_TOKENS)
         for customer in limited
         if customer.counts_tokens == counts_tokens
     }
-    mean = math.fsum(rates.values()) / len(rates) if rates else 1
+    mean = sum(rates.values()) / len(rates) if rates else 1
     return {customer.name: rates.get(customer.name, mean) for customer in customers}
