--- a/tests/relay/test_calls.py
+++ b/tests/relay/test_calls.py
@@ -609,6 +609,21 @@
     run(test)
 
 
+def test_call_counts_for_the_share_of_its_customer():
+    """Guards against shares that have no effect, as calls do not tell their customer."""
+
+    async def test():
+        async with (
+            open_upstream(answer_with(make_answer(), None)) as first,
+            open_relay(first) as (context, port),
+        ):
+            await ask(port, make_request(headers=b'Key: secret\r\n'))
+            await ask(port, make_request())
+            assert context.scheduler.customers.share_served() == {'acme': 1}
+
+    run(test)
+
+
 def test_each_answer_is_counted_once():
     """Guards against metrics that count an answer more than once."""
 
