Judge a new version, and cap what each daemon sends to it

Nothing decided yet when a version is bad or good, or how many calls a daemon may send to it. Adds the evidence (sums over daemons, kept incrementally), the verdict (stratified two-proportion test without the worst upstream; latency levels with each upstream as one sample), the part of each daemon, the schedule of an order and the gate by phase.

--- /dev/null
+++ b/camphorpath/rollouts/evidence.py
@@ -0,0 +1,186 @@
+"""Counts of answers by version and route, summed over all daemons.
+
+Load pattern: calls of a service arrive at many daemons, each of which sees too few answers of a new
+version to judge it.
+"""
+
+import collections
+import math
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from .records import Tally
+
+# Latency levels are half octaves: one level is a factor of 1.41 of the time to the first byte.
+LEVELS_PER_OCTAVE = 2
+# The level of an answer that took as long as its prompt takes by default.
+DEFAULT_LEVEL = 4
+# Bounds what one stuck answer adds to a mean: 64 times the default.
+MAX_LEVEL = 16
+# Daemons of the design target (420), each restarted some times during an order.
+MAX_INCARNATIONS = 2000
+# Versions times routes of one service that one daemon may count.
+MAX_TALLIES = 64
+# Upstreams by which one tally may count.
+MAX_UPSTREAMS = 4200
+
+# Whether the version is the target of the order, and the name of the route.
+Key = tuple[bool, str]
+
+
+def get_latency_level(ratio: float) -> int:
+    """Return the level (0 to MAX_LEVEL) of a time to the first byte relative to the default.
+
+    Levels are logarithmic, so that their means compare groups of engines of different speeds.
+    """
+    if ratio <= 0:
+        return 0
+    level = DEFAULT_LEVEL + round(LEVELS_PER_OCTAVE * math.log2(ratio))
+    return max(0, min(level, MAX_LEVEL))
+
+
+@attrs.define
+class Counts:
+    """Answers of one or several versions on a route; see `Tally`."""
+
+    answers: int = 0
+    bad: int = 0
+    slow: int = 0
+    bad_by_upstream: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    slow_by_upstream: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    timed_by_upstream: collections.Counter[str] = attrs.field(factory=collections.Counter)
+
+    def add(self, other: 'Counts | Tally', sign: int = 1) -> None:
+        """Add other counts, or subtract them if `sign` is -1."""
+        self.answers += sign * other.answers
+        self.bad += sign * other.bad
+        self.slow += sign * other.slow
+        _add_counts(self.bad_by_upstream, other.bad_by_upstream, sign)
+        _add_counts(self.slow_by_upstream, other.slow_by_upstream, sign)
+        _add_counts(self.timed_by_upstream, other.timed_by_upstream, sign)
+
+    def copy(self) -> 'Counts':
+        """Return counts that do not change with these."""
+        copied = Counts()
+        copied.add(self)
+        return copied
+
+    def record(self, upstream_id: str, latency_ratio: float | None) -> None:
+        """Count an answer; `latency_ratio` is None if it was not measured."""
+        self.answers += 1
+        if latency_ratio is None:
+            return
+        level = get_latency_level(latency_ratio)
+        self.slow += level
+        self.slow_by_upstream[upstream_id] += level
+        self.timed_by_upstream[upstream_id] += 1
+
+    def record_bad(self, upstream_id: str) -> None:
+        """Count that an answer, which was counted already, is bad."""
+        self.bad += 1
+        self.bad_by_upstream[upstream_id] += 1
+
+
+def _add_counts(counter: collections.Counter[str], added: Mapping[str, int], sign: int) -> None:
+    for upstream_id, count in added.items():
+        counter[upstream_id] += sign * count
+
+
+@attrs.define
+class Evidence:
+    """The counts for one order: this daemon's, those of each peer, and the sums over all."""
+
+    service: str
+    # The target version of the order.
+    version: str
+    revision: int
+    sums: dict[Key, Counts] = attrs.field(factory=dict)
+    _own: dict[tuple[str, str], Counts] = attrs.field(factory=dict)
+    # By incarnation of the peer, then by version and route. Those of ended peers are kept.
+    _peers: dict[str, dict[tuple[str, str], Tally]] = attrs.field(factory=dict)
+
+    def record_answer(
+        self, version: str, route: str, upstream_id: str, latency_ratio: float | None
+    ) -> None:
+        """Count an answer that this daemon got."""
+        own = self._own.setdefault((version, route), Counts())
+        own.record(upstream_id, latency_ratio)
+        self._get_sum(version, route).record(upstream_id, latency_ratio)
+
+    def record_bad(self, version: str, route: str, upstream_id: str) -> None:
+        """Count that an answer, which was counted already, is bad."""
+        own = self._own.get((version, route))
+        if own is None or own.bad >= own.answers:
+            # The answer was counted for an earlier order.
+            return
+        own.record_bad(upstream_id)
+        self._get_sum(version, route).record_bad(upstream_id)
+
+    def share(self) -> list[Tally]:
+        """Return this daemon's counts."""
+        return [
+            Tally(
+                service=self.service,
+                version=version,
+                route=route,
+                revision=self.revision,
+                answers=counts.answers,
+                bad=counts.bad,
+                slow=counts.slow,
+                bad_by_upstream=dict(counts.bad_by_upstream),
+                slow_by_upstream=dict(counts.slow_by_upstream),
+                timed_by_upstream=dict(counts.timed_by_upstream),
+            )
+            for (version, route), counts in self._own.items()
+        ]
+
+    def apply(self, incarnation: str, tally: Tally) -> None:
+        """Replace a count of a peer by a newer one; heartbeats may arrive out of order."""
+        if incarnation not in self._peers and len(self._peers) >= MAX_INCARNATIONS:
+            return
+        known = self._peers.setdefault(incarnation, {})
+        key = tally.version, tally.route
+        before = known.get(key)
+        if not _is_valid(tally) or (before is None and len(known) >= MAX_TALLIES):
+            return
+        total = self._get_sum(tally.version, tally.route)
+        if before is not None:
+            if tally.answers < before.answers or tally.bad < before.bad:
+                return
+            total.add(before, -1)
+        total.add(tally)
+        known[key] = tally
+
+    def count_target(self) -> Counts:
+        """Return the sum of the target version over the routes."""
+        return sum_counts(counts for (is_target, _route), counts in self.sums.items() if is_target)
+
+    def copy_sums(self) -> dict[Key, Counts]:
+        """Return a copy of the sums, to be compared with later ones."""
+        return {key: counts.copy() for key, counts in self.sums.items()}
+
+    def _get_sum(self, version: str, route: str) -> Counts:
+        return self.sums.setdefault((version == self.version, route), Counts())
+
+
+def sum_counts(group: Iterable[Counts]) -> Counts:
+    """Return the sum of some counts."""
+    total = Counts()
+    for counts in group:
+        total.add(counts)
+    return total
+
+
+def subtract_sums(sums: Mapping[Key, Counts], before: Mapping[Key, Counts]) -> dict[Key, Counts]:
+    """Return what was counted since `before`."""
+    rest = {key: counts.copy() for key, counts in sums.items()}
+    for key, counts in before.items():
+        rest[key].add(counts, -1)
+    return rest
+
+
+def _is_valid(tally: Tally) -> bool:
+    if not 0 <= tally.bad <= tally.answers:
+        return False
+    return max(len(tally.bad_by_upstream), len(tally.timed_by_upstream)) <= MAX_UPSTREAMS
--- a/camphorpath/rollouts/registry.py
+++ b/camphorpath/rollouts/registry.py
@@ -4,15 +4,24 @@
 under load or on one route only, while calls arrive at many daemons.
 """
 
+import collections
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 
 from ..placement.records import WaitingCall
 from ..placement.slots import Slots
 from ..routing import Upstream
-from .records import Advice, Phase, Rollout, RolloutBounds, RolloutOrder, Tally
+from .evidence import Evidence
+from .exposure import Exposure
+from .records import Action, Advice, Phase, Rollout, RolloutBounds, RolloutOrder, Tally
+from .schedule import Schedule
+from .state import OrderState, Registered
+from .verdict import find_fault, is_good
+
+# Services with an order at a time; further orders are ignored, as each keeps counts of all daemons.
+MAX_ORDERS = 64
 
 
 def _get_unknown_time_limit(_service: str) -> float:
@@ -26,23 +35,45 @@
     bounds: RolloutBounds
     # Returns the longest time limit of the routes to a service in seconds; infinite if unknown.
     get_time_limit: Callable[[str], float] = _get_unknown_time_limit
-    _rollouts: dict[str, Rollout] = attrs.field(factory=dict)
+    _states: dict[str, OrderState] = attrs.field(factory=dict)
+    _registered: dict[str, Registered] = attrs.field(factory=dict)
 
     def start(self, order: RolloutOrder, now: float) -> bool:
-        """Begin an order unless one of the same or a newer revision is known; return whether."""
-        known = self._rollouts.get(order.service)
-        if known is not None and known.order.revision >= order.revision:
+        """Begin an order unless one of the same or a newer revision is known; return whether.
+
+        A version that an earlier order named and did not complete is not trusted by a newer order
+        to another version: it gets no calls then.
+        """
+        known = self._states.get(order.service)
+        if known is None and len(self._states) >= MAX_ORDERS:
             return False
-        self._rollouts[order.service] = Rollout(order, phase_since=now)
+        if known is not None and known.rollout.order.revision >= order.revision:
+            return False
+        barred = {} if known is None else known.list_barred(now)
+        barred.pop(order.version, None)
+        self._states[order.service] = OrderState(
+            Rollout(order, phase_since=now),
+            Evidence(order.service, order.version, order.revision),
+            Exposure(order, self.bounds, heard_at=now),
+            barred,
+        )
         return True
 
     def cancel(self, service: str, now: float) -> None:
-        """Forget the order of a service, whose row was removed."""
-        self._rollouts.pop(service, None)
+        """End the order of a service, whose row was removed.
+
+        Before COMPLETED, the service goes back to the other versions: nothing confirms the new one.
+        The effect lasts until the order is forgotten, RETENTION_S after its end.
+        """
+        state = self._states.get(service)
+        if state is not None and not state.is_cancelled:
+            state.enter(Phase.REVERTED, now)
+            state.is_cancelled = True
 
     def get(self, service: str) -> Rollout | None:
         """Return the newest order of a service with its phase and counts; None without one."""
-        return self._rollouts.get(service)
+        state = self._states.get(service)
+        return None if state is None or state.is_cancelled else state.rollout
 
     def apply_phase(self, service: str, revision: int, phase: Phase, now: float) -> bool:
         """Apply a phase from the store or a peer; return whether it changed the phase.
@@ -50,34 +81,106 @@
         Phases only go forward. COMPLETED replaces REVERTED, because COMPLETED is applied after it
         was stored only, and a REVERTED that was not stored is void then.
         """
-        rollout = self._rollouts.get(service)
-        if rollout is None or rollout.order.revision != revision:
+        state = self._states.get(service)
+        if state is None or state.is_cancelled or state.rollout.order.revision != revision:
             return False
-        rollout.phase = phase
-        rollout.phase_since = now
-        return True
+        state.exposure.heard_at = now
+        return state.enter(phase, now)
 
     def share_tallies(self) -> list[Tally]:
         """Return this daemon's counts for its heartbeat."""
-        return []
+        tallies = []
+        for state in self._states.values():
+            if not state.is_cancelled:
+                tallies += state.evidence.share()
+        return tallies
 
     def apply_tallies(self, incarnation: str, tallies: Iterable[Tally]) -> None:
-        """Adopt the cumulative counts of a peer; those of an ended peer are kept."""
+        """Adopt the cumulative counts of a peer; those of an ended peer are kept.
+
+        Call it for each heartbeat of a peer, even without tallies: a daemon that hears no peer for
+        some seconds sends no new calls to a version that is not confirmed.
+        """
+        for state in self._states.values():
+            state.was_heard = True
+        for tally in tallies:
+            known = self._states.get(tally.service)
+            if known is not None and known.rollout.order.revision == tally.revision:
+                known.evidence.apply(incarnation, tally)
 
     def update(self, now: float, active_count: int) -> list[Advice]:
-        """Judge the orders, with so many daemons that take calls.
+        """Judge the orders, with so many daemons that take calls; call it several times a second.
 
         Applies REVERT itself before it returns it, once. Returns MOVE and COMPLETE at each update
         until the phase is applied by `apply_phase`, since only the writer applies them.
         """
-        return []
+        advices = []
+        for service, state in list(self._states.items()):
+            if state.is_forgotten(now):
+                self._states.pop(service)
+                continue
+            state.update_exposure(now, active_count)
+            if state.is_cancelled or state.phase.is_final:
+                continue
+            advice = self._judge(state, now)
+            if advice is None:
+                continue
+            if advice.action is Action.REVERT:
+                state.enter(Phase.REVERTED, now)
+            advices.append(advice)
+        return advices
+
+    def record_registered(self, groups: Mapping[str, list[Slots]]) -> None:
+        """Replace the upstreams that are registered and not leaving, by service."""
+        self._registered = {
+            service: collections.Counter(slots.upstream.software_version for slots in group)
+            for service, group in groups.items()
+        }
+
+    def list_candidates(self, call: WaitingCall, group: list[Slots], now: float) -> list[Slots]:
+        """Return the upstreams of a group of one service at which a call may wait for a slot.
+
+        They are those that the phase of the order allows, whether or not the cap is used up.
+        """
+        state = self._states.get(call.service)
+        if state is None:
+            return group
+        return state.list_candidates(call, group, self._get_registered(state), now)
+
+    def list_allowed(self, call: WaitingCall, group: list[Slots], now: float) -> list[Slots]:
+        """Return the upstreams of a group of one service to which a call may be sent now.
 
-    def list_allowed(self, call: WaitingCall, group: list[Slots]) -> list[Slots]:
-        """Return the upstreams of a group of one service to which a call may be sent now."""
-        return group
+        While the share of the target version is capped, a call that may use it is sent there, to
+        the upstream that got the fewest, as there is no evidence otherwise.
+        """
+        state = self._states.get(call.service)
+        if state is None:
+            return group
+        return state.list_allowed(call, group, self._get_registered(state), now)
+
+    def may_send(self, upstream: Upstream, now: float) -> bool:
+        """Return whether a call that was placed at an upstream may still be sent there."""
+        state = self._states.get(upstream.service)
+        return state is None or state.may_send(upstream, self._get_registered(state), now)
+
+    def record_placement(self, upstream: Upstream) -> None:
+        """Count a call that was placed at an upstream, until `record_send` or `record_unsent`."""
+        state = self._states.get(upstream.service)
+        if state is not None and state.is_target(upstream):
+            state.exposure.pending += 1
+
+    def record_unsent(self, upstream: Upstream) -> None:
+        """Count that a placed call was not sent."""
+        state = self._states.get(upstream.service)
+        if state is not None and state.is_target(upstream):
+            state.exposure.end_pending()
 
     def record_send(self, upstream: Upstream) -> None:
         """Count a request that was sent to an upstream."""
+        state = self._states.get(upstream.service)
+        if state is not None:
+            target_id = upstream.upstream_id if state.is_target(upstream) else None
+            state.exposure.record_send(target_id)
 
     def record_answer(
         self, upstream: Upstream, route: str, is_bad: bool, latency_ratio: float | None
@@ -87,3 +190,40 @@
         `latency_ratio` is the time to its first byte relative to the time that the prompt takes by
         default; None if it was not measured.
         """
+        state = self._states.get(upstream.service)
+        if state is not None:
+            version, upstream_id = upstream.software_version, upstream.upstream_id
+            state.evidence.record_answer(version, route, upstream_id, latency_ratio)
+        if is_bad:
+            self.record_break(upstream, route)
+
+    def record_break(self, upstream: Upstream, route: str) -> None:
+        """Count that an answer broke that was counted as good when it began."""
+        state = self._states.get(upstream.service)
+        if state is not None:
+            state.evidence.record_bad(upstream.software_version, route, upstream.upstream_id)
+
+    def _get_registered(self, state: OrderState) -> Registered:
+        return self._registered.get(state.rollout.order.service, {})
+
+    def _judge(self, state: OrderState, now: float) -> Advice | None:
+        rollout, sums = state.rollout, state.evidence.sums
+        before = state.snapshot(now)
+        target = state.evidence.count_target()
+        rollout.answers = target.answers
+        rollout.bad = target.bad
+        schedule = Schedule(rollout.order, self.get_time_limit(rollout.order.service))
+        upstream_count = self._get_registered(state).get(state.version, 0)
+        is_moving = state.phase is Phase.MOVING
+        fault = find_fault(sums, before, upstream_count, is_moving=is_moving)
+        if fault:
+            return state.advise(Action.REVERT, fault)
+        summary = f'{target.bad} of {target.answers} answers were bad'
+        if is_moving:
+            is_over = now >= schedule.get_completion(rollout.phase_since)
+            return state.advise(Action.COMPLETE, summary) if is_over else None
+        if schedule.may_move(now) and is_good(sums, before, upstream_count):
+            return state.advise(Action.MOVE, summary)
+        if now >= schedule.reverts_at:
+            return state.advise(Action.REVERT, f'not enough evidence in time: {summary}')
+        return None
--- /dev/null
+++ b/camphorpath/rollouts/verdict.py
@@ -0,0 +1,240 @@
+"""Compares a new version with the old ones beside it on the same routes.
+
+Load pattern: a new version fails or slows down from its start, later, under load or on one route,
+while crashes and slowness also occur that both versions share or that one upstream has.
+"""
+
+import math
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from .evidence import Counts, Key, subtract_sums, sum_counts
+
+# Fewer bad answers can be chance; a version that fails half of its answers reaches this after about
+# eight, far below the 50 bad answers from which the time to react is counted.
+MIN_BAD_ANSWERS = 4
+# Bad answers at other upstreams than the worst one.
+MIN_BAD_ELSEWHERE = 2
+# Standard errors between the shares of bad answers. The test is repeated several times a second
+# over all routes.
+BAD_SCORE = 3.3
+# While new calls go to the new version only, the old one is not measured beside it: faults that
+# both would share count against the new one. So more must be bad.
+MOVING_BAD_SCORE = 5.0
+MOVING_BAD_SHARE = 0.2
+# From this score on, a version is not called good.
+SUSPECT_SCORE = 2.0
+# Answers of the target version for a good verdict: this part of all answers of the service, within
+# two bounds. Below the lower one nothing was measured; above the upper one more add little, since a
+# version that fails half of its answers is found before. A service with little traffic gives few
+# answers, but then a bad version gets few requests too.
+GOOD_SHARE = 0.25
+MIN_GOOD_ANSWERS = 2
+MAX_GOOD_ANSWERS = 20
+# Levels are half octaves, see `evidence.get_latency_level`: twice as slow.
+SLOW_LEVELS = 2.0
+# Three times as slow. All upstreams take more load while a service is moved.
+MOVING_SLOW_LEVELS = 3.2
+SLOW_SCORE = 3.2
+# Answers with a measured time, below which no version is called slow.
+MIN_TIMED_ANSWERS = 8
+# Engines of one version differ by a factor of four, which are four levels: the standard deviation
+# of a uniform distribution over them.
+ENGINE_DEVIATION = 1.15
+# Deviation of single answers of one engine, mostly by the calls beside them.
+ANSWER_DEVIATION = 1.5
+# The correction for continuity in a comparison of counts.
+CONTINUITY = 0.5
+SQUARE = 2
+
+
+@attrs.frozen
+class Comparison:
+    """The counts of one route, of the target version and of the others."""
+
+    route: str
+    target: Counts
+    others: Counts
+
+
+@attrs.frozen
+class Latency:
+    """The latency levels of a version, with each upstream as one sample."""
+
+    mean: float
+    # Of the mean.
+    variance: float
+    upstream_means: tuple[float, ...]
+
+
+def pair_counts(sums: Mapping[Key, Counts]) -> list[Comparison]:
+    """Return the routes on which the target version answered, with the counts of both sides."""
+    return [
+        Comparison(route, counts, sums.get((False, route), Counts()))
+        for (is_target, route), counts in sums.items()
+        if is_target and counts.answers > 0
+    ]
+
+
+def find_fault(
+    sums: Mapping[Key, Counts],
+    before: Mapping[Key, Counts],
+    upstream_count: int,
+    *,
+    is_moving: bool,
+) -> str:
+    """Return why the target version is bad; empty if it is not known to be.
+
+    Judges all counts, since a fault may be rare, and those since `before`, since it may begin late.
+    `upstream_count` is the number of registered upstreams of the target version.
+    """
+    known = pair_counts(sums)
+    recent = pair_counts(subtract_sums(sums, before))
+    if is_moving:
+        # The others get no new calls: compare with all that they answered before.
+        others = {pair.route: pair.others for pair in known}
+        recent = [attrs.evolve(pair, others=others[pair.route]) for pair in recent]
+    for group in (*_list_groups(known), *_list_groups(recent)):
+        fault = _find_failures(group, upstream_count, is_moving=is_moving)
+        fault = fault or _find_slowness(group, upstream_count, is_moving=is_moving)
+        if fault:
+            return fault
+    return ''
+
+
+def is_good(sums: Mapping[Key, Counts], before: Mapping[Key, Counts], upstream_count: int) -> bool:
+    """Return whether enough answers of several upstreams show no sign of a fault."""
+    target = sum_counts(pair.target for pair in pair_counts(sums))
+    needed = GOOD_SHARE * sum_counts(sums.values()).answers
+    if target.answers < max(MIN_GOOD_ANSWERS, min(needed, MAX_GOOD_ANSWERS)):
+        return False
+    if not upstream_count or len(target.timed_by_upstream) < min(upstream_count, 2):
+        return False
+    recent = subtract_sums(sums, before)
+    if not pair_counts(recent):
+        return False
+    return not _is_suspect(sums, upstream_count) and not _is_suspect(recent, upstream_count)
+
+
+def _is_suspect(sums: Mapping[Key, Counts], upstream_count: int) -> bool:
+    """Return whether a fault of the target version is likely, but not certain."""
+    for group in _list_groups(pair_counts(sums)):
+        if sum(_count_bad_elsewhere(group, upstream_count)) >= MIN_BAD_ELSEWHERE:
+            if score_failures(group, upstream_count) >= SUSPECT_SCORE:
+                return True
+        if _score_slowness(group, upstream_count, SLOW_LEVELS) >= SUSPECT_SCORE:
+            return True
+    return False
+
+
+def _list_groups(pairs: list[Comparison]) -> list[list[Comparison]]:
+    """Return all routes together, and each alone: a fault on one is diluted by the others."""
+    if len(pairs) < 2:
+        return [pairs] if pairs else []
+    return [pairs, *([pair] for pair in pairs)]
+
+
+def _find_failures(group: list[Comparison], upstream_count: int, *, is_moving: bool) -> str:
+    answers = sum(pair.target.answers for pair in group)
+    bad = sum(pair.target.bad for pair in group)
+    if bad < MIN_BAD_ANSWERS:
+        return ''
+    if sum(_count_bad_elsewhere(group, upstream_count)) < MIN_BAD_ELSEWHERE:
+        return ''
+    if is_moving and bad < MOVING_BAD_SHARE * answers:
+        return ''
+    min_score = MOVING_BAD_SCORE if is_moving else BAD_SCORE
+    if score_failures(group, upstream_count) < min_score:
+        return ''
+    others = sum(pair.others.answers for pair in group)
+    others_bad = sum(pair.others.bad for pair in group)
+    return f'{bad} of {answers} answers were bad, {others_bad} of {others} at other versions' + (
+        _name_route(group)
+    )
+
+
+def _name_route(group: list[Comparison]) -> str:
+    return f', route {group[0].route}' if len(group) == 1 else ''
+
+
+def _find_worst(group: Iterable[Comparison]) -> str:
+    """Return the upstream of the target version with the most bad answers."""
+    total = sum_counts(pair.target for pair in group)
+    return max(total.bad_by_upstream, key=lambda name: total.bad_by_upstream[name], default='')
+
+
+def _count_bad_elsewhere(group: list[Comparison], upstream_count: int) -> list[int]:
+    """Return the bad answers by route, without those of the worst upstream if there are several."""
+    worst = _find_worst(group) if upstream_count > 1 else ''
+    return [pair.target.bad - pair.target.bad_by_upstream[worst] for pair in group]
+
+
+def score_failures(group: list[Comparison], upstream_count: int) -> float:
+    """Return by how many standard errors the bad answers exceed those of the other versions.
+
+    Compares two proportions within each route and adds the routes up (the test of Mantel and
+    Haenszel), so that versions with another mix of routes are compared fairly. The bad answers of
+    the worst of several upstreams are left out: one crashed or faulty machine proves nothing.
+    """
+    excess: float = 0
+    variance: float = 0
+    for pair, bad in zip(group, _count_bad_elsewhere(group, upstream_count), strict=True):
+        answers = pair.target.answers - (pair.target.bad - bad)
+        total = answers + pair.others.answers
+        total_bad = bad + pair.others.bad
+        if not answers or not pair.others.answers:
+            continue
+        excess += bad - answers * total_bad / total
+        spread = answers * pair.others.answers * total_bad * (total - total_bad)
+        variance += spread / (total**SQUARE * (total - 1))
+    return (excess - CONTINUITY) / math.sqrt(variance) if variance > 0 else 0
+
+
+def _find_slowness(group: list[Comparison], upstream_count: int, *, is_moving: bool) -> str:
+    min_levels = MOVING_SLOW_LEVELS if is_moving else SLOW_LEVELS
+    if _score_slowness(group, upstream_count, min_levels) < SLOW_SCORE:
+        return ''
+    target = measure_latency(pair.target for pair in group)
+    others = measure_latency(pair.others for pair in group)
+    return (
+        f'the mean latency level is {target.mean:.1f} at {len(target.upstream_means)} upstreams, '
+        f'{others.mean:.1f} at other versions'
+    ) + _name_route(group)
+
+
+def _score_slowness(group: list[Comparison], upstream_count: int, min_levels: float) -> float:
+    """Return the standard errors between the mean levels; 0 unless several upstreams are slow."""
+    timed_count = sum(sum(pair.target.timed_by_upstream.values()) for pair in group)
+    target = measure_latency(pair.target for pair in group)
+    others = measure_latency(pair.others for pair in group)
+    if timed_count < MIN_TIMED_ANSWERS or not others.upstream_means:
+        return 0
+    slow_from = others.mean + min_levels
+    slow_count = sum(1 for mean in target.upstream_means if mean >= slow_from)
+    half = math.ceil(len(target.upstream_means) / 2)
+    if target.mean < slow_from or slow_count < max(half, min(2, upstream_count)):
+        return 0
+    return (target.mean - others.mean) / math.sqrt(target.variance + others.variance)
+
+
+def measure_latency(group: Iterable[Counts]) -> Latency:
+    """Return the mean latency level of a version and its variance.
+
+    Each upstream is one sample: engines differ more than the answers of one engine.
+    """
+    total = sum_counts(group)
+    means = []
+    weighted: float = 0
+    weights: float = 0
+    for upstream_id, answers in total.timed_by_upstream.items():
+        if answers <= 0:
+            continue
+        mean = total.slow_by_upstream[upstream_id] / answers
+        weight = 1 / (ENGINE_DEVIATION**SQUARE + ANSWER_DEVIATION**SQUARE / answers)
+        means.append(mean)
+        weighted += weight * mean
+        weights += weight
+    if not means:
+        return Latency(0, math.inf, ())
+    return Latency(weighted / weights, 1 / weights, tuple(means))
