Let roll-outs decide which upstreams a call may use

Nothing kept calls from a version that an order names. Every choice of the scheduler (a new call, a retry, a resumed stream, a replacement, an extra call, waiting for a busy upstream) now takes the upstreams that the roll-outs allow; without an order they are the same as before.

--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from ..rollouts.registry import Rollouts, make_idle_rollouts
 from ..routing import Upstream
 from .costs import estimate_cost
 from .lending import PeerDemand, choose_borrower, count_lendable, lend_requests
@@ -87,6 +88,8 @@
     _speeds_updated_at: float = 0
     # Rate limits of removed upstreams, by id and incarnation.
     _removed_limits: dict[tuple[str, int], RateLimit] = attrs.field(factory=dict)
+    # Orders to move services to other versions; without any, all upstreams may be used.
+    rollouts: Rollouts = attrs.field(factory=make_idle_rollouts)
 
     def set_upstreams(self, upstreams: Iterable[Upstream], assignment: Assignment) -> None:
         """Replace the registered upstreams and their owners."""
@@ -108,6 +111,7 @@
         for slots in self.slots.values():
             if not slots.upstream.is_leaving:
                 self._slots_by_service.setdefault(slots.upstream.service, []).append(slots)
+        self.rollouts.record_registered(self._slots_by_service)
 
     def apply_loads(
         self,
@@ -248,7 +252,7 @@
                 self._place(call, chosen, now)
                 return
         waiting = len(service.queue.calls)
-        if not self._has_candidates(call):
+        if not self._has_candidates(call, now):
             call.on_decision(make_refusal(NO_UPSTREAM, NO_UPSTREAM_WAIT_S, call, now, waiting))
             return
         if not call.is_bound and self._yields_to_urgent(call, now):
@@ -344,7 +348,7 @@
     def _refuse_expired(self, service: _ServiceState, now: float) -> None:
         """Refuse the calls that waited too long, and streams whose software version is gone."""
         for call in list(service.queue.calls):
-            is_version_gone = call.required_version is not None and not self._has_candidates(call)
+            is_version_gone = call.is_bound and not self._has_candidates(call, now)
             if now < call.wait_until and not is_version_gone:
                 continue
             service.queue.remove(call)
@@ -393,8 +397,9 @@
             if not usable and not extra:
                 return
 
-    def _has_candidates(self, call: WaitingCall) -> bool:
-        group = self._slots_by_service.get(call.service, ())
+    def _has_candidates(self, call: WaitingCall, now: float) -> bool:
+        group = self._slots_by_service.get(call.service, [])
+        group = self.rollouts.list_candidates(call, group, now)
         return any(call.may_run_at(slots.upstream) for slots in group)
 
     def _list_usable(self, service: str, now: float) -> list[Slots]:
@@ -445,7 +450,8 @@
         An owner at which calls wait lends none, so the stream would end. A call that waits for
         a faster upstream than a usable one goes on waiting.
         """
-        if any(call.may_run_at(slots.upstream) for slots in usable):
+        allowed = self.rollouts.list_allowed(call, usable, now)
+        if any(call.may_run_at(slots.upstream) for slots in allowed):
             return None
         return self._find_cheapest(call, extra, now)[0]
 
@@ -454,7 +460,7 @@
     ) -> tuple[Slots | None, float]:
         """Return the upstream of a group at which a call costs least, and the cost in seconds."""
         best, best_cost = None, math.inf
-        for slots in group:
+        for slots in self.rollouts.list_allowed(call, group, now):
             if not call.may_run_at(slots.upstream):
                 continue
             cost = self._estimate_cost(call, slots, now)
@@ -467,7 +473,8 @@
         wait_s = self._estimate_wait(self._services[call.service], call, now)
         if now + wait_s >= call.latest_start_at:
             return False
-        for slots in self._slots_by_service.get(call.service, ()):
+        group = self._slots_by_service.get(call.service, [])
+        for slots in self.rollouts.list_allowed(call, group, now):
             if not slots.is_owner or not call.may_run_at(slots.upstream):
                 continue
             if not slots.is_available_at(now, starts_at=now + wait_s):
@@ -536,6 +543,7 @@
 
     def _place(self, call: WaitingCall, slots: Slots, now: float) -> None:
         slots.occupy(call, now)
+        self.rollouts.record_placement(slots.upstream)
         self._services[call.service].queue.record_placement(call)
         call.excluded.add(slots.upstream.upstream_id)
         call.on_decision(Placed(slots.upstream))
--- a/camphorpath/rollouts/registry.py
+++ b/camphorpath/rollouts/registry.py
@@ -227,3 +227,8 @@
         if now >= schedule.reverts_at:
             return state.advise(Action.REVERT, f'not enough evidence in time: {summary}')
         return None
+
+
+def make_idle_rollouts() -> Rollouts:
+    """Return rollouts for a daemon that ignores orders."""
+    return Rollouts(RolloutBounds(canary_share=0, canary_allowance=0, rollback_timeout_s=math.inf))
