Count sends and answers of each version in the relay

Roll-outs need the outcomes of requests by version. relay/answer_counts.py counts a head at once and a later break as bad, so that failures, which come sooner than good answers end, do not look more frequent at a version that has just begun. A call that was placed before a version was reverted is not sent there any more.

--- a/camphorpath/errors.py
+++ b/camphorpath/errors.py
@@ -66,7 +66,7 @@
 
 
 class ProcessUnconfirmed(NotSent):
-    """A stream was not sent on, as the process that answers may not be the registered one."""
+    """A call was not sent, as its upstream may not be the registered process or not allowed now."""
 
 
 @enum.unique
@@ -93,6 +93,10 @@
         self.cause = cause
 
 
+class HeadTimeout(SentUnknown):
+    """No byte of the answer arrived before the time at which another upstream should be tried."""
+
+
 class Truncated(UpstreamError):
     """The answer of the upstream began and broke off."""
 
--- a/camphorpath/placement/speed.py
+++ b/camphorpath/placement/speed.py
@@ -28,7 +28,7 @@
 
     def record_first_byte(self, seconds: float, prompt_tokens: float) -> None:
         """Add the time to the first byte of a call and the prompt tokens prefilled until then."""
-        measured = seconds / _estimate_default_first_byte(prompt_tokens)
+        measured = seconds / estimate_default_first_byte(prompt_tokens)
         self.factor += self._weight() * (measured - self.factor)
         self.samples += 1
 
@@ -43,7 +43,7 @@
 
     def estimate_first_byte(self, prompt_tokens: float) -> float:
         """Return the expected seconds from the send to the first byte of an answer."""
-        return self.factor * _estimate_default_first_byte(prompt_tokens)
+        return self.factor * estimate_default_first_byte(prompt_tokens)
 
     def estimate_stall(self, prompt_tokens: float) -> float:
         """Return the seconds for which the prefill of a prompt stalls concurrent streams."""
@@ -57,5 +57,6 @@
         return EWMA_WEIGHT if self.samples else FIRST_SAMPLE_WEIGHT
 
 
-def _estimate_default_first_byte(prompt_tokens: float) -> float:
+def estimate_default_first_byte(prompt_tokens: float) -> float:
+    """Return the seconds to the first byte that are assumed without a measurement."""
     return DEFAULT_FIRST_BYTE_S + prompt_tokens * DEFAULT_PREFILL_TOKEN_S
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -16,6 +16,7 @@
     AnswerTooLarge,
     EndedEarly,
     EndUnclear,
+    HeadTimeout,
     NotExecuted,
     NotSent,
     ProcessUnconfirmed,
@@ -26,7 +27,6 @@
 )
 from ..events import Event
 from ..placement.crashes import Crash, digest_parts
-from ..placement.rate_limits import RateStatement
 from ..placement.records import Decision, Placed, Refused, WaitingCall
 from ..placement.scheduler import NO_UPSTREAM
 from ..placement.slots import Slots
@@ -39,6 +39,8 @@
     check_quarantine,
     get_call_digest,
 )
+from .answer_counts import AnswerCount
+from .answer_headers import FLAG_SET, STATUS_MISDIRECTED, apply_answer_headers
 from .caller import CallerConnection
 from .context import RelayContext
 from .events import EventSplitter, MisplacedEventError
@@ -46,7 +48,6 @@
 from .headers import Headers, find_header, select_answer_headers, select_request_headers
 from .reports import ProcessIdentity
 from .stalls import get_stall_timeout
-from .statements import read_backoff, read_load, read_rate
 from .survival import Survival, check_survival
 from .upstream import UpstreamAnswer, UpstreamConnection, get_connect_timeout, read_answer
 
@@ -57,7 +58,6 @@
 STATUS_OK = 200
 STATUS_NO_CONTENT = 204
 STATUS_REDIRECT = 300
-STATUS_MISDIRECTED = 421
 STATUS_SERVER_ERROR = 500
 STATUS_BAD_GATEWAY = 502
 STATUS_GATEWAY_TIMEOUT = 504
@@ -68,22 +68,16 @@
 # Retry-After of the refusal after an upstream did not run the call. The upstream had more calls
 # than this daemon knew of, so the time at which one of them ends cannot be estimated.
 NOT_EXECUTED_RETRY_AFTER_S = 0.2
-# Time for which a load that an upstream reported in an answer is used. An upstream that is full by
-# its report gets no calls and so cannot report a newer load; after this time a call probes it.
-# It must exceed the heartbeat interval of the daemons that accept calls, as their heartbeats report
-# the slots that they use: 0.25 s, 1 s with 200 daemons.
-LOAD_REPORT_TTL_S = 1.2
 # Largest event of a stream; the longest ones in use have a few hundred bytes.
 MAX_EVENT_BYTES = 262144
 # A prompt part that crashes upstreams does so when an answer begins: after this many parts of a
 # stream the prompt is known as sound.
 SOUND_ANSWER_PARTS = 2
-# Value of a header that serves as a flag.
-FLAG_SET = b'1'
 # Ids of events that a header can carry; after another one, a stream cannot be resumed.
 RESUMABLE_ID = re.compile(rb'[!-~](?:[ -~]*[!-~])?')
 # The upstream may have restarted since its slot was granted, or its entry may be outdated.
 OTHER_VERSION = 'the upstream may run another software version than that of the stream'
+NOT_ALLOWED = 'a roll-out no longer allows the software version of the upstream'
 # Longest time for finding out which software version began a stream.
 MAX_LOOKUP_S = 0.6
 # By then another daemon may know it, or this one after its start.
@@ -101,10 +95,6 @@
 TOKENS_PER_EVENT = 4
 
 
-class HeadTimeout(SentUnknown):
-    """No byte of the answer arrived before the time at which another upstream should be tried."""
-
-
 @attrs.define(eq=False)
 class Attempt:
     """The slot of a call at an upstream, and its send there."""
@@ -115,6 +105,8 @@
     # The entry of the process that the connection leads to, once there was one.
     process_entry: Upstream = attrs.field(init=False)
     is_sent: bool = False
+    # None before it is sent.
+    count: AnswerCount | None = None
     # Whether the call may have run before this attempt.
     ran_before: bool = False
     # None before the head of the answer is read.
@@ -440,12 +432,15 @@
     async def _connect(self, attempt: Attempt) -> None:
         """Connect an attempt to its upstream.
 
-        Raises NotSent, or ProcessUnconfirmed if a stream that has begun cannot go on there.
+        Raises NotSent, or ProcessUnconfirmed if a stream that has begun cannot go on there, or if
+        a roll-out has ruled the software version out since the slot was granted.
         """
         await self._acquire_connection(attempt)
         await self._identify_process(attempt)
         if self._origin is not None and not self._has_begun_version(attempt):
             raise ProcessUnconfirmed(OTHER_VERSION, step='send', peer=attempt.upstream.address)
+        if not self.context.scheduler.rollouts.may_send(attempt.upstream, read_lease_clock()):
+            raise ProcessUnconfirmed(NOT_ALLOWED, step='send', peer=attempt.upstream.address)
 
     async def _acquire_connection(self, attempt: Attempt) -> None:
         route = self.call.route
@@ -499,16 +494,17 @@
         self._log_continuation(attempt)
         attempt.conn.send(self._build_request(attempt.upstream), self.call.request.body)
         attempt.is_sent = True
-        self._record_send(attempt.upstream)
+        self._record_send(attempt)
 
     def _accept_head(self, attempt: Attempt, answer: UpstreamAnswer) -> None:
         """Apply the head of an answer; raise UpstreamError if it cannot be relayed."""
         upstream = attempt.upstream
-        self._apply_answer_headers(upstream, answer)
+        apply_answer_headers(self.context, self.call, upstream, answer)
         self._check_executed(upstream, answer, ran_before=attempt.ran_before)
-        is_failure = answer.status >= STATUS_SERVER_ERROR
+        is_failure, now = answer.status >= STATUS_SERVER_ERROR, read_lease_clock()
+        attempt.count.record_head(now, is_failure=is_failure)
         self.context.scheduler.record_first_byte(
-            upstream.upstream_id, attempt.waiting, read_lease_clock(), is_failure=is_failure
+            upstream.upstream_id, attempt.waiting, now, is_failure=is_failure
         )
         is_rest_empty = self.has_answer_started and answer.status == STATUS_NO_CONTENT
         if self.has_answer_started and answer.status != STATUS_OK and not is_rest_empty:
@@ -534,7 +530,12 @@
         context = self.context
         if attempt.conn is not None:
             context.pool.release(attempt.conn, is_complete=attempt.is_complete)
-        context.scheduler.release(attempt.upstream.upstream_id, attempt.waiting, read_lease_clock())
+        now = read_lease_clock()
+        if attempt.count is None:
+            context.scheduler.rollouts.record_unsent(attempt.upstream)
+        else:
+            attempt.count.end(now)
+        context.scheduler.release(attempt.upstream.upstream_id, attempt.waiting, now)
 
     def _build_request(self, upstream: Upstream) -> h11.Request:
         call = self.call
@@ -552,13 +553,16 @@
             headers.append((b'content-length', str(len(call.request.body)).encode()))
         return h11.Request(method=call.request.method, target=call.request.target, headers=headers)
 
-    def _record_send(self, upstream: Upstream) -> None:
-        call = self.call
+    def _record_send(self, attempt: Attempt) -> None:
+        call, upstream, rollouts = self.call, attempt.upstream, self.context.scheduler.rollouts
         if not call.send_count:
             self.context.budget.record_call(call.service, read_lease_clock())
         call.send_count += 1
         call.may_have_run = True
         slots = self._find_slots(upstream)
+        rollouts.record_send(upstream)
+        running = slots.running.get(call.text_id)
+        attempt.count = AnswerCount(rollouts, upstream, call.route.name, running)
         self.context.events.emit(
             Event.REQUEST_SENT,
             call.text_id,
@@ -694,48 +698,6 @@
         ):
             raise SentUnknown('the answer has no signature', step='receive_head', peer=answer.peer)
 
-    def _apply_answer_headers(self, upstream: Upstream, answer: UpstreamAnswer) -> None:
-        """Apply the load, planned stop and backoff that an upstream states in its headers."""
-        if answer.status == STATUS_MISDIRECTED:
-            # Another upstream at this address answered.
-            return
-        header_names = self.context.header_names
-        now = read_lease_clock()
-        slots = self._find_slots(upstream)
-        load = read_load(find_header(answer.headers, header_names.load))
-        if load is not None:
-            slots.record_load(load, now, LOAD_REPORT_TTL_S)
-        if find_header(answer.headers, header_names.leaving) == FLAG_SET:
-            self.context.on_leaving(upstream)
-        self._apply_rate_limit(slots, answer)
-        backoff_s = read_backoff(answer.status, answer.headers)
-        if backoff_s > 0:
-            slots.back_off(now, backoff_s)
-            self.context.events.emit(
-                Event.UPSTREAM_RESTS, self.call.text_id, upstream.upstream_id, seconds=backoff_s
-            )
-
-    def _apply_rate_limit(self, slots: Slots, answer: UpstreamAnswer) -> None:
-        """Apply the rate limit that an answer states, or its end if the answer states none."""
-        header_names = self.context.header_names
-        text = find_header(answer.headers, header_names.rate_limit)
-        running = slots.running.get(self.call.text_id)
-        if running is None:
-            return
-        rate, stated_at = read_rate(text), read_lease_clock()
-        if rate is None and not text and find_header(answer.headers, header_names.signature):
-            rate, stated_at = math.inf, running.sent_at
-        if rate is None:
-            return
-        if slots.record_rate(RateStatement(rate, stated_at), is_from_peer=False):
-            self.context.events.emit(
-                Event.UPSTREAM_LIMITED,
-                self.call.text_id,
-                slots.upstream.upstream_id,
-                rate=rate,
-                source='answer',
-            )
-
     def _reserve(self, answer: UpstreamAnswer, size: int) -> None:
         """Count `size` bytes as held; raise AnswerTooLarge if all calls hold too much."""
         if not self._reservation.resize(size):
@@ -1016,6 +978,8 @@
         if is_entry_current and not isinstance(error, (ProcessUnconfirmed, EndUnclear)):
             # Else the upstream has restarted since, or may have left as planned.
             self._fail_upstream(upstream, error.message, is_certain=is_certain)
+        if attempt.count is not None:
+            attempt.count.record_failure(error)
         if _is_connection_lost(error):
             # The call may have crashed the upstream.
             self._record_crash(attempt)
--- a/camphorpath/relay/context.py
+++ b/camphorpath/relay/context.py
@@ -15,6 +15,7 @@
 from ..placement.quarantine import Quarantine
 from ..placement.quota import QuotaLedger
 from ..placement.scheduler import Scheduler
+from ..rollouts.registry import Rollouts
 from ..routing import CallerLimits, RoutingTable, Upstream
 from ..streams import OriginLookup
 from .caller import CallerConnection
@@ -46,6 +47,8 @@
     quarantine: Quarantine = attrs.field(factory=Quarantine)
     # The software versions that began streams.
     origins: OriginLookup = attrs.field(factory=OriginLookup)
+    # Orders to move services to other versions, which the scheduler obeys; None to ignore orders.
+    rollouts: Rollouts | None = None
     events: EventLog
     metrics: RelayMetrics
     # Returns this daemon's share of the retry allowance.
@@ -77,6 +80,11 @@
     _checked_pattern_count: int = 0
     _routing_table_replaced: anyio.Event = attrs.field(factory=anyio.Event)
 
+    def __attrs_post_init__(self) -> None:
+        """Give the roll-outs to the scheduler."""
+        if self.rollouts is not None:
+            self.scheduler.rollouts = self.rollouts
+
     @property
     def limits(self) -> CallerLimits:
         """The current limits on the requests of callers."""
