--- a/camphorpath/rollouts/exposure.py
+++ b/camphorpath/rollouts/exposure.py
@@ -24,9 +24,9 @@
 PACED_SHARE = 0.6
 # Without an update for this time the daemon was frozen, and may have missed a verdict.
 MAX_UPDATE_AGE_S = 1.0
-# A daemon that hears no peer for this time may be cut off from verdicts; several heartbeats, which
-# daemons send at least each second.
-MAX_SILENCE_S = 2.5
+# A daemon that hears no peer for this part of the time in which a bad version must be left may be
+# cut off from verdicts. With 5 s these are at least two heartbeats, of which it hears many.
+MAX_SILENCE_PART = 0.5
 
 
 @attrs.define
@@ -59,7 +59,8 @@
         """
         if not self.active_count or now - self.updated_at > MAX_UPDATE_AGE_S:
             return False
-        if self.active_count > 1 and now - self.heard_at > MAX_SILENCE_S:
+        max_silence_s = MAX_SILENCE_PART * self.bounds.rollback_timeout_s
+        if self.active_count > 1 and now - self.heard_at > max_silence_s:
             return False
         used = self.sent_to_target + self.pending
         part = self._get_part(now)
--- a/camphorpath/rollouts/verdict.py
+++ b/camphorpath/rollouts/verdict.py
@@ -21,13 +21,21 @@
 # over all routes.
 BAD_SCORE = 3.3
 # While new calls go to the new version only, the old one is not measured beside it: faults that
-# both would share count against the new one. So a larger share must be bad.
-MOVING_BAD_SHARE = 0.2
+# both would share count against the new one. So this share must be bad, without the worst upstream.
+# It has to be a multiple of the old one's share before the move; a score would never be high after
+# few answers of the old one.
+MOVING_BAD_SHARE = 0.15
+MOVING_BAD_FACTOR = 3.0
+MOVING_MIN_BAD_ELSEWHERE = 5
 # From this score on, a version is not called good, if so many answers were bad at other upstreams
 # than the worst one, or at its only one.
-SUSPECT_SCORE = 1.5
+SUSPECT_SCORE = 1.0
 SUSPECT_BAD_ELSEWHERE = 1
 SUSPECT_BAD_ALONE = 2
+# With few answers, also from this share of bad ones on, if it is such a multiple of the share of
+# the other versions: a score is low then.
+SUSPECT_SHARE = 0.15
+SUSPECT_FACTOR = 2.0
 # Answers of the target version for a good verdict: this part of all answers of the service, within
 # two bounds. Below the lower one nothing was measured; above the upper one more add little, since a
 # version that fails half of its answers is found before. A service with little traffic gives few
@@ -120,26 +128,45 @@
     recent = subtract_sums(sums, before)
     if not pair_counts(recent):
         return False
-    return not _is_suspect(sums, upstream_count) and not _is_suspect(recent, upstream_count)
+    has_few = target.answers < MAX_GOOD_ANSWERS
+    if _is_suspect(sums, upstream_count, counts_worst=has_few):
+        return False
+    return not _is_suspect(recent, upstream_count, counts_worst=False)
 
 
-def _is_suspect(sums: Mapping[Key, Counts], upstream_count: int) -> bool:
+def _is_suspect(sums: Mapping[Key, Counts], upstream_count: int, *, counts_worst: bool) -> bool:
     """Return whether a fault of the target version is likely, but not certain.
 
-    The worst upstream counts with as many bad answers as the next one.
+    With `counts_worst`, the worst upstream counts with as many bad answers as the next one: with
+    few answers in all, one bad answer at each of two upstreams would not show otherwise.
     """
     min_bad = SUSPECT_BAD_ELSEWHERE if upstream_count > 1 else SUSPECT_BAD_ALONE
+    if counts_worst and _is_often_bad(pair_counts(sums), upstream_count):
+        return True
     for group in _list_groups(pair_counts(sums)):
         if sum(_count_bad_elsewhere(group, upstream_count)) >= min_bad:
-            if score_failures(group, upstream_count, worst_limit=_count_second(group)) >= (
-                SUSPECT_SCORE
-            ):
+            limit = _count_second(group) if counts_worst else 0
+            if score_failures(group, upstream_count, worst_limit=limit) >= SUSPECT_SCORE:
                 return True
         if _score_slowness(group, upstream_count, SUSPECT_LEVELS, SUSPECT_SCORE) >= SUSPECT_SCORE:
             return True
     return False
 
 
+def _is_often_bad(group: list[Comparison], upstream_count: int) -> bool:
+    """Return whether a version with few answers fails more often than one may expect."""
+    answers = sum(pair.target.answers for pair in group)
+    bad = sum(_count_bad_elsewhere(group, upstream_count, _count_second(group)))
+    max_share = max(SUSPECT_SHARE, SUSPECT_FACTOR * _get_usual_share(group))
+    return bad >= SUSPECT_BAD_ALONE and bad >= max_share * answers
+
+
+def _get_usual_share(group: list[Comparison]) -> float:
+    """Return the share of bad answers of the other versions, with half an answer as a prior."""
+    others = sum_counts(pair.others for pair in group)
+    return (others.bad + CONTINUITY) / (others.answers + 1)
+
+
 def _count_second(group: list[Comparison]) -> int:
     """Return the bad answers of the upstream with the second most."""
     bad_by_upstream = sum_counts(pair.target for pair in group).bad_by_upstream
@@ -158,11 +185,17 @@
     bad = sum(pair.target.bad for pair in group)
     if bad < MIN_BAD_ANSWERS:
         return ''
-    if sum(_count_bad_elsewhere(group, upstream_count)) < MIN_BAD_ELSEWHERE:
-        return ''
-    if is_moving and bad < MOVING_BAD_SHARE * answers:
+    bad_elsewhere = sum(_count_bad_elsewhere(group, upstream_count))
+    min_elsewhere: float = MIN_BAD_ELSEWHERE
+    if is_moving:
+        min_elsewhere = max(
+            MOVING_MIN_BAD_ELSEWHERE,
+            MOVING_BAD_SHARE * answers,
+            MOVING_BAD_FACTOR * _get_usual_share(group) * answers,
+        )
+    if bad_elsewhere < min_elsewhere:
         return ''
-    if score_failures(group, upstream_count) < BAD_SCORE:
+    if not is_moving and score_failures(group, upstream_count) < BAD_SCORE:
         return ''
     others = sum(pair.others.answers for pair in group)
     others_bad = sum(pair.others.bad for pair in group)
