Add conditional transactions over several tables of the metadata store

The phase of a roll-out is binding only if no daemon can replace a phase that it has not read, and the operator's status row must change with it. Writes had no conditions and one table.

commit_rows writes rows of the empty part of several tables if each has its expected revision. 412 raises RowsChanged, 503 and 4xx mean that nothing was done, other failures leave the outcome unknown; so does an answer from another era, as conditions name versions without an era. The stand-in of tests/cluster checks conditions and can lose answers.

--- a/camphorpath/errors.py
+++ b/camphorpath/errors.py
@@ -46,6 +46,10 @@
     """The table no longer holds the changes after a revision; it must be read in full."""
 
 
+class RowsChanged(PlatformError):
+    """A row of a conditional transaction has another revision; nothing was written."""
+
+
 class TableOutcomeUnknown(PlatformError):
     """The answer of the table was lost; the write may have taken effect."""
 
--- a/camphorpath/platform/store.py
+++ b/camphorpath/platform/store.py
@@ -2,7 +2,7 @@
 
 import base64
 import socket
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
 
 import anyio
@@ -12,7 +12,7 @@
 
 from ..buffers import BufferPool, Reservation
 from ..clocks import read_lease_clock
-from ..errors import HistoryCompacted, TableOutcomeUnknown, TableUnavailable
+from ..errors import HistoryCompacted, RowsChanged, TableOutcomeUnknown, TableUnavailable
 from ..transports import CompleteAnswer, ContentTooLarge, fetch_complete, make_plain_transport
 from .fields import MAX_NUMBER
 from .revisions import FIRST_ERA, get_era, get_version, make_revision
@@ -73,6 +73,17 @@
     store_time_s: float | None = None
 
 
+@attrs.frozen
+class RowWrite:
+    """A row of the empty part that a conditional transaction writes."""
+
+    table: str
+    key: str
+    content: bytes
+    # The revision that the row must have, 0 if it must not exist, None if it may have any.
+    expected_revision: int | None = None
+
+
 @attrs.frozen
 class Written:
     """When a write was confirmed."""
@@ -83,6 +94,8 @@
     store_time_s: float | None
     # The store's era when it answered; None if it stated no valid one.
     era: int | None = None
+    # The revision of the written rows; None if the answer states no valid one.
+    revision: int | None = None
 
 
 class MetadataStore:
@@ -210,6 +223,57 @@
             ],
             'remove': [{**place, 'key': key} for key in removed],
         }
+        answer = await self._post_transaction(body)
+        if answer.status != httpx.codes.OK:
+            message = f'the store answered with status {answer.status}'
+            raise TableUnavailable(message, step='write', peer=self._url)
+        return self._decode_written(answer)
+
+    async def commit_rows(self, writes: Sequence[RowWrite]) -> Written:
+        """Write rows of the empty part, also of several tables, all of them or none.
+
+        Raises RowsChanged if a row does not have its expected revision, TableUnavailable or
+        TableOutcomeUnknown. A condition names no era: if the store was restored since the expected
+        revision was read, another row may have had that version, and the outcome is unknown.
+        """
+        places = [{'table_name': write.table, 'part': '', 'key': write.key} for write in writes]
+        expected = [write.expected_revision for write in writes]
+        body: dict[str, Any] = {
+            'expected_revision': [
+                {**place, 'row_version': get_version(revision)}
+                for place, revision in zip(places, expected, strict=True)
+                if revision is not None
+            ],
+            'write': [
+                {**place, 'value': base64.b64encode(write.content).decode()}
+                for place, write in zip(places, writes, strict=True)
+            ],
+            'remove': [],
+        }
+        answer = await self._post_transaction(body)
+        if answer.status == httpx.codes.PRECONDITION_FAILED:
+            raise RowsChanged('a row has another revision', step='write', peer=self._url)
+        if answer.status != httpx.codes.OK:
+            message = f'the store answered with status {answer.status}'
+            # The store answers 503 and 4xx (429) if it did nothing.
+            is_refused = answer.status == httpx.codes.SERVICE_UNAVAILABLE or (
+                httpx.codes.is_client_error(answer.status)
+            )
+            kind = TableUnavailable if is_refused else TableOutcomeUnknown
+            raise kind(message, step='write', peer=self._url)
+        written = self._decode_written(answer)
+        newest = max(filter(None, expected), default=0)
+        if newest and written.era != get_era(newest):
+            message = f'the store is in era {written.era}, the expected rows were of another one'
+            raise TableOutcomeUnknown(message, step='write', peer=self._url)
+        return written
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+    async def _post_transaction(self, body: dict[str, Any]) -> CompleteAnswer:
+        """Return the answer to a transaction; raise TableUnavailable or TableOutcomeUnknown."""
         request = self._client.build_request(
             'POST',
             ROWS_WRITE,
@@ -219,26 +283,26 @@
         )
         try:
             with anyio.fail_after(CALL_TIMEOUT_S):
-                answer = await fetch_complete(
-                    self._client, request, CALL_TIMEOUT_S, MAX_ANSWER_BYTES
-                )
+                return await fetch_complete(self._client, request, CALL_TIMEOUT_S, MAX_ANSWER_BYTES)
         except NEVER_SENT as error:
             raise TableUnavailable(repr(error), step='write', peer=self._url) from error
         except (httpx.HTTPError, OSError, TimeoutError) as error:
             raise TableOutcomeUnknown(repr(error), step='write', peer=self._url) from error
-        if answer.status != httpx.codes.OK:
-            message = f'the store answered with status {answer.status}'
-            raise TableUnavailable(message, step='write', peer=self._url)
+
+    def _decode_written(self, answer: CompleteAnswer) -> Written:
+        """Return what the answer to a successful write states."""
         try:
             found = _decode_object(answer.content, ROWS_WRITE, self._url)
         except TableUnavailable:
             # The status says that the rows are written; only the time is missing.
             return Written(answer.answered_at, None)
-        return Written(answer.answered_at, _decode_store_time(found), _decode_era(answer))
-
-    async def close(self) -> None:
-        """Close the connections."""
-        await self._client.aclose()
+        era = answer.headers.get(ERA_HEADER, FIRST_ERA)
+        return Written(
+            answer.answered_at,
+            _decode_store_time(found),
+            _decode_era(answer),
+            _decode_revision(era, found.get('row_version')),
+        )
 
     def _reserve(self, reservation: Reservation, size: int, step: str) -> None:
         """Count a listing as held; raise TableUnavailable if all listings take too much."""
--- a/tests/cluster/restored_store.py
+++ b/tests/cluster/restored_store.py
@@ -31,6 +31,8 @@
     data: Data = attrs.field(factory=Data)
     era: int = 1
     is_down: bool = False
+    # Transactions whose answer is lost, from the next one.
+    lost_answers: int = 0
     changed: anyio.Event = attrs.field(factory=anyio.Event)
     # Paths of the calls that were answered.
     calls: list = attrs.field(factory=list)
@@ -39,9 +41,9 @@
         """Return a client of this store."""
         return MetadataStore('http://store', httpx.MockTransport(self.answer))
 
-    def write(self, table, key, value):
-        """Write a row, or remove it if the value is None."""
-        self.data.version += 1
+    def write(self, table, key, value, version=None):
+        """Write a row, or remove it if the value is None; by default with the next version."""
+        self.data.version = version or self.data.version + 1
         self.data.rows[table, key] = value, self.data.version
         self.changed.set()
         self.changed = anyio.Event()
@@ -68,8 +70,7 @@
             return httpx.Response(503)
         self.calls.append(request.url.path)
         if request.url.path.endswith('rows-tx'):
-            self._apply(orjson.loads(request.content))
-            return self._reply({'row_version': self.data.version})
+            return self._answer_transaction(orjson.loads(request.content))
         query = request.url.params
         table = query['table_name']
         if request.url.path.endswith('rows-get'):
@@ -82,11 +83,20 @@
                 await self.changed.wait()
         return self._reply_rows(table, after)
 
-    def _apply(self, body):
+    def _answer_transaction(self, body):
+        for row in body['expected_revision']:
+            value, version = self.data.rows.get((row['table_name'], row['key']), (None, 0))
+            if row['row_version'] != (0 if value is None else version):
+                return self._reply({'rows': [], 'row_version': self.data.version}, 412)
+        version = self.data.version + 1
         for row in body['write']:
-            self.write(row['table_name'], row['key'], base64.b64decode(row['value']))
+            self.write(row['table_name'], row['key'], base64.b64decode(row['value']), version)
         for row in body['remove']:
-            self.write(row['table_name'], row['key'], None)
+            self.write(row['table_name'], row['key'], None, version)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise httpx.ReadError('the answer is lost')
+        return self._reply({'row_version': self.data.version})
 
     def _list(self, table, after):
         return [
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,8 +7,14 @@
 import orjson
 import pytest
 
-from camphorpath.errors import HistoryCompacted, TableOutcomeUnknown, TableUnavailable
-from camphorpath.platform.store import MetadataStore
+from camphorpath.errors import (
+    HistoryCompacted,
+    RowsChanged,
+    TableOutcomeUnknown,
+    TableUnavailable,
+)
+from camphorpath.platform.revisions import make_revision
+from camphorpath.platform.store import MetadataStore, RowWrite
 
 from ..relay.support import flood_connections, watch_event_loop
 
@@ -172,6 +178,55 @@
     run(test, lambda request: httpx.Response(200, content=b'x'))
 
 
+WRITES = (
+    RowWrite('t', 'k', b'1', make_revision(3, 7)),
+    RowWrite('u', 'k', b'2', 0),
+    RowWrite('u', 'l', b'3'),
+)
+
+
+def test_conditions_of_a_transaction_over_two_tables():
+    """Guards against a phase that replaces another one, as its condition is missing or wrong."""
+    bodies = []
+
+    def answer(request):
+        bodies.append(orjson.loads(request.content))
+        return reply_in_era(3, {'row_version': 9})
+
+    async def test(store):
+        assert (await store.commit_rows(WRITES)).revision == make_revision(3, 9)
+
+    run(test, answer)
+    first = {'table_name': 't', 'part': '', 'key': 'k'}
+    second = {'table_name': 'u', 'part': '', 'key': 'k'}
+    assert bodies[0]['expected_revision'] == [
+        {**first, 'row_version': 7},
+        {**second, 'row_version': 0},
+    ]
+    values = [(row['table_name'], row['key'], row['value']) for row in bodies[0]['write']]
+    assert values == [('t', 'k', 'MQ=='), ('u', 'k', 'Mg=='), ('u', 'l', 'Mw==')]
+
+
+@pytest.mark.parametrize(
+    ('status', 'era', 'expected'),
+    [
+        (412, 3, RowsChanged),
+        (503, 3, TableUnavailable),
+        (429, 3, TableUnavailable),
+        (500, 3, TableOutcomeUnknown),
+        (200, 4, TableOutcomeUnknown),
+    ],
+)
+def test_transaction_that_was_not_made_is_told_from_one_that_may_have_been(status, era, expected):
+    """Guards against a phase that counts as stored or not stored against the facts."""
+
+    async def test(store):
+        with pytest.raises(expected):
+            await store.commit_rows(WRITES)
+
+    run(test, lambda request: reply_in_era(era, {'row_version': 9}, status))
+
+
 def test_change_between_two_pages_is_not_skipped():
     """Guards against calls to an upstream whose row was removed while a long table was read."""
 
@@ -343,9 +398,9 @@
     run(test, lambda request: httpx.Response(200, content=content, headers={'store-era': era}))
 
 
-def reply_in_era(era, document):
+def reply_in_era(era, document, status=200):
     content = orjson.dumps(document)
-    return httpx.Response(200, content=content, headers={'store-era': str(era)})
+    return httpx.Response(status, content=content, headers={'store-era': str(era)})
 
 
 def test_revisions_rise_across_a_restore():
