Read the limits on moves to another version

bounds.canary_share, canary_allowance and rollback_timeout_ms enable the part; without all of them orders are ignored.

--- a/camphorpath/edge/settings.py
+++ b/camphorpath/edge/settings.py
@@ -22,6 +22,13 @@
     # By how much usage in a quota window may exceed the limit: as a fraction of it, and in units.
     quota_overshoot: float
     quota_allowance: float
+    # Limits on the requests that a bad version receives while a service is moved to it: as a
+    # fraction of the requests of the service, and in requests, over all daemons. Services are moved
+    # only if these and the next limit are set.
+    canary_share: float | None = None
+    canary_allowance: float | None = None
+    # After its 50th bad response, a bad version receives requests for no longer than this.
+    rollback_timeout_s: float | None = None
 
     @property
     def stopped_retention_s(self) -> float:
--- a/camphorpath/platform/settings.py
+++ b/camphorpath/platform/settings.py
@@ -5,6 +5,7 @@
 
 import yaml
 
+from ..clocks import MS_PER_S
 from ..edge.settings import DEFAULT_STORE_WRITES_PER_S, Bounds, EdgeSettings
 from ..errors import PlatformError, UserError
 from .fields import Fields
@@ -72,4 +73,12 @@
         quota_window_s=fields.number('quota_window_s'),
         quota_overshoot=fields.number('quota_overshoot'),
         quota_allowance=fields.number('quota_allowance'),
+        canary_share=_decode_optional(fields, 'canary_share'),
+        canary_allowance=_decode_optional(fields, 'canary_allowance'),
+        rollback_timeout_s=_decode_optional(fields, 'rollback_timeout_ms', MS_PER_S),
     )
+
+
+def _decode_optional(fields: Fields, name: str, units_per_s: float = 1) -> float | None:
+    """Return a number divided by `units_per_s`, or None if it is missing or null."""
+    return fields.number(name) / units_per_s if fields.has(name) else None
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -81,6 +81,16 @@
     assert settings.store_writes_per_s == DEFAULT_STORE_WRITES_PER_S
 
 
+def test_limits_of_moves_to_another_version_are_optional(tmp_path):
+    """Guards against a daemon that does not start without them, or reads them in another unit."""
+    bounds = load_edge_settings(write(tmp_path / 's.yaml', DOCUMENT)).bounds
+    assert (bounds.canary_share, bounds.canary_allowance, bounds.rollback_timeout_s) == (None,) * 3
+    limits = {'canary_share': 0.1, 'canary_allowance': 50, 'rollback_timeout_ms': 5000}
+    document = {**DOCUMENT, 'bounds': {**DOCUMENT['bounds'], **limits}}
+    bounds = load_edge_settings(write(tmp_path / 's.yaml', document)).bounds
+    assert (bounds.canary_share, bounds.canary_allowance, bounds.rollback_timeout_s) == (0.1, 50, 5)
+
+
 def test_missing_file_raises_a_user_error(tmp_path, monkeypatch):
     """Guards against a traceback in place of a one-line message."""
     monkeypatch.delenv(SETTINGS_VARIABLE, raising=False)
