Pass the orders to move services from the store to a callback

Orders are rows of the manifest's table. The follower passes those of each listing and of each change on before the manifest of the same answer, so that no call is placed without them. While orders are followed, a daemon that polls does not skip to the revision of a manifest that a peer sent: the orders written before it would be missed.

--- a/camphorpath/cluster/follower.py
+++ b/camphorpath/cluster/follower.py
@@ -12,6 +12,7 @@
 from ..errors import HistoryCompacted, PeerError, TableUnavailable
 from ..events import Event, EventLog
 from ..platform.revisions import get_era
+from ..platform.rollouts import is_order_key
 from ..platform.store import MetadataStore, Rows
 from ..platform.wire import MANIFEST_KEY, MANIFEST_TABLE, UPSTREAM_TABLE
 from ..schema import camphorpath_pb2 as pb
@@ -79,6 +80,9 @@
     on_hosts: Callable[[Iterable[str]], None]
     # Whether a zone is in the region of this daemon.
     is_same_region: Callable[[str], bool]
+    # Called with the orders to move services in a listing or among changes, and whether it is a
+    # listing; None if such orders are ignored.
+    on_orders: Callable[[Rows, bool], None] | None = None
     store_up: bool = False
     # Whether a manifest could not be unpacked, so that the next one must not be a delta.
     _needs_whole_manifest: bool = False
@@ -206,7 +210,14 @@
             self._behind_since = None
         return bool(self._peers_ahead)
 
-    def _apply_manifest_rows(self, rows: Rows) -> None:
+    def _apply_manifest_listing(self, rows: Rows) -> None:
+        self._apply_manifest_rows(rows, is_listing=True)
+
+    def _apply_manifest_rows(self, rows: Rows, *, is_listing: bool = False) -> None:
+        if self.on_orders is not None:
+            # Before the manifest: without the orders, calls would go to all versions alike.
+            orders = [row for row in rows.rows if is_order_key(row.key)]
+            self.on_orders(attrs.evolve(rows, rows=orders), is_listing)
         for row in rows.rows:
             if row.key == MANIFEST_KEY and row.value is not None:
                 self.rows.apply_manifest(row.value, row.revision)
@@ -252,9 +263,11 @@
 
     async def watch_manifest(self) -> None:
         """Poll the store for changes of the manifest, until cancelled."""
-        handle_changes = self._apply_manifest_rows
         await self._watch(
-            MANIFEST_TABLE, handle_changes, handle_changes, lambda: self.rows.manifest.revision
+            MANIFEST_TABLE,
+            self._apply_manifest_listing,
+            self._apply_manifest_rows,
+            lambda: self.rows.manifest.revision,
         )
 
     async def watch_upstreams(self) -> None:
@@ -358,6 +371,9 @@
         if self.is_watcher():
             return revision
         await self._wait_until_due(table, failures)
+        if table == MANIFEST_TABLE and self.on_orders is not None:
+            # A peer that sends a newer manifest does not send the orders written before it.
+            return revision
         # Peers have sent the changes up to the held revision meanwhile.
         return None if revision is None else max(revision, get_held_revision())
 
--- a/camphorpath/platform/wire.py
+++ b/camphorpath/platform/wire.py
@@ -47,6 +47,13 @@
 MANIFEST_TABLE = 'op'
 MANIFEST_KEY = 'config'
 UPSTREAM_TABLE = 'servers'
+# Orders to move a service to another version are in MANIFEST_TABLE, and their states in this table,
+# both under this prefix and the name of the service.
+STATUS_TABLE = 'status'
+ROLLOUT_PREFIX = 'rollout/'
+ROLLOUT_IN_PROGRESS = 'in_progress'
+ROLLOUT_COMPLETED = 'completed'
+ROLLOUT_REVERTED = 'reverted'
 
 STATE_LEAVING = 'draining'
 STATES = frozenset(('ready', STATE_LEAVING))
