Keep the phases of roll-outs in the store and share them with peers

RolloutSync adopts orders from the store and from peers, announces verdicts at once and passes counts on in heartbeats. The elected daemon writes the phase and the status row in one transaction, on the condition that the phase row is the one that it knows; after a refusal or an unknown outcome it reads the row first. A daemon reads the phases before the orders and the manifest, and applies no announcement before that or before the heartbeat of a ready peer, so that it sends no call to a version that was reverted. After a restore of the store an order with the same content is the same order, and its row is written again.

--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -44,6 +44,7 @@
     make_readiness_handler,
 )
 from .quarantine import QuarantineSync
+from .rollouts import RolloutSync, connect_rollouts
 from .settings import EdgeSettings
 from .state import DaemonState
 from .stream_copies import StreamCopies
@@ -86,6 +87,8 @@
     store: MetadataStore
     heartbeats: HeartbeatSocket
     quarantine: QuarantineSync
+    # None if orders to move services are ignored.
+    rollouts: RolloutSync | None = None
     streams: StreamStore
     stream_queries: StreamQueries
     stream_copies: StreamCopies
@@ -188,6 +191,7 @@
         store=store,
         heartbeats=heartbeats,
         quarantine=QuarantineSync(relay, state, heartbeats, store),
+        rollouts=connect_rollouts(state, follower, heartbeats, store),
         streams=streams,
         stream_queries=stream_queries,
         stream_copies=StreamCopies(relay.origins.records, state, heartbeats),
@@ -223,8 +227,12 @@
 
 
 def _start_tasks(daemon: EdgeDaemon, group: anyio.abc.TaskGroup) -> None:
+    if daemon.rollouts is None:
+        group.start_soon(daemon.follower.watch_manifest)
+    else:
+        group.start_soon(daemon.rollouts.follow, daemon.follower.watch_manifest)
+        group.start_soon(daemon.rollouts.write_phases)
     for task in (
-        daemon.follower.watch_manifest,
         daemon.follower.watch_upstreams,
         daemon.follower.follow_peers,
         daemon.quarantine.write_rows,
@@ -262,8 +270,13 @@
         if heartbeat.name == daemon.settings.name:
             return
         address = f'{heartbeat.host}:{daemon.settings.control_port}'
+        if daemon.rollouts is not None:
+            daemon.rollouts.handle_news(heartbeat)
         # A message with `news` is an announcement and has no loads and no sequence number.
         if heartbeat.HasField('news'):
+            if daemon.rollouts is not None and not daemon.rollouts.is_informed:
+                # The upstreams of a version that was reverted must not be used.
+                return
             daemon.follower.apply_announced_rows(heartbeat, address)
             daemon.state.apply_announcement(heartbeat)
             daemon.stream_queries.handle_query(heartbeat)
@@ -324,7 +337,9 @@
         daemon.heartbeats.send(state.make_heartbeat(), state.members.hosts)
         daemon.follower.wake_polling()
         await anyio.sleep(state.heartbeat_interval_s)
-        if daemon.relay.routing_table is None and not daemon.follower.store_up and seeds:
+        is_informed = daemon.rollouts is None or daemon.rollouts.is_informed
+        needs_manifest = daemon.relay.routing_table is None and not daemon.follower.store_up
+        if needs_manifest and is_informed and seeds:
             # The store is unavailable, but a peer may have the manifest.
             seeds.append(seeds.pop(0))
             await daemon.follower.fetch_from(seeds[0])
@@ -345,6 +360,8 @@
         last = now
         daemon.relay.scheduler.expire(now)
         daemon.quarantine.update(now)
+        if daemon.rollouts is not None:
+            daemon.rollouts.update(now)
         daemon.stream_copies.send()
 
 
--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -56,6 +56,8 @@
     read_store_age: Callable[[], float] = lambda: math.inf
     # Set, and replaced, when the store was restored from a copy.
     restored: anyio.Event = attrs.field(factory=anyio.Event)
+    # Returns the orders to move services for a heartbeat; none if such orders are ignored.
+    share_rollouts: Callable[[], list[pb.RolloutNews]] = list
     _sequence: int = 0
     # Checksums of undecodable entries by upstream id, so that each is logged once.
     _invalid_checksums: dict[str, int] = attrs.field(factory=dict)
@@ -126,6 +128,7 @@
         for upstream_id, load in self.relay.scheduler.report_loads(borrowers, now).items():
             heartbeat.loads.append(encode_load(upstream_id, load, now))
         heartbeat.quarantined.extend(self._encode_quarantined(now))
+        heartbeat.rollouts.extend(self.share_rollouts())
         return heartbeat
 
     def make_announcement(self, changes: pb.SharedState, after: int) -> pb.EdgeHeartbeat:
@@ -266,8 +269,12 @@
 
     def is_version_writer(self) -> bool:
         """Return whether this daemon keeps the registered software versions in the store."""
+        return self.is_elected('versions')
+
+    def is_elected(self, task: str) -> bool:
+        """Return whether this daemon does a task for all, among those that reach the store."""
         return self.settings.name == max(
-            self._list_connected(), key=lambda name: rendezvous_score('versions', name)
+            self._list_connected(), key=lambda name: rendezvous_score(task, name)
         )
 
     def list_versions(self) -> set[tuple[str, str]]:
--- a/camphorpath/events/catalogue.py
+++ b/camphorpath/events/catalogue.py
@@ -8,7 +8,8 @@
     """The events and their numbers.
 
     1xx process, 2xx members, 3xx requests, 4xx admission, 5xx upstreams, 6xx platform,
-    7xx configuration, 8xx invalid input, 9xx orders to engines.
+    7xx configuration, 8xx invalid input, 9xx orders to engines,
+    10xx moves of services to other versions.
     """
 
     DAEMON_STARTED = 101
@@ -90,3 +91,12 @@
     ORDER_LEASE_LOST = 905
     WEIGHT_BUDGET_EXHAUSTED = 906
     ORDER_UNSURE = 907
+    ROLLOUT_STARTED = 1001
+    ROLLOUT_ORDER_INVALID = 1002
+    ROLLOUT_CANCELLED = 1003
+    ROLLOUT_FAULT_FOUND = 1004
+    ROLLOUT_PHASE_TAKEN = 1005
+    ROLLOUT_PHASE_WRITTEN = 1006
+    ROLLOUT_PHASE_REFUSED = 1007
+    ROLLOUT_STORE_FAILED = 1008
+    ROLLOUT_NEWS_INVALID = 1009
--- /dev/null
+++ b/tests/edge/test_rollouts.py
@@ -0,0 +1,345 @@
+"""Orders to move a service, between daemons in this process and a store that fails."""
+
+import anyio
+import attrs
+import orjson
+import pytest
+
+from camphorpath.clocks import read_lease_clock
+from camphorpath.cluster.members import Members
+from camphorpath.cluster.rollouts import decode_row
+from camphorpath.edge.rollouts import PHASE_TABLE, RolloutSync, connect_rollouts
+from camphorpath.edge.state import MAX_ANNOUNCEMENT_BYTES, DaemonState
+from camphorpath.events import Event
+from camphorpath.platform.wire import MANIFEST_TABLE, STATUS_TABLE
+from camphorpath.rollouts.records import Action, Advice, Phase, RolloutBounds
+from camphorpath.rollouts.registry import Rollouts
+from camphorpath.schema import camphorpath_pb2 as pb
+
+from ..cluster.restored_store import RestorableStore
+from ..cluster.test_follower import make_follower
+from ..relay.support import make_context
+from .fleet import Datagrams
+from .test_state import SETTINGS
+
+ORDER = {'service': 'llm', 'to': 'v2', 'duration_s': 12}
+KEY = 'rollout/llm'
+
+
+@attrs.define
+class ScriptedRollouts(Rollouts):
+    """Orders of which the verdicts are given by the test."""
+
+    action: Action | None = None
+
+    def update(self, now, active_count):
+        rollout = self.get('llm')
+        if rollout is None or self.action is None or rollout.phase.is_final:
+            return []
+        if self.action is Action.REVERT:
+            self.apply_phase('llm', rollout.order.revision, Phase.REVERTED, now)
+        return [Advice(self.action, rollout.order, 'scripted')]
+
+
+@pytest.fixture(autouse=True)
+def _short_pauses(monkeypatch):
+    monkeypatch.setattr('camphorpath.edge.rollouts.RETRY_DELAY_S', 0.001)
+    monkeypatch.setattr('camphorpath.edge.rollouts.ELECTION_INTERVAL_S', 0)
+
+
+@pytest.fixture
+def store():
+    store = RestorableStore()
+    store.write_manifest(1)
+    write_order(store)
+    return store
+
+
+def write_order(store, **fields):
+    store.write(MANIFEST_TABLE, KEY, orjson.dumps({**ORDER, **fields}))
+
+
+def make_sync(store, name='d1', action=None):
+    settings = attrs.evolve(SETTINGS, name=name)
+    state = DaemonState(
+        settings=settings,
+        incarnation=f'{name}-1',
+        relay=make_context(()),
+        members=Members(settings.host),
+    )
+    rollouts = ScriptedRollouts(RolloutBounds(0.1, 50, 5), action=action)
+    sync = RolloutSync(rollouts, state, Datagrams(), store.connect())
+    state.share_rollouts = sync.share_news
+    return sync
+
+
+async def read_orders(sync):
+    """Apply a listing of the orders as the follower does."""
+    follower, _applied = make_follower(sync.store)
+    follower.on_orders = sync.apply_orders
+    rows = await sync.store.read_table(MANIFEST_TABLE)
+    sync.state.rows.apply_listing([], rows.revision, 0)
+    follower._apply_manifest_listing(rows)
+
+
+async def run_writer(sync):
+    """Run the timer and the writer of a daemon for a while."""
+    async with anyio.create_task_group() as group:
+        group.start_soon(sync.write_phases)
+        for _ in range(10):
+            sync.update(read_lease_clock())
+            await anyio.sleep(0.004)
+        group.cancel_scope.cancel()
+
+
+async def start(store, name='d1', action=None):
+    """Return a daemon that has read the store and settled what it had to."""
+    sync = make_sync(store, name, action)
+    await sync.follow(lambda: read_orders(sync))
+    await run_writer(sync)
+    return sync
+
+
+def get_phase(sync):
+    return sync.rollouts.get('llm').phase
+
+
+def get_stored(store):
+    """Return the phase and the state that the store holds."""
+    phase_row, version = store.data.rows[PHASE_TABLE, 'llm']
+    status, status_version = store.data.rows[STATUS_TABLE, KEY]
+    assert version == status_version
+    return decode_row(phase_row).phase, orjson.loads(status)['runner_state']
+
+
+def count_transactions(store):
+    return sum(path.endswith('rows-tx') for path in store.calls)
+
+
+def count_events(sync, event):
+    records = sync.state.relay.events.select(pb.TimelineRequest())
+    return sum(record.number == event for record in records)
+
+
+def deliver(sender, receiver):
+    """Deliver the announcements and one heartbeat of a daemon."""
+    for sent in (*sender.heartbeats.sent, sender.state.make_heartbeat()):
+        receiver.handle_news(pb.EdgeHeartbeat.FromString(sent.SerializeToString()))
+    sender.heartbeats.sent.clear()
+
+
+def test_order_is_stored_and_reaches_daemons_that_do_not_poll(store):
+    """Guards against an operator, or daemons, that learn late that an order is in progress."""
+
+    async def test():
+        writer, other = await start(store), make_sync(store, 'd2')
+        assert get_stored(store) == (Phase.CANARY, 'in_progress')
+        deliver(writer, other)
+        assert other.rollouts.get('llm').order.version == 'v2'
+        for action, phase in ((Action.MOVE, Phase.MOVING), (Action.COMPLETE, Phase.COMPLETED)):
+            writer.rollouts.action = action
+            await run_writer(writer)
+            assert all(sent.ByteSize() < MAX_ANNOUNCEMENT_BYTES for sent in writer.heartbeats.sent)
+            deliver(writer, other)
+            assert get_phase(writer) is get_phase(other) is phase
+        assert get_stored(store) == (Phase.COMPLETED, 'completed')
+        await run_writer(writer)
+        assert count_transactions(store) == 3
+
+    anyio.run(test)
+
+
+@pytest.mark.parametrize('action', [Action.COMPLETE, Action.REVERT])
+def test_writer_dies_between_its_transaction_and_its_announcement(store, action):
+    """Guards against a `reverted` after a `completed`, on which the old runners stopped."""
+
+    async def test():
+        first = await start(store)
+        second = await start(store, 'd2')
+        first.rollouts.action = Action.COMPLETE
+        await run_writer(first)
+        second.rollouts.action = action
+        await run_writer(second)
+        assert get_phase(second) is Phase.COMPLETED
+        assert get_stored(store) == (Phase.COMPLETED, 'completed')
+
+    anyio.run(test)
+
+
+def test_unknown_outcome_is_settled_by_reading_the_row(store):
+    """Guards against a phase that is written twice, or not applied, after a lost answer."""
+
+    async def test():
+        sync = await start(store)
+        store.lost_answers = 1
+        sync.rollouts.action = Action.COMPLETE
+        await run_writer(sync)
+        assert not store.lost_answers
+        assert get_phase(sync) is Phase.COMPLETED
+        assert get_stored(store) == (Phase.COMPLETED, 'completed')
+        assert count_transactions(store) == 2
+
+    anyio.run(test)
+
+
+def test_other_final_phase_in_the_store_wins(store):
+    """Guards against two daemons that take themselves for the writer and both write."""
+
+    async def test():
+        first, second = await start(store), await start(store, 'd2')
+        first.rollouts.action = Action.REVERT
+        await run_writer(first)
+        second.rollouts.action = Action.COMPLETE
+        await run_writer(second)
+        assert get_phase(second) is Phase.REVERTED
+        assert get_stored(store) == (Phase.REVERTED, 'reverted')
+        assert count_events(second, Event.ROLLOUT_PHASE_REFUSED) == 1
+
+    anyio.run(test)
+
+
+def test_verdict_while_the_store_is_away(store):
+    """Guards against calls to a bad version until the store is back, and a verdict that is lost."""
+
+    async def test():
+        sync, other = await start(store), make_sync(store, 'd2')
+        deliver(sync, other)
+        store.is_down = True
+        sync.rollouts.action = Action.REVERT
+        await run_writer(sync)
+        deliver(sync, other)
+        assert get_phase(sync) is get_phase(other) is Phase.REVERTED
+        assert get_stored(store) == (Phase.CANARY, 'in_progress')
+        assert count_events(sync, Event.ROLLOUT_STORE_FAILED) == 1
+        store.is_down = False
+        await run_writer(sync)
+        assert get_stored(store) == (Phase.REVERTED, 'reverted')
+
+    anyio.run(test)
+
+
+@pytest.mark.parametrize('action', [Action.COMPLETE, Action.REVERT])
+@pytest.mark.parametrize('is_order_lost', [True, False])
+def test_store_is_restored_from_a_copy_with_an_older_phase(store, action, is_order_lost):
+    """Guards against an order that begins anew after the operator was told of its end."""
+
+    async def test():
+        empty = RestorableStore().copy()
+        sync = await start(store)
+        old = empty if is_order_lost else store.copy()
+        sync.rollouts.action = action
+        await run_writer(sync)
+        phase, stored = get_phase(sync), get_stored(store)
+        store.restore(old)
+        sync.rollouts.action = None
+        await read_orders(sync)
+        assert (sync.rollouts.get('llm') is None) is is_order_lost
+        if is_order_lost:
+            # The operator repeats what the store has lost.
+            write_order(store)
+            await read_orders(sync)
+        await run_writer(sync)
+        assert get_phase(sync) is phase
+        assert get_stored(store) == stored
+        started = await start(store, 'd2')
+        assert get_phase(started) is phase
+        # Within an era, the same content is another order.
+        write_order(store)
+        await read_orders(sync)
+        assert get_phase(sync) is Phase.CANARY
+
+    anyio.run(test)
+
+
+def test_second_order_to_another_version_replaces_the_first(store):
+    """Guards against a verdict on one version that is applied to, or stored for, the next one."""
+
+    async def test():
+        sync = await start(store, action=Action.REVERT)
+        late = make_sync(store, 'd2')
+        deliver(sync, late)
+        sync.rollouts.action = None
+        write_order(store, to='v3')
+        await read_orders(sync)
+        await run_writer(sync)
+        assert get_stored(store) == (Phase.CANARY, 'in_progress')
+        # The old order is news no more.
+        deliver(late, sync)
+        rollout = sync.rollouts.get('llm')
+        assert (rollout.order.version, rollout.phase) == ('v3', Phase.CANARY)
+        late.rollouts.action = Action.REVERT
+        await run_writer(late)
+        assert get_stored(store) == (Phase.CANARY, 'in_progress')
+
+    anyio.run(test)
+
+
+@pytest.mark.parametrize('is_listing', [True, False])
+def test_removed_order_is_cancelled_everywhere(store, is_listing):
+    """Guards against an order that daemons keep alive by passing it on."""
+
+    async def test():
+        sync, other, third = await start(store), make_sync(store, 'd2'), make_sync(store, 'd3')
+        deliver(sync, other)
+        before = store.data.version
+        store.write(MANIFEST_TABLE, KEY, None)
+        if is_listing:
+            await read_orders(sync)
+        else:
+            sync.apply_orders(await sync.store.read_changes(MANIFEST_TABLE, before, 0), False)
+        deliver(other, sync)
+        deliver(sync, other)
+        deliver(other, third)
+        assert [daemon.rollouts.get('llm') for daemon in (sync, other, third)] == [None] * 3
+
+    anyio.run(test)
+
+
+def test_unreadable_order_is_one_line_in_the_log(store):
+    """Guards against bad input that ends an order in progress, or floods the log."""
+
+    async def test():
+        sync = await start(store)
+        write_order(store, duration_s='soon')
+        for _ in range(3):
+            await read_orders(sync)
+        store.data.rows[PHASE_TABLE, 'other'] = b'{}', 1
+        await sync._read_rows()
+        sync.handle_news(pb.EdgeHeartbeat(rollouts=[pb.RolloutNews(service='llm', phase=9)] * 2))
+        assert get_phase(sync) is Phase.CANARY
+        assert count_events(sync, Event.ROLLOUT_ORDER_INVALID) == 2
+        assert count_events(sync, Event.ROLLOUT_NEWS_INVALID) == 1
+
+    anyio.run(test)
+
+
+def test_daemon_that_starts_after_a_revert_never_sends_to_the_version(store):
+    """Guards against calls to a bad version between the start of a daemon and its first read."""
+
+    async def test():
+        await start(store, action=Action.REVERT)
+        started = make_sync(store, 'd2')
+        store.is_down = True
+        phases = []
+
+        async def watch():
+            await read_orders(started)
+            # Without a pause: before any call is placed.
+            phases.append(get_phase(started))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(started.follow, watch)
+            await anyio.sleep(0.01)
+            assert not started.is_informed
+            store.is_down = False
+        assert phases == [Phase.REVERTED]
+
+    anyio.run(test)
+
+
+def test_orders_are_ignored_without_limits(store):
+    """Guards against a move in a deployment that did not ask for any."""
+    state = make_sync(store).state
+    follower, _applied = make_follower(store.connect())
+    assert connect_rollouts(state, follower, Datagrams(), store.connect()) is None
+    assert follower.on_orders is None
