Let the next daemons write a phase if the writer does not

A killed writer counts as lost only after four heartbeats, 8 s in a large fleet, and a frozen one holds a phase up as long, while an order of 12 s leaves less than 1 s. The next two daemons in the order of the hash read the row 0.5 s and 1 s after they expect the phase, and write it if it is still missing.

Counts are sent in turn beyond 8 kB in a heartbeat, and not after the end of an order: with many routes and runners they would not fit in a datagram, and the sender would count as lost.

--- a/camphorpath/edge/rollouts.py
+++ b/camphorpath/edge/rollouts.py
@@ -1,14 +1,15 @@
 """Shares the orders to move services with peers, and keeps their phases in the metadata store.
 
 Peers hear of orders, phases and counts in heartbeats, and at once in announcements. Only the phase
-in the store is binding: one elected daemon writes it, on the condition that no other daemon has
-changed its row since it was read. A transaction whose outcome is unknown is settled by reading the
-row again. After a restore of the store from a copy the rows are written again.
+in the store is binding: one elected daemon writes it, or else the next one, on the condition that
+no other daemon has changed its row since it was read. A transaction whose outcome is unknown is
+settled by reading the row again. After a restore of the store from a copy the rows are written
+again.
 """
 
 import math
 import zlib
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 
 import anyio
 import attrs
@@ -49,6 +50,13 @@
 RETRY_DELAY_S = 0.3
 # The writer is elected anew at this interval, that of the heartbeats of a small fleet.
 ELECTION_INTERVAL_S = 0.25
+# Each of this many next daemons writes a phase that the ones before it did not write within this
+# time: a killed writer counts as lost after 1 s, or 8 s in a large fleet, and a phase that is late
+# by 1 s misses the limit of an order of 12 s.
+BACKUP_COUNT = 2
+BACKUP_DELAY_S = 0.5
+# Longest counts in a heartbeat; the rest is in the next ones. Larger datagrams get lost more often.
+MAX_TALLY_BYTES = 8000
 # An order is shared for this time after its limit, and a removal for this time. Daemons that were
 # cut off for longer read the orders from the store.
 SHARE_MARGIN_S = 60.0
@@ -68,6 +76,8 @@
     phase: Phase = Phase.CANARY
     # The phase that the store holds for `order_id`; None if it has to be read or written.
     stored: Phase | None = None
+    # Since when the store may lack the phase; None if it does not.
+    unsettled_since: float | None = None
     # MOVING or COMPLETED, if the registry advises it; the writer applies it once it is stored.
     advised: Phase | None = None
 
@@ -146,7 +156,10 @@
     _rows: dict[str, _StoredRow] = attrs.field(factory=dict)
     # The store's clock minus the lease clock; None if the store never stated its time.
     _store_offset_s: float | None = None
-    _is_writer: bool = False
+    # The place of this daemon among those that may write, from 0.
+    _rank: int = 0
+    # Number of the count that the next heartbeat begins with.
+    _next_tally: int = 0
     _next_election_at: float = 0
     _restored: anyio.Event = attrs.field(init=False)
     _has_work: anyio.Event = attrs.field(factory=anyio.Event)
@@ -228,10 +241,7 @@
             for service, held in self._held.items()
             if now < held.order.ends_at + SHARE_MARGIN_S
         }
-        for tally in self.rollouts.share_tallies():
-            news = shared.get(tally.service)
-            if news is not None:
-                news.tallies.append(encode_tally(tally))
+        self._add_tallies(shared)
         removals = [
             pb.RolloutNews(service=service, revision=revision)
             for service, (revision, removed_at) in self._removed.items()
@@ -239,6 +249,21 @@
         ]
         return [*shared.values(), *removals]
 
+    def _add_tallies(self, shared: Mapping[str, pb.RolloutNews]) -> None:
+        """Add this daemon's counts to news, in turn if they are too long for one heartbeat."""
+        tallies = self.rollouts.share_tallies()
+        start = self._next_tally % max(len(tallies), 1)
+        size = 0
+        for tally in (*tallies[start:], *tallies[:start]):
+            self._next_tally += 1
+            news = shared.get(tally.service)
+            if news is None or PHASES[news.phase].is_final:
+                continue
+            news.tallies.append(encode_tally(tally))
+            size += news.tallies[-1].ByteSize()
+            if size > MAX_TALLY_BYTES:
+                return
+
     def update(self, now: float) -> None:
         """Judge the orders, announce the verdicts reached here and wake the writer."""
         actives = sum(map(len, self.state.assignment.actives.values()))
@@ -251,9 +276,9 @@
             self._forget_stored()
         if self._held and now >= self._next_election_at:
             self._next_election_at = now + ELECTION_INTERVAL_S
-            self._elect()
+            self._rank = self.state.get_rank('rollouts')
             self._update_metrics()
-        if self._is_writer and not all(map(self._is_settled, self._held.values())):
+        if any([self._has_turn(held, now) for held in self._held.values()]):
             self._has_work.set()
 
     async def follow(self, watch_orders: Callable[[], Awaitable[None]]) -> None:
@@ -273,7 +298,7 @@
         await watch_orders()
 
     async def write_phases(self) -> None:
-        """Write the phases that the store lacks while this daemon is the writer."""
+        """Write the phases that the store lacks when it is this daemon's turn."""
         while True:
             await self._has_work.wait()
             self._has_work = anyio.Event()
@@ -408,12 +433,15 @@
         if read_lease_clock() < Schedule(held.order, 0).reverts_at:
             self._announce(self._encode_held(held, read_lease_clock()))
 
-    def _elect(self) -> None:
-        """Find out whether this daemon is the writer; a new one reads the rows first."""
-        was_writer = self._is_writer
-        self._is_writer = self.state.is_elected('rollouts')
-        if self._is_writer and not was_writer:
-            self._forget_stored()
+    def _has_turn(self, held: _Held, now: float) -> bool:
+        """Return whether this daemon should write the phase of an order now."""
+        if self._is_settled(held):
+            held.unsettled_since = None
+            return False
+        if held.unsettled_since is None:
+            held.unsettled_since = now
+        waited_s = now - held.unsettled_since
+        return self._rank <= BACKUP_COUNT and waited_s >= self._rank * BACKUP_DELAY_S
 
     def _forget_stored(self) -> None:
         for held in self._held.values():
@@ -475,11 +503,12 @@
 
         Raises RowsChanged, TableUnavailable or TableOutcomeUnknown.
         """
-        if any(held.stored is None for held in self._held.values()):
+        if self._rank or any(held.stored is None for held in self._held.values()):
+            # Another daemon may have written them since.
             await self._read_rows()
         for held in list(self._held.values()):
             is_held = self._held.get(held.order.service) is held
-            if is_held and not self._is_settled(held):
+            if is_held and self._has_turn(held, read_lease_clock()):
                 await self._write_phase(held)
 
     async def _write_phase(self, held: _Held) -> None:
--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -269,13 +269,15 @@
 
     def is_version_writer(self) -> bool:
         """Return whether this daemon keeps the registered software versions in the store."""
-        return self.is_elected('versions')
-
-    def is_elected(self, task: str) -> bool:
-        """Return whether this daemon does a task for all, among those that reach the store."""
-        return self.settings.name == max(
-            self._list_connected(), key=lambda name: rendezvous_score(task, name)
-        )
+        return self.get_rank('versions') == 0
+
+    def get_rank(self, task: str) -> int:
+        """Return how many daemons that reach the store come before this one for a task."""
+        own, connected = self.settings.name, self._list_connected()
+        if own not in connected:
+            return len(connected)
+        own_score = rendezvous_score(task, own)
+        return sum(rendezvous_score(task, name) > own_score for name in connected)
 
     def list_versions(self) -> set[tuple[str, str]]:
         """Return service and software version of the registered upstreams, also of leaving ones."""
--- a/tests/edge/test_rollouts.py
+++ b/tests/edge/test_rollouts.py
@@ -8,11 +8,16 @@
 from camphorpath.clocks import read_lease_clock
 from camphorpath.cluster.members import Members
 from camphorpath.cluster.rollouts import decode_row
-from camphorpath.edge.rollouts import PHASE_TABLE, RolloutSync, connect_rollouts
+from camphorpath.edge.rollouts import (
+    MAX_TALLY_BYTES,
+    PHASE_TABLE,
+    RolloutSync,
+    connect_rollouts,
+)
 from camphorpath.edge.state import MAX_ANNOUNCEMENT_BYTES, DaemonState
 from camphorpath.events import Event
 from camphorpath.platform.wire import MANIFEST_TABLE, STATUS_TABLE
-from camphorpath.rollouts.records import Action, Advice, Phase, RolloutBounds
+from camphorpath.rollouts.records import Action, Advice, Phase, RolloutBounds, Tally
 from camphorpath.rollouts.registry import Rollouts
 from camphorpath.schema import camphorpath_pb2 as pb
 
@@ -166,6 +171,71 @@
     anyio.run(test)
 
 
+def meet(*daemons):
+    """Let daemons know each other, so that they elect a writer."""
+    for sender in daemons:
+        for receiver in daemons:
+            if receiver is not sender:
+                receiver.state.apply_heartbeat(sender.state.make_heartbeat())
+    return sorted(daemons, key=lambda daemon: daemon.state.get_rank('rollouts'))
+
+
+def test_next_daemon_writes_if_the_writer_is_frozen(store, monkeypatch):
+    """Guards against a phase that waits until a frozen writer counts as lost, or is repeated."""
+    monkeypatch.setattr('camphorpath.edge.rollouts.BACKUP_DELAY_S', 0.01)
+
+    async def test():
+        daemons = meet(*[make_sync(store, name) for name in ('d1', 'd2', 'd3', 'd4')])
+        for sync in daemons:
+            await sync.follow(lambda sync=sync: read_orders(sync))
+        writer, backup, *_others, last = daemons
+        await run_writer(writer)
+        for sync in daemons:
+            sync.rollouts.action = Action.MOVE
+        await run_writer(last)
+        assert get_stored(store) == (Phase.CANARY, 'in_progress')
+        await run_writer(backup)
+        assert get_stored(store) == (Phase.MOVING, 'in_progress')
+        await run_writer(writer)
+        assert get_phase(writer) is Phase.MOVING
+        assert store.data.rows[PHASE_TABLE, 'llm'][1] == 4
+
+    anyio.run(test)
+
+
+def test_counts_are_sent_in_turn_if_they_are_too_long(store, monkeypatch):
+    """Guards against heartbeats that do not fit in a datagram: their sender counts as lost."""
+    upstreams = {f'i-{number:030}': 1 for number in range(100)}
+    tallies = [
+        Tally(
+            service='llm',
+            version='v2',
+            route=f'r{number}',
+            revision=1,
+            answers=number,
+            bad=0,
+            slow=0,
+            bad_by_upstream={},
+            slow_by_upstream={},
+            timed_by_upstream=upstreams,
+        )
+        for number in range(30)
+    ]
+    monkeypatch.setattr(ScriptedRollouts, 'share_tallies', lambda _self: tallies)
+
+    async def test():
+        sync = make_sync(store)
+        await read_orders(sync)
+        seen = set()
+        for _ in range(15):
+            (news,) = sync.share_news()
+            assert 0 < news.ByteSize() < 2 * MAX_TALLY_BYTES
+            seen.update(tally.route for tally in news.tallies)
+        assert len(seen) == len(tallies)
+
+    anyio.run(test)
+
+
 def test_unknown_outcome_is_settled_by_reading_the_row(store):
     """Guards against a phase that is written twice, or not applied, after a lost answer."""
 
