--- a/tests/cluster/test_follower.py
+++ b/tests/cluster/test_follower.py
@@ -4,6 +4,7 @@
 import attrs
 import httpx
 
+from camphorpath.clocks import read_lease_clock
 from camphorpath.cluster.follower import MAX_CONFIRMATION_AGE_S, Follower
 from camphorpath.cluster.manifests import ManifestHistory
 from camphorpath.cluster.shared import SharedRows
@@ -11,9 +12,11 @@
 from camphorpath.errors import HistoryCompacted, TableUnavailable
 from camphorpath.events import EventLog
 from camphorpath.platform.store import MetadataStore, Rows, StoreRow
+from camphorpath.platform.wire import MANIFEST_TABLE
 from camphorpath.schema import camphorpath_pb2 as pb
 
 from ..relay.support import wait_for
+from .restored_store import RestorableStore
 
 
 @attrs.define
@@ -487,3 +490,34 @@
         follower.record_peer(heartbeat, '10.0.0.2:1')
 
     run_until(lambda: bool(requested), follower.watch_upstreams, follower.follow_peers, record_peer)
+
+
+def test_order_is_not_missed_for_a_newer_manifest_of_a_peer():
+    """Guards against a daemon that polls the store from the revision of a manifest of a peer."""
+    store = RestorableStore()
+    store.write_manifest(1)
+    follower, _applied = make_follower(store.connect(), is_watcher=lambda: False)
+    seen = []
+    follower.on_orders = lambda rows, is_listing: seen.extend(
+        (is_listing, row.key, row.value) for row in rows.rows
+    )
+
+    async def main():
+        async with anyio.create_task_group() as group:
+            group.start_soon(follower.watch_manifest)
+            await wait_for(lambda: follower.rows.manifest.version == 1, 5)
+            follower._confirmed_at = read_lease_clock()
+            store.write(MANIFEST_TABLE, 'rollout/a', b'x')
+            store.write_manifest(2)
+            follower.rows.apply_manifest(b'{"version": 2}', store.data.version)
+            await anyio.sleep(0.1)
+            assert not seen
+            follower.mark_unconfirmed()
+            await wait_for(lambda: seen, 5)
+            store.write(MANIFEST_TABLE, 'rollout/a', None)
+            follower.mark_unconfirmed()
+            await wait_for(lambda: len(seen) > 1, 5)
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+    assert seen == [(False, 'rollout/a', b'x'), (False, 'rollout/a', None)]
