Take queued heartbeats after a suspension for no contact to peers

A daemon that was frozen for seconds reads the heartbeats that waited in its socket; the later ones, with a verdict, did not fit in. They made it look connected, so that it sent calls to a version that was reverted meanwhile. For 0.5 s after a suspension heartbeats do not count as contact.

--- a/camphorpath/edge/rollouts.py
+++ b/camphorpath/edge/rollouts.py
@@ -55,6 +55,10 @@
 # by 1 s misses the limit of an order of 12 s.
 BACKUP_COUNT = 2
 BACKUP_DELAY_S = 0.5
+# Without an update for this time the daemon was suspended: updates come each 0.05 s. Then the
+# heartbeats that arrive within DRAIN_S may have waited in the socket, and show no contact.
+MIN_SUSPENSION_S = 0.6
+DRAIN_S = 0.5
 # Longest counts in a heartbeat; the rest is in the next ones. Larger datagrams get lost more often.
 MAX_TALLY_BYTES = 8000
 # An order is shared for this time after its limit, and a removal for this time. Daemons that were
@@ -156,6 +160,9 @@
     _rows: dict[str, _StoredRow] = attrs.field(factory=dict)
     # The store's clock minus the lease clock; None if the store never stated its time.
     _store_offset_s: float | None = None
+    _updated_at: float = attrs.field(factory=read_lease_clock)
+    # Instant from which heartbeats show contact to peers.
+    _drained_at: float = 0
     # The place of this daemon among those that may write, from 0.
     _rank: int = 0
     # Number of the count that the next heartbeat begins with.
@@ -230,8 +237,10 @@
                 continue
             self._apply_phase(held, PHASES[news.phase], heartbeat.name)
             tallies.extend(decode_tallies(news, held.order.revision))
-        # Also without any: the registry counts on hearing its peers.
-        self.rollouts.apply_tallies(heartbeat.incarnation, tallies)
+        self._note_suspension(now)
+        if now >= self._drained_at:
+            # Also without any: the registry counts on hearing its peers.
+            self.rollouts.apply_tallies(heartbeat.incarnation, tallies)
 
     def share_news(self) -> list[pb.RolloutNews]:
         """Return the orders and removals for the next heartbeat, with this daemon's counts."""
@@ -266,6 +275,8 @@
 
     def update(self, now: float) -> None:
         """Judge the orders, announce the verdicts reached here and wake the writer."""
+        self._note_suspension(now)
+        self._updated_at = now
         actives = sum(map(len, self.state.assignment.actives.values()))
         for held in self._held.values():
             held.advised = None
@@ -304,8 +315,11 @@
             self._has_work = anyio.Event()
             try:
                 await self._settle_all()
-            except (RowsChanged, TableUnavailable, TableOutcomeUnknown) as error:
+            except RowsChanged:
                 # `update` wakes this task again, which then reads the rows first.
+                await anyio.sleep(RETRY_DELAY_S)
+            except (TableUnavailable, TableOutcomeUnknown) as error:
+                # As above.
                 self._log_failure(error)
                 await anyio.sleep(RETRY_DELAY_S)
                 continue
@@ -433,6 +447,11 @@
         if read_lease_clock() < Schedule(held.order, 0).reverts_at:
             self._announce(self._encode_held(held, read_lease_clock()))
 
+    def _note_suspension(self, now: float) -> None:
+        if now - self._updated_at > MIN_SUSPENSION_S:
+            self._drained_at = now + DRAIN_S
+            self._updated_at = now
+
     def _has_turn(self, held: _Held, now: float) -> bool:
         """Return whether this daemon should write the phase of an order now."""
         if self._is_settled(held):
--- a/tests/edge/test_rollouts.py
+++ b/tests/edge/test_rollouts.py
@@ -16,6 +16,7 @@
 )
 from camphorpath.edge.state import MAX_ANNOUNCEMENT_BYTES, DaemonState
 from camphorpath.events import Event
+from camphorpath.platform.revisions import make_revision
 from camphorpath.platform.wire import MANIFEST_TABLE, STATUS_TABLE
 from camphorpath.rollouts.records import Action, Advice, Phase, RolloutBounds, Tally
 from camphorpath.rollouts.registry import Rollouts
@@ -236,6 +237,28 @@
     anyio.run(test)
 
 
+def test_queued_heartbeats_show_no_contact_after_a_suspension(store, monkeypatch):
+    """Guards against calls to a reverted version by a daemon that was frozen at the verdict."""
+    heard = []
+    monkeypatch.setattr(ScriptedRollouts, 'apply_tallies', lambda *given: heard.append(given))
+
+    async def test():
+        sender, frozen = await start(store), make_sync(store, 'd2')
+        deliver(sender, frozen)
+        assert heard
+        heard.clear()
+        frozen._updated_at -= 3
+        deliver(sender, frozen)
+        frozen.update(read_lease_clock())
+        deliver(sender, frozen)
+        assert not heard
+        frozen._drained_at -= 1
+        deliver(sender, frozen)
+        assert heard
+
+    anyio.run(test)
+
+
 def test_unknown_outcome_is_settled_by_reading_the_row(store):
     """Guards against a phase that is written twice, or not applied, after a lost answer."""
 
@@ -295,21 +318,25 @@
 
     async def test():
         empty = RestorableStore().copy()
-        sync = await start(store)
+        sync, other = await start(store), make_sync(store, 'd3')
+        await read_orders(other)
         old = empty if is_order_lost else store.copy()
         sync.rollouts.action = action
         await run_writer(sync)
+        deliver(sync, other)
         phase, stored = get_phase(sync), get_stored(store)
         store.restore(old)
         sync.rollouts.action = None
-        await read_orders(sync)
-        assert (sync.rollouts.get('llm') is None) is is_order_lost
+        for daemon in (sync, other):
+            await read_orders(daemon)
+            assert (daemon.rollouts.get('llm') is None) is is_order_lost
         if is_order_lost:
             # The operator repeats what the store has lost.
             write_order(store)
             await read_orders(sync)
+            await read_orders(other)
         await run_writer(sync)
-        assert get_phase(sync) is phase
+        assert get_phase(sync) is get_phase(other) is phase
         assert get_stored(store) == stored
         started = await start(store, 'd2')
         assert get_phase(started) is phase
@@ -321,6 +348,40 @@
     anyio.run(test)
 
 
+def test_writer_that_only_hears_of_the_restore_writes_again(store):
+    """Guards against a lost phase, as the writer does not poll the orders."""
+
+    async def test():
+        sync = await start(store)
+        old = store.copy()
+        sync.rollouts.action = Action.REVERT
+        await run_writer(sync)
+        store.restore(old)
+        sync.state.rows.apply_listing([], make_revision(2, store.data.version), 0)
+        await run_writer(sync)
+        assert get_stored(store) == (Phase.REVERTED, 'reverted')
+
+    anyio.run(test)
+
+
+def test_final_phase_after_a_restore_is_never_replaced(store):
+    """Guards against a status row with both outcomes in turn, each of which stops runners."""
+
+    async def test():
+        first, second = await start(store), await start(store, 'd2')
+        old = store.copy()
+        first.rollouts.action = Action.COMPLETE
+        await run_writer(first)
+        store.restore(old)
+        second.rollouts.action = Action.REVERT
+        for sync in (second, first):
+            await read_orders(sync)
+            await run_writer(sync)
+        assert get_stored(store) == (Phase.REVERTED, 'reverted')
+
+    anyio.run(test)
+
+
 def test_second_order_to_another_version_replaces_the_first(store):
     """Guards against a verdict on one version that is applied to, or stored for, the next one."""
 
