Send the changed counts of a roll-out first

Counts of up to 8 kB in each heartbeat are 1.6 MB/s to parse with 200 heartbeats a second. A daemon changes few counts between two heartbeats: these go first, and the others in turn within 3 kB, as datagrams get lost.

--- a/camphorpath/edge/rollouts.py
+++ b/camphorpath/edge/rollouts.py
@@ -59,8 +59,9 @@
 # heartbeats that arrive within DRAIN_S may have waited in the socket, and show no contact.
 MIN_SUSPENSION_S = 0.6
 DRAIN_S = 0.5
-# Longest counts in a heartbeat; the rest is in the next ones. Larger datagrams get lost more often.
-MAX_TALLY_BYTES = 8000
+# Bytes of counts in a heartbeat, about; the rest is in the next ones. A daemon receives up to 200
+# heartbeats a second.
+MAX_TALLY_BYTES = 3000
 # An order is shared for this time after its limit, and a removal for this time. Daemons that were
 # cut off for longer read the orders from the store.
 SHARE_MARGIN_S = 60.0
@@ -165,8 +166,11 @@
     _drained_at: float = 0
     # The place of this daemon among those that may write, from 0.
     _rank: int = 0
-    # Number of the count that the next heartbeat begins with.
-    _next_tally: int = 0
+    # Counts as last sent by service, version and route, and the number of the heartbeat.
+    _shared: dict[tuple[str, str, str], tuple[tuple[int, int, int], int]] = attrs.field(
+        factory=dict
+    )
+    _share_count: int = 0
     _next_election_at: float = 0
     _restored: anyio.Event = attrs.field(init=False)
     _has_work: anyio.Event = attrs.field(factory=anyio.Event)
@@ -259,20 +263,28 @@
         return [*shared.values(), *removals]
 
     def _add_tallies(self, shared: Mapping[str, pb.RolloutNews]) -> None:
-        """Add this daemon's counts to news, in turn if they are too long for one heartbeat."""
-        tallies = self.rollouts.share_tallies()
-        start = self._next_tally % max(len(tallies), 1)
+        """Add this daemon's counts to news: changed ones first, then those not sent for longest.
+
+        The others are repeated as datagrams get lost.
+        """
+        self._share_count += 1
         size = 0
-        for tally in (*tallies[start:], *tallies[:start]):
-            self._next_tally += 1
+        for tally in sorted(self.rollouts.share_tallies(), key=self._rank_tally):
             news = shared.get(tally.service)
             if news is None or PHASES[news.phase].is_final:
                 continue
             news.tallies.append(encode_tally(tally))
+            counts = tally.answers, tally.bad, tally.slow
+            self._shared[tally.service, tally.version, tally.route] = counts, self._share_count
             size += news.tallies[-1].ByteSize()
             if size > MAX_TALLY_BYTES:
                 return
 
+    def _rank_tally(self, tally: Tally) -> tuple[bool, int]:
+        key = tally.service, tally.version, tally.route
+        counts, number = self._shared.get(key, (None, 0))
+        return counts == (tally.answers, tally.bad, tally.slow), number
+
     def update(self, now: float) -> None:
         """Judge the orders, announce the verdicts reached here and wake the writer."""
         self._note_suspension(now)
