Send no call to a new version during the move while no peer is heard

A daemon that was cut off in MOVING sent all new calls to the new version, also after the others had reverted it: its silence was only checked for the capped share of CANARY. In a trial (tests/processes, 4 daemons, 40 % failures from 0.8 s after the move, one daemon cut off) it went on for 1.4 s after the others, until it found the fault itself; without enough evidence of its own it would not end.

Now it returns to the other versions after half of rollback_timeout_ms without a heartbeat, until it hears a peer or of COMPLETED.

--- a/camphorpath/rollouts/exposure.py
+++ b/camphorpath/rollouts/exposure.py
@@ -59,8 +59,7 @@
         """
         if not self.active_count or now - self.updated_at > MAX_UPDATE_AGE_S:
             return False
-        max_silence_s = MAX_SILENCE_PART * self.bounds.rollback_timeout_s
-        if self.active_count > 1 and now - self.heard_at > max_silence_s:
+        if self.is_cut_off(now):
             return False
         used = self.sent_to_target + self.pending
         part = self._get_part(now)
@@ -70,6 +69,11 @@
             part *= NEW_CALLS_USE
         return used + 1 <= part + self._rounding
 
+    def is_cut_off(self, now: float) -> bool:
+        """Return whether this daemon has peers but may have missed their verdict."""
+        max_silence_s = MAX_SILENCE_PART * self.bounds.rollback_timeout_s
+        return self.active_count > 1 and now - self.heard_at > max_silence_s
+
     def record_send(self, target_id: str | None) -> None:
         """Count a request; `target_id` is its upstream if that has the target version."""
         self.sent += 1
--- a/camphorpath/rollouts/state.py
+++ b/camphorpath/rollouts/state.py
@@ -149,6 +149,8 @@
         if self.phase is Phase.REVERTED:
             return True
         # A daemon that was frozen or cut off may not know of the outcome.
+        if self.phase is Phase.MOVING:
+            return self.exposure.is_cut_off(now)
         return self.phase is Phase.CANARY and now > self.rollout.order.ends_at
 
     def _bars_others(self, call: WaitingCall, registered: Registered, now: float) -> bool:
@@ -159,7 +161,7 @@
         if not registered.get(self.version):
             return False
         if self.phase is Phase.MOVING:
-            return not call.is_bound
+            return not (call.is_bound or self.exposure.is_cut_off(now))
         # Later, further versions may serve beside it without an order.
         return self.phase is Phase.COMPLETED and now <= self.forget_at
 
--- a/tests/rollouts/test_failures.py
+++ b/tests/rollouts/test_failures.py
@@ -71,6 +71,23 @@
     assert list_versions(rollouts, group, ORDER.ends_at + 1, 'v2') == {'v1'}
 
 
+def test_daemon_that_is_cut_off_during_the_move_returns_to_the_other_versions():
+    """Guards against all calls of a daemon that go to a version which the others have reverted."""
+    group = make_group(v1=2, v2=2)
+    rollouts = make_rollouts(group)
+    rollouts.update(5, 3)
+    assert rollouts.apply_phase('llm', 7, Phase.MOVING, 6)
+    assert list_versions(rollouts, group, 8) == {'v2'}
+    for required_version in (None, 'v2'):
+        assert list_versions(rollouts, group, 9, required_version) == {'v1'}
+    assert not rollouts.may_send(group[2].upstream, 9)
+    rollouts.apply_tallies('d1', ())
+    rollouts.update(9.1, 3)
+    assert list_versions(rollouts, group, 9.2) == {'v2'}
+    assert rollouts.apply_phase('llm', 7, Phase.COMPLETED, 9.2)
+    assert list_versions(rollouts, group, 20) == {'v2'}
+
+
 def test_phases_decide_which_versions_serve():
     """Guards against calls, retries and resumed streams that pass by the phase of an order."""
     group = make_group(v1=2, v2=2)
