--- a/tests/edge/test_rollouts.py
+++ b/tests/edge/test_rollouts.py
@@ -28,6 +28,8 @@
 from .fleet import Datagrams
 from .test_state import SETTINGS
 
+pytestmark = pytest.mark.anyio
+
 ORDER = {'service': 'llm', 'to': 'v2', 'duration_s': 12}
 KEY = 'rollout/llm'
 
@@ -134,42 +136,34 @@
     sender.heartbeats.sent.clear()
 
 
-def test_order_is_stored_and_reaches_daemons_that_do_not_poll(store):
+async def test_order_is_stored_and_reaches_daemons_that_do_not_poll(store):
     """Guards against an operator, or daemons, that learn late that an order is in progress."""
-
-    async def test():
-        writer, other = await start(store), make_sync(store, 'd2')
-        assert get_stored(store) == (Phase.CANARY, 'in_progress')
-        deliver(writer, other)
-        assert other.rollouts.get('llm').order.version == 'v2'
-        for action, phase in ((Action.MOVE, Phase.MOVING), (Action.COMPLETE, Phase.COMPLETED)):
-            writer.rollouts.action = action
-            await run_writer(writer)
-            assert all(sent.ByteSize() < MAX_ANNOUNCEMENT_BYTES for sent in writer.heartbeats.sent)
-            deliver(writer, other)
-            assert get_phase(writer) is get_phase(other) is phase
-        assert get_stored(store) == (Phase.COMPLETED, 'completed')
+    writer, other = await start(store), make_sync(store, 'd2')
+    assert get_stored(store) == (Phase.CANARY, 'in_progress')
+    deliver(writer, other)
+    assert other.rollouts.get('llm').order.version == 'v2'
+    for action, phase in ((Action.MOVE, Phase.MOVING), (Action.COMPLETE, Phase.COMPLETED)):
+        writer.rollouts.action = action
         await run_writer(writer)
-        assert count_transactions(store) == 3
-
-    anyio.run(test)
+        assert all(sent.ByteSize() < MAX_ANNOUNCEMENT_BYTES for sent in writer.heartbeats.sent)
+        deliver(writer, other)
+        assert get_phase(writer) is get_phase(other) is phase
+    assert get_stored(store) == (Phase.COMPLETED, 'completed')
+    await run_writer(writer)
+    assert count_transactions(store) == 3
 
 
 @pytest.mark.parametrize('action', [Action.COMPLETE, Action.REVERT])
-def test_writer_dies_between_its_transaction_and_its_announcement(store, action):
+async def test_writer_dies_between_its_transaction_and_its_announcement(store, action):
     """Guards against a `reverted` after a `completed`, on which the old runners stopped."""
-
-    async def test():
-        first = await start(store)
-        second = await start(store, 'd2')
-        first.rollouts.action = Action.COMPLETE
-        await run_writer(first)
-        second.rollouts.action = action
-        await run_writer(second)
-        assert get_phase(second) is Phase.COMPLETED
-        assert get_stored(store) == (Phase.COMPLETED, 'completed')
-
-    anyio.run(test)
+    first = await start(store)
+    second = await start(store, 'd2')
+    first.rollouts.action = Action.COMPLETE
+    await run_writer(first)
+    second.rollouts.action = action
+    await run_writer(second)
+    assert get_phase(second) is Phase.COMPLETED
+    assert get_stored(store) == (Phase.COMPLETED, 'completed')
 
 
 def meet(*daemons):
@@ -181,30 +175,26 @@
     return sorted(daemons, key=lambda daemon: daemon.state.get_rank('rollouts'))
 
 
-def test_next_daemon_writes_if_the_writer_is_frozen(store, monkeypatch):
+async def test_next_daemon_writes_if_the_writer_is_frozen(store, monkeypatch):
     """Guards against a phase that waits until a frozen writer counts as lost, or is repeated."""
     monkeypatch.setattr('camphorpath.edge.rollouts.BACKUP_DELAY_S', 0.01)
-
-    async def test():
-        daemons = meet(*[make_sync(store, name) for name in ('d1', 'd2', 'd3', 'd4')])
-        for sync in daemons:
-            await sync.follow(lambda sync=sync: read_orders(sync))
-        writer, backup, *_others, last = daemons
-        await run_writer(writer)
-        for sync in daemons:
-            sync.rollouts.action = Action.MOVE
-        await run_writer(last)
-        assert get_stored(store) == (Phase.CANARY, 'in_progress')
-        await run_writer(backup)
-        assert get_stored(store) == (Phase.MOVING, 'in_progress')
-        await run_writer(writer)
-        assert get_phase(writer) is Phase.MOVING
-        assert store.data.rows[PHASE_TABLE, 'llm'][1] == 4
-
-    anyio.run(test)
-
-
-def test_counts_are_sent_in_turn_if_they_are_too_long(store, monkeypatch):
+    daemons = meet(*[make_sync(store, name) for name in ('d1', 'd2', 'd3', 'd4')])
+    for sync in daemons:
+        await sync.follow(lambda sync=sync: read_orders(sync))
+    writer, backup, *_others, last = daemons
+    await run_writer(writer)
+    for sync in daemons:
+        sync.rollouts.action = Action.MOVE
+    await run_writer(last)
+    assert get_stored(store) == (Phase.CANARY, 'in_progress')
+    await run_writer(backup)
+    assert get_stored(store) == (Phase.MOVING, 'in_progress')
+    await run_writer(writer)
+    assert get_phase(writer) is Phase.MOVING
+    assert store.data.rows[PHASE_TABLE, 'llm'][1] == 4
+
+
+async def test_counts_are_sent_in_turn_if_they_are_too_long(store, monkeypatch):
     """Guards against heartbeats that do not fit in a datagram: their sender counts as lost."""
     upstreams = {f'i-{number:030}': 1 for number in range(20)}
     tallies = [
@@ -223,252 +213,204 @@
         for number in range(30)
     ]
     monkeypatch.setattr(ScriptedRollouts, 'share_tallies', lambda _self: tallies)
-
-    async def test():
-        sync = make_sync(store)
-        await read_orders(sync)
-        seen = set()
-        for _ in range(10):
-            (news,) = sync.share_news()
-            assert 0 < news.ByteSize() < 2 * MAX_TALLY_BYTES
-            seen.update(tally.route for tally in news.tallies)
-        assert len(seen) == len(tallies)
-        tallies[17] = attrs.evolve(tallies[17], bad=3)
+    sync = make_sync(store)
+    await read_orders(sync)
+    seen = set()
+    for _ in range(10):
         (news,) = sync.share_news()
-        assert news.tallies[0].route == 'r17'
-
-    anyio.run(test)
+        assert 0 < news.ByteSize() < 2 * MAX_TALLY_BYTES
+        seen.update(tally.route for tally in news.tallies)
+    assert len(seen) == len(tallies)
+    tallies[17] = attrs.evolve(tallies[17], bad=3)
+    (news,) = sync.share_news()
+    assert news.tallies[0].route == 'r17'
 
 
-def test_queued_heartbeats_show_no_contact_after_a_suspension(store, monkeypatch):
+async def test_queued_heartbeats_show_no_contact_after_a_suspension(store, monkeypatch):
     """Guards against calls to a reverted version by a daemon that was frozen at the verdict."""
     heard = []
     monkeypatch.setattr(ScriptedRollouts, 'apply_tallies', lambda *given: heard.append(given))
-
-    async def test():
-        sender, frozen = await start(store), make_sync(store, 'd2')
-        deliver(sender, frozen)
-        assert heard
-        heard.clear()
-        frozen._updated_at -= 3
-        deliver(sender, frozen)
-        frozen.update(read_lease_clock())
-        deliver(sender, frozen)
-        assert not heard
-        frozen._drained_at -= 1
-        deliver(sender, frozen)
-        assert heard
-
-    anyio.run(test)
-
-
-def test_unknown_outcome_is_settled_by_reading_the_row(store):
+    sender, frozen = await start(store), make_sync(store, 'd2')
+    deliver(sender, frozen)
+    assert heard
+    heard.clear()
+    frozen._updated_at -= 3
+    deliver(sender, frozen)
+    frozen.update(read_lease_clock())
+    deliver(sender, frozen)
+    assert not heard
+    frozen._drained_at -= 1
+    deliver(sender, frozen)
+    assert heard
+
+
+async def test_unknown_outcome_is_settled_by_reading_the_row(store):
     """Guards against a phase that is written twice, or not applied, after a lost answer."""
-
-    async def test():
-        sync = await start(store)
-        store.lost_answers = 1
-        sync.rollouts.action = Action.COMPLETE
-        await run_writer(sync)
-        assert not store.lost_answers
-        assert get_phase(sync) is Phase.COMPLETED
-        assert get_stored(store) == (Phase.COMPLETED, 'completed')
-        assert count_transactions(store) == 2
-
-    anyio.run(test)
+    sync = await start(store)
+    store.lost_answers = 1
+    sync.rollouts.action = Action.COMPLETE
+    await run_writer(sync)
+    assert not store.lost_answers
+    assert get_phase(sync) is Phase.COMPLETED
+    assert get_stored(store) == (Phase.COMPLETED, 'completed')
+    assert count_transactions(store) == 2
 
 
-def test_other_final_phase_in_the_store_wins(store):
+async def test_other_final_phase_in_the_store_wins(store):
     """Guards against two daemons that take themselves for the writer and both write."""
+    first, second = await start(store), await start(store, 'd2')
+    first.rollouts.action = Action.REVERT
+    await run_writer(first)
+    second.rollouts.action = Action.COMPLETE
+    await run_writer(second)
+    assert get_phase(second) is Phase.REVERTED
+    assert get_stored(store) == (Phase.REVERTED, 'reverted')
+    assert count_events(second, Event.ROLLOUT_PHASE_REFUSED) == 1
 
-    async def test():
-        first, second = await start(store), await start(store, 'd2')
-        first.rollouts.action = Action.REVERT
-        await run_writer(first)
-        second.rollouts.action = Action.COMPLETE
-        await run_writer(second)
-        assert get_phase(second) is Phase.REVERTED
-        assert get_stored(store) == (Phase.REVERTED, 'reverted')
-        assert count_events(second, Event.ROLLOUT_PHASE_REFUSED) == 1
-
-    anyio.run(test)
 
-
-def test_verdict_while_the_store_is_away(store):
+async def test_verdict_while_the_store_is_away(store):
     """Guards against calls to a bad version until the store is back, and a verdict that is lost."""
-
-    async def test():
-        sync, other = await start(store), make_sync(store, 'd2')
-        deliver(sync, other)
-        store.is_down = True
-        sync.rollouts.action = Action.REVERT
-        await run_writer(sync)
-        deliver(sync, other)
-        assert get_phase(sync) is get_phase(other) is Phase.REVERTED
-        assert get_stored(store) == (Phase.CANARY, 'in_progress')
-        assert count_events(sync, Event.ROLLOUT_STORE_FAILED) == 1
-        store.is_down = False
-        await run_writer(sync)
-        assert get_stored(store) == (Phase.REVERTED, 'reverted')
-
-    anyio.run(test)
+    sync, other = await start(store), make_sync(store, 'd2')
+    deliver(sync, other)
+    store.is_down = True
+    sync.rollouts.action = Action.REVERT
+    await run_writer(sync)
+    deliver(sync, other)
+    assert get_phase(sync) is get_phase(other) is Phase.REVERTED
+    assert get_stored(store) == (Phase.CANARY, 'in_progress')
+    assert count_events(sync, Event.ROLLOUT_STORE_FAILED) == 1
+    store.is_down = False
+    await run_writer(sync)
+    assert get_stored(store) == (Phase.REVERTED, 'reverted')
 
 
 @pytest.mark.parametrize('action', [Action.COMPLETE, Action.REVERT])
 @pytest.mark.parametrize('is_order_lost', [True, False])
-def test_store_is_restored_from_a_copy_with_an_older_phase(store, action, is_order_lost):
+async def test_store_is_restored_from_a_copy_with_an_older_phase(store, action, is_order_lost):
     """Guards against an order that begins anew after the operator was told of its end."""
-
-    async def test():
-        empty = RestorableStore().copy()
-        sync, other = await start(store), make_sync(store, 'd3')
-        await read_orders(other)
-        old = empty if is_order_lost else store.copy()
-        sync.rollouts.action = action
-        await run_writer(sync)
-        deliver(sync, other)
-        phase, stored = get_phase(sync), get_stored(store)
-        store.restore(old)
-        sync.rollouts.action = None
-        for daemon in (sync, other):
-            await read_orders(daemon)
-            assert (daemon.rollouts.get('llm') is None) is is_order_lost
-        if is_order_lost:
-            # The operator repeats what the store has lost.
-            write_order(store)
-            await read_orders(sync)
-            await read_orders(other)
-        await run_writer(sync)
-        assert get_phase(sync) is get_phase(other) is phase
-        assert get_stored(store) == stored
-        started = await start(store, 'd2')
-        assert get_phase(started) is phase
-        # Within an era, the same content is another order.
+    empty = RestorableStore().copy()
+    sync, other = await start(store), make_sync(store, 'd3')
+    await read_orders(other)
+    old = empty if is_order_lost else store.copy()
+    sync.rollouts.action = action
+    await run_writer(sync)
+    deliver(sync, other)
+    phase, stored = get_phase(sync), get_stored(store)
+    store.restore(old)
+    sync.rollouts.action = None
+    for daemon in (sync, other):
+        await read_orders(daemon)
+        assert (daemon.rollouts.get('llm') is None) is is_order_lost
+    if is_order_lost:
+        # The operator repeats what the store has lost.
         write_order(store)
         await read_orders(sync)
-        assert get_phase(sync) is Phase.CANARY
-
-    anyio.run(test)
+        await read_orders(other)
+    await run_writer(sync)
+    assert get_phase(sync) is get_phase(other) is phase
+    assert get_stored(store) == stored
+    started = await start(store, 'd2')
+    assert get_phase(started) is phase
+    # Within an era, the same content is another order.
+    write_order(store)
+    await read_orders(sync)
+    assert get_phase(sync) is Phase.CANARY
 
 
-def test_writer_that_only_hears_of_the_restore_writes_again(store):
+async def test_writer_that_only_hears_of_the_restore_writes_again(store):
     """Guards against a lost phase, as the writer does not poll the orders."""
-
-    async def test():
-        sync = await start(store)
-        old = store.copy()
-        sync.rollouts.action = Action.REVERT
-        await run_writer(sync)
-        store.restore(old)
-        sync.state.rows.apply_listing([], make_revision(2, store.data.version), 0)
-        await run_writer(sync)
-        assert get_stored(store) == (Phase.REVERTED, 'reverted')
-
-    anyio.run(test)
+    sync = await start(store)
+    old = store.copy()
+    sync.rollouts.action = Action.REVERT
+    await run_writer(sync)
+    store.restore(old)
+    sync.state.rows.apply_listing([], make_revision(2, store.data.version), 0)
+    await run_writer(sync)
+    assert get_stored(store) == (Phase.REVERTED, 'reverted')
 
 
-def test_final_phase_after_a_restore_is_never_replaced(store):
+async def test_final_phase_after_a_restore_is_never_replaced(store):
     """Guards against a status row with both outcomes in turn, each of which stops runners."""
-
-    async def test():
-        first, second = await start(store), await start(store, 'd2')
-        old = store.copy()
-        first.rollouts.action = Action.COMPLETE
-        await run_writer(first)
-        store.restore(old)
-        second.rollouts.action = Action.REVERT
-        for sync in (second, first):
-            await read_orders(sync)
-            await run_writer(sync)
-        assert get_stored(store) == (Phase.REVERTED, 'reverted')
-
-    anyio.run(test)
-
-
-def test_second_order_to_another_version_replaces_the_first(store):
-    """Guards against a verdict on one version that is applied to, or stored for, the next one."""
-
-    async def test():
-        sync = await start(store, action=Action.REVERT)
-        late = make_sync(store, 'd2')
-        deliver(sync, late)
-        sync.rollouts.action = None
-        write_order(store, to='v3')
+    first, second = await start(store), await start(store, 'd2')
+    old = store.copy()
+    first.rollouts.action = Action.COMPLETE
+    await run_writer(first)
+    store.restore(old)
+    second.rollouts.action = Action.REVERT
+    for sync in (second, first):
         await read_orders(sync)
         await run_writer(sync)
-        assert get_stored(store) == (Phase.CANARY, 'in_progress')
-        # The old order is news no more.
-        deliver(late, sync)
-        rollout = sync.rollouts.get('llm')
-        assert (rollout.order.version, rollout.phase) == ('v3', Phase.CANARY)
-        late.rollouts.action = Action.REVERT
-        await run_writer(late)
-        assert get_stored(store) == (Phase.CANARY, 'in_progress')
+    assert get_stored(store) == (Phase.REVERTED, 'reverted')
 
-    anyio.run(test)
+
+async def test_second_order_to_another_version_replaces_the_first(store):
+    """Guards against a verdict on one version that is applied to, or stored for, the next one."""
+    sync = await start(store, action=Action.REVERT)
+    late = make_sync(store, 'd2')
+    deliver(sync, late)
+    sync.rollouts.action = None
+    write_order(store, to='v3')
+    await read_orders(sync)
+    await run_writer(sync)
+    assert get_stored(store) == (Phase.CANARY, 'in_progress')
+    # The old order is news no more.
+    deliver(late, sync)
+    rollout = sync.rollouts.get('llm')
+    assert (rollout.order.version, rollout.phase) == ('v3', Phase.CANARY)
+    late.rollouts.action = Action.REVERT
+    await run_writer(late)
+    assert get_stored(store) == (Phase.CANARY, 'in_progress')
 
 
 @pytest.mark.parametrize('is_listing', [True, False])
-def test_removed_order_is_cancelled_everywhere(store, is_listing):
+async def test_removed_order_is_cancelled_everywhere(store, is_listing):
     """Guards against an order that daemons keep alive by passing it on."""
-
-    async def test():
-        sync, other, third = await start(store), make_sync(store, 'd2'), make_sync(store, 'd3')
-        deliver(sync, other)
-        before = store.data.version
-        store.write(MANIFEST_TABLE, KEY, None)
-        if is_listing:
-            await read_orders(sync)
-        else:
-            sync.apply_orders(await sync.store.read_changes(MANIFEST_TABLE, before, 0), False)
-        deliver(other, sync)
-        deliver(sync, other)
-        deliver(other, third)
-        assert [daemon.rollouts.get('llm') for daemon in (sync, other, third)] == [None] * 3
-
-    anyio.run(test)
+    sync, other, third = await start(store), make_sync(store, 'd2'), make_sync(store, 'd3')
+    deliver(sync, other)
+    before = store.data.version
+    store.write(MANIFEST_TABLE, KEY, None)
+    if is_listing:
+        await read_orders(sync)
+    else:
+        sync.apply_orders(await sync.store.read_changes(MANIFEST_TABLE, before, 0), False)
+    deliver(other, sync)
+    deliver(sync, other)
+    deliver(other, third)
+    assert [daemon.rollouts.get('llm') for daemon in (sync, other, third)] == [None] * 3
 
 
-def test_unreadable_order_is_one_line_in_the_log(store):
+async def test_unreadable_order_is_one_line_in_the_log(store):
     """Guards against bad input that ends an order in progress, or floods the log."""
-
-    async def test():
-        sync = await start(store)
-        write_order(store, duration_s='soon')
-        for _ in range(3):
-            await read_orders(sync)
-        store.data.rows[PHASE_TABLE, 'other'] = b'{}', 1
-        await sync._read_rows()
-        sync.handle_news(pb.EdgeHeartbeat(rollouts=[pb.RolloutNews(service='llm', phase=9)] * 2))
-        assert get_phase(sync) is Phase.CANARY
-        assert count_events(sync, Event.ROLLOUT_ORDER_INVALID) == 2
-        assert count_events(sync, Event.ROLLOUT_NEWS_INVALID) == 1
-
-    anyio.run(test)
+    sync = await start(store)
+    write_order(store, duration_s='soon')
+    for _ in range(3):
+        await read_orders(sync)
+    store.data.rows[PHASE_TABLE, 'other'] = b'{}', 1
+    await sync._read_rows()
+    sync.handle_news(pb.EdgeHeartbeat(rollouts=[pb.RolloutNews(service='llm', phase=9)] * 2))
+    assert get_phase(sync) is Phase.CANARY
+    assert count_events(sync, Event.ROLLOUT_ORDER_INVALID) == 2
+    assert count_events(sync, Event.ROLLOUT_NEWS_INVALID) == 1
 
 
-def test_daemon_that_starts_after_a_revert_never_sends_to_the_version(store):
+async def test_daemon_that_starts_after_a_revert_never_sends_to_the_version(store):
     """Guards against calls to a bad version between the start of a daemon and its first read."""
+    await start(store, action=Action.REVERT)
+    started = make_sync(store, 'd2')
+    store.is_down = True
+    phases = []
+
+    async def watch():
+        await read_orders(started)
+        # Without a pause: before any call is placed.
+        phases.append(get_phase(started))
 
-    async def test():
-        await start(store, action=Action.REVERT)
-        started = make_sync(store, 'd2')
-        store.is_down = True
-        phases = []
-
-        async def watch():
-            await read_orders(started)
-            # Without a pause: before any call is placed.
-            phases.append(get_phase(started))
-
-        async with anyio.create_task_group() as group:
-            group.start_soon(started.follow, watch)
-            await anyio.sleep(0.01)
-            assert not started.is_informed
-            store.is_down = False
-        assert phases == [Phase.REVERTED]
-
-    anyio.run(test)
+    async with anyio.create_task_group() as group:
+        group.start_soon(started.follow, watch)
+        await anyio.sleep(0.01)
+        assert not started.is_informed
+        store.is_down = False
+    assert phases == [Phase.REVERTED]
 
 
 def test_orders_are_ignored_without_limits(store):
