Merge the orders to move services to another version

Change: package rollouts with the decisions, orders and phases in the metadata store, evidence in heartbeats, one elected writer with conditional transactions.

--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -57,6 +57,8 @@
     read_store_age: Callable[[], float] = lambda: math.inf
     # Set, and replaced, when the store was restored from a copy.
     restored: anyio.Event = attrs.field(factory=anyio.Event)
+    # Returns the orders to move services for a heartbeat; none if such orders are ignored.
+    share_rollouts: Callable[[], list[pb.RolloutNews]] = list
     _sequence: int = 0
     # Checksums of undecodable entries by upstream id, so that each is logged once.
     _invalid_checksums: dict[str, int] = attrs.field(factory=dict)
@@ -128,6 +130,7 @@
         for upstream_id, load in self.relay.scheduler.report_loads(borrowers, now).items():
             heartbeat.loads.append(encode_load(upstream_id, load, now))
         heartbeat.quarantined.extend(self._encode_quarantined(now))
+        heartbeat.rollouts.extend(self.share_rollouts())
         return heartbeat
 
     def make_announcement(self, changes: pb.SharedState, after: int) -> pb.EdgeHeartbeat:
@@ -269,9 +272,15 @@
 
     def is_version_writer(self) -> bool:
         """Return whether this daemon keeps the registered software versions in the store."""
-        return self.settings.name == max(
-            self._list_connected(), key=lambda name: rendezvous_score('versions', name)
-        )
+        return self.get_rank('versions') == 0
+
+    def get_rank(self, task: str) -> int:
+        """Return how many daemons that reach the store come before this one for a task."""
+        own, connected = self.settings.name, self._list_connected()
+        if own not in connected:
+            return len(connected)
+        own_score = rendezvous_score(task, own)
+        return sum(rendezvous_score(task, name) > own_score for name in connected)
 
     def list_versions(self) -> set[tuple[str, str]]:
         """Return service and software version of the registered upstreams, also of leaving ones."""
--- a/camphorpath/errors.py
+++ b/camphorpath/errors.py
@@ -46,6 +46,10 @@
     """The table no longer holds the changes after a revision; it must be read in full."""
 
 
+class RowsChanged(PlatformError):
+    """A row of a conditional transaction has another revision; nothing was written."""
+
+
 class TableOutcomeUnknown(PlatformError):
     """The answer of the table was lost; the write may have taken effect."""
 
@@ -66,7 +70,7 @@
 
 
 class ProcessUnconfirmed(NotSent):
-    """A stream was not sent on, as the process that answers may not be the registered one."""
+    """A call was not sent, as its upstream may not be the registered process or not allowed now."""
 
 
 @enum.unique
@@ -93,6 +97,10 @@
         self.cause = cause
 
 
+class HeadTimeout(SentUnknown):
+    """No byte of the answer arrived before the time at which another upstream should be tried."""
+
+
 class Truncated(UpstreamError):
     """The answer of the upstream began and broke off."""
 
