Let calls wait for their quota, and claim units before they are used

Cause: a call above the bucket of its customer was refused although its caller could wait; other daemons heard of use up to a heartbeat late, so two thirds of the tolerance were kept for that; the reserve for urgent calls stayed unused without urgent calls.

Change: a daemon claims units from the common bucket with each heartbeat and admits calls from its claim, in proportion to the demand that the daemons report (EdgeHeartbeat field 25). What a killed, frozen or lost daemon may still use is known before it happens. Calls that can be in time wait in order of urgency and arrival, in the task that watches their caller. Units of calls that did not run return to the calls that wait, also if the caller left. Refusals log their route and an honest Retry-After. Refused calls are now answered after their acceptance, so they also log request_failed.

Tests: test_less_urgent_calls_leave_part_of_the_burst demanded a reserve without any urgent call; it now sends one before, and a second test asserts the release.

--- a/camphorpath/cluster/heartbeats.py
+++ b/camphorpath/cluster/heartbeats.py
@@ -85,6 +85,7 @@
     if not (heartbeat.name and heartbeat.incarnation and is_ipv4_address(heartbeat.host)):
         return None
     numbers = [heartbeat.cores, heartbeat.interval, heartbeat.store_age, *heartbeat.used.values()]
+    numbers.extend(heartbeat.quota_demand.values())
     numbers.extend(load.factor for load in heartbeat.loads)
     for load in heartbeat.loads:
         if load.HasField('rate_statement'):
--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -100,6 +100,8 @@
         """Return the next heartbeat of this daemon."""
         self._sequence += 1
         settings = self.settings
+        now = read_lease_clock()
+        quota_report = self.relay.quota.make_report(now, self.heartbeat_interval_s)
         heartbeat = pb.EdgeHeartbeat(
             name=settings.name,
             incarnation=self.incarnation,
@@ -115,13 +117,13 @@
             manifest_version=self.rows.manifest.version,
             upstreams_revision=self.rows.upstreams_revision,
             upstreams_complete_since=self.rows.complete_since,
-            used=self.relay.quota.used,
+            used=quota_report.used,
+            quota_demand=quota_report.demand,
             interval=self.heartbeat_interval_s,
             waiting=self.relay.scheduler.count_waiting(),
             store_age=self._encode_store_age(),
         )
         borrowers = max(sum(len(names) for names in self.assignment.actives.values()) - 1, 1)
-        now = read_lease_clock()
         heartbeat.refused.update(self.relay.scheduler.count_refused(now))
         for upstream_id, load in self.relay.scheduler.report_loads(borrowers, now).items():
             heartbeat.loads.append(encode_load(upstream_id, load, now))
@@ -179,7 +181,9 @@
         self._adopt_quarantined(heartbeat)
         if not heartbeat.store_up:
             self.view.mark_store_unstable(now)
-        self.relay.quota.apply_report(heartbeat.incarnation, dict(heartbeat.used))
+        self.relay.quota.apply_report(
+            heartbeat.incarnation, heartbeat.used, now, heartbeat.quota_demand
+        )
         loads = {load.upstream: decode_load(load, now) for load in heartbeat.loads}
         changed = self.relay.scheduler.apply_loads(
             heartbeat.name,
@@ -420,5 +424,5 @@
         return True
 
     def _discard_member_reports(self, member: Member) -> None:
-        self.relay.quota.remove_daemon(member.heartbeat.incarnation)
+        self.relay.quota.remove_daemon(member.heartbeat.incarnation, read_lease_clock())
         self.relay.scheduler.remove_daemon(member.heartbeat.incarnation)
--- a/camphorpath/placement/quota.py
+++ b/camphorpath/placement/quota.py
@@ -1,23 +1,55 @@
 """Quotas of customers across all daemons.
 
-Limits a customer that sends many times its typical load through several daemons at once. Every
-daemon keeps a token bucket per customer, fills it at the same rate and drains it by the units that
-all daemons have admitted; the usage of other daemons is known with a lag of one heartbeat.
+Limits a customer that sends many times its typical load through several daemons at once, without
+refusing one whose bursts move from daemon to daemon. The limit applies to a sliding window and is
+rate times window plus burst.
 
-The limit applies to a sliding window and is rate times window plus burst. A bucket that is filled
-at the rate alone would admit less than that under sustained demand, so it is filled faster, such
-that no window exceeds the limit by more than a part of the configured tolerance.
+All daemons keep the same account of each customer: a token bucket that fills at a common rate. A
+daemon does not admit calls from the bucket but from units that it claimed from it. With each
+heartbeat it returns what is left of its last claim, claims its share of the bucket anew and reports
+the sum of what it has used and claimed. So the use of a daemon is known before it happens, also if
+the daemon is killed or frozen afterwards, and extrapolation from rates takes the form of claims:
+the shares follow the units that callers ask of each daemon. A daemon without others admits calls
+from the bucket directly.
+
+A bucket that is filled at the rate alone would admit less than the limit under sustained demand, so
+it is filled faster and holds more than the burst, by the part of the tolerance that the lag of
+heartbeats leaves.
 """
 
+import math
+from collections.abc import Iterable, Mapping
+
 import attrs
 
 from ..routing import Customer
 
-# Share of the tolerance that steady usage may take; the rest covers the lag of heartbeats.
-TOLERANCE_SHARE = 0.33
+# Part of the tolerance that is left to calls larger than the burst, which overdraw the bucket.
+OVERDRAFT_SHARE = 0.25
 # Share of the burst that a call leaves to more urgent ones, per step of priority below the highest.
 RESERVED_SHARE_PER_PRIORITY = 0.15
 MAX_RESERVED_SHARE = 0.5
+# The reserve is held for this time after the last more urgent call. Urgent traffic that pauses for
+# longer finds the bucket refilled by at least as much in these seconds.
+RESERVE_HOLD_S = 2.0
+# Time constant of the demand: several heartbeats, so that shares do not follow single calls.
+DEMAND_TIME_S = 1.0
+# Part of each bucket that is shared equally, so that a call finds some units at any daemon.
+EQUAL_SHARE = 0.2
+# Part that is claimed by all daemons together of a bucket for which none has demand: a burst at one
+# daemon finds the rest at its next heartbeat.
+IDLE_SHARE = 0.5
+# Units a second below which a daemon has no demand.
+MIN_DEMAND = 1e-3
+# A daemon that starts or was frozen claims at most this share until it has heard from the others.
+START_SHARE = 0.1
+SETTLE_INTERVAL_COUNT = 3
+# Intervals after which a daemon that reported nothing counts as frozen; the others count it as lost
+# by then and share its part.
+FROZEN_INTERVAL_COUNT = 4
+MIN_INTERVAL_S = 0.25
+# Largest part of a bucket that one call has to claim; with more, it would wait for all others.
+MAX_CLAIM_SHARE = 0.6
 
 
 @attrs.frozen(kw_only=True)
@@ -31,92 +63,388 @@
     allowance: float
 
 
+@attrs.frozen(kw_only=True)
+class QuotaReport:
+    """What a daemon tells the others; both by customer."""
+
+    # Units used since the start of the daemon, and those that are claimed.
+    used: dict[str, float]
+    # Units per second that callers lately asked for.
+    demand: dict[str, float]
+
+
 @attrs.define
-class _Bucket:
-    """A token bucket; the level is negative after the daemons together admitted too much."""
+class _Account:
+    """The state of one customer at this daemon, in units."""
 
+    customer: Customer
+    # What no daemon has used or claimed; negative after the daemons together took too much.
     level: float
     filled_at: float
+    # What this daemon has claimed and not used; negative after a call above the burst.
+    claimed: float = 0
+    # What other daemons have taken since the last claim.
+    taken_by_others: float = 0
+    # Units needed by the largest call that lacked units since the last claim.
+    lacking: float = 0
+    # Units per second asked of this daemon at `demand_at`, and of the others.
+    demand: float = 0
+    demand_at: float = 0
+    others_demand: float = 0
+    # Last arrival by priority.
+    arrived_at: dict[int, float] = attrs.field(factory=dict)
+
+    def decay_demand(self, now: float) -> float:
+        """Return the demand in units per second at `now`."""
+        self.demand *= math.exp(min(self.demand_at - now, 0) / DEMAND_TIME_S)
+        self.demand_at = now
+        return self.demand
+
+
+@attrs.frozen(kw_only=True)
+class _Limits:
+    """The limits of the bucket of one customer."""
+
+    # What they were computed from.
+    key: tuple[float, ...]
+    # Units per second.
+    fill_rate: float
+    # Units, as is `max_units`, the largest call.
+    capacity: float
+    max_units: float
+
+
+@attrs.define
+class _Peer:
+    """The last report of another daemon incarnation."""
+
+    # None if the next report is the first one that counts.
+    used: dict[str, float] | None = None
+    demand: dict[str, float] = attrs.field(factory=dict)
+    # When its heartbeats ceased; None while they arrive.
+    lost_at: float | None = None
 
 
 @attrs.define
 class QuotaLedger:
-    """Usage of all customers as known to one daemon."""
+    """Usage of all customers as known to one daemon; instants are on the lease clock."""
 
     bounds: QuotaBounds
-    # Whether buckets start full: only if nothing can have been admitted before.
+    # Whether the deployment starts for the first time. Otherwise the usage before the start of this
+    # daemon is unknown, and its buckets start empty.
     starts_full: bool
-    # Units admitted by this daemon since its start, by customer.
+    # Units admitted by this daemon, by customer.
     used: dict[str, float] = attrs.field(factory=dict)
-    _buckets: dict[str, _Bucket] = attrs.field(factory=dict)
-    # Units reported by other incarnations, by incarnation and customer.
-    _reported: dict[str, dict[str, float]] = attrs.field(factory=dict)
+    _accounts: dict[str, _Account] = attrs.field(factory=dict)
+    _limits: dict[str, _Limits] = attrs.field(factory=dict)
+    _peers: dict[str, _Peer] = attrs.field(factory=dict)
+    # The peers among which the buckets are shared.
+    _sharers: list[_Peer] = attrs.field(factory=list)
     _started_at: float | None = None
+    # Until then, this daemon may not have heard from all others.
+    _settled_at: float = -math.inf
+    _reported_at: float = -math.inf
+    _interval_s: float = MIN_INTERVAL_S
+    # Whether calls are admitted from claims.
+    _is_shared: bool = False
 
     def admit(self, customer: Customer, units: float, now: float, priority: int = 0) -> float:
-        """Take units from the quota and return 0, or return the seconds until they are available.
+        """Take the units of a call that arrives and return 0, or the seconds until it gets them.
 
-        Calls leave a part of the burst for those of a more urgent priority; 0 is the most urgent.
+        The seconds are infinite for a call that is too large for the quota. Calls leave a part of
+        the burst for those of a more urgent priority that came lately; 0 is the most urgent.
         """
-        if customer.rate <= 0:
+        self.record_arrival(customer, units, now, priority)
+        if self.take(customer, units, now, priority):
             return 0
-        bucket = self._fill(customer, now)
-        # A request above the burst would never be admitted, so a full bucket is enough for it.
-        needed = min(units, customer.burst)
-        needed += customer.burst * min(RESERVED_SHARE_PER_PRIORITY * priority, MAX_RESERVED_SHARE)
-        needed = min(needed, customer.burst)
-        if bucket.level < needed:
-            return (needed - bucket.level) / self._fill_rate(customer)
-        bucket.level -= units
+        return self.estimate_wait(customer, units, now, priority)
+
+    def record_arrival(
+        self, customer: Customer, units: float, now: float, priority: int = 0
+    ) -> None:
+        """Count the units of a call in the demand of its customer, whether or not it gets them."""
+        if customer.rate <= 0:
+            return
+        account = self._get_account(customer, now)
+        account.decay_demand(now)
+        account.demand += units / DEMAND_TIME_S
+        account.arrived_at[priority] = now
+
+    def take(self, customer: Customer, units: float, now: float, priority: int = 0) -> bool:
+        """Take the units of a call; return whether there were enough."""
+        if customer.rate <= 0:
+            return True
+        account = self._get_account(customer, now)
+        self._fill(account, now)
+        if units > self._get_limits(customer).max_units:
+            return False
+        needed = self._count_needed(account, units, now, priority)
+        if self._get_available(account, now) < needed:
+            account.lacking = max(account.lacking, needed)
+            return False
+        if self._is_shared:
+            account.claimed -= units
+        else:
+            account.level -= units
         self.used[customer.name] = self.used.get(customer.name, 0) + units
-        return 0
+        return True
+
+    def estimate_wait(
+        self, customer: Customer, units: float, now: float, priority: int = 0, ahead: float = 0
+    ) -> float:
+        """Return the seconds until a call gets its units; infinite if it is too large.
+
+        `ahead` is the sum of the units of the calls that are admitted before it.
+        """
+        if units > self._get_limits(customer).max_units:
+            return math.inf
+        account = self._get_account(customer, now)
+        self._fill(account, now)
+        missing = self._count_needed(account, units, now, priority) + ahead
+        missing -= self._get_available(account, now)
+        rate = self._get_limits(customer).fill_rate
+        if missing <= 0 or not self._is_shared:
+            return max(missing, 0) / rate
+        # The rest is claimed from the next report on, with the demand known by then.
+        share = self._get_share(account, now)
+        until_report_s = max(self._reported_at + self._interval_s - now, 0)
+        return until_report_s + max(missing / share - max(account.level, 0), 0) / rate
 
     def refund(self, customer: Customer, units: float) -> None:
         """Give the units of a request that did not run back to the quota."""
         if customer.rate <= 0:
             return
-        bucket = self._buckets.get(customer.name)
-        if bucket is not None:
-            bucket.level = min(bucket.level + units, customer.burst)
+        account = self._accounts.get(customer.name)
+        if account is not None and self._is_shared:
+            account.claimed += units
+        elif account is not None:
+            capacity = self._get_limits(account.customer).capacity
+            account.level = min(account.level + units, capacity)
         self.used[customer.name] = self.used.get(customer.name, 0) - units
 
-    def apply_report(self, incarnation: str, used: dict[str, float]) -> None:
-        """Apply a report of the units that another daemon has admitted since its start."""
-        known = self._reported.get(incarnation)
-        self._reported[incarnation] = dict(used)
+    def make_report(self, now: float, interval_s: float) -> QuotaReport:
+        """Claim units until the next report, `interval_s` later, and return the report to send."""
+        if self._is_frozen(now):
+            self._forget_others(now)
+        self._interval_s = max(interval_s, MIN_INTERVAL_S)
+        if self._settled_at == math.inf:
+            self._settled_at = now + SETTLE_INTERVAL_COUNT * self._interval_s
+        self._reported_at = now
+        self._choose_sharers(now)
+        for account in self._accounts.values():
+            self._claim(account, now)
+        accounts = self._accounts.items()
+        used = {name: self.used.get(name, 0) + account.claimed for name, account in accounts}
+        demand = {name: account.demand for name, account in accounts if account.demand > MIN_DEMAND}
+        # Customers that are no longer in the manifest stay counted for peers with an older one.
+        return QuotaReport(used={**self.used, **used}, demand=demand)
+
+    def apply_report(
+        self,
+        incarnation: str,
+        used: Mapping[str, float],
+        now: float,
+        demand: Mapping[str, float] | None = None,
+    ) -> None:
+        """Apply the last report of another daemon."""
+        peer = self._peers.setdefault(incarnation, _Peer())
+        known = peer.used
+        peer.used = dict(used)
+        peer.demand = dict(demand or {})
+        peer.lost_at = None
         if known is None:
             # The units may have been admitted and refilled long before this first report.
             return
         for name, units in used.items():
-            bucket = self._buckets.get(name)
-            if bucket is not None:
-                bucket.level -= units - known.get(name, 0)
+            account = self._accounts.get(name)
+            if account is None:
+                continue
+            taken = units - known.get(name, 0)
+            self._fill(account, now)
+            capacity = self._get_limits(account.customer).capacity
+            account.level = min(account.level - taken, capacity)
+            account.taken_by_others += taken
+
+    def remove_daemon(self, incarnation: str, now: float) -> None:
+        """Mark a daemon incarnation as lost; its last report is kept for a window.
 
-    def remove_daemon(self, incarnation: str) -> None:
-        """Remove the reports of a daemon incarnation that has ended."""
-        self._reported.pop(incarnation, None)
+        If it is heard again within that time, what it used meanwhile counts.
+        """
+        peer = self._peers.get(incarnation)
+        if peer is not None and peer.lost_at is None:
+            peer.lost_at = now
 
     def start(self, now: float) -> None:
-        """Start filling the buckets at `now`, including those of customers not seen yet."""
+        """Start filling the buckets at `now`, including those of customers not seen yet.
+
+        Until the other daemons have been heard, only small parts are claimed.
+        """
         self._started_at = now
+        self._settled_at = math.inf
+        self._is_shared = True
 
-    def _fill(self, customer: Customer, now: float) -> _Bucket:
+    def get_current(self, customer: Customer) -> Customer:
+        """Return a customer as in the last manifest; unchanged if that does not limit it."""
+        account = self._accounts.get(customer.name)
+        return account.customer if account else customer
+
+    def set_customers(self, customers: Iterable[Customer], now: float) -> None:
+        """Apply the customers of a manifest; a lowered rate or burst takes effect at once."""
+        limited = {customer.name: customer for customer in customers if customer.rate > 0}
+        for name in self._accounts.keys() - limited.keys():
+            self._accounts.pop(name)
+        for customer in limited.values():
+            self._fill(self._get_account(customer, now), now)
+
+    def _get_account(self, customer: Customer, now: float) -> _Account:
         if self._started_at is None:
             self._started_at = now
-        bucket = self._buckets.get(customer.name)
-        if bucket is None:
+        account = self._accounts.get(customer.name)
+        if account is None:
             level = customer.burst if self.starts_full else 0
-            bucket = _Bucket(level, self._started_at)
-            self._buckets[customer.name] = bucket
-        grown = bucket.level + (now - bucket.filled_at) * self._fill_rate(customer)
-        # A lowered burst takes effect at once.
-        bucket.level = min(grown, customer.burst)
-        bucket.filled_at = now
-        return bucket
-
-    def _fill_rate(self, customer: Customer) -> float:
+            account = _Account(customer, level, self._started_at)
+            self._accounts[customer.name] = account
+        elif account.customer != customer:
+            self._fill(account, now)
+            account.customer = customer
+        return account
+
+    def _fill(self, account: _Account, now: float) -> None:
+        limits = self._get_limits(account.customer)
+        rate = limits.fill_rate
+        if self._is_shared and self._is_cut_off():
+            rate *= self._get_share(account, now)
+        grown = account.level + max(now - account.filled_at, 0) * rate
+        account.level = min(grown, limits.capacity)
+        account.filled_at = max(now, account.filled_at)
+
+    def _claim(self, account: _Account, now: float) -> None:
+        """Return what is left of the last claim and claim units until the next report."""
+        self._fill(account, now)
+        account.decay_demand(now)
+        name = account.customer.name
+        capacity = self._get_limits(account.customer).capacity
+        account.others_demand = sum(peer.demand.get(name, 0) for peer in self._sharers)
+        # What a waiting call has saved up stays claimed.
+        kept = min(max(account.claimed, 0), account.lacking)
+        account.level = min(account.level + account.claimed, capacity)
+        available = max(account.level, 0)
+        account.claimed = 0
+        if self._is_shared:
+            share = self._get_share(account, now)
+            if now < self._settled_at:
+                share = min(share, START_SHARE)
+            # The others claimed their shares of the bucket at other times: the share of this daemon
+            # is that of what there was before.
+            pool = max(available - kept + account.taken_by_others, 0)
+            account.claimed = min(kept + share * pool, available)
+        account.level -= account.claimed
+        account.taken_by_others = 0
+        account.lacking = 0
+
+    def _get_share(self, account: _Account, now: float) -> float:
+        """Return the share of this daemon in the bucket of a customer."""
+        count = len(self._sharers) + 1
+        own = account.decay_demand(now)
+        total = own + max(account.others_demand, 0)
+        if total < MIN_DEMAND:
+            return IDLE_SHARE / count
+        return EQUAL_SHARE / count + (1 - EQUAL_SHARE) * own / total
+
+    def _get_available(self, account: _Account, now: float) -> float:
+        if not self._is_shared:
+            return account.level
+        # A claim of long ago was refilled meanwhile.
+        return 0 if self._is_frozen(now) else account.claimed
+
+    def _count_needed(self, account: _Account, units: float, now: float, priority: int) -> float:
+        """Return the units that must be there for a call, with those left to more urgent ones."""
+        burst = account.customer.burst
+        share: float = 1
+        # A request above the capacity would never be admitted, so a full bucket is enough for it.
+        capacity = self._get_limits(account.customer).capacity
+        needed = min(units, capacity)
+        if self._is_shared:
+            share = self._get_share(account, now)
+            needed = min(units, capacity * MAX_CLAIM_SHARE)
+        urgent = [
+            other
+            for other, arrived_at in account.arrived_at.items()
+            if other < priority and now - arrived_at < RESERVE_HOLD_S
+        ]
+        steps = priority - min(urgent, default=priority)
+        reserve = burst * min(RESERVED_SHARE_PER_PRIORITY * steps, MAX_RESERVED_SHARE)
+        return min(needed + share * reserve, max(needed, share * capacity))
+
+    def _choose_sharers(self, now: float) -> None:
+        """Choose the peers among which the buckets are shared until the next report.
+
+        A daemon that has lost most others is probably cut off itself and they still take calls, so
+        it keeps to its share for a window.
+        """
+        window_s = self.bounds.window_s
+        for incarnation, peer in list(self._peers.items()):
+            if peer.lost_at is not None and now - peer.lost_at > window_s:
+                self._peers.pop(incarnation)
+        peers = self._peers.values()
+        live = [peer for peer in peers if peer.lost_at is None]
+        lost_count = len(peers) - len(live)
+        self._sharers = list(peers) if lost_count > len(live) else live
+        self._is_shared = bool(self._sharers) or now < self._settled_at
+
+    def _is_cut_off(self) -> bool:
+        return any(peer.lost_at is not None for peer in self._sharers)
+
+    def _is_frozen(self, now: float) -> bool:
+        """Return whether this daemon has reported nothing for so long that it counts as lost."""
+        silent_s = now - self._reported_at
+        return FROZEN_INTERVAL_COUNT * self._interval_s < silent_s < math.inf
+
+    def _forget_others(self, now: float) -> None:
+        """Start again with empty buckets: what the others used meanwhile is not known."""
+        self._settled_at = math.inf
+        for peer in self._peers.values():
+            peer.used = None
+        for account in self._accounts.values():
+            account.level = 0
+            account.claimed = 0
+            account.filled_at = now
+
+    def _get_limits(self, customer: Customer) -> _Limits:
+        """Return the limits of the bucket of a customer."""
+        customer_limits = self._limits.get(customer.name)
+        key = (customer.rate, customer.burst, self._is_shared, self._interval_s)
+        if customer_limits is None or customer_limits.key != key:
+            customer_limits = self._compute_limits(customer, key)
+            self._limits[customer.name] = customer_limits
+        return customer_limits
+
+    def _compute_limits(self, customer: Customer, key: tuple[float, ...]) -> _Limits:
+        """Divide the tolerance between the fill rate, the capacity and what is not known in time.
+
+        Over a window, the daemons use at most a full bucket, the fill of the window and the lag (as
+        units are used up to an interval after they were claimed), and the claims that others do not
+        know of as a heartbeat is late or lost: at most another full bucket.
+        """
         bounds = self.bounds
         limit = customer.rate * bounds.window_s + customer.burst
         tolerance = bounds.overshoot * limit + bounds.allowance
-        window_limit = limit + TOLERANCE_SHARE * tolerance
-        return max((window_limit - customer.burst) / bounds.window_s, customer.rate)
+        overdraft = OVERDRAFT_SHARE * tolerance
+        lag_s: float = 0
+        bucket_count = 1
+        spare = tolerance - overdraft
+        if self._is_shared:
+            # The unknown claims share their part of the tolerance with the overdraft.
+            lag_s = self._interval_s
+            bucket_count = 2
+            spare = tolerance - customer.burst - customer.rate * lag_s
+        # Sustained demand gets the limit in each window; the rest admits larger bursts.
+        window_s = bounds.window_s + lag_s
+        extra_rate = min(max(spare, 0) / window_s, customer.burst / bounds.window_s)
+        extra_capacity = max(spare - extra_rate * window_s, 0) / bucket_count
+        return _Limits(
+            key=key,
+            fill_rate=customer.rate + extra_rate,
+            capacity=customer.burst + extra_capacity,
+            max_units=customer.burst + overdraft,
+        )
--- a/camphorpath/relay/acceptance.py
+++ b/camphorpath/relay/acceptance.py
@@ -10,7 +10,6 @@
 from ..clocks import read_lease_clock
 from ..errors import Refusal
 from ..placement.crashes import digest_call, digest_parts
-from ..placement.queue import choose_retry_after
 from ..routing import Customer, Route, RoutingTable
 from .caller import CallerRequest
 from .context import RelayContext
@@ -23,10 +22,10 @@
 MS_PER_S = 1000
 # Part of the highest number of output tokens that is assumed if the caller gives no estimate.
 ASSUMED_OUTPUT_SHARE = 0.5
-# Longest wait for a slot, in latency objectives of the route: callers give up a stream without an
-# event after four objectives or two seconds, whichever is longer.
+# Longest wait for the quota and a slot together, in latency objectives of the route: callers give
+# up a stream without an event after four objectives or two seconds, whichever is longer.
 MAX_WAIT_OBJECTIVES = 2.0
-# Longest wait for a slot, as a part of the time until the caller's deadline.
+# Longest such wait, as a part of the time until the caller's deadline.
 MAX_WAIT_SHARE = 0.35
 # A daemon receives its first manifest within half a second of its start.
 NO_MANIFEST_RETRY_AFTER_S = 0.5
@@ -65,6 +64,8 @@
     units: float
     # Ids of the parts of its prompt that other calls may share, in order.
     shared_parts: tuple[bytes, ...] = ()
+    # Whether it has taken its units and they were not given back.
+    holds_units: bool = False
     # Attempts that may have reached an upstream.
     send_count: int = 0
     # Whether an upstream may have run it.
@@ -91,7 +92,7 @@
         return self.deadline - read_lease_clock()
 
     def wait_until(self) -> float:
-        """Return the lease-clock instant until which the call may wait for a slot."""
+        """Return the lease-clock instant until which the call may wait for quota and slot."""
         max_wait_s = min(
             MAX_WAIT_OBJECTIVES * self.route.objective_s,
             MAX_WAIT_SHARE * (self.deadline - self.arrived_at),
@@ -177,7 +178,6 @@
         part_digests=digest_parts(service, shared_parts),
     )
     check_quarantine(context, call, now)
-    _check_quota(context, call, now)
     return call
 
 
@@ -208,22 +208,6 @@
     return call.digest
 
 
-def _check_quota(context: RelayContext, call: Call, now: float) -> None:
-    if call.customer is None:
-        return
-    # Calls without a prompt are small, so holding them back would not leave room for a model call.
-    priority = call.route.priority if call.prompt_tokens else 0
-    wait_s = context.quota.admit(call.customer, call.units, now, priority)
-    if wait_s:
-        raise Refusal(
-            'quota_exhausted',
-            f'customer {call.customer.name} asks for {call.units:.0f} units above its quota of '
-            f'{call.customer.rate:.0f} a second, burst {call.customer.burst:.0f}',
-            status=STATUS_TOO_MANY,
-            retry_after_s=choose_retry_after(wait_s, call.time_left()),
-        )
-
-
 def _choose_service(targets: Sequence[tuple[str, float]]) -> str:
     if len(targets) == 1:
         return targets[0][0]
--- a/camphorpath/relay/context.py
+++ b/camphorpath/relay/context.py
@@ -14,6 +14,7 @@
 from ..placement.crashes import Pattern
 from ..placement.quarantine import Quarantine
 from ..placement.quota import QuotaLedger
+from ..placement.quota_queue import QuotaQueue
 from ..placement.scheduler import Scheduler
 from ..routing import CallerLimits, RoutingTable, Upstream
 from ..streams import OriginLookup
@@ -68,6 +69,8 @@
     # Calls without a final answer.
     in_progress: int = 0
     connections: set[CallerConnection] = attrs.field(factory=set)
+    # The calls that wait for units of `quota`.
+    quota_queue: QuotaQueue = attrs.field(init=False)
     # Set when the calls in progress are cancelled at the end of a stop.
     is_cancelling: bool = False
     # Cancel scopes of the calls without a final answer.
@@ -77,6 +80,10 @@
     _checked_pattern_count: int = 0
     _routing_table_replaced: anyio.Event = attrs.field(factory=anyio.Event)
 
+    @quota_queue.default
+    def _make_quota_queue(self) -> QuotaQueue:
+        return QuotaQueue(self.quota)
+
     @property
     def limits(self) -> CallerLimits:
         """The current limits on the requests of callers."""
@@ -85,7 +92,9 @@
     def apply_routing_table(self, table: RoutingTable) -> None:
         """Replace the routing table by that of a newer manifest."""
         self.routing_table = table
-        self.origins.services.apply_routes(table.routes, read_lease_clock())
+        now = read_lease_clock()
+        self.origins.services.apply_routes(table.routes, now)
+        self.quota.set_customers((table.customers or {}).values(), now)
         self._routing_table_replaced.set()
         self._routing_table_replaced = anyio.Event()
 
--- a/camphorpath/relay/metrics.py
+++ b/camphorpath/relay/metrics.py
@@ -15,6 +15,8 @@
     attempts: Counter = attrs.field(init=False)
     first_byte: Histogram = attrs.field(init=False)
     waits: Histogram = attrs.field(init=False)
+    quota_waits: Histogram = attrs.field(init=False)
+    quota_refusals: Counter = attrs.field(init=False)
     in_progress: Gauge = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -38,6 +40,18 @@
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
+        self.quota_waits = Histogram(
+            'camphorpath_quota_wait_seconds',
+            'Acceptance to the units of the quota, for calls of customers with one.',
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        # Its customers are those of the manifests.
+        self.quota_refusals = Counter(
+            'camphorpath_quota_refusals_total',
+            'Calls refused because of the quota, by customer.',
+            registry=registry,
+        )
         self.in_progress = Gauge(
             'camphorpath_in_progress_calls', 'Calls without a final answer.', registry=registry
         )
--- a/camphorpath/relay/server.py
+++ b/camphorpath/relay/server.py
@@ -30,6 +30,7 @@
 )
 from .context import RelayContext
 from .headers import Headers
+from .quota import return_units, take_quota
 from .sockets import Connection, accept_connections
 
 PageAnswer = tuple[int, Headers, bytes]
@@ -195,6 +196,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(_watch_caller, caller, caller_left, group.cancel_scope)
             try:
+                await take_quota(context, call)
                 outcome = await handler.serve()
             except Refusal as error:
                 refusal = error
@@ -206,6 +208,8 @@
             group.cancel_scope.cancel()
     if outcome:
         return outcome
+    if not handler.has_answer_started and not call.may_have_run:
+        return_units(context, call)
     if caller_left.is_set():
         return _end_abandoned(context, caller, call)
     reason = STOPPING_REASON if context.is_cancelling else DEADLINE_REASON
@@ -226,8 +230,6 @@
     """Send the refusal of a call; raise CallerDisconnected if its answer has begun."""
     call = handler.call
     caller = handler.caller
-    if not handler.has_answer_started and call.customer is not None and not call.may_have_run:
-        context.quota.refund(call.customer, call.units)
     if handler.has_answer_started or not caller.can_answer:
         _log_cut(context, handler, refusal)
         # A reset, so that the incomplete answer is not taken for a complete one.
