Extrapolate the use of daemons that are not heard, and test a fleet

With reports every second, bursts above a claim were refused as the next claim came too late.

Change: the fill that belongs to a daemon without a report for 1.5 intervals counts as used and is returned when it is heard. Between reports, a daemon may claim its share of what was left. Shares are more equal while a bucket is in little demand.

tests/placement/test_quota_fleet.py (11 cases) and test_quota.py: passed.

--- a/camphorpath/placement/quota.py
+++ b/camphorpath/placement/quota.py
@@ -9,8 +9,9 @@
 heartbeat it returns what is left of its last claim, claims its share of the bucket anew and reports
 the sum of what it has used and claimed. So the use of a daemon is known before it happens, also if
 the daemon is killed or frozen afterwards, and extrapolation from rates takes the form of claims:
-the shares follow the units that callers ask of each daemon. A daemon without others admits calls
-from the bucket directly.
+the shares follow the units that callers ask of each daemon. Between two heartbeats it claims no
+more than its share of what was left and of what is filled since. While another daemon is not heard,
+its use is extrapolated at its share. A daemon without others admits calls from the bucket directly.
 
 A bucket that is filled at the rate alone would admit less than the limit under sustained demand, so
 it is filled faster and holds more than the burst, by the part of the tolerance that the lag of
@@ -48,6 +49,8 @@
 # by then and share its part.
 FROZEN_INTERVAL_COUNT = 4
 MIN_INTERVAL_S = 0.25
+# Intervals after which a daemon that was not heard is taken to use its share unseen.
+SILENT_INTERVAL_COUNT = 1.5
 # Largest part of a bucket that one call has to claim; with more, it would wait for all others.
 MAX_CLAIM_SHARE = 0.6
 
@@ -87,6 +90,14 @@
     taken_by_others: float = 0
     # Units needed by the largest call that lacked units since the last claim.
     lacking: float = 0
+    # Share of this daemon, and what was left in the bucket, after the last claim.
+    share: float = 0
+    left: float = 0
+    claimed_at: float = 0
+    # What this daemon took from the bucket since then.
+    drawn: float = 0
+    # Units that daemons which are not heard are taken to have used; returned when they are heard.
+    unheard: float = 0
     # Units per second asked of this daemon at `demand_at`, and of the others.
     demand: float = 0
     demand_at: float = 0
@@ -121,6 +132,7 @@
     # None if the next report is the first one that counts.
     used: dict[str, float] | None = None
     demand: dict[str, float] = attrs.field(factory=dict)
+    heard_at: float = -math.inf
     # When its heartbeats ceased; None while they arrive.
     lost_at: float | None = None
 
@@ -179,7 +191,12 @@
         if units > self._get_limits(customer).max_units:
             return False
         needed = self._count_needed(account, units, now, priority)
-        if self._get_available(account, now) < needed:
+        missing = needed - self._get_available(account, now)
+        if self._is_shared and 0 < missing <= self._get_drawable(account, now):
+            account.level -= missing
+            account.claimed += missing
+            account.drawn += missing
+        elif missing > 0:
             account.lacking = max(account.lacking, needed)
             return False
         if self._is_shared:
@@ -208,7 +225,11 @@
         # The rest is claimed from the next report on, with the demand known by then.
         share = self._get_share(account, now)
         until_report_s = max(self._reported_at + self._interval_s - now, 0)
-        return until_report_s + max(missing / share - max(account.level, 0), 0) / rate
+        claim_wait_s = until_report_s + max(missing / share - max(account.level, 0), 0) / rate
+        if self._is_frozen(now) or not account.share:
+            return claim_wait_s
+        undrawn = missing - self._get_drawable(account, now)
+        return min(claim_wait_s, max(undrawn, 0) / account.share / rate)
 
     def refund(self, customer: Customer, units: float) -> None:
         """Give the units of a request that did not run back to the quota."""
@@ -251,6 +272,7 @@
         known = peer.used
         peer.used = dict(used)
         peer.demand = dict(demand or {})
+        peer.heard_at = now
         peer.lost_at = None
         if known is None:
             # The units may have been admitted and refilled long before this first report.
@@ -273,6 +295,9 @@
         peer = self._peers.get(incarnation)
         if peer is not None and peer.lost_at is None:
             peer.lost_at = now
+            for account in self._accounts.values():
+                # What it used before it was lost is not known.
+                account.unheard = 0
 
     def start(self, now: float) -> None:
         """Start filling the buckets at `now`, including those of customers not seen yet.
@@ -311,10 +336,7 @@
 
     def _fill(self, account: _Account, now: float) -> None:
         limits = self._get_limits(account.customer)
-        rate = limits.fill_rate
-        if self._is_shared and self._is_cut_off():
-            rate *= self._get_share(account, now)
-        grown = account.level + max(now - account.filled_at, 0) * rate
+        grown = account.level + max(now - account.filled_at, 0) * limits.fill_rate
         account.level = min(grown, limits.capacity)
         account.filled_at = max(now, account.filled_at)
 
@@ -325,9 +347,12 @@
         name = account.customer.name
         capacity = self._get_limits(account.customer).capacity
         account.others_demand = sum(peer.demand.get(name, 0) for peer in self._sharers)
+        unheard = self._estimate_unheard(account, now)
+        returned = account.claimed + account.unheard - unheard
+        account.unheard = unheard
         # What a waiting call has saved up stays claimed.
         kept = min(max(account.claimed, 0), account.lacking)
-        account.level = min(account.level + account.claimed, capacity)
+        account.level = min(account.level + returned, capacity)
         available = max(account.level, 0)
         account.claimed = 0
         if self._is_shared:
@@ -338,18 +363,31 @@
             # is that of what there was before.
             pool = max(available - kept + account.taken_by_others, 0)
             account.claimed = min(kept + share * pool, available)
+            account.share = share
         account.level -= account.claimed
+        account.left = max(account.level, 0)
+        account.claimed_at = now
+        account.drawn = 0
         account.taken_by_others = 0
         account.lacking = 0
 
     def _get_share(self, account: _Account, now: float) -> float:
         """Return the share of this daemon in the bucket of a customer."""
-        count = len(self._sharers) + 1
         own = account.decay_demand(now)
         total = own + max(account.others_demand, 0)
+        return self._compute_share(account, own, total)
+
+    def _compute_share(self, account: _Account, demand: float, total: float) -> float:
+        """Return the share of a daemon with a demand, out of the total of all daemons.
+
+        The less the bucket is in demand, the less the shares follow single calls.
+        """
+        equal = 1 / (len(self._sharers) + 1)
         if total < MIN_DEMAND:
-            return IDLE_SHARE / count
-        return EQUAL_SHARE / count + (1 - EQUAL_SHARE) * own / total
+            return IDLE_SHARE * equal
+        load = min(total / self._get_limits(account.customer).fill_rate, 1)
+        busy = EQUAL_SHARE * equal + (1 - EQUAL_SHARE) * demand / total
+        return load * busy + (1 - load) * IDLE_SHARE * equal
 
     def _get_available(self, account: _Account, now: float) -> float:
         if not self._is_shared:
@@ -357,6 +395,18 @@
         # A claim of long ago was refilled meanwhile.
         return 0 if self._is_frozen(now) else account.claimed
 
+    def _get_drawable(self, account: _Account, now: float) -> float:
+        """Return the units that may be claimed before the next report.
+
+        It is the share of this daemon in what the others left and in what was filled since: they do
+        not know of these units, but leave them by their own shares.
+        """
+        if self._is_frozen(now):
+            return 0
+        filled = (now - account.claimed_at) * self._get_limits(account.customer).fill_rate
+        entitled = account.share * (account.left + filled) - account.drawn
+        return min(max(entitled, 0), max(account.level, 0))
+
     def _count_needed(self, account: _Account, units: float, now: float, priority: int) -> float:
         """Return the units that must be there for a call, with those left to more urgent ones."""
         burst = account.customer.burst
@@ -392,8 +442,20 @@
         self._sharers = list(peers) if lost_count > len(live) else live
         self._is_shared = bool(self._sharers) or now < self._settled_at
 
-    def _is_cut_off(self) -> bool:
-        return any(peer.lost_at is not None for peer in self._sharers)
+    def _estimate_unheard(self, account: _Account, now: float) -> float:
+        """Return the units that daemons which are not heard are taken to use, at their shares."""
+        name = account.customer.name
+        fill_rate = self._get_limits(account.customer).fill_rate
+        total = account.demand + max(account.others_demand, 0)
+        units: float = 0
+        for peer in self._sharers:
+            silent_s = now - peer.heard_at
+            if silent_s <= SILENT_INTERVAL_COUNT * self._interval_s:
+                continue
+            share = self._compute_share(account, peer.demand.get(name, 0), total)
+            # Its last report holds what it claimed for an interval.
+            units += share * fill_rate * (silent_s - self._interval_s)
+        return units
 
     def _is_frozen(self, now: float) -> bool:
         """Return whether this daemon has reported nothing for so long that it counts as lost."""
@@ -408,6 +470,7 @@
         for account in self._accounts.values():
             account.level = 0
             account.claimed = 0
+            account.unheard = 0
             account.filled_at = now
 
     def _get_limits(self, customer: Customer) -> _Limits:
--- /dev/null
+++ b/tests/placement/test_quota_fleet.py
@@ -0,0 +1,200 @@
+"""Quotas over several daemons that exchange reports late, without a network."""
+
+import random
+
+import attrs
+import pytest
+
+from camphorpath.placement.quota import FROZEN_INTERVAL_COUNT, QuotaBounds, QuotaLedger
+from camphorpath.placement.quota_queue import QuotaQueue, QuotaRequest, QuotaState
+from camphorpath.routing import Customer
+
+BOUNDS = QuotaBounds(window_s=8, overshoot=0.1, allowance=190000)
+STEP_S = 0.02
+MAX_WAIT_S = 1.0
+# Time after which the fleet has seen demand for some reports.
+WARM_UP_S = 8
+END_S = 32
+
+
+def make_customer(name, rate, burst):
+    return Customer(
+        name=name, priority=0, rate=rate, burst=burst, counts_tokens=True, default_units=10
+    )
+
+
+FLOOD = make_customer('flood', 47000, 65520)
+BURSTY = make_customer('bursty', 20000, 30000)
+
+
+@attrs.define
+class Daemon:
+    queue: QuotaQueue
+    report_at: float
+    frozen_until: float = 0
+    heard: dict = attrs.field(factory=dict)
+
+
+@attrs.define
+class Fleet:
+    """Daemons by incarnation; each call is (customer, units, priority, arrival, request)."""
+
+    count: int
+    interval_s: float
+    seed: int
+    loss: float = 0.02
+    now: float = 0
+    daemons: dict = attrs.field(factory=dict)
+    mail: list = attrs.field(factory=list)
+    calls: list = attrs.field(factory=list)
+    admitted: list = attrs.field(factory=list)
+    waiting: list = attrs.field(factory=list)
+    random: object = None
+
+    def __attrs_post_init__(self):
+        self.random = random.Random(self.seed)
+        for number in range(self.count):
+            self.start(f'd{number}-0')
+
+    def start(self, incarnation):
+        ledger = QuotaLedger(BOUNDS, starts_full=self.now == 0)
+        ledger.start(self.now)
+        ledger.set_customers((FLOOD, BURSTY), self.now)
+        at = self.now + self.random.random() * self.interval_s
+        self.daemons[incarnation] = Daemon(QuotaQueue(ledger), at)
+
+    def step(self, arrivals):
+        """Advance by STEP_S; `arrivals` has customers with the units that arrive, on average."""
+        self.now += STEP_S
+        late, self.mail = self.mail, []
+        for sent_at, receiver, sender, report in late:
+            daemon = self.daemons.get(receiver)
+            if daemon is None:
+                continue
+            if daemon.frozen_until > self.now or sent_at + self.interval_s / 4 > self.now:
+                self.mail.append((sent_at, receiver, sender, report))
+                continue
+            daemon.queue.ledger.apply_report(sender, report.used, self.now, report.demand)
+            daemon.heard[sender] = self.now
+        for incarnation, daemon in self.daemons.items():
+            if daemon.frozen_until <= self.now:
+                self.run(incarnation, daemon)
+        for customer, units in arrivals:
+            self.arrive(customer, units)
+        self.settle()
+
+    def run(self, incarnation, daemon):
+        for sender, heard_at in list(daemon.heard.items()):
+            if self.now - heard_at > FROZEN_INTERVAL_COUNT * self.interval_s:
+                daemon.heard.pop(sender)
+                daemon.queue.ledger.remove_daemon(sender, self.now)
+        if self.now >= daemon.report_at:
+            daemon.report_at = self.now + self.interval_s
+            report = daemon.queue.ledger.make_report(self.now, self.interval_s)
+            for receiver in self.daemons.keys() - {incarnation}:
+                if self.random.random() >= self.loss:
+                    self.mail.append((self.now, receiver, incarnation, report))
+        for customer in (FLOOD, BURSTY):
+            daemon.queue.admit_waiting(customer.name, self.now)
+
+    def arrive(self, customer, units):
+        while units > 0:
+            size = self.random.randint(500, 4000)
+            units -= size
+            if units < 0 and self.random.random() > (units + size) / size:
+                continue
+            incarnation = self.random.choice(sorted(self.daemons))
+            daemon = self.daemons[incarnation]
+            if daemon.frozen_until > self.now:
+                continue
+            request = QuotaRequest(
+                customer=customer, units=size, priority=0, wait_until=self.now + MAX_WAIT_S
+            )
+            daemon.queue.submit(request, self.now)
+            self.calls.append((self.now, request))
+            self.waiting.append((daemon, request))
+
+    def settle(self):
+        waiting, self.waiting = self.waiting, []
+        for daemon, request in waiting:
+            if request.wait_until < self.now:
+                daemon.queue.withdraw(request, self.now)
+            if request.state is QuotaState.ADMITTED:
+                self.admitted.append((self.now, request))
+            elif request.state is QuotaState.WAITING:
+                self.waiting.append((daemon, request))
+
+    def play(self, disturb=lambda fleet: None):
+        """FLOOD arrives at 5 times its rate, BURSTY at half, in bursts above its burst."""
+        while self.now < END_S:
+            disturb(self)
+            bursts = 1.5 * BURSTY.burst * STEP_S / 0.4 if self.now % 4.5 < 0.4 else 0
+            self.step(((FLOOD, 5 * FLOOD.rate * STEP_S), (BURSTY, bursts)))
+
+    def check_rule(self):
+        for customer in (FLOOD, BURSTY):
+            limit = customer.rate * BOUNDS.window_s + customer.burst
+            rule = limit * (1 + BOUNDS.overshoot) + BOUNDS.allowance
+            used = [(at, r.units) for at, r in self.admitted if r.customer is customer]
+            for end, _units in used:
+                window = sum(units for at, units in used if end - BOUNDS.window_s < at <= end)
+                assert window <= rule
+
+    def get_used_share(self):
+        """Return the share of its limit that FLOOD used after the warm-up."""
+        limit = FLOOD.rate * BOUNDS.window_s + FLOOD.burst
+        used = sum(r.units for at, r in self.admitted if r.customer is FLOOD and at >= WARM_UP_S)
+        return used / limit * BOUNDS.window_s / (END_S - WARM_UP_S)
+
+
+@pytest.mark.parametrize(('count', 'interval_s'), [(6, 0.25), (12, 0.25), (12, 1)])
+def test_flood_uses_its_limit_and_bursts_are_not_refused(count, interval_s):
+    """Guards against use above the rule, a limit left unused, and refusals below the limit."""
+    fleet = Fleet(count, interval_s, seed=1)
+    fleet.play()
+    fleet.check_rule()
+    assert fleet.get_used_share() >= 0.95
+    refused = [
+        (at, request.units)
+        for at, request in fleet.calls
+        if request.customer is BURSTY and request.state is QuotaState.REFUSED and at > WARM_UP_S
+    ]
+    assert not refused
+
+
+def kill(fleet):
+    """Kill half of the daemons without a last report, then start them empty."""
+    if fleet.now == pytest.approx(12):
+        for number in range(0, fleet.count, 2):
+            fleet.daemons.pop(f'd{number}-0')
+    if fleet.now == pytest.approx(13):
+        for number in range(0, fleet.count, 2):
+            fleet.start(f'd{number}-1')
+
+
+def freeze(fleet):
+    """Freeze some daemons, shorter and longer than until they count as lost."""
+    if fleet.now == pytest.approx(12):
+        for number, seconds in enumerate((0.6, 3, 6)):
+            fleet.daemons[f'd{number}-0'].frozen_until = fleet.now + seconds
+
+
+def lose_heartbeats(fleet):
+    fleet.loss = 0.5 if 12 < fleet.now < 20 else 0
+
+
+def cut_off(fleet):
+    """Drop what two daemons send and receive for a while; they still take calls."""
+    if 12 < fleet.now < 18:
+        parted = {'d0-0', 'd1-0'}
+        fleet.mail = [m for m in fleet.mail if m[1] not in parted and m[2] not in parted]
+
+
+@pytest.mark.parametrize('interval_s', [0.25, 1])
+@pytest.mark.parametrize('disturb', [kill, freeze, lose_heartbeats, cut_off])
+def test_rule_holds_when_daemons_fail(disturb, interval_s):
+    """Guards against units that are used twice as nobody knows what a failed daemon used."""
+    fleet = Fleet(6, interval_s, seed=2)
+    fleet.play(disturb)
+    fleet.check_rule()
+    assert fleet.get_used_share() >= 0.9
