--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -19,6 +19,7 @@
 from ..placement.budget import share_allowance
 from ..placement.crashes import Crash, Pattern
 from ..placement.ownership import Assignment, Candidate, assign_owners, choose_actives
+from ..placement.quota import QuotaReport
 from ..platform.entries import decode_upstream
 from ..platform.manifest import decode_manifest
 from ..platform.revisions import get_era
@@ -181,9 +182,12 @@
         self._adopt_quarantined(heartbeat)
         if not heartbeat.store_up:
             self.view.mark_store_unstable(now)
-        self.relay.quota.apply_report(
-            heartbeat.incarnation, heartbeat.used, now, heartbeat.quota_demand
+        report = QuotaReport(
+            used=dict(heartbeat.used),
+            demand=dict(heartbeat.quota_demand),
+            interval_s=heartbeat.interval,
         )
+        self.relay.quota.apply_report(heartbeat.incarnation, report, now)
         loads = {load.upstream: decode_load(load, now) for load in heartbeat.loads}
         changed = self.relay.scheduler.apply_loads(
             heartbeat.name,
--- a/camphorpath/placement/quota.py
+++ b/camphorpath/placement/quota.py
@@ -19,7 +19,7 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
 import attrs
 
@@ -73,7 +73,9 @@
     # Units used since the start of the daemon, and those that are claimed.
     used: dict[str, float]
     # Units per second that callers lately asked for.
-    demand: dict[str, float]
+    demand: dict[str, float] = attrs.field(factory=dict)
+    # Seconds until the next report, for which the units are claimed.
+    interval_s: float = MIN_INTERVAL_S
 
 
 @attrs.define
@@ -132,6 +134,7 @@
     # None if the next report is the first one that counts.
     used: dict[str, float] | None = None
     demand: dict[str, float] = attrs.field(factory=dict)
+    interval_s: float = MIN_INTERVAL_S
     heard_at: float = -math.inf
     # When its heartbeats ceased; None while they arrive.
     lost_at: float | None = None
@@ -258,26 +261,21 @@
         used = {name: self.used.get(name, 0) + account.claimed for name, account in accounts}
         demand = {name: account.demand for name, account in accounts if account.demand > MIN_DEMAND}
         # Customers that are no longer in the manifest stay counted for peers with an older one.
-        return QuotaReport(used={**self.used, **used}, demand=demand)
-
-    def apply_report(
-        self,
-        incarnation: str,
-        used: Mapping[str, float],
-        now: float,
-        demand: Mapping[str, float] | None = None,
-    ) -> None:
+        return QuotaReport(used={**self.used, **used}, demand=demand, interval_s=self._interval_s)
+
+    def apply_report(self, incarnation: str, report: QuotaReport, now: float) -> None:
         """Apply the last report of another daemon."""
         peer = self._peers.setdefault(incarnation, _Peer())
         known = peer.used
-        peer.used = dict(used)
-        peer.demand = dict(demand or {})
+        peer.used = report.used
+        peer.demand = {name: max(demand, 0) for name, demand in report.demand.items()}
+        peer.interval_s = max(report.interval_s, MIN_INTERVAL_S)
         peer.heard_at = now
         peer.lost_at = None
         if known is None:
             # The units may have been admitted and refilled long before this first report.
             return
-        for name, units in used.items():
+        for name, units in report.used.items():
             account = self._accounts.get(name)
             if account is None:
                 continue
@@ -450,11 +448,11 @@
         units: float = 0
         for peer in self._sharers:
             silent_s = now - peer.heard_at
-            if silent_s <= SILENT_INTERVAL_COUNT * self._interval_s:
+            if silent_s <= SILENT_INTERVAL_COUNT * peer.interval_s:
                 continue
             share = self._compute_share(account, peer.demand.get(name, 0), total)
             # Its last report holds what it claimed for an interval.
-            units += share * fill_rate * (silent_s - self._interval_s)
+            units += share * fill_rate * (silent_s - peer.interval_s)
         return units
 
     def _is_frozen(self, now: float) -> bool:
--- a/tests/placement/test_quota.py
+++ b/tests/placement/test_quota.py
@@ -2,7 +2,7 @@
 import pytest
 from hypothesis import strategies
 
-from camphorpath.placement.quota import RESERVE_HOLD_S, QuotaBounds, QuotaLedger
+from camphorpath.placement.quota import RESERVE_HOLD_S, QuotaBounds, QuotaLedger, QuotaReport
 from camphorpath.routing import Customer
 
 BOUNDS = QuotaBounds(window_s=8, overshoot=0.1, allowance=1000)
@@ -56,9 +56,9 @@
     """Guards against a customer that gets its full quota from each daemon."""
     customer = make_customer()
     ledger = QuotaLedger(STRICT, starts_full=True)
-    ledger.apply_report('d2-1', {'c': 0}, 0)
+    ledger.apply_report('d2-1', QuotaReport(used={'c': 0}), 0)
     assert ledger.admit(customer, 40, 0) == 0
-    ledger.apply_report('d2-1', {'c': 50}, 0)
+    ledger.apply_report('d2-1', QuotaReport(used={'c': 50}), 0)
     assert ledger.admit(customer, 20, 0) > 0
     assert ledger.admit(customer, 10, 0) == 0
 
@@ -68,7 +68,7 @@
     ledger = QuotaLedger(STRICT, starts_full=True)
     customer = make_customer()
     assert ledger.admit(customer, 1, 0) == 0
-    ledger.apply_report('d2-1', {'c': 10**9}, 0)
+    ledger.apply_report('d2-1', QuotaReport(used={'c': 10**9}), 0)
     assert ledger.admit(customer, 1, 0) == 0
 
 
--- a/tests/placement/test_quota_fleet.py
+++ b/tests/placement/test_quota_fleet.py
@@ -74,7 +74,7 @@
             if daemon.frozen_until > self.now or sent_at + self.interval_s / 4 > self.now:
                 self.mail.append((sent_at, receiver, sender, report))
                 continue
-            daemon.queue.ledger.apply_report(sender, report.used, self.now, report.demand)
+            daemon.queue.ledger.apply_report(sender, report, self.now)
             daemon.heard[sender] = self.now
         for incarnation, daemon in self.daemons.items():
             if daemon.frozen_until <= self.now:
