--- a/camphorpath/placement/quota.py
+++ b/camphorpath/placement/quota.py
@@ -277,9 +277,9 @@
             return
         for name, units in report.used.items():
             account = self._accounts.get(name)
-            if account is None:
-                continue
             taken = units - known.get(name, 0)
+            if account is None or not taken:
+                continue
             self._fill(account, now)
             capacity = self._get_limits(account.customer).capacity
             account.level = min(account.level - taken, capacity)
