Make the test of a fleet of ledgers repeatable

Cause: the order of a set decided which report a random loss hit, so the seed did not fix the run.

Change: receivers are sorted.

--- a/tests/placement/test_quota_fleet.py
+++ b/tests/placement/test_quota_fleet.py
@@ -91,7 +91,7 @@
         if self.now >= daemon.report_at:
             daemon.report_at = self.now + self.interval_s
             report = daemon.queue.ledger.make_report(self.now, self.interval_s)
-            for receiver in self.daemons.keys() - {incarnation}:
+            for receiver in sorted(self.daemons.keys() - {incarnation}):
                 if self.random.random() >= self.loss:
                     self.mail.append((self.now, receiver, incarnation, report))
         for customer in (FLOOD, BURSTY):
