Scale the expected time at an upstream by the pace that it states

Engines that share machines slow each other down several times a second, and samples taken meanwhile counted as a slow engine for seconds afterwards.

Costs are scaled by the mean pace expected while a call runs, and samples of speed are divided by the pace during which they were taken. Without a stated pace nothing changes.

--- a/camphorpath/cluster/loads.py
+++ b/camphorpath/cluster/loads.py
@@ -2,6 +2,7 @@
 
 import math
 
+from ..placement.pace import PaceStatement, is_plausible
 from ..placement.rate_limits import MIN_RATE_PER_S, RateStatement
 from ..placement.records import Load
 from ..schema import camphorpath_pb2 as pb
@@ -22,6 +23,9 @@
         message.rate_statement.per_s = max(statement.rate, MIN_RATE_PER_S) if is_limited else 0
         message.rate_statement.age = now - statement.stated_at
         message.lent_requests.update(load.lent_requests)
+    if load.pace is not None:
+        message.pace = load.pace.pace
+        message.pace_age = max(now - load.pace.stated_at, 0)
     return message
 
 
@@ -30,9 +34,10 @@
 
     The time on the way is not known; it makes a statement on the rate look younger.
     """
+    pace = _decode_pace(message, now)
     if not message.HasField('rate_statement'):
         # Most loads have none, and a daemon reads hundreds in a second.
-        return Load(message.in_flight, message.lent, message.borrower, message.factor)
+        return Load(message.in_flight, message.lent, message.borrower, message.factor, pace=pace)
     statement = RateStatement(
         message.rate_statement.per_s or math.inf, now - max(message.rate_statement.age, 0)
     )
@@ -43,4 +48,12 @@
         message.factor,
         statement,
         dict(message.lent_requests),
+        pace,
     )
+
+
+def _decode_pace(message: pb.UpstreamLoad, now: float) -> PaceStatement | None:
+    """Return the pace in a load; None if there is none or it cannot be one."""
+    if not (is_plausible(message.pace) and 0 <= message.pace_age < math.inf):
+        return None
+    return PaceStatement(message.pace, now - message.pace_age)
--- a/camphorpath/placement/records.py
+++ b/camphorpath/placement/records.py
@@ -7,6 +7,7 @@
 import attrs
 
 from ..routing import Upstream
+from .pace import PaceStatement
 from .rate_limits import RateStatement
 
 
@@ -46,6 +47,8 @@
     rate_statement: RateStatement | None = None
     # Requests that the owner lends while a rate limit holds, by name of the daemon.
     lent_requests: Mapping[str, int] = types.MappingProxyType({})
+    # The last pace that the upstream stated to its owner; None if it states none.
+    pace: PaceStatement | None = None
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -11,7 +11,7 @@
 import attrs
 
 from ..routing import Upstream
-from .costs import estimate_cost
+from .costs import choose_cheapest, estimate_cost
 from .lending import PeerDemand, choose_borrower, count_lendable, lend_requests
 from .ownership import Assignment
 from .queue import CallQueue, make_refusal
@@ -153,7 +153,6 @@
                     is_active=is_active,
                     borrower_count=len(self._actives) - 1,
                 )
-                slots.speed.factor = load.factor or slots.speed.factor
         return changed
 
     def remove_daemon(self, incarnation: str) -> None:
@@ -207,6 +206,7 @@
             slots.speed.factor,
             slots.rate_limit.statement,
             lent_requests,
+            slots.pace.last,
         )
 
     def count_waiting(self) -> dict[str, int]:
@@ -295,7 +295,7 @@
         running.has_first_byte = True
         # An extra call may have waited inside the upstream.
         if not is_failure and not running.is_extra:
-            slots.speed.record_first_byte(now - running.sent_at, running.prefill_tokens)
+            slots.record_first_byte(running, now)
 
     def release(self, upstream_id: str, call: WaitingCall, now: float) -> None:
         """Free the slot of a call and dispatch waiting calls."""
@@ -309,7 +309,7 @@
             slots.health.record_failure(now)
         service = self._services.setdefault(call.service, _ServiceState())
         service.release_times.append(now)
-        cost_s = slots.estimate_occupancy(call, now - running.sent_at)
+        cost_s = slots.estimate_occupancy(call, now - running.sent_at, now)
         is_sample = running.has_first_byte and not running.is_extra
         service.queue.record_release(call.rank, cost_s if is_sample else None)
         self.dispatch_waiting(now)
@@ -453,14 +453,14 @@
         self, call: WaitingCall, group: list[Slots], now: float
     ) -> tuple[Slots | None, float]:
         """Return the upstream of a group at which a call costs least, and the cost in seconds."""
-        best, best_cost = None, math.inf
-        for slots in group:
-            if not call.may_run_at(slots.upstream):
-                continue
-            cost = self._estimate_cost(call, slots, now)
-            if cost < best_cost:
-                best, best_cost = slots, cost
-        return best, best_cost
+        return choose_cheapest(
+            call,
+            [
+                (self._estimate_cost(call, slots, now), slots)
+                for slots in group
+                if call.may_run_at(slots.upstream)
+            ],
+        )
 
     def _should_wait(self, call: WaitingCall, cost: float, now: float) -> bool:
         """Return whether waiting for a busy upstream costs less than the best free one (`cost`)."""
@@ -511,7 +511,11 @@
                 slots.speed.decay(elapsed_s)
             service = self._services.setdefault(name, _ServiceState())
             service.queue.decay(elapsed_s)
-            factors = [slots.speed.factor for slots in group if slots.speed.samples]
+            factors = [
+                slots.speed.factor * slots.pace.estimate_average(now)
+                for slots in group
+                if slots.speed.samples
+            ]
             if factors:
                 service.median_speed.factor = statistics.median(factors)
 
--- a/camphorpath/placement/slots.py
+++ b/camphorpath/placement/slots.py
@@ -7,6 +7,7 @@
 
 from ..routing import Upstream
 from .health import Health
+from .pace import Pace
 from .rate_limits import RateLimit, RateStatement
 from .records import Load, WaitingCall
 from .speed import Speed
@@ -22,6 +23,8 @@
 LENT_REQUEST_TTL_S = 1.0
 # Calls beyond the slots of an upstream, of all daemons together, at which no further one is sent.
 MAX_EXTRA_CALLS = 2
+# Prompt tokens that an output token counts for in the work in progress, as in `queue.py`.
+OUTPUT_TOKEN_WEIGHT = 10
 
 
 @attrs.define
@@ -37,6 +40,9 @@
     # Prompt tokens to prefill before its first byte, including those of calls before it.
     prefill_tokens: float
     prompt_tokens: float
+    output_tokens: float
+    # Expected pace of the upstream when the call was sent.
+    pace_at_send: float
     # It was sent without a free slot, and may wait inside the upstream.
     is_extra: bool = False
     has_first_byte: bool = False
@@ -61,6 +67,7 @@
     running: dict[str, RunningCall] = attrs.field(factory=dict)
     health: Health = attrs.field(factory=Health)
     speed: Speed = attrs.field(factory=Speed)
+    pace: Pace = attrs.field(factory=Pace)
     # Calls that the upstream reported beyond those of this daemon; valid until `unaccounted_until`.
     unaccounted_calls: int = 0
     unaccounted_until: float = 0
@@ -144,12 +151,41 @@
         """Return the prompt tokens of the calls that wait for their first byte."""
         return sum(call.prompt_tokens for call in self.running.values() if not call.has_first_byte)
 
-    def estimate_occupancy(self, call: WaitingCall, held_s: float) -> float:
+    def estimate_first_byte(self, prompt_tokens: float, at: float) -> float:
+        """Return the expected seconds from a send at the instant `at` to the first byte."""
+        return self.speed.estimate_first_byte(prompt_tokens) * self.pace.estimate(at)
+
+    def record_first_byte(self, running: RunningCall, now: float) -> None:
+        """Add the time to the first byte of a call to the speed, as if at the usual pace."""
+        pace = (running.pace_at_send + self.pace.estimate(now)) / 2
+        self.speed.record_first_byte((now - running.sent_at) / pace, running.prefill_tokens)
+
+    def record_answer(self, seconds: float, tokens: float, now: float) -> None:
+        """Add the time from the first byte to the end of an answer, as if at the usual pace.
+
+        Answers last longer than a pace, so the average of the paces counts.
+        """
+        self.speed.record_answer(seconds / self.pace.estimate_average(now), tokens)
+
+    def count_work(self, call: WaitingCall) -> float:
+        """Return the work in progress: prompt and output tokens of the running calls.
+
+        Calls of other daemons are known by number only, and count like `call`.
+        """
+        own = sum(
+            running.prompt_tokens + OUTPUT_TOKEN_WEIGHT * running.output_tokens
+            for running in self.running.values()
+        )
+        size = call.prompt_tokens + OUTPUT_TOKEN_WEIGHT * call.output_tokens
+        return own + sum(self.peer_in_flight.values()) * size
+
+    def estimate_occupancy(self, call: WaitingCall, held_s: float, now: float) -> float:
         """Return the seconds of the whole upstream that a call took.
 
         The call held one of the slots, and the prefill of its prompt stalled all of them.
         """
-        return held_s / self.upstream.slots + self.speed.estimate_stall(call.prompt_tokens)
+        stall_s = self.speed.estimate_stall(call.prompt_tokens) * self.pace.estimate_average(now)
+        return held_s / self.upstream.slots + stall_s
 
     def occupy(self, call: WaitingCall, now: float) -> None:
         """Occupy a slot with a call that is sent now; without a free slot it is an extra one."""
@@ -157,7 +193,7 @@
         # An extra call may wait inside the upstream as long as it would wait here.
         queued_until = max(call.wait_until, now) if is_extra else now
         prefill_tokens = self.count_pending_prompt_tokens() + call.prompt_tokens
-        expected_s = self.speed.estimate_first_byte(prefill_tokens)
+        expected_s = self.estimate_first_byte(prefill_tokens, now)
         self.running[call.call_id] = RunningCall(
             sent_at=now,
             first_byte_timeout_at=queued_until
@@ -166,6 +202,8 @@
             max_event_gap_s=call.max_event_gap_s,
             prefill_tokens=prefill_tokens,
             prompt_tokens=call.prompt_tokens,
+            output_tokens=call.output_tokens,
+            pace_at_send=self.pace.estimate(now),
             is_extra=is_extra,
         )
         self.health.record_send(now)
@@ -214,10 +252,14 @@
         is_active: bool,
         borrower_count: int,
     ) -> None:
-        """Apply what the owner lends to the daemon `name` up to the instant `lent_until`.
+        """Apply what the owner measured, and what it lends to the daemon `name`.
 
+        The daemon may use that up to the instant `lent_until`.
         There are `borrower_count` active daemons beside the owner.
         """
+        self.speed.factor = load.factor or self.speed.factor
+        if load.pace is not None:
+            self.pace.record(load.pace)
         if load.rate_statement is None:
             # The owner sends to the upstream, so it would know of a limit that still holds.
             self.rate_limit.expire(now)
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -44,9 +44,10 @@
 from .events import EventSplitter, MisplacedEventError
 from .header_names import HeaderNames
 from .headers import Headers, find_header, select_answer_headers, select_request_headers
+from .loads import apply_load
 from .reports import ProcessIdentity
 from .stalls import get_stall_timeout
-from .statements import read_backoff, read_load, read_rate
+from .statements import read_backoff, read_rate
 from .survival import Survival, check_survival
 from .upstream import UpstreamAnswer, UpstreamConnection, get_connect_timeout, read_answer
 
@@ -68,11 +69,6 @@
 # Retry-After of the refusal after an upstream did not run the call. The upstream had more calls
 # than this daemon knew of, so the time at which one of them ends cannot be estimated.
 NOT_EXECUTED_RETRY_AFTER_S = 0.2
-# Time for which a load that an upstream reported in an answer is used. An upstream that is full by
-# its report gets no calls and so cannot report a newer load; after this time a call probes it.
-# It must exceed the heartbeat interval of the daemons that accept calls, as their heartbeats report
-# the slots that they use: 0.25 s, 1 s with 200 daemons.
-LOAD_REPORT_TTL_S = 1.2
 # Largest event of a stream; the longest ones in use have a few hundred bytes.
 MAX_EVENT_BYTES = 262144
 # A prompt part that crashes upstreams does so when an answer begins: after this many parts of a
@@ -558,17 +554,18 @@
             self.context.budget.record_call(call.service, read_lease_clock())
         call.send_count += 1
         call.may_have_run = True
-        slots = self._find_slots(upstream)
+        slots, now = self._find_slots(upstream), read_lease_clock()
+        first_byte_s = slots.estimate_first_byte(call.prompt_tokens, now)
         self.context.events.emit(
             Event.REQUEST_SENT,
             call.text_id,
             upstream.upstream_id,
             attempt=call.send_count,
-            waited_ms=round((read_lease_clock() - call.arrived_at) * MS_PER_S),
+            waited_ms=round((now - call.arrived_at) * MS_PER_S),
             left_ms=round(call.time_left() * MS_PER_S),
             running=len(slots.running),
             prompt_tokens=round(call.prompt_tokens),
-            expected_first_ms=round(slots.speed.estimate_first_byte(call.prompt_tokens) * MS_PER_S),
+            expected_first_ms=round(first_byte_s * MS_PER_S),
             is_owner=slots.is_owner,
             manifest=self.context.routing_table.version if self.context.routing_table else 0,
             rate_limit=slots.rate_limit.rate,
@@ -702,9 +699,8 @@
         header_names = self.context.header_names
         now = read_lease_clock()
         slots = self._find_slots(upstream)
-        load = read_load(find_header(answer.headers, header_names.load))
-        if load is not None:
-            slots.record_load(load, now, LOAD_REPORT_TTL_S)
+        text = find_header(answer.headers, header_names.load)
+        apply_load(slots, text, now, self.context.events)
         if find_header(answer.headers, header_names.leaving) == FLAG_SET:
             self.context.on_leaving(upstream)
         self._apply_rate_limit(slots, answer)
@@ -788,7 +784,7 @@
         slots = self.context.scheduler.slots.get(attempt.upstream.upstream_id)
         event_count = splitter.event_count - before
         if slots is not None and event_count:
-            slots.speed.record_answer(read_s, event_count * TOKENS_PER_EVENT)
+            slots.record_answer(read_s, event_count * TOKENS_PER_EVENT, read_lease_clock())
         return SERVED
 
     async def _read_events(self, attempt: Attempt) -> bytes:
--- a/camphorpath/relay/statements.py
+++ b/camphorpath/relay/statements.py
@@ -3,6 +3,7 @@
 import math
 import re
 
+from ..placement.pace import is_plausible
 from .headers import Headers, find_header
 
 STATUS_UNAVAILABLE = 503
@@ -11,6 +12,11 @@
 MAX_RATE_PER_S = 1e6
 # Running and waiting calls; longer numbers count as not stated.
 LOAD = re.compile(rb'([0-9]{1,6}),([0-9]{1,6})(?:,|$)')
+# The fourth figure of the same header, and what it states for work that takes as long as usual.
+PACE_INDEX = 3
+USUAL_PACE = 100
+PACE = re.compile(rb'[0-9]{1,6}(?:\.[0-9]{1,6})?')
+MAX_SHOWN_BYTES = 20
 
 
 def read_load(text: bytes) -> int | None:
@@ -19,6 +25,21 @@
     return None if found is None else int(found.group(1)) + int(found.group(2))
 
 
+def read_pace(text: bytes) -> float | None:
+    """Return the pace in a load header, 1 for work that takes as long as usual; None without one.
+
+    Raises ValueError if the figure is no number or out of range.
+    """
+    figures = text.split(b',')
+    if len(figures) <= PACE_INDEX:
+        return None
+    figure = figures[PACE_INDEX].strip()
+    pace = float(figure) / USUAL_PACE if PACE.fullmatch(figure) else 0
+    if not is_plausible(pace):
+        raise ValueError(f'not a pace: {figure[:MAX_SHOWN_BYTES]!r}')
+    return pace
+
+
 def read_rate(text: bytes) -> float | None:
     """Return the requests per second in a rate limit header; None if it has no valid rate."""
     try:
--- a/tests/placement/simulation.py
+++ b/tests/placement/simulation.py
@@ -155,16 +155,17 @@
 
 
 class Fleet:
-    """Daemons that own one engine each and lend slots by heartbeat; calls go to a random daemon."""
+    """Daemons that own engines and lend slots by heartbeat; calls go to a random daemon."""
 
     heartbeat_interval_rounds = HEARTBEAT_INTERVAL_ROUNDS
     lending_timeout_s = LENDING_TIMEOUT_S
 
-    def __init__(self, slots, *, is_lending=True):
+    def __init__(self, slots, *, is_lending=True, engines_per_daemon=1):
         upstreams = list_upstreams(slots)
-        names = [f'd{number}' for number in range(len(upstreams))]
+        names = [f'd{number}' for number in range(len(upstreams) // engines_per_daemon)]
         owners = {
-            upstream.upstream_id: name for upstream, name in zip(upstreams, names, strict=True)
+            upstream.upstream_id: names[number % len(names)]
+            for number, upstream in enumerate(upstreams)
         }
         assignment = Assignment({'r': tuple(names)}, owners)
         self.schedulers = [Scheduler(name=name, zone='a', regions={}) for name in names]
@@ -318,13 +319,16 @@
     call_classes=CALL_CLASSES,
     added_jobs=(),
     max_retries=MAX_RETRIES,
+    engine_factory=Engine,
 ):
     """Simulate arrivals at `relative_load` times the baseline rate and return their outcome.
 
     The outcome contains the jobs `added_jobs`, too.
     """
     random.seed(seed)
-    engines = {f'i-{number}': Engine(slowdown, slots) for number, slowdown in enumerate(slowdowns)}
+    engines = {
+        f'i-{number}': engine_factory(slowdown, slots) for number, slowdown in enumerate(slowdowns)
+    }
     simulation = Simulation(engines, max_retries=max_retries)
     scheduler = scheduler_factory(dict.fromkeys(simulation.engines, slots))
     jobs = plan_jobs(
