Lend to regions by their demand, and let calls leave that would be late

In three regions with uneven demand calls were refused in two while 0.82 to 0.84 of the slots of the third were in use: one slot of each upstream was never lent, refused calls were no demand unless a rate limit held, and calls left by cost although they could be served in time at home.

Slots lent to all are taken in parts, and a slot goes back to an owner with more demand.

--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -27,6 +27,7 @@
 from ..platform.store import MetadataStore
 from ..platform.wire import HEADER_NAMES
 from ..relay.context import RelayContext
+from ..relay.egress import emit_egress_changes
 from ..relay.metrics import RelayMetrics
 from ..relay.reports import ReportReader
 from ..relay.server import serve_calls, serve_pages
@@ -127,6 +128,7 @@
     store = MetadataStore(settings.store_url)
     peers = make_state_client()
     heartbeats = HeartbeatSocket(settings.host, settings.heartbeat_port)
+    relay.pool.on_connected = relay.scheduler.egress.record_connect
     relay.on_leaving = _make_leaving_handler(state, heartbeats)
     follower = Follower(
         store=store,
@@ -344,6 +346,7 @@
             daemon.streams.record_suspension(now - last)
         last = now
         daemon.relay.scheduler.expire(now)
+        emit_egress_changes(daemon.relay, now)
         daemon.quarantine.update(now)
         daemon.stream_copies.send()
 
--- a/camphorpath/placement/lending.py
+++ b/camphorpath/placement/lending.py
@@ -12,6 +12,19 @@
 from .records import WaitingCall
 from .slots import Slots
 
+# Share of a round by which the turn of the borrowers advances: the golden ratio visits all parts of
+# a round evenly, whatever their number.
+TURN_STEP = 0.618034
+
+
+@attrs.frozen
+class Borrowers:
+    """The daemons that may borrow slots."""
+
+    count: int
+    # Names of the active daemons of other regions.
+    away: frozenset[str] = frozenset()
+
 
 @attrs.define
 class PeerDemand:
@@ -19,7 +32,7 @@
 
     # Names of other daemons and their waiting calls by service, by incarnation of the daemon.
     _waiting: dict[str, tuple[str, Mapping[str, int]]] = attrs.field(factory=dict)
-    # The same for calls that were refused in the last seconds at services with rate limits.
+    # The same for calls that were refused in the last seconds.
     _refused: dict[str, tuple[str, Mapping[str, int]]] = attrs.field(factory=dict)
 
     def apply(
@@ -48,13 +61,47 @@
         return sorted(name for name, waiting in self._waiting.values() if waiting.get(service))
 
 
+def lend_slots(
+    slots: Slots,
+    waiting: Iterable[WaitingCall],
+    demand: PeerDemand,
+    borrowers: Borrowers,
+    turn: int,
+    now: float,
+) -> tuple[int, str]:
+    """Return how many slots of an upstream are lent, and to which daemon; '' for all.
+
+    Daemons of other regions take turns the more often, the more calls wait or were refused there.
+    For them no slot is kept back: their calls would not be served, and the next call here waits for
+    a moment only.
+    """
+    free = count_lendable(slots, waiting, now)
+    service = slots.upstream.service
+    waiting_names = demand.list_waiting(service) if free else []
+    away = {
+        name: count
+        for name, count in demand.count(service).items()
+        if free and name in borrowers.away
+    }
+    if not away:
+        return choose_borrower(max(free - 1, 0), waiting_names, turn, borrowers.count)
+    weights = {name: 1 for name in waiting_names} | away
+    # The turns of each daemon are spread evenly, and follow the demand as it changes.
+    position = math.fmod(turn * TURN_STEP, 1) * sum(weights.values())
+    for name, weight in sorted(weights.items()):
+        position -= weight
+        if position < 0:
+            return (free if name in away else free - 1), name
+    return free, max(away)
+
+
 def count_lendable(slots: Slots, waiting: Iterable[WaitingCall], now: float) -> int:
-    """Return how many free slots of an upstream can be lent; 0 if a call here waits for it."""
+    """Return how many slots of an upstream are free to be lent; 0 if a call here waits for it."""
     if any(call.may_run_at(slots.upstream) for call in waiting):
         return 0
     if not slots.may_lend(now):
         return 0
-    return max(slots.count_free(now) - 1, 0)
+    return max(slots.count_free(now), 0)
 
 
 def choose_borrower(
@@ -69,6 +116,15 @@
     return lendable, ''
 
 
+def return_slot(slots: Slots, demand: PeerDemand, own_demand: int) -> None:
+    """Return a released slot to its owner if that has more demand than the borrower.
+
+    Else the borrower uses it again, as a slot that is returned is idle until the next reports.
+    """
+    if demand.count(slots.upstream.service)[slots.owner] > own_demand:
+        slots.lent = max(slots.lent - 1, 0)
+
+
 def lend_requests(
     slots: Slots,
     demand_elsewhere: Mapping[str, float],
--- a/camphorpath/placement/ownership.py
+++ b/camphorpath/placement/ownership.py
@@ -39,6 +39,11 @@
         """Return whether a daemon accepts calls."""
         return any(name in names for names in self.actives.values())
 
+    def list_away(self, name: str) -> frozenset[str]:
+        """Return the active daemons of the regions in which a daemon is not active."""
+        away = [names for names in self.actives.values() if name not in names]
+        return frozenset(peer for names in away for peer in names)
+
 
 def assign(
     candidates: Iterable[Candidate], upstreams: Sequence[Upstream], regions: Mapping[str, str]
--- a/camphorpath/placement/records.py
+++ b/camphorpath/placement/records.py
@@ -72,6 +72,8 @@
     deadline: float
     prompt_tokens: float
     output_tokens: float
+    # Size of the body of its request.
+    body_bytes: int = attrs.field(default=0, kw_only=True)
     on_decision: Callable[[Decision], None]
     # A longer gap between events of its stream makes its answer late.
     max_event_gap_s: float = math.inf
--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -12,7 +12,8 @@
 
 from ..routing import Upstream
 from .costs import choose_cheapest, estimate_cost
-from .lending import PeerDemand, choose_borrower, count_lendable, lend_requests
+from .egress import Egress
+from .lending import Borrowers, PeerDemand, lend_requests, lend_slots, return_slot
 from .ownership import Assignment
 from .queue import CallQueue, make_refusal
 from .rate_limits import RateLimit
@@ -20,9 +21,6 @@
 from .slots import Slots
 from .speed import Speed
 
-# Added to the cost of an upstream in another zone or region: round trip and price of the bytes.
-OTHER_ZONE_COST_S = 0.02
-OTHER_REGION_COST_S = 0.06
 # Expected wait per queued call while no call of the service has ended recently.
 DEFAULT_WAIT_S = 0.05
 SPEED_UPDATE_INTERVAL_S = 0.25
@@ -65,6 +63,10 @@
         """Return how many calls were refused within the last RATE_WINDOW_S seconds."""
         return sum(1 for refused_at in self.refusal_times if refused_at > now - RATE_WINDOW_S)
 
+    def count_demand(self, now: float) -> int:
+        """Return how many calls wait or were refused lately."""
+        return len(self.queue.calls) + self.count_refused(now)
+
 
 @attrs.define(kw_only=True)
 class Scheduler:
@@ -74,12 +76,15 @@
     zone: str
     regions: Mapping[str, str]
     slots: dict[str, Slots] = attrs.field(factory=dict)
+    egress: Egress = attrs.field(init=False)
     _services: dict[str, _ServiceState] = attrs.field(factory=dict)
     # Upstreams in the last report of each other daemon, by incarnation of the daemon.
     _reported_upstreams: dict[str, frozenset[str]] = attrs.field(factory=dict)
     _demand_elsewhere: PeerDemand = attrs.field(factory=PeerDemand)
     # Names of the daemons to which callers are directed.
     _actives: list[str] = attrs.field(factory=list)
+    # Those of them in other regions, if this daemon is one of them.
+    _away_actives: frozenset[str] = frozenset()
     # Load reports made so far; rotates the borrowers.
     _report_count: int = 0
     # Upstreams that are not leaving, by service.
@@ -88,9 +93,14 @@
     # Rate limits of removed upstreams, by id and incarnation.
     _removed_limits: dict[tuple[str, int], RateLimit] = attrs.field(factory=dict)
 
+    def __attrs_post_init__(self) -> None:
+        """Begin without calls that left the region."""
+        self.egress = Egress(zone=self.zone, regions=self.regions)
+
     def set_upstreams(self, upstreams: Iterable[Upstream], assignment: Assignment) -> None:
         """Replace the registered upstreams and their owners."""
         self._actives = sorted(name for names in assignment.actives.values() for name in names)
+        self._away_actives = assignment.list_away(self.name)
         listed = {upstream.upstream_id: upstream for upstream in upstreams}
         for upstream_id, upstream in listed.items():
             known = self.slots.get(upstream_id)
@@ -190,15 +200,15 @@
             lent_requests = lend_requests(
                 slots,
                 self._demand_elsewhere.count(service),
-                len(state.queue.calls) + state.count_refused(now),
+                state.count_demand(now),
                 (name for name in self._actives if name != self.name),
                 turn,
                 now,
             )
         else:
-            lendable = count_lendable(slots, state.queue.calls, now)
-            waiting_daemons = self._demand_elsewhere.list_waiting(service) if lendable else []
-            lent, borrower = choose_borrower(lendable, waiting_daemons, turn, borrower_count)
+            borrowers = Borrowers(borrower_count, self._away_actives)
+            demand = self._demand_elsewhere
+            lent, borrower = lend_slots(slots, state.queue.calls, demand, borrowers, turn, now)
         return Load(
             len(slots.running),
             lent,
@@ -218,16 +228,9 @@
         }
 
     def count_refused(self, now: float) -> dict[str, int]:
-        """Return the number of calls refused in the last seconds, by service with rate limits."""
-        counts = {}
-        for name, group in self._slots_by_service.items():
-            service = self._services.get(name)
-            if service is None or not any(slots.rate_limit.is_limited for slots in group):
-                continue
-            count = service.count_refused(now)
-            if count:
-                counts[name] = count
-        return counts
+        """Return the number of calls refused in the last seconds by service, if there are any."""
+        counts = {name: service.count_refused(now) for name, service in self._services.items()}
+        return {name: count for name, count in counts.items() if count}
 
     def submit(self, call: WaitingCall, now: float) -> None:
         """Place a call at an upstream, queue it, or refuse it."""
@@ -308,6 +311,8 @@
             # The caller may have left because the upstream did not respond.
             slots.health.record_failure(now)
         service = self._services.setdefault(call.service, _ServiceState())
+        if slots.owner in self._away_actives and not running.is_extra:
+            return_slot(slots, self._demand_elsewhere, service.count_demand(now))
         service.release_times.append(now)
         cost_s = slots.estimate_occupancy(call, now - running.sent_at, now)
         is_sample = running.has_first_byte and not running.is_extra
@@ -432,10 +437,13 @@
             free = sum(slots.count_free(now) for slots in usable)
             if free <= self._count_reserved(call.service):
                 return None
-        best, best_cost = self._find_cheapest(call, usable, now)
-        if best is not None and self._should_wait(call, best_cost, now):
-            return None
-        return best
+        home_wait_s = self._estimate_home_wait(call, now)
+        allowed = self.egress.select(call, usable, home_wait_s, now)
+        best, best_cost = self._find_cheapest(call, allowed, now)
+        if best is None or not self.egress.is_home(best.upstream):
+            # A call that leaves would be late at home.
+            return best
+        return None if self._should_wait(call, best_cost, now) else best
 
     def _choose_extra(
         self, call: WaitingCall, usable: list[Slots], extra: list[Slots], now: float
@@ -496,10 +504,7 @@
         return math.floor(owned * RESERVED_SHARE)
 
     def _estimate_cost(self, call: WaitingCall, slots: Slots, starts_at: float) -> float:
-        distance_s: float = 0
-        if slots.upstream.zone != self.zone:
-            is_near = self.regions.get(slots.upstream.zone) == self.regions.get(self.zone)
-            distance_s = OTHER_ZONE_COST_S if is_near else OTHER_REGION_COST_S
+        distance_s = self.egress.estimate_cost(call, slots.upstream)
         return distance_s + estimate_cost(call, slots, starts_at)
 
     def _update_speeds(self, now: float) -> None:
@@ -529,6 +534,14 @@
         # Calls may have ended lately that were sent before the limits were known.
         return max(wait_s, ahead / self._sum_rates(call.service))
 
+    def _estimate_home_wait(self, call: WaitingCall, now: float) -> float:
+        """Return the expected wait for a slot in the own region; infinite if it has none."""
+        group = self._slots_by_service.get(call.service, ())
+        share = self.egress.measure_home_share(call, group)
+        if not share:
+            return math.inf
+        return self._estimate_wait(self._services[call.service], call, now) / share
+
     def _sum_rates(self, service: str) -> float:
         """Return the requests per second that the upstreams of a service take together."""
         rates: float = 0
@@ -540,6 +553,7 @@
 
     def _place(self, call: WaitingCall, slots: Slots, now: float) -> None:
         slots.occupy(call, now)
+        self.egress.record_placement(call, slots.upstream, now)
         self._services[call.service].queue.record_placement(call)
         call.excluded.add(slots.upstream.upstream_id)
         call.on_decision(Placed(slots.upstream))
--- a/camphorpath/placement/slots.py
+++ b/camphorpath/placement/slots.py
@@ -62,6 +62,8 @@
     lent: int = 0
     # After this instant the owner may have lent them to another daemon.
     lent_until: float = math.inf
+    # For borrowers: whether the lent slots are open to other daemons as well.
+    is_lent_to_all: bool = False
     # For borrowers: whether one call may be sent beyond the lent slots, up to `lent_until`.
     may_exceed: bool = False
     running: dict[str, RunningCall] = attrs.field(factory=dict)
@@ -271,6 +273,7 @@
         may_borrow = not is_active or load.borrower in {'', name}
         self.lent = load.lent if may_borrow else 0
         self.lent_until = lent_until
+        self.is_lent_to_all = load.lent > 0 and not load.borrower
         # Borrowers learn of each other's calls only by heartbeat, so a few may exceed at a time.
         self.may_exceed = random.random() * borrower_count < MAX_EXTRA_CALLS
 
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -394,6 +394,7 @@
             deadline=call.deadline,
             prompt_tokens=call.prompt_tokens,
             output_tokens=call.output_tokens,
+            body_bytes=len(call.request.body),
             max_event_gap_s=call.route.max_event_gap_s,
             on_decision=decide,
             excluded=self.tried_upstreams,
@@ -554,6 +555,8 @@
             self.context.budget.record_call(call.service, read_lease_clock())
         call.send_count += 1
         call.may_have_run = True
+        distance = self.context.scheduler.egress.classify(upstream)
+        self.context.metrics.by_distance.inc({'distance': distance})
         slots, now = self._find_slots(upstream), read_lease_clock()
         first_byte_s = slots.estimate_first_byte(call.prompt_tokens, now)
         self.context.events.emit(
--- a/camphorpath/relay/metrics.py
+++ b/camphorpath/relay/metrics.py
@@ -16,6 +16,7 @@
     first_byte: Histogram = attrs.field(init=False)
     waits: Histogram = attrs.field(init=False)
     in_progress: Gauge = attrs.field(init=False)
+    by_distance: Counter = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Register the metrics."""
@@ -38,6 +39,11 @@
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
+        self.by_distance = Counter(
+            'camphorpath_calls_by_distance_total',
+            'Sends to upstreams by distance: same_zone, same_region or other_region.',
+            registry=registry,
+        )
         self.in_progress = Gauge(
             'camphorpath_in_progress_calls', 'Calls without a final answer.', registry=registry
         )
--- a/camphorpath/relay/upstream.py
+++ b/camphorpath/relay/upstream.py
@@ -216,6 +216,8 @@
     # Since the start of the daemon.
     opened_count: int = 0
     _idle: dict[str, list[UpstreamConnection]] = attrs.field(factory=dict)
+    # Called with the seconds that it took to connect to an upstream.
+    on_connected: Callable[[Upstream, float], None] = lambda upstream, seconds: None
 
     async def acquire(
         self, upstream: Upstream, *, is_recent: bool, connect_s: float = MAX_CONNECT_TIMEOUT_S
@@ -239,6 +241,7 @@
         except (OSError, TimeoutError) as error:
             raise NotSent(repr(error), step='connect', peer=upstream.address) from error
         self.opened_count += 1
+        self.on_connected(upstream, read_lease_clock() - now)
         return UpstreamConnection(connection, upstream.address)
 
     async def is_listening(self, upstream: Upstream) -> bool:
