Merge the pace that upstreams state, and leaving the region

Cause: the fourth figure of the load was dropped; leaving a zone cost two fixed constants, one free slot of each upstream was never lent, and calls that were refused counted as demand only at services with a rate limit.

Change: placement/pace.py scales the expected time by the stated pace; placement/egress.py decides when a call leaves its region and how many do; owners lend by the demand of the other regions.

Not yet measured on a deployment.

--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -27,6 +27,7 @@
 from ..platform.store import MetadataStore
 from ..platform.wire import HEADER_NAMES
 from ..relay.context import RelayContext
+from ..relay.egress import emit_egress_changes
 from ..relay.metrics import RelayMetrics
 from ..relay.reports import ReportReader
 from ..relay.server import serve_calls, serve_pages
@@ -131,6 +132,7 @@
     store = MetadataStore(settings.store_url)
     peers = make_state_client()
     heartbeats = HeartbeatSocket(settings.host, settings.heartbeat_port)
+    relay.pool.on_connected = relay.scheduler.egress.record_connect
     relay.on_leaving = _make_leaving_handler(state, heartbeats)
     follower = Follower(
         store=store,
@@ -361,6 +363,7 @@
         last = now
         daemon.relay.scheduler.expire(now)
         report_customers(daemon.relay, now)
+        emit_egress_changes(daemon.relay, now)
         daemon.quarantine.update(now)
         if daemon.rollouts is not None:
             daemon.rollouts.update(now)
--- a/camphorpath/placement/records.py
+++ b/camphorpath/placement/records.py
@@ -8,6 +8,7 @@
 
 from ..routing import Upstream
 from .customers import Account
+from .pace import PaceStatement
 from .rate_limits import RateStatement
 
 
@@ -47,6 +48,8 @@
     rate_statement: RateStatement | None = None
     # Requests that the owner lends while a rate limit holds, by name of the daemon.
     lent_requests: Mapping[str, int] = types.MappingProxyType({})
+    # The last pace that the upstream stated to its owner; None if it states none.
+    pace: PaceStatement | None = None
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -70,6 +73,8 @@
     deadline: float
     prompt_tokens: float
     output_tokens: float
+    # Size of the body of its request.
+    body_bytes: int = attrs.field(default=0, kw_only=True)
     on_decision: Callable[[Decision], None]
     # A longer gap between events of its stream makes its answer late.
     max_event_gap_s: float = math.inf
--- a/camphorpath/relay/answer_headers.py
+++ b/camphorpath/relay/answer_headers.py
@@ -10,15 +10,11 @@
 from .acceptance import Call
 from .context import RelayContext
 from .headers import find_header
-from .statements import read_backoff, read_load, read_rate
+from .loads import apply_load
+from .statements import read_backoff, read_rate
 from .upstream import UpstreamAnswer
 
 STATUS_MISDIRECTED = 421
-# Time for which a load that an upstream reported in an answer is used. An upstream that is full by
-# its report gets no calls and so cannot report a newer load; after this time a call probes it.
-# It must exceed the heartbeat interval of the daemons that accept calls, as their heartbeats report
-# the slots that they use: 0.25 s, 1 s with 200 daemons.
-LOAD_REPORT_TTL_S = 1.2
 # Value of a header that serves as a flag.
 FLAG_SET = b'1'
 
@@ -34,9 +30,7 @@
     now = read_lease_clock()
     # Empty ones if the entry of the upstream was removed during the call.
     slots = context.scheduler.slots.get(upstream.upstream_id) or Slots(upstream)
-    load = read_load(find_header(answer.headers, header_names.load))
-    if load is not None:
-        slots.record_load(load, now, LOAD_REPORT_TTL_S)
+    apply_load(slots, find_header(answer.headers, header_names.load), now, context.events)
     if find_header(answer.headers, header_names.leaving) == FLAG_SET:
         context.on_leaving(upstream)
     _apply_rate_limit(context, call, slots, answer)
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -390,6 +390,7 @@
             deadline=call.deadline,
             prompt_tokens=call.prompt_tokens,
             output_tokens=call.output_tokens,
+            body_bytes=len(call.request.body),
             max_event_gap_s=call.route.max_event_gap_s,
             on_decision=decide,
             excluded=self.tried_upstreams,
@@ -559,7 +560,10 @@
             self.context.budget.record_call(call.service, read_lease_clock())
         call.send_count += 1
         call.may_have_run = True
-        slots = self._find_slots(upstream)
+        distance = self.context.scheduler.egress.classify(upstream)
+        self.context.metrics.by_distance.inc({'distance': distance})
+        slots, now = self._find_slots(upstream), read_lease_clock()
+        first_byte_s = slots.estimate_first_byte(call.prompt_tokens, now)
         rollouts.record_send(upstream)
         running = slots.running.get(call.text_id)
         attempt.count = AnswerCount(rollouts, upstream, call.route.name, running)
@@ -568,11 +572,11 @@
             call.text_id,
             upstream.upstream_id,
             attempt=call.send_count,
-            waited_ms=round((read_lease_clock() - call.arrived_at) * MS_PER_S),
+            waited_ms=round((now - call.arrived_at) * MS_PER_S),
             left_ms=round(call.time_left() * MS_PER_S),
             running=len(slots.running),
             prompt_tokens=round(call.prompt_tokens),
-            expected_first_ms=round(slots.speed.estimate_first_byte(call.prompt_tokens) * MS_PER_S),
+            expected_first_ms=round(first_byte_s * MS_PER_S),
             is_owner=slots.is_owner,
             manifest=self.context.routing_table.version if self.context.routing_table else 0,
             rate_limit=slots.rate_limit.rate,
@@ -750,7 +754,7 @@
         slots = self.context.scheduler.slots.get(attempt.upstream.upstream_id)
         event_count = splitter.event_count - before
         if slots is not None and event_count:
-            slots.speed.record_answer(read_s, event_count * TOKENS_PER_EVENT)
+            slots.record_answer(read_s, event_count * TOKENS_PER_EVENT, read_lease_clock())
         return SERVED
 
     async def _read_events(self, attempt: Attempt) -> bytes:
--- a/camphorpath/relay/metrics.py
+++ b/camphorpath/relay/metrics.py
@@ -20,6 +20,7 @@
     in_progress: Gauge = attrs.field(init=False)
     customer_tokens: Counter = attrs.field(init=False)
     customer_refusals: Counter = attrs.field(init=False)
+    by_distance: Counter = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Register the metrics."""
@@ -54,6 +55,11 @@
             'Calls refused because of the quota, by customer.',
             registry=registry,
         )
+        self.by_distance = Counter(
+            'camphorpath_calls_by_distance_total',
+            'Sends to upstreams by distance: same_zone, same_region or other_region.',
+            registry=registry,
+        )
         self.in_progress = Gauge(
             'camphorpath_in_progress_calls', 'Calls without a final answer.', registry=registry
         )
