Drop customers without calls from the shares after 15 s

Cause: a customer counted with its whole weight until less than half a token of its count was left, up to two minutes after its last call.

Change: a customer is dropped 15 s after its last call, and so is the report of a daemon that is not heard any more.

--- a/camphorpath/placement/customers.py
+++ b/camphorpath/placement/customers.py
@@ -23,8 +23,12 @@
 ACTIVE_S = 5.0
 # Below this count a customer without calls is dropped; a call without tokens counts as one.
 MIN_SERVED_TOKENS = 0.5
-# A report is dropped after this time: by then, less than a thousandth of it counts.
-MAX_REPORT_AGE_S = 10 * SERVED_HALF_LIFE_S
+# After this time without calls, a customer is dropped whatever its count: an eighth is left, and
+# the weight of customers that take nothing puts the active ones above their shares. It exceeds the
+# interval between the heartbeats of idle daemons (8.4 s with 420 daemons).
+MAX_QUIET_S = 3 * SERVED_HALF_LIFE_S
+# The report of a daemon that is not heard any more is dropped after this time, for the same reason.
+MAX_REPORT_AGE_S = MAX_QUIET_S
 # No fleet serves as many tokens to a customer in some seconds; larger counts are unusable.
 MAX_SERVED_TOKENS = 1e12
 # Shifts of calls of customers above their share, in ranks. Shifts by size are at most 0.45, so that
@@ -228,8 +232,9 @@
     """Return whether an account can be dropped: nothing of it counts or must be reported."""
     if account.is_reported or account.new_tokens or account.new_refusals:
         return False
-    is_quiet = now > account.last_call_at + ACTIVE_S
-    return is_quiet and account.served_tokens < MIN_SERVED_TOKENS
+    quiet_s = now - account.last_call_at
+    limit_s = ACTIVE_S if account.served_tokens < MIN_SERVED_TOKENS else MAX_QUIET_S
+    return quiet_s > limit_s
 
 
 def _compute_weights(customers: Collection[Customer]) -> dict[str, float]:
--- a/tests/placement/test_customers.py
+++ b/tests/placement/test_customers.py
@@ -127,3 +127,18 @@
         shares.update(now, [shares.open_account('a', now)])
         assert (shares.open_account('a', now).overuse > 1) == is_above
     assert not shares._reports
+
+
+def test_idle_customer_leaves_the_others_within_their_shares():
+    """Guards against shares that a customer without calls lowers for minutes."""
+    shares = make_shares()
+    shares.open_account('c', 0).record_placement(1e6)
+    shares.apply_report('d2', {'d': 1e6}, 0)
+    for step in range(120):
+        now = step / 4
+        for name in 'ab':
+            shares.open_account(name, now).record_placement(2500)
+        shares.update(now, [])
+        for _count in shares.take_counts():
+            pass
+    assert shares.open_account('a', now).overuse == pytest.approx(1)
