Apply the shares of customers to the slots of starved classes

Cause: every second slot goes to a starved class if there is one, and there to the oldest call. In a flood of a starved class that is a call of the flood.

Change: the class with the oldest starved call is taken as before, and within it the oldest call of the customers least above their shares. Begun streams keep their place by age.

Result: the new test got a call of the flood before, and now gets that of the customer within its share. tests/placement/test_customers.py, test_queue.py, test_scheduler.py and tests/edge/test_customers.py passed.

--- a/camphorpath/placement/customers.py
+++ b/camphorpath/placement/customers.py
@@ -67,9 +67,10 @@
     overuse: float = 0
     # Whether the customer was last reported as above its share.
     is_reported: bool = False
-    # Factor of the shift by size, and shift by overuse in ranks.
+    # Ranks by which its calls are ordered later for its overuse.
+    overuse_shift: float = 0
+    # Factor of the shift by size.
     _size_weight: float = 1
-    _overuse_shift: float = 0
 
     def record_placement(self, tokens: float) -> None:
         """Count a call that was placed in a slot."""
@@ -79,7 +80,7 @@
 
     def shift(self, size_shift: float) -> float:
         """Return the ranks by which a call with a shift by size is ordered later in its class."""
-        return self._size_weight * size_shift + self._overuse_shift
+        return self._size_weight * size_shift + self.overuse_shift
 
     def apply_overuse(self, overuse: float) -> None:
         """Set the overuse (1: exactly the share) and the shift, which grows with its logarithm."""
@@ -88,7 +89,7 @@
         self._size_weight = 2 ** (-OVERUSE_STEEPNESS * doublings)
         span = MAX_OVERUSE_SHIFT_RANKS - MIN_OVERUSE_SHIFT_RANKS
         behind = MIN_OVERUSE_SHIFT_RANKS + span * doublings / MAX_OVERUSE_DOUBLINGS
-        self._overuse_shift = (1 - self._size_weight) * behind
+        self.overuse_shift = (1 - self._size_weight) * behind
 
 
 @attrs.frozen
--- a/camphorpath/placement/queue.py
+++ b/camphorpath/placement/queue.py
@@ -137,7 +137,10 @@
         return any(call.is_bound for call in self.calls)
 
     def find_starved(self) -> WaitingCall | None:
-        """Return the oldest call of a starved class if the next slot is reserved for one."""
+        """Return a call of the starved class with the oldest one if the next slot is reserved.
+
+        It is the oldest one of the customers that are least above their shares.
+        """
         if self._next_slot_number % STARVED_SLOT_INTERVAL:
             return None
         arrivals = sum(stats.arrivals for stats in self._stats.values())
@@ -148,7 +151,16 @@
             if stats.served * arrivals < STARVED_SHARE * served * stats.arrivals
         }
         candidates = [call for call in self.calls if call.rank in starved]
-        return min(candidates, key=lambda call: call.arrived_at, default=None)
+        oldest = min(candidates, key=lambda call: call.arrived_at, default=None)
+        if oldest is None:
+            return None
+        return min(
+            (call for call in candidates if call.rank == oldest.rank),
+            key=lambda call: (
+                0 if call.is_bound else call.account.overuse_shift,
+                call.arrived_at,
+            ),
+        )
 
     def pop(self, call: WaitingCall) -> None:
         """Remove a call that is placed in a slot."""
--- a/tests/placement/test_customers.py
+++ b/tests/placement/test_customers.py
@@ -142,3 +142,22 @@
         for _count in shares.take_counts():
             pass
     assert shares.open_account('a', now).overuse == pytest.approx(1)
+
+
+def test_slot_of_a_starved_class_follows_the_shares():
+    """Guards against a flood in a starved class that takes the slots reserved for the class."""
+    harness = SchedulerHarness([])
+    calls = [
+        harness.make_call(name, now=number, rank=(0, 1))
+        for number, name in enumerate(('flood', 'flood rest', 'within'))
+    ]
+    queue = CallQueue(calls, next_slot_number=2)
+    for call in calls[:2]:
+        call.account.apply_overuse(8)
+    served = harness.make_call('other')
+    for call in (*calls, served):
+        queue.record_arrival(call)
+    queue.record_placement(served)
+    assert queue.find_starved() is calls[2]
+    calls[1].required_version = ''
+    assert queue.find_starved() is calls[1]
