Keep the order by size among customers above their shares

Cause: customers that send little lower the shares of the others, which are then all above, equally far. Their calls lost the order by size, and small differences of the counts decided instead.

Change: a hundredth of the shift by size remains above the share, as much as one doubling of the overuse at most. The largest shift is 0.545 ranks, so the next rank still goes last.

--- a/camphorpath/placement/customers.py
+++ b/camphorpath/placement/customers.py
@@ -43,6 +43,10 @@
 # How fast a call moves behind those of customers within their share: nearly all of the way at 1.2
 # times the share, so that a customer at many times its usual traffic gets little more than that.
 OVERUSE_STEEPNESS = 32.0
+# Part of the shift by size that remains above the share: at most as much as one doubling of the
+# overuse. Without it, the calls of customers that are equally far above their shares, because the
+# others send little, are not ordered by size.
+OVERUSE_SIZE_WEIGHT = 0.01
 # A customer is reported as above its share from the first of these ratios on, and no longer below
 # the second.
 REPORTED_OVERUSE = 1.25
@@ -86,10 +90,11 @@
         """Set the overuse (1: exactly the share) and the shift, which grows with its logarithm."""
         self.overuse = overuse
         doublings = min(math.log2(max(overuse / TOLERATED_OVERUSE, 1)), MAX_OVERUSE_DOUBLINGS)
-        self._size_weight = 2 ** (-OVERUSE_STEEPNESS * doublings)
+        moved_share = 1 - 2 ** (-OVERUSE_STEEPNESS * doublings)
+        self._size_weight = 1 - moved_share * (1 - OVERUSE_SIZE_WEIGHT)
         span = MAX_OVERUSE_SHIFT_RANKS - MIN_OVERUSE_SHIFT_RANKS
         behind = MIN_OVERUSE_SHIFT_RANKS + span * doublings / MAX_OVERUSE_DOUBLINGS
-        self.overuse_shift = (1 - self._size_weight) * behind
+        self.overuse_shift = moved_share * behind
 
 
 @attrs.frozen
--- a/tests/placement/test_customers.py
+++ b/tests/placement/test_customers.py
@@ -161,3 +161,14 @@
     assert queue.find_starved() is calls[2]
     calls[1].required_version = ''
     assert queue.find_starved() is calls[1]
+
+
+def test_customers_equally_far_above_their_shares_are_ordered_by_size():
+    """Guards against large calls that go first while some customers send little."""
+    harness = SchedulerHarness([])
+    calls = [harness.make_call(name, now=now) for now, name in enumerate(('large', 'small', 'far'))]
+    for call, overuse, shift in zip(calls, (1.92, 1.95, 8), (0.3, -0.3, -0.3), strict=True):
+        call.account.apply_overuse(overuse)
+        call.size_shift = shift
+    ordered = CallQueue(calls).ordered(0, None)
+    assert [call.call_id for call in ordered] == ['small', 'large', 'far']
