--- a/camphorpath/placement/customers.py
+++ b/camphorpath/placement/customers.py
@@ -23,8 +23,12 @@
 ACTIVE_S = 5.0
 # Below this count a customer without calls is dropped; a call without tokens counts as one.
 MIN_SERVED_TOKENS = 0.5
-# A report is dropped after this time: by then, less than a thousandth of it counts.
-MAX_REPORT_AGE_S = 10 * SERVED_HALF_LIFE_S
+# After this time without calls, a customer is dropped whatever its count: an eighth is left, and
+# the weight of customers that take nothing puts the active ones above their shares. It exceeds the
+# interval between the heartbeats of idle daemons (8.4 s with 420 daemons).
+MAX_QUIET_S = 3 * SERVED_HALF_LIFE_S
+# The report of a daemon that is not heard any more is dropped after this time, for the same reason.
+MAX_REPORT_AGE_S = MAX_QUIET_S
 # No fleet serves as many tokens to a customer in some seconds; larger counts are unusable.
 MAX_SERVED_TOKENS = 1e12
 # Shifts of calls of customers above their share, in ranks. Shifts by size are at most 0.45, so that
@@ -39,6 +43,10 @@
 # How fast a call moves behind those of customers within their share: nearly all of the way at 1.2
 # times the share, so that a customer at many times its usual traffic gets little more than that.
 OVERUSE_STEEPNESS = 32.0
+# Part of the shift by size that remains above the share: at most as much as one doubling of the
+# overuse. Without it, the calls of customers that are equally far above their shares, because the
+# others send little, are not ordered by size.
+OVERUSE_SIZE_WEIGHT = 0.01
 # A customer is reported as above its share from the first of these ratios on, and no longer below
 # the second.
 REPORTED_OVERUSE = 1.25
@@ -63,9 +71,10 @@
     overuse: float = 0
     # Whether the customer was last reported as above its share.
     is_reported: bool = False
-    # Factor of the shift by size, and shift by overuse in ranks.
+    # Ranks by which its calls are ordered later for its overuse.
+    overuse_shift: float = 0
+    # Factor of the shift by size.
     _size_weight: float = 1
-    _overuse_shift: float = 0
 
     def record_placement(self, tokens: float) -> None:
         """Count a call that was placed in a slot."""
@@ -75,16 +84,17 @@
 
     def shift(self, size_shift: float) -> float:
         """Return the ranks by which a call with a shift by size is ordered later in its class."""
-        return self._size_weight * size_shift + self._overuse_shift
+        return self._size_weight * size_shift + self.overuse_shift
 
     def apply_overuse(self, overuse: float) -> None:
         """Set the overuse (1: exactly the share) and the shift, which grows with its logarithm."""
         self.overuse = overuse
         doublings = min(math.log2(max(overuse / TOLERATED_OVERUSE, 1)), MAX_OVERUSE_DOUBLINGS)
-        self._size_weight = 2 ** (-OVERUSE_STEEPNESS * doublings)
+        moved_share = 1 - 2 ** (-OVERUSE_STEEPNESS * doublings)
+        self._size_weight = 1 - moved_share * (1 - OVERUSE_SIZE_WEIGHT)
         span = MAX_OVERUSE_SHIFT_RANKS - MIN_OVERUSE_SHIFT_RANKS
         behind = MIN_OVERUSE_SHIFT_RANKS + span * doublings / MAX_OVERUSE_DOUBLINGS
-        self._overuse_shift = (1 - self._size_weight) * behind
+        self.overuse_shift = moved_share * behind
 
 
 @attrs.frozen
@@ -228,8 +238,9 @@
     """Return whether an account can be dropped: nothing of it counts or must be reported."""
     if account.is_reported or account.new_tokens or account.new_refusals:
         return False
-    is_quiet = now > account.last_call_at + ACTIVE_S
-    return is_quiet and account.served_tokens < MIN_SERVED_TOKENS
+    quiet_s = now - account.last_call_at
+    limit_s = ACTIVE_S if account.served_tokens < MIN_SERVED_TOKENS else MAX_QUIET_S
+    return quiet_s > limit_s
 
 
 def _compute_weights(customers: Collection[Customer]) -> dict[str, float]:
--- a/tests/placement/test_customers.py
+++ b/tests/placement/test_customers.py
@@ -127,3 +127,48 @@
         shares.update(now, [shares.open_account('a', now)])
         assert (shares.open_account('a', now).overuse > 1) == is_above
     assert not shares._reports
+
+
+def test_idle_customer_leaves_the_others_within_their_shares():
+    """Guards against shares that a customer without calls lowers for minutes."""
+    shares = make_shares()
+    shares.open_account('c', 0).record_placement(1e6)
+    shares.apply_report('d2', {'d': 1e6}, 0)
+    for step in range(120):
+        now = step / 4
+        for name in 'ab':
+            shares.open_account(name, now).record_placement(2500)
+        shares.update(now, [])
+        for _count in shares.take_counts():
+            pass
+    assert shares.open_account('a', now).overuse == pytest.approx(1)
+
+
+def test_slot_of_a_starved_class_follows_the_shares():
+    """Guards against a flood in a starved class that takes the slots reserved for the class."""
+    harness = SchedulerHarness([])
+    calls = [
+        harness.make_call(name, now=number, rank=(0, 1))
+        for number, name in enumerate(('flood', 'flood rest', 'within'))
+    ]
+    queue = CallQueue(calls, next_slot_number=2)
+    for call in calls[:2]:
+        call.account.apply_overuse(8)
+    served = harness.make_call('other')
+    for call in (*calls, served):
+        queue.record_arrival(call)
+    queue.record_placement(served)
+    assert queue.find_starved() is calls[2]
+    calls[1].required_version = ''
+    assert queue.find_starved() is calls[1]
+
+
+def test_customers_equally_far_above_their_shares_are_ordered_by_size():
+    """Guards against large calls that go first while some customers send little."""
+    harness = SchedulerHarness([])
+    calls = [harness.make_call(name, now=now) for now, name in enumerate(('large', 'small', 'far'))]
+    for call, overuse, shift in zip(calls, (1.92, 1.95, 8), (0.3, -0.3, -0.3), strict=True):
+        call.account.apply_overuse(overuse)
+        call.size_shift = shift
+    ordered = CallQueue(calls).ordered(0, None)
+    assert [call.call_id for call in ordered] == ['small', 'large', 'far']
