Choose among upstreams of nearly equal cost within one zone only

Cause: costs within 15 % counted as equal, with the distance in them. It is 0.06 s to another region, so a call of 0.7 s went there while its own region had room.

Change: only upstreams in the zone of the cheapest one are compared by their work.

Result: of two calls to two idle upstreams with 8 slots, the second one went to the other region; now both stay.

--- a/camphorpath/placement/costs.py
+++ b/camphorpath/placement/costs.py
@@ -47,7 +47,9 @@
     """Return the upstream at which a call costs least, and the lowest cost in seconds.
 
     Of upstreams that state their pace and cost nearly the same, it is the one with the least work
-    in progress: the cheapest one by the last report would be sent the calls of all daemons.
+    in progress: the cheapest one by the last report would be sent the calls of all daemons. They
+    are in the zone of the cheapest one, since the distance and the price of the bytes are no error
+    of the estimate.
     """
     best, best_cost = None, math.inf
     paced = []
@@ -59,7 +61,11 @@
     if best is None or not best.pace.is_stated:
         return best, best_cost
     limit = best_cost * (1 + NEARLY_EQUAL_SHARE)
-    near = [slots for cost, slots in paced if cost <= limit]
+    near = [
+        slots
+        for cost, slots in paced
+        if cost <= limit and slots.upstream.zone == best.upstream.zone
+    ]
     return min(near, key=lambda slots: slots.count_work(call)), best_cost
 
 
--- a/tests/placement/test_pace.py
+++ b/tests/placement/test_pace.py
@@ -190,3 +190,13 @@
             slots.pace.record(PaceStatement(pace, 0))
     harness.submit('c1')
     assert harness.get_upstream_id('c1') == expected
+
+
+def test_nearly_equal_costs_do_not_leave_the_zone():
+    """Guards against calls that leave the region for an upstream that costs a little more."""
+    harness = SchedulerHarness([make_upstream(1, 'a', slots=8), make_upstream(2, 'b', slots=8)])
+    for slots in harness.scheduler.slots.values():
+        slots.pace.record(PaceStatement(1, 0))
+    for name in ('c1', 'c2'):
+        harness.submit(name)
+    assert [harness.get_upstream_id(name) for name in ('c1', 'c2')] == ['i-1', 'i-1']
