--- a/camphorpath/placement/slots.py
+++ b/camphorpath/placement/slots.py
@@ -170,13 +170,14 @@
     def count_work(self, call: WaitingCall) -> float:
         """Return the work in progress: prompt and output tokens of the running calls.
 
-        Calls of other daemons are known by number only, and count like `call`.
+        Calls of other daemons are known by number only, and count like `call`. A call without
+        tokens counts as one.
         """
         own = sum(
-            running.prompt_tokens + OUTPUT_TOKEN_WEIGHT * running.output_tokens
+            max(running.prompt_tokens + OUTPUT_TOKEN_WEIGHT * running.output_tokens, 1)
             for running in self.running.values()
         )
-        size = call.prompt_tokens + OUTPUT_TOKEN_WEIGHT * call.output_tokens
+        size = max(call.prompt_tokens + OUTPUT_TOKEN_WEIGHT * call.output_tokens, 1)
         return own + sum(self.peer_in_flight.values()) * size
 
     def estimate_occupancy(self, call: WaitingCall, held_s: float, now: float) -> float:
--- a/tests/placement/test_pace.py
+++ b/tests/placement/test_pace.py
@@ -200,3 +200,15 @@
     for name in ('c1', 'c2'):
         harness.submit(name)
     assert [harness.get_upstream_id(name) for name in ('c1', 'c2')] == ['i-1', 'i-1']
+
+
+def test_calls_without_tokens_count_as_work():
+    """Guards against calls without tokens that all go to the first of several upstreams."""
+    harness = SchedulerHarness([make_upstream(1, slots=16), make_upstream(2, slots=16)])
+    for slots in harness.scheduler.slots.values():
+        slots.pace.record(PaceStatement(1, 0))
+    harness.scheduler.slots['i-1'].peer_in_flight['d2'] = 2
+    call = harness.make_call('c')
+    call.prompt_tokens = call.output_tokens = 0
+    harness.scheduler.submit(call, 0)
+    assert harness.get_upstream_id('c') == 'i-2'
