Log the unreadable paces of an upstream once

Cause: a valid pace reset the mark, so an upstream that states valid and bad paces in turn added a line to the log for every second answer.

Change: event 517 is logged once for each incarnation of an upstream.

Result: three bad paces between valid ones give one line instead of three.

--- a/camphorpath/placement/pace.py
+++ b/camphorpath/placement/pace.py
@@ -37,8 +37,9 @@
 
     # None before the first one.
     last: PaceStatement | None = None
-    # Whether the last statement could not be read, so that each series of faults is logged once.
-    is_invalid: bool = False
+    # Whether an unreadable statement was logged. Later ones are not: an upstream that states both
+    # kinds in turn would add a line for every second answer.
+    is_fault_logged: bool = False
     _average: float = 1.0
 
     @property
--- a/camphorpath/relay/loads.py
+++ b/camphorpath/relay/loads.py
@@ -21,10 +21,9 @@
     try:
         pace = read_pace(text)
     except ValueError as error:
-        if not slots.pace.is_invalid:
+        if not slots.pace.is_fault_logged:
             events.emit(Event.PACE_INVALID, '', slots.upstream.upstream_id, problem=str(error))
-        slots.pace.is_invalid = True
+        slots.pace.is_fault_logged = True
         return
     if pace is not None:
-        slots.pace.is_invalid = False
         slots.pace.record(PaceStatement(pace, now))
--- a/tests/relay/test_loads.py
+++ b/tests/relay/test_loads.py
@@ -30,3 +30,12 @@
     assert not slots.pace.is_stated
     assert slots.unaccounted_calls == 3
     assert len(events.select(pb.TimelineRequest())) == 1
+
+
+def test_valid_and_bad_paces_in_turn_are_logged_once():
+    """Guards against an upstream that adds a line to the log with every second answer."""
+    slots, events = Slots(make_upstream(1)), EventLog('test')
+    for _ in range(3):
+        apply_load(slots, b'1,2,5,250', 5, events)
+        apply_load(slots, b'1,2,5,fast', 5, events)
+    assert len(events.select(pb.TimelineRequest())) == 1
