Do not count an unreliable upstream as nearly equal for long calls

Cause: the cost of 1 s for an upstream that fails often is within 15 % for calls of more than 6.7 s. As it gets few calls it has the least work, and was chosen.

Change: an unreliable upstream is compared by its work only if the cheapest one is unreliable too.

Result: of two calls of 9 s, the second one went to the upstream that fails; now none does.

--- a/camphorpath/placement/costs.py
+++ b/camphorpath/placement/costs.py
@@ -48,8 +48,8 @@
 
     Of upstreams that state their pace and cost nearly the same, it is the one with the least work
     in progress: the cheapest one by the last report would be sent the calls of all daemons. They
-    are in the zone of the cheapest one, since the distance and the price of the bytes are no error
-    of the estimate.
+    are in the zone of the cheapest one, and no less reliable: the distance, the price of the bytes
+    and failures are no errors of the estimate.
     """
     best, best_cost = None, math.inf
     paced = []
@@ -64,7 +64,9 @@
     near = [
         slots
         for cost, slots in paced
-        if cost <= limit and slots.upstream.zone == best.upstream.zone
+        if cost <= limit
+        and slots.upstream.zone == best.upstream.zone
+        and slots.health.is_unreliable <= best.health.is_unreliable
     ]
     return min(near, key=lambda slots: slots.count_work(call)), best_cost
 
--- a/tests/placement/test_pace.py
+++ b/tests/placement/test_pace.py
@@ -212,3 +212,17 @@
     call.prompt_tokens = call.output_tokens = 0
     harness.scheduler.submit(call, 0)
     assert harness.get_upstream_id('c') == 'i-2'
+
+
+def test_long_calls_avoid_an_unreliable_upstream():
+    """Guards against long calls that go to an upstream because it fails and so has no work."""
+    harness = SchedulerHarness([make_upstream(1, slots=16), make_upstream(2, slots=16)])
+    for slots in harness.scheduler.slots.values():
+        slots.pace.record(PaceStatement(1, 0))
+    harness.scheduler.slots['i-2'].health.failure_share = 1
+    assert harness.scheduler.slots['i-2'].health.is_unreliable
+    for name in ('c1', 'c2'):
+        call = harness.make_call(name)
+        call.output_tokens = 1500
+        harness.scheduler.submit(call, 0)
+    assert [harness.get_upstream_id(name) for name in ('c1', 'c2')] == ['i-1', 'i-1']
