Let calls leave the region when a roll-out bars the slots at home

Cause: the expected wait at home counted the upstreams that an order bars, and idle slots at home of a version whose share was used up hid all others. Calls waited although an allowed upstream in another region was free.

Change: the wait counts the upstreams that are allowed whatever the cap; if no upstream at home takes the call, the choice is made again among these.

Result: the new test failed in the phases CANARY, MOVING and REVERTED (0 of 4 calls placed) and passes (4 of 4). Tests of egress, scheduler and roll-out failures pass.

--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -450,6 +450,12 @@
         candidates = self.rollouts.list_candidates(call, usable, now)
         allowed = self.egress.select(call, candidates, home_wait_s, now)
         best, best_cost = self._find_cheapest(call, allowed, now)
+        if best is None:
+            # The idle slots at home may all be of a version whose share is used up.
+            uncapped = self.rollouts.list_uncapped(call, candidates, now)
+            if len(uncapped) < len(candidates):
+                allowed = self.egress.select(call, uncapped, home_wait_s, now)
+                best, best_cost = self._find_cheapest(call, allowed, now)
         if best is None or not self.egress.is_home(best.upstream):
             # A call that leaves would be late at home.
             return best
@@ -550,7 +556,9 @@
 
     def _estimate_home_wait(self, call: WaitingCall, now: float) -> float:
         """Return the expected wait for a slot in the own region; infinite if it has none."""
-        group = self._slots_by_service.get(call.service, ())
+        group = self._slots_by_service.get(call.service, [])
+        # Slots that a roll-out bars, or caps, need not become free for this call.
+        group = self.rollouts.list_uncapped(call, group, now)
         share = self.egress.measure_home_share(call, group)
         if not share:
             return math.inf
--- a/camphorpath/rollouts/registry.py
+++ b/camphorpath/rollouts/registry.py
@@ -158,6 +158,13 @@
             return group
         return state.list_allowed(call, group, self._get_registered(state), now)
 
+    def list_uncapped(self, call: WaitingCall, group: list[Slots], now: float) -> list[Slots]:
+        """Return the upstreams of a group of one service that are allowed whatever the cap."""
+        state = self._states.get(call.service)
+        if state is None:
+            return group
+        return state.list_uncapped(call, group, self._get_registered(state), now)
+
     def may_send(self, upstream: Upstream, now: float) -> bool:
         """Return whether a call that was placed at an upstream may still be sent there."""
         state = self._states.get(upstream.service)
--- a/camphorpath/rollouts/state.py
+++ b/camphorpath/rollouts/state.py
@@ -134,6 +134,15 @@
                 return [found]
         return [slots for slots in candidates if not self.is_target(slots.upstream)]
 
+    def list_uncapped(
+        self, call: WaitingCall, group: list[Slots], registered: Registered, now: float
+    ) -> list[Slots]:
+        """Return the upstreams of a group to which a call may be sent also without room."""
+        candidates = self.list_candidates(call, group, registered, now)
+        if not self._is_capped(registered, now):
+            return candidates
+        return [slots for slots in candidates if not self.is_target(slots.upstream)]
+
     def may_send(self, upstream: Upstream, registered: Registered, now: float) -> bool:
         """Return whether a call that was placed at an upstream may still be sent there."""
         if not self.is_target(upstream) or not self._bars_target(now):
--- a/tests/placement/test_egress.py
+++ b/tests/placement/test_egress.py
@@ -6,6 +6,8 @@
 from camphorpath.placement.ownership import Assignment
 from camphorpath.placement.records import Load, Refused
 from camphorpath.placement.scheduler import Scheduler
+from camphorpath.rollouts.records import Phase, RolloutBounds, RolloutOrder
+from camphorpath.rollouts.registry import Rollouts
 
 from .simulation import TICK_S, CallClass, Engine, Fleet, simulate
 from .test_ownership import make_upstream
@@ -246,3 +248,23 @@
         for number in range(8):
             harness.submit(f'c{number}', **fields)
         assert all(harness.get_upstream_id(f'c{number}') for number in range(8))
+
+
+@pytest.mark.parametrize('phase', [Phase.CANARY, Phase.MOVING, Phase.REVERTED])
+def test_call_leaves_if_a_rollout_bars_the_upstreams_at_home(phase):
+    """Guards against calls that wait at home for upstreams which their order does not allow."""
+    home, away = ('v1', 'v2') if phase is Phase.MOVING else ('v2', 'v1')
+    near = attrs.evolve(make_upstream(1, 'a', slots=20), software_version=home)
+    far = attrs.evolve(make_upstream(2, 'b', slots=20), software_version=away)
+    harness = SchedulerHarness([near, far], owned=['i-1'])
+    lend(harness, 8, '', 0)
+    rollouts = harness.scheduler.rollouts = Rollouts(RolloutBounds(0.1, 50, 5))
+    rollouts.record_registered({'llm': list(harness.scheduler.slots.values())})
+    rollouts.start(RolloutOrder('llm', 'v2', revision=7, written_at=0, duration_s=12), 0)
+    # With 1,000 daemons and this rounding nothing may be sent to the new version yet.
+    rollouts.update(0, 1000)
+    rollouts._states['llm'].exposure._rounding = 0
+    rollouts.apply_phase('llm', 7, phase, 0)
+    for number in range(4):
+        harness.submit(f'c{number}')
+    assert [harness.get_upstream_id(f'c{number}') for number in range(4)] == ['i-2'] * 4
