Use no allowance of a roll-out before the peers are known

Cause: a daemon that starts during an order counts itself as the only one that takes calls until it hears its peers. Daemons that start together then each used the allowance undivided.

Change: for 1 s after its start a daemon that finds an older order sends only the share of its own requests to the new version.

--- a/camphorpath/rollouts/exposure.py
+++ b/camphorpath/rollouts/exposure.py
@@ -22,6 +22,9 @@
 # PACED_SHARE of the duration has passed, so that a fault that begins late meets requests.
 EARLY_ALLOWANCE = 0.4
 PACED_SHARE = 0.6
+# Peers of a daemon that starts are heard within about this time: fleets of 200 daemons send each
+# second. A daemon that starts and finds an order older than this one may have started with others.
+PEERS_KNOWN_AFTER_S = 1.0
 # Without an update for this time the daemon was frozen, and may have missed a verdict.
 MAX_UPDATE_AGE_S = 1.0
 # A daemon that hears no peer for this part of the time in which a bad version must be left may be
@@ -29,6 +32,15 @@
 MAX_SILENCE_PART = 0.5
 
 
+def get_division_start(order: RolloutOrder, now: float, started_at: float) -> float:
+    """Return when a daemon that learns of an order may use its part of the allowance.
+
+    `started_at` is when the daemon started.
+    """
+    is_late = now - order.written_at > PEERS_KNOWN_AFTER_S
+    return max(started_at + PEERS_KNOWN_AFTER_S, now) if is_late else now
+
+
 @attrs.define
 class Exposure:
     """The requests of one daemon to a service since an order; instants are on the lease clock."""
@@ -37,6 +49,8 @@
     bounds: RolloutBounds
     # Instant from which peers are expected to be heard.
     heard_at: float
+    # Instant from which the number of daemons is known well enough to divide the allowance.
+    divides_at: float
     # The most daemons that took calls at a time: a part of the network that sees fewer daemons
     # must not use more.
     active_count: int = 0
@@ -88,7 +102,11 @@
 
     def _get_part(self, now: float) -> float:
         """Return the requests to the target version that are this daemon's part."""
+        share = SHARE_USE * self.bounds.canary_share * self.sent
+        if now < self.divides_at:
+            # Daemons that start together would each take the whole allowance.
+            return share
         elapsed = (now - self.order.written_at) / (PACED_SHARE * self.order.duration_s)
         paced = max(0, min(elapsed, 1)) * (1 - EARLY_ALLOWANCE)
         allowance = ALLOWANCE_USE * self.bounds.canary_allowance * (EARLY_ALLOWANCE + paced)
-        return allowance / self.active_count + SHARE_USE * self.bounds.canary_share * self.sent
+        return allowance / self.active_count + share
--- a/camphorpath/rollouts/registry.py
+++ b/camphorpath/rollouts/registry.py
@@ -14,7 +14,7 @@
 from ..placement.slots import Slots
 from ..routing import Upstream
 from .evidence import Evidence
-from .exposure import Exposure
+from .exposure import Exposure, get_division_start
 from .records import Action, Advice, Phase, Rollout, RolloutBounds, RolloutOrder, Tally
 from .schedule import Schedule
 from .state import OrderState, Registered
@@ -37,6 +37,7 @@
     get_time_limit: Callable[[str], float] = _get_unknown_time_limit
     _states: dict[str, OrderState] = attrs.field(factory=dict)
     _registered: dict[str, Registered] = attrs.field(factory=dict)
+    _started_at: float | None = None
 
     def start(self, order: RolloutOrder, now: float) -> bool:
         """Begin an order unless one of the same or a newer revision is known; return whether.
@@ -49,12 +50,13 @@
             return False
         if known is not None and known.rollout.order.revision >= order.revision:
             return False
+        divides_at = get_division_start(order, now, self._note_start(now))
         barred = {} if known is None else known.list_barred(now)
         barred.pop(order.version, None)
         self._states[order.service] = OrderState(
             Rollout(order, phase_since=now),
             Evidence(order.service, order.version, order.revision),
-            Exposure(order, self.bounds, heard_at=now),
+            Exposure(order, self.bounds, now, divides_at),
             barred,
         )
         return True
@@ -114,6 +116,7 @@
         Applies REVERT itself before it returns it, once. Returns MOVE and COMPLETE at each update
         until the phase is applied by `apply_phase`, since only the writer applies them.
         """
+        self._note_start(now)
         advices = []
         for service, state in list(self._states.items()):
             if state.is_forgotten(now):
@@ -210,6 +213,12 @@
         if state is not None:
             state.evidence.record_bad(upstream.software_version, route, upstream.upstream_id)
 
+    def _note_start(self, now: float) -> float:
+        """Return when these orders were first used, about the start of the daemon."""
+        if self._started_at is None:
+            self._started_at = now
+        return self._started_at
+
     def _get_registered(self, state: OrderState) -> Registered:
         return self._registered.get(state.rollout.order.service, {})
 
--- a/tests/rollouts/test_failures.py
+++ b/tests/rollouts/test_failures.py
@@ -1,3 +1,5 @@
+import collections
+
 import attrs
 import pytest
 
@@ -5,8 +7,9 @@
 from camphorpath.placement.records import Placed, Refused
 from camphorpath.placement.scheduler import Scheduler
 from camphorpath.rollouts.records import Phase
+from camphorpath.rollouts.registry import Rollouts
 
-from .fleet import ORDER, Fleet, list_versions, make_call, make_group, make_rollouts
+from .fleet import BOUNDS, ORDER, Fleet, list_versions, make_call, make_group, make_rollouts
 from .test_load import answer_well, make_bad
 
 
@@ -171,3 +174,26 @@
     scheduler.rollouts.apply_phase('llm', 7, Phase.REVERTED, 0.5)
     (refused,) = submit(scheduler, make_call('late', 'v2'))
     assert isinstance(refused, Refused)
+
+
+def test_daemons_that_start_together_do_not_each_take_the_allowance():
+    """Guards against starting daemons that know no peers yet, each of which takes all of it."""
+    group = make_group(v1=4, v2=4)
+    sent = collections.Counter()
+    for _ in range(40):
+        rollouts = Rollouts(BOUNDS)
+        rollouts.record_registered({'llm': group})
+        rollouts.start(ORDER, 6)
+        for number in range(20):
+            # Peers are heard after 0.3 s.
+            now = 6 + number * 0.05
+            rollouts.update(now, 1 if number < 6 else 40)
+            upstream = rollouts.list_allowed(make_call(number), group, now)[0].upstream
+            rollouts.record_placement(upstream)
+            rollouts.record_send(upstream)
+            sent[upstream.software_version] += 1
+    assert sent['v2'] <= BOUNDS.canary_share * sent.total() + BOUNDS.canary_allowance / 2
+    # After that each takes its part.
+    now = 6 + 1.5
+    part = rollouts._states['llm'].exposure._get_part(now)
+    assert part == pytest.approx(0.7 * 0.1 * 20 + 0.5 * 50 / 40)
