Send no call on its way to a version that an earlier order barred

Cause: the check before a send knew the target of the newest order only. A call that was connecting to a reverted version was sent if a newer order, to another version, had arrived meanwhile.

Change: it uses the same excluded versions as the choice of an upstream.

Result: the new test failed (the call may be sent) and passes; tests of failures and of the relay pass.

--- a/camphorpath/rollouts/state.py
+++ b/camphorpath/rollouts/state.py
@@ -102,7 +102,7 @@
 
     def list_barred(self, now: float) -> dict[str, float]:
         """Return the versions that a newer order leaves without calls, and until when."""
-        barred = {version: until for version, until in self.barred.items() if now <= until}
+        barred = self._list_still_barred(now)
         if self.phase is not Phase.COMPLETED:
             barred[self.version] = self.forget_at
         return barred
@@ -113,9 +113,7 @@
         """Return the upstreams of a group that the phase allows, whether or not the cap is used."""
         if self._bars_others(call, registered, now):
             return [slots for slots in group if self.is_target(slots.upstream)]
-        excluded = {version for version, until in self.barred.items() if now <= until}
-        if self._bars_target(now):
-            excluded.add(self.version)
+        excluded = self._list_excluded(now)
         if not _has_other(registered, excluded):
             # A refusal of all calls would help nobody.
             return group
@@ -145,14 +143,23 @@
 
     def may_send(self, upstream: Upstream, registered: Registered, now: float) -> bool:
         """Return whether a call that was placed at an upstream may still be sent there."""
-        if not self.is_target(upstream) or not self._bars_target(now):
-            return True
-        return not _has_other(registered, {self.version})
+        excluded = self._list_excluded(now)
+        return upstream.software_version not in excluded or not _has_other(registered, excluded)
 
     def is_target(self, upstream: Upstream) -> bool:
         """Return whether an upstream has the target version."""
         return upstream.software_version == self.version
 
+    def _list_still_barred(self, now: float) -> dict[str, float]:
+        return {version: until for version, until in self.barred.items() if now <= until}
+
+    def _list_excluded(self, now: float) -> set[str]:
+        """Return the versions that get no calls while others are registered."""
+        excluded = set(self._list_still_barred(now))
+        if self._bars_target(now):
+            excluded.add(self.version)
+        return excluded
+
     def _bars_target(self, now: float) -> bool:
         """Return whether the target version gets no calls while others are registered."""
         if self.phase is Phase.REVERTED:
--- a/tests/rollouts/test_failures.py
+++ b/tests/rollouts/test_failures.py
@@ -134,6 +134,17 @@
     assert list_versions(rollouts, group, 3) == {'v2'}
 
 
+def test_call_on_its_way_to_a_version_of_an_earlier_order_is_not_sent():
+    """Guards against calls that connect to a bad version while a newer order names another."""
+    group = make_group(v1=2, v2=2, v3=2)
+    rollouts = make_rollouts(group)
+    rollouts.apply_phase('llm', 7, Phase.REVERTED, 1)
+    rollouts.start(attrs.evolve(ORDER, version='v3', revision=8, written_at=2), 2)
+    assert not rollouts.may_send(group[2].upstream, 2)
+    assert rollouts.may_send(group[0].upstream, 2)
+    assert rollouts.may_send(group[4].upstream, 2)
+
+
 def test_removed_order_returns_to_the_other_versions():
     """Guards against a version without a verdict that serves all calls once its order is gone."""
     group = make_group(v1=2, v2=2)
