Cap a new version beside one that is barred no longer

Cause: the cap of an order counted the versions of earlier orders as absent also after they were allowed calls again, 60 s after their time limit. A service with only such a version beside the new one had no cap.

Change: only versions that are still barred count as absent.

Result: the new test saw the versions v2 and v3 allowed without room, and now v2 only.

--- a/camphorpath/rollouts/state.py
+++ b/camphorpath/rollouts/state.py
@@ -185,7 +185,7 @@
         """Return whether the target version gets a share of the calls only."""
         if self.phase is not Phase.CANARY or self._bars_target(now):
             return False
-        return _has_other(registered, {self.version, *self.barred})
+        return _has_other(registered, {self.version, *self._list_still_barred(now)})
 
     def _find_least_used(self, call: WaitingCall, group: list[Slots]) -> Slots | None:
         """Return the upstream of the target version to which this daemon sent the fewest requests.
--- a/tests/rollouts/test_failures.py
+++ b/tests/rollouts/test_failures.py
@@ -145,6 +145,17 @@
     assert rollouts.may_send(group[4].upstream, 2)
 
 
+def test_cap_holds_beside_a_version_that_is_barred_no_longer():
+    """Guards against an order without a cap because an old order named the version beside it."""
+    group = make_group(v2=2, v3=2)
+    rollouts = make_rollouts(group)
+    later = ORDER.ends_at + 61
+    rollouts.start(attrs.evolve(ORDER, version='v3', revision=8, written_at=later), later)
+    rollouts.update(later, 1000)
+    rollouts._states['llm'].exposure._rounding = 0
+    assert list_versions(rollouts, group, later) == {'v2'}
+
+
 def test_removed_order_returns_to_the_other_versions():
     """Guards against a version without a verdict that serves all calls once its order is gone."""
     group = make_group(v1=2, v2=2)
