Ignore counts of a peer that no daemon can have counted

Cause: of a peer's counts only the bad answers were compared with all answers. One report with odd latency levels reverted a good version ('the mean latency level is 25943003.8').

Change: the counts by upstream must add up to the totals, and the levels stay within their range for the answers that were timed.

--- a/camphorpath/rollouts/evidence.py
+++ b/camphorpath/rollouts/evidence.py
@@ -183,6 +183,17 @@
 
 
 def _is_valid(tally: Tally) -> bool:
+    """Return whether a daemon can have counted this; one bad report must not decide an order."""
     if not 0 <= tally.bad <= tally.answers:
         return False
-    return max(len(tally.bad_by_upstream), len(tally.timed_by_upstream)) <= MAX_UPSTREAMS
+    timed = tally.timed_by_upstream
+    if max(len(tally.bad_by_upstream), len(timed)) > MAX_UPSTREAMS:
+        return False
+    if sum(tally.bad_by_upstream.values()) != tally.bad or sum(timed.values()) > tally.answers:
+        return False
+    if sum(tally.slow_by_upstream.values()) != tally.slow:
+        return False
+    return all(
+        slow <= MAX_LEVEL * timed.get(upstream_id, 0)
+        for upstream_id, slow in tally.slow_by_upstream.items()
+    )
--- a/tests/rollouts/test_failures.py
+++ b/tests/rollouts/test_failures.py
@@ -6,7 +6,7 @@
 from camphorpath.placement.ownership import Assignment
 from camphorpath.placement.records import Placed, Refused
 from camphorpath.placement.scheduler import Scheduler
-from camphorpath.rollouts.records import Phase
+from camphorpath.rollouts.records import Phase, Tally
 from camphorpath.rollouts.registry import Rollouts
 
 from .fleet import BOUNDS, ORDER, Fleet, list_versions, make_call, make_group, make_rollouts
@@ -38,6 +38,42 @@
     assert rollouts.get('llm').phase is Phase.REVERTED
 
 
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'slow': 2 * 10**9, 'slow_by_upstream': {'v2-0': 10**9, 'v2-1': 10**9}},
+        {'slow': 160, 'slow_by_upstream': {'v2-0': 80, 'v2-2': 80}},
+        {'timed_by_upstream': {'v2-0': 10**6, 'v2-1': 10}},
+        {'bad': 10},
+        {'bad': 10, 'bad_by_upstream': {'v2-0': 5, 'v2-1': 50}},
+    ],
+)
+def test_impossible_counts_of_a_peer_are_ignored(fields):
+    """Guards against a good version that is reverted, or a bad one moved to, for one odd report."""
+    group = make_group(v1=4, v2=4)
+    rollouts = make_rollouts(group)
+    for number in range(80):
+        rollouts.record_answer(group[number % 8].upstream, 'draft', False, 1.0)
+    before = rollouts._states['llm'].evidence.copy_sums()
+    tally = Tally(
+        service='llm',
+        version='v2',
+        route='draft',
+        revision=7,
+        answers=20,
+        bad=0,
+        slow=80,
+        bad_by_upstream={},
+        slow_by_upstream={'v2-0': 40, 'v2-1': 40},
+        timed_by_upstream={'v2-0': 10, 'v2-1': 10},
+    )
+    rollouts.apply_tallies('peer', [attrs.evolve(tally, **fields)])
+    assert rollouts._states['llm'].evidence.sums == before
+    assert not rollouts.update(1, 2)
+    rollouts.apply_tallies('peer', [tally])
+    assert rollouts._states['llm'].evidence.sums != before
+
+
 def test_restart_of_all_daemons_keeps_the_limits():
     """Guards against daemons that use their parts again and again after restarts."""
     fleet = Fleet(
