Write the other orders if the phase of one is refused

Cause: a daemon that had not heard of the newer order of one service stopped at its row, each time, and left all later orders unwritten.

Change: it goes on with the other orders and reads the rows again afterwards.

--- a/camphorpath/edge/rollouts.py
+++ b/camphorpath/edge/rollouts.py
@@ -532,15 +532,21 @@
     async def _settle_all(self) -> None:
         """Write the phases that the store lacks, without a read if the rows are known.
 
-        Raises RowsChanged, TableUnavailable or TableOutcomeUnknown.
+        Raises RowsChanged, after it tried all orders, TableUnavailable or TableOutcomeUnknown.
         """
+        changed: RowsChanged | None = None
         if self._rank or any(held.stored is None for held in self._held.values()):
             # Another daemon may have written them since.
             await self._read_rows()
         for held in list(self._held.values()):
             is_held = self._held.get(held.order.service) is held
             if is_held and self._has_turn(held, read_lease_clock()):
-                await self._write_phase(held)
+                try:
+                    await self._write_phase(held)
+                except RowsChanged as error:
+                    changed = error
+        if changed is not None:
+            raise changed
 
     async def _write_phase(self, held: _Held) -> None:
         order, order_id = held.order, held.order_id
--- a/tests/edge/test_rollouts.py
+++ b/tests/edge/test_rollouts.py
@@ -362,6 +362,23 @@
     assert get_stored(store) == (Phase.CANARY, 'in_progress')
 
 
+async def test_refused_write_of_one_order_does_not_stop_the_others(store):
+    """Guards against orders that wait while the writer does not hear of another, newer one."""
+    sync, late = await start(store), make_sync(store, 'd2')
+    deliver(sync, late)
+    write_order(store, to='v3')
+    await read_orders(sync)
+    await run_writer(sync)
+    before = store.data.version
+    order = orjson.dumps({**ORDER, 'service': 'chat'})
+    store.write(MANIFEST_TABLE, 'rollout/chat', order)
+    late.apply_orders(await late.store.read_changes(MANIFEST_TABLE, before, 0), False)
+    await run_writer(late)
+    assert decode_row(store.data.rows[PHASE_TABLE, 'chat'][0]).phase is Phase.CANARY
+    assert get_stored(store) == (Phase.CANARY, 'in_progress')
+    assert decode_row(store.data.rows[PHASE_TABLE, 'llm'][0]).order_id.version == 'v3'
+
+
 @pytest.mark.parametrize('is_listing', [True, False])
 async def test_removed_order_is_cancelled_everywhere(store, is_listing):
     """Guards against an order that daemons keep alive by passing it on."""
