Take no queued phase for contact to peers after a suspension

Cause: each phase in a heartbeat counted as contact, also one that had waited in the socket while the daemon was suspended. A daemon then took an outdated CANARY or MOVING for the present and sent calls to the new version.

Change: until the socket is drained, phases apply but show no contact.

Result: the new test saw the contact moved to the present by a queued heartbeat; now it stays until heartbeats are current. All tests of roll-outs at the edge and of failures pass.

--- a/camphorpath/edge/rollouts.py
+++ b/camphorpath/edge/rollouts.py
@@ -219,6 +219,8 @@
     def handle_news(self, heartbeat: pb.EdgeHeartbeat) -> None:
         """Apply the orders, phases and counts in a heartbeat or an announcement of a peer."""
         now = read_lease_clock()
+        self._note_suspension(now)
+        is_contact = now >= self._drained_at
         # A daemon that is ready knows the orders in progress; announcements hold single ones.
         self.is_informed = self.is_informed or heartbeat.ready
         tallies: list[Tally] = []
@@ -239,10 +241,9 @@
             held = self._adopt(decode_order(news, now), heartbeat.name)
             if held is None:
                 continue
-            self._apply_phase(held, PHASES[news.phase], heartbeat.name)
+            self._apply_phase(held, PHASES[news.phase], heartbeat.name, is_contact=is_contact)
             tallies.extend(decode_tallies(news, held.order.revision))
-        self._note_suspension(now)
-        if now >= self._drained_at:
+        if is_contact:
             # Also without any: the registry counts on hearing its peers.
             self.rollouts.apply_tallies(heartbeat.incarnation, tallies)
 
@@ -430,10 +431,13 @@
         if source in {'store', 'listing'}:
             self._announce(pb.RolloutNews(service=service, revision=revision))
 
-    def _apply_phase(self, held: _Held, phase: Phase, source: str) -> None:
+    def _apply_phase(
+        self, held: _Held, phase: Phase, source: str, *, is_contact: bool = True
+    ) -> None:
         order = held.order
         now = read_lease_clock()
-        if self.rollouts.apply_phase(order.service, order.revision, phase, now):
+        service, revision = order.service, order.revision
+        if self.rollouts.apply_phase(service, revision, phase, now, is_contact=is_contact):
             self.state.relay.events.emit(
                 Event.ROLLOUT_PHASE_TAKEN,
                 service=order.service,
--- a/camphorpath/rollouts/registry.py
+++ b/camphorpath/rollouts/registry.py
@@ -77,16 +77,21 @@
         state = self._states.get(service)
         return None if state is None or state.is_cancelled else state.rollout
 
-    def apply_phase(self, service: str, revision: int, phase: Phase, now: float) -> bool:
+    def apply_phase(
+        self, service: str, revision: int, phase: Phase, now: float, *, is_contact: bool = True
+    ) -> bool:
         """Apply a phase from the store or a peer; return whether it changed the phase.
 
+        `is_contact` is false if it may have been sent long ago, so that it shows no contact.
+
         Phases only go forward. COMPLETED replaces REVERTED, because COMPLETED is applied after it
         was stored only, and a REVERTED that was not stored is void then.
         """
         state = self._states.get(service)
         if state is None or state.is_cancelled or state.rollout.order.revision != revision:
             return False
-        state.exposure.heard_at = now
+        if is_contact:
+            state.exposure.heard_at = now
         return state.enter(phase, now)
 
     def share_tallies(self) -> list[Tally]:
--- a/tests/edge/test_rollouts.py
+++ b/tests/edge/test_rollouts.py
@@ -244,6 +244,24 @@
     assert heard
 
 
+async def test_queued_phase_shows_no_contact_after_a_suspension(store):
+    """Guards against calls to a reverted version because its earlier phase waited in the socket."""
+    sender, frozen = await start(store), make_sync(store, 'd2')
+    deliver(sender, frozen)
+    exposure = frozen.rollouts._states['llm'].exposure
+    exposure.heard_at -= 3
+    before = exposure.heard_at
+    frozen._updated_at -= 3
+    sender.rollouts.action = Action.MOVE
+    await run_writer(sender)
+    deliver(sender, frozen)
+    assert get_phase(frozen) is Phase.MOVING
+    assert exposure.heard_at == before
+    frozen._drained_at -= 1
+    deliver(sender, frozen)
+    assert exposure.heard_at > before
+
+
 async def test_unknown_outcome_is_settled_by_reading_the_row(store):
     """Guards against a phase that is written twice, or not applied, after a lost answer."""
     sync = await start(store)
