Share the counts of so many upstreams as fit in a heartbeat

Cause: one count by version and route was sent with all its upstreams, however many. Datagrams are cut off at 60 kB, and a peer then drops the whole heartbeat.

Change: a daemon states its counts for the 150 upstreams that it counted first.

--- a/camphorpath/rollouts/evidence.py
+++ b/camphorpath/rollouts/evidence.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import itertools
 import math
 from collections.abc import Iterable, Mapping
 
@@ -25,6 +26,10 @@
 # Upstreams by which one tally may count.
 MAX_UPSTREAMS = 4200
 
+# Upstreams by which one daemon states its counts: with ids of 36 characters they take 18 kB of a
+# heartbeat, of which datagrams hold 60 kB; of a longer one nothing arrives.
+MAX_SHARED_UPSTREAMS = 150
+
 # Whether the version is the target of the order, and the name of the route.
 Key = tuple[bool, str]
 
@@ -118,22 +123,8 @@
         self._get_sum(version, route).record_bad(upstream_id)
 
     def share(self) -> list[Tally]:
-        """Return this daemon's counts."""
-        return [
-            Tally(
-                service=self.service,
-                version=version,
-                route=route,
-                revision=self.revision,
-                answers=counts.answers,
-                bad=counts.bad,
-                slow=counts.slow,
-                bad_by_upstream=dict(counts.bad_by_upstream),
-                slow_by_upstream=dict(counts.slow_by_upstream),
-                timed_by_upstream=dict(counts.timed_by_upstream),
-            )
-            for (version, route), counts in self._own.items()
-        ]
+        """Return this daemon's counts, of so many upstreams that they fit in a heartbeat."""
+        return [self._make_tally(*key, counts) for key, counts in self._own.items()]
 
     def apply(self, incarnation: str, tally: Tally) -> None:
         """Replace a count of a peer by a newer one; heartbeats may arrive out of order."""
@@ -162,10 +153,31 @@
         """Return a copy of the sums, to be compared with later ones."""
         return {key: counts.copy() for key, counts in self.sums.items()}
 
+    def _make_tally(self, version: str, route: str, counts: Counts) -> Tally:
+        bad_by_upstream = _take_first(counts.bad_by_upstream)
+        slow_by_upstream = _take_first(counts.slow_by_upstream)
+        return Tally(
+            service=self.service,
+            version=version,
+            route=route,
+            revision=self.revision,
+            answers=counts.answers,
+            bad=sum(bad_by_upstream.values()),
+            slow=sum(slow_by_upstream.values()),
+            bad_by_upstream=bad_by_upstream,
+            slow_by_upstream=slow_by_upstream,
+            timed_by_upstream=_take_first(counts.timed_by_upstream),
+        )
+
     def _get_sum(self, version: str, route: str) -> Counts:
         return self.sums.setdefault((version == self.version, route), Counts())
 
 
+def _take_first(counter: Mapping[str, int]) -> dict[str, int]:
+    """Return the counts of the upstreams that were counted first, so that later sums never fall."""
+    return dict(itertools.islice(counter.items(), MAX_SHARED_UPSTREAMS))
+
+
 def sum_counts(group: Iterable[Counts]) -> Counts:
     """Return the sum of some counts."""
     total = Counts()
--- a/tests/rollouts/test_failures.py
+++ b/tests/rollouts/test_failures.py
@@ -3,9 +3,12 @@
 import attrs
 import pytest
 
+from camphorpath.cluster.heartbeats import MAX_DATAGRAM_BYTES
+from camphorpath.cluster.rollouts import encode_tally
 from camphorpath.placement.ownership import Assignment
 from camphorpath.placement.records import Placed, Refused
 from camphorpath.placement.scheduler import Scheduler
+from camphorpath.placement.slots import Slots
 from camphorpath.rollouts.records import Phase, Tally
 from camphorpath.rollouts.registry import Rollouts
 
@@ -74,6 +77,24 @@
     assert rollouts._states['llm'].evidence.sums != before
 
 
+def test_counts_of_many_upstreams_fit_in_a_heartbeat():
+    """Guards against a datagram that is cut off: its sender would count as lost."""
+    group = [
+        Slots(attrs.evolve(slots.upstream, upstream_id=f'{number:036}'))
+        for number, slots in enumerate(make_group(v1=900))
+    ]
+    rollouts, peer = make_rollouts(group), make_rollouts(group)
+    for _ in range(2):
+        for slots in group:
+            rollouts.record_answer(slots.upstream, 'draft', True, 1.0)
+        (tally,) = rollouts.share_tallies()
+        assert encode_tally(tally).ByteSize() < MAX_DATAGRAM_BYTES / 3
+        peer.apply_tallies('d1', [tally])
+    (counts,) = peer._states['llm'].evidence.sums.values()
+    assert counts.answers == 1800
+    assert counts.bad == tally.bad > 0
+
+
 def test_restart_of_all_daemons_keeps_the_limits():
     """Guards against daemons that use their parts again and again after restarts."""
     fleet = Fleet(
