Adopt the age of a roll-out that a peer has known for longer

Cause: a daemon that got the row of an order late, from a slow store or after a suspension, took it for new, and kept that although peers state the age.

Change: it adopts an earlier estimate, unless the order would have ended more than 60 s ago, which no peer states in a heartbeat.

--- a/camphorpath/edge/rollouts.py
+++ b/camphorpath/edge/rollouts.py
@@ -65,6 +65,8 @@
 # An order is shared for this time after its limit, and a removal for this time. Daemons that were
 # cut off for longer read the orders from the store.
 SHARE_MARGIN_S = 60.0
+# Estimates of when an order was written differ by about this much between daemons.
+MIN_CORRECTION_S = 0.1
 # Bounds the memory for the senders of unreadable news and for unreadable rows that were logged.
 MAX_LOGGED = 1000
 
@@ -360,12 +362,26 @@
                 # The store was restored, and its row may be an older one.
                 held.order_id = order_id
                 held.stored = None
+            self._correct_time(held, order.written_at)
             return held
         newest = 0 if held is None else held.order_id.revision
         if order.revision <= max(newest, self._removed.get(service, (0, 0))[0]):
             return None
         return self._start(order, order_id, source)
 
+    def _correct_time(self, held: _Held, written_at: float) -> None:
+        """Adopt an earlier estimate of when an order was written.
+
+        All estimates are too late: by the way of a message, or by that of a row from a slow store.
+        """
+        order = held.order
+        if written_at > order.written_at - MIN_CORRECTION_S:
+            return
+        if read_lease_clock() - written_at > order.duration_s + SHARE_MARGIN_S:
+            return
+        held.order = attrs.evolve(order, written_at=written_at)
+        self.rollouts.correct_time(held.order)
+
     def _start(self, order: RolloutOrder, order_id: OrderId, source: str) -> _Held | None:
         """Begin an order, with the phase that it has if it is known from earlier."""
         service = order.service
--- a/camphorpath/rollouts/registry.py
+++ b/camphorpath/rollouts/registry.py
@@ -61,6 +61,13 @@
         )
         return True
 
+    def correct_time(self, order: RolloutOrder) -> None:
+        """Replace a known order by the same one with another instant at which it was written."""
+        state = self._states.get(order.service)
+        if state is not None and state.rollout.order.revision == order.revision:
+            state.rollout.order = order
+            state.exposure.order = order
+
     def cancel(self, service: str, now: float) -> None:
         """End the order of a service, whose row was removed.
 
--- a/tests/edge/test_rollouts.py
+++ b/tests/edge/test_rollouts.py
@@ -262,6 +262,25 @@
     assert exposure.heard_at > before
 
 
+async def test_daemon_that_hears_late_of_an_order_adopts_its_age(store):
+    """Guards against a time limit that counts from when a slow store delivered the order."""
+    sender, late = make_sync(store), make_sync(store, 'd2')
+    await read_orders(sender)
+    order = attrs.evolve(sender._held['llm'].order, written_at=read_lease_clock() - 5)
+    sender._held['llm'].order = order
+    await read_orders(late)
+    deliver(sender, late)
+    known = late.rollouts.get('llm').order
+    assert known is late._held['llm'].order is late.rollouts._states['llm'].exposure.order
+    assert known.written_at == pytest.approx(order.written_at, abs=0.2)
+    # A later one is that of a daemon that heard late itself; an odd one is nonsense.
+    for written_at in (read_lease_clock(), read_lease_clock() - 1e6):
+        sender._held['llm'].order = attrs.evolve(order, written_at=written_at)
+        news = sender._encode_held(sender._held['llm'], read_lease_clock())
+        late.handle_news(pb.EdgeHeartbeat(name='d1', incarnation='d1-1', rollouts=[news]))
+        assert late.rollouts.get('llm').order is known
+
+
 async def test_unknown_outcome_is_settled_by_reading_the_row(store):
     """Guards against a phase that is written twice, or not applied, after a lost answer."""
     sync = await start(store)
