Show no contact by an order that waited during a suspension

Cause: learning of an order counted as contact to peers, also if its message or row had waited while the daemon was suspended. The order may be reverted since.

Change: until the socket is drained, an order and the phase known for it begin without contact, and peers have to be heard first.

--- a/camphorpath/edge/rollouts.py
+++ b/camphorpath/edge/rollouts.py
@@ -393,7 +393,9 @@
         known = (stored and stored.written_at, lost and lost.order.written_at)
         written_at = min(filter(None, known), default=order.written_at)
         order = attrs.evolve(order, written_at=min(written_at, order.written_at))
-        if not self.rollouts.start(order, now):
+        self._note_suspension(now)
+        is_contact = now >= self._drained_at
+        if not self.rollouts.start(order, now, is_contact=is_contact):
             self._log_once(
                 f'{service}/{order.revision}',
                 Event.ROLLOUT_ORDER_INVALID,
@@ -414,9 +416,9 @@
             source=source,
         )
         if lost is not None:
-            self._apply_phase(held, lost.phase, 'memory')
+            self._apply_phase(held, lost.phase, 'memory', is_contact=is_contact)
         if stored is not None and stored.content is not None:
-            self._apply_phase(held, stored.content.phase, 'store')
+            self._apply_phase(held, stored.content.phase, 'store', is_contact=is_contact)
         if source == 'store':
             self._announce(self._encode_held(held, now))
         return held
--- a/camphorpath/rollouts/registry.py
+++ b/camphorpath/rollouts/registry.py
@@ -39,9 +39,11 @@
     _registered: dict[str, Registered] = attrs.field(factory=dict)
     _started_at: float | None = None
 
-    def start(self, order: RolloutOrder, now: float) -> bool:
+    def start(self, order: RolloutOrder, now: float, *, is_contact: bool = True) -> bool:
         """Begin an order unless one of the same or a newer revision is known; return whether.
 
+        `is_contact` is false if it may have been sent long ago: then peers have to be heard first.
+
         A version that an earlier order named and did not complete is not trusted by a newer order
         to another version: it gets no calls then.
         """
@@ -56,7 +58,7 @@
         self._states[order.service] = OrderState(
             Rollout(order, phase_since=now),
             Evidence(order.service, order.version, order.revision),
-            Exposure(order, self.bounds, now, divides_at),
+            Exposure(order, self.bounds, now if is_contact else -math.inf, divides_at),
             barred,
         )
         return True
--- a/tests/edge/test_rollouts.py
+++ b/tests/edge/test_rollouts.py
@@ -262,6 +262,19 @@
     assert exposure.heard_at > before
 
 
+async def test_queued_order_shows_no_contact_after_a_suspension(store):
+    """Guards against calls to a version that was reverted during the suspension of a daemon."""
+    sender, frozen = await start(store), make_sync(store, 'd2')
+    frozen._updated_at -= 3
+    deliver(sender, frozen)
+    exposure = frozen.rollouts._states['llm'].exposure
+    exposure.active_count = 2
+    assert exposure.is_cut_off(read_lease_clock())
+    frozen._drained_at -= 1
+    deliver(sender, frozen)
+    assert not exposure.is_cut_off(read_lease_clock())
+
+
 async def test_daemon_that_hears_late_of_an_order_adopts_its_age(store):
     """Guards against a time limit that counts from when a slow store delivered the order."""
     sender, late = make_sync(store), make_sync(store, 'd2')
