--- a/camphorpath/edge/rollouts.py
+++ b/camphorpath/edge/rollouts.py
@@ -65,6 +65,8 @@
 # An order is shared for this time after its limit, and a removal for this time. Daemons that were
 # cut off for longer read the orders from the store.
 SHARE_MARGIN_S = 60.0
+# Estimates of when an order was written differ by about this much between daemons.
+MIN_CORRECTION_S = 0.1
 # Bounds the memory for the senders of unreadable news and for unreadable rows that were logged.
 MAX_LOGGED = 1000
 
@@ -219,6 +221,8 @@
     def handle_news(self, heartbeat: pb.EdgeHeartbeat) -> None:
         """Apply the orders, phases and counts in a heartbeat or an announcement of a peer."""
         now = read_lease_clock()
+        self._note_suspension(now)
+        is_contact = now >= self._drained_at
         # A daemon that is ready knows the orders in progress; announcements hold single ones.
         self.is_informed = self.is_informed or heartbeat.ready
         tallies: list[Tally] = []
@@ -239,10 +243,9 @@
             held = self._adopt(decode_order(news, now), heartbeat.name)
             if held is None:
                 continue
-            self._apply_phase(held, PHASES[news.phase], heartbeat.name)
+            self._apply_phase(held, PHASES[news.phase], heartbeat.name, is_contact=is_contact)
             tallies.extend(decode_tallies(news, held.order.revision))
-        self._note_suspension(now)
-        if now >= self._drained_at:
+        if is_contact:
             # Also without any: the registry counts on hearing its peers.
             self.rollouts.apply_tallies(heartbeat.incarnation, tallies)
 
@@ -359,12 +362,26 @@
                 # The store was restored, and its row may be an older one.
                 held.order_id = order_id
                 held.stored = None
+            self._correct_time(held, order.written_at)
             return held
         newest = 0 if held is None else held.order_id.revision
         if order.revision <= max(newest, self._removed.get(service, (0, 0))[0]):
             return None
         return self._start(order, order_id, source)
 
+    def _correct_time(self, held: _Held, written_at: float) -> None:
+        """Adopt an earlier estimate of when an order was written.
+
+        All estimates are too late: by the way of a message, or by that of a row from a slow store.
+        """
+        order = held.order
+        if written_at > order.written_at - MIN_CORRECTION_S:
+            return
+        if read_lease_clock() - written_at > order.duration_s + SHARE_MARGIN_S:
+            return
+        held.order = attrs.evolve(order, written_at=written_at)
+        self.rollouts.correct_time(held.order)
+
     def _start(self, order: RolloutOrder, order_id: OrderId, source: str) -> _Held | None:
         """Begin an order, with the phase that it has if it is known from earlier."""
         service = order.service
@@ -376,7 +393,9 @@
         known = (stored and stored.written_at, lost and lost.order.written_at)
         written_at = min(filter(None, known), default=order.written_at)
         order = attrs.evolve(order, written_at=min(written_at, order.written_at))
-        if not self.rollouts.start(order, now):
+        self._note_suspension(now)
+        is_contact = now >= self._drained_at
+        if not self.rollouts.start(order, now, is_contact=is_contact):
             self._log_once(
                 f'{service}/{order.revision}',
                 Event.ROLLOUT_ORDER_INVALID,
@@ -397,9 +416,9 @@
             source=source,
         )
         if lost is not None:
-            self._apply_phase(held, lost.phase, 'memory')
+            self._apply_phase(held, lost.phase, 'memory', is_contact=is_contact)
         if stored is not None and stored.content is not None:
-            self._apply_phase(held, stored.content.phase, 'store')
+            self._apply_phase(held, stored.content.phase, 'store', is_contact=is_contact)
         if source == 'store':
             self._announce(self._encode_held(held, now))
         return held
@@ -430,10 +449,13 @@
         if source in {'store', 'listing'}:
             self._announce(pb.RolloutNews(service=service, revision=revision))
 
-    def _apply_phase(self, held: _Held, phase: Phase, source: str) -> None:
+    def _apply_phase(
+        self, held: _Held, phase: Phase, source: str, *, is_contact: bool = True
+    ) -> None:
         order = held.order
         now = read_lease_clock()
-        if self.rollouts.apply_phase(order.service, order.revision, phase, now):
+        service, revision = order.service, order.revision
+        if self.rollouts.apply_phase(service, revision, phase, now, is_contact=is_contact):
             self.state.relay.events.emit(
                 Event.ROLLOUT_PHASE_TAKEN,
                 service=order.service,
@@ -532,15 +554,21 @@
     async def _settle_all(self) -> None:
         """Write the phases that the store lacks, without a read if the rows are known.
 
-        Raises RowsChanged, TableUnavailable or TableOutcomeUnknown.
+        Raises RowsChanged, after it tried all orders, TableUnavailable or TableOutcomeUnknown.
         """
+        changed: RowsChanged | None = None
         if self._rank or any(held.stored is None for held in self._held.values()):
             # Another daemon may have written them since.
             await self._read_rows()
         for held in list(self._held.values()):
             is_held = self._held.get(held.order.service) is held
             if is_held and self._has_turn(held, read_lease_clock()):
-                await self._write_phase(held)
+                try:
+                    await self._write_phase(held)
+                except RowsChanged as error:
+                    changed = error
+        if changed is not None:
+            raise changed
 
     async def _write_phase(self, held: _Held) -> None:
         order, order_id = held.order, held.order_id
--- a/camphorpath/rollouts/registry.py
+++ b/camphorpath/rollouts/registry.py
@@ -14,7 +14,7 @@
 from ..placement.slots import Slots
 from ..routing import Upstream
 from .evidence import Evidence
-from .exposure import Exposure
+from .exposure import Exposure, get_division_start
 from .records import Action, Advice, Phase, Rollout, RolloutBounds, RolloutOrder, Tally
 from .schedule import Schedule
 from .state import OrderState, Registered
@@ -37,10 +37,13 @@
     get_time_limit: Callable[[str], float] = _get_unknown_time_limit
     _states: dict[str, OrderState] = attrs.field(factory=dict)
     _registered: dict[str, Registered] = attrs.field(factory=dict)
+    _started_at: float | None = None
 
-    def start(self, order: RolloutOrder, now: float) -> bool:
+    def start(self, order: RolloutOrder, now: float, *, is_contact: bool = True) -> bool:
         """Begin an order unless one of the same or a newer revision is known; return whether.
 
+        `is_contact` is false if it may have been sent long ago: then peers have to be heard first.
+
         A version that an earlier order named and did not complete is not trusted by a newer order
         to another version: it gets no calls then.
         """
@@ -49,16 +52,24 @@
             return False
         if known is not None and known.rollout.order.revision >= order.revision:
             return False
+        divides_at = get_division_start(order, now, self._note_start(now))
         barred = {} if known is None else known.list_barred(now)
         barred.pop(order.version, None)
         self._states[order.service] = OrderState(
             Rollout(order, phase_since=now),
             Evidence(order.service, order.version, order.revision),
-            Exposure(order, self.bounds, heard_at=now),
+            Exposure(order, self.bounds, now if is_contact else -math.inf, divides_at),
             barred,
         )
         return True
 
+    def correct_time(self, order: RolloutOrder) -> None:
+        """Replace a known order by the same one with another instant at which it was written."""
+        state = self._states.get(order.service)
+        if state is not None and state.rollout.order.revision == order.revision:
+            state.rollout.order = order
+            state.exposure.order = order
+
     def cancel(self, service: str, now: float) -> None:
         """End the order of a service, whose row was removed.
 
@@ -75,16 +86,21 @@
         state = self._states.get(service)
         return None if state is None or state.is_cancelled else state.rollout
 
-    def apply_phase(self, service: str, revision: int, phase: Phase, now: float) -> bool:
+    def apply_phase(
+        self, service: str, revision: int, phase: Phase, now: float, *, is_contact: bool = True
+    ) -> bool:
         """Apply a phase from the store or a peer; return whether it changed the phase.
 
+        `is_contact` is false if it may have been sent long ago, so that it shows no contact.
+
         Phases only go forward. COMPLETED replaces REVERTED, because COMPLETED is applied after it
         was stored only, and a REVERTED that was not stored is void then.
         """
         state = self._states.get(service)
         if state is None or state.is_cancelled or state.rollout.order.revision != revision:
             return False
-        state.exposure.heard_at = now
+        if is_contact:
+            state.exposure.heard_at = now
         return state.enter(phase, now)
 
     def share_tallies(self) -> list[Tally]:
@@ -114,6 +130,7 @@
         Applies REVERT itself before it returns it, once. Returns MOVE and COMPLETE at each update
         until the phase is applied by `apply_phase`, since only the writer applies them.
         """
+        self._note_start(now)
         advices = []
         for service, state in list(self._states.items()):
             if state.is_forgotten(now):
@@ -158,6 +175,13 @@
             return group
         return state.list_allowed(call, group, self._get_registered(state), now)
 
+    def list_uncapped(self, call: WaitingCall, group: list[Slots], now: float) -> list[Slots]:
+        """Return the upstreams of a group of one service that are allowed whatever the cap."""
+        state = self._states.get(call.service)
+        if state is None:
+            return group
+        return state.list_uncapped(call, group, self._get_registered(state), now)
+
     def may_send(self, upstream: Upstream, now: float) -> bool:
         """Return whether a call that was placed at an upstream may still be sent there."""
         state = self._states.get(upstream.service)
@@ -203,6 +227,12 @@
         if state is not None:
             state.evidence.record_bad(upstream.software_version, route, upstream.upstream_id)
 
+    def _note_start(self, now: float) -> float:
+        """Return when these orders were first used, about the start of the daemon."""
+        if self._started_at is None:
+            self._started_at = now
+        return self._started_at
+
     def _get_registered(self, state: OrderState) -> Registered:
         return self._registered.get(state.rollout.order.service, {})
 
--- a/tests/edge/test_rollouts.py
+++ b/tests/edge/test_rollouts.py
@@ -244,6 +244,56 @@
     assert heard
 
 
+async def test_queued_phase_shows_no_contact_after_a_suspension(store):
+    """Guards against calls to a reverted version because its earlier phase waited in the socket."""
+    sender, frozen = await start(store), make_sync(store, 'd2')
+    deliver(sender, frozen)
+    exposure = frozen.rollouts._states['llm'].exposure
+    exposure.heard_at -= 3
+    before = exposure.heard_at
+    frozen._updated_at -= 3
+    sender.rollouts.action = Action.MOVE
+    await run_writer(sender)
+    deliver(sender, frozen)
+    assert get_phase(frozen) is Phase.MOVING
+    assert exposure.heard_at == before
+    frozen._drained_at -= 1
+    deliver(sender, frozen)
+    assert exposure.heard_at > before
+
+
+async def test_queued_order_shows_no_contact_after_a_suspension(store):
+    """Guards against calls to a version that was reverted during the suspension of a daemon."""
+    sender, frozen = await start(store), make_sync(store, 'd2')
+    frozen._updated_at -= 3
+    deliver(sender, frozen)
+    exposure = frozen.rollouts._states['llm'].exposure
+    exposure.active_count = 2
+    assert exposure.is_cut_off(read_lease_clock())
+    frozen._drained_at -= 1
+    deliver(sender, frozen)
+    assert not exposure.is_cut_off(read_lease_clock())
+
+
+async def test_daemon_that_hears_late_of_an_order_adopts_its_age(store):
+    """Guards against a time limit that counts from when a slow store delivered the order."""
+    sender, late = make_sync(store), make_sync(store, 'd2')
+    await read_orders(sender)
+    order = attrs.evolve(sender._held['llm'].order, written_at=read_lease_clock() - 5)
+    sender._held['llm'].order = order
+    await read_orders(late)
+    deliver(sender, late)
+    known = late.rollouts.get('llm').order
+    assert known is late._held['llm'].order is late.rollouts._states['llm'].exposure.order
+    assert known.written_at == pytest.approx(order.written_at, abs=0.2)
+    # A later one is that of a daemon that heard late itself; an odd one is nonsense.
+    for written_at in (read_lease_clock(), read_lease_clock() - 1e6):
+        sender._held['llm'].order = attrs.evolve(order, written_at=written_at)
+        news = sender._encode_held(sender._held['llm'], read_lease_clock())
+        late.handle_news(pb.EdgeHeartbeat(name='d1', incarnation='d1-1', rollouts=[news]))
+        assert late.rollouts.get('llm').order is known
+
+
 async def test_unknown_outcome_is_settled_by_reading_the_row(store):
     """Guards against a phase that is written twice, or not applied, after a lost answer."""
     sync = await start(store)
@@ -362,6 +412,23 @@
     assert get_stored(store) == (Phase.CANARY, 'in_progress')
 
 
+async def test_refused_write_of_one_order_does_not_stop_the_others(store):
+    """Guards against orders that wait while the writer does not hear of another, newer one."""
+    sync, late = await start(store), make_sync(store, 'd2')
+    deliver(sync, late)
+    write_order(store, to='v3')
+    await read_orders(sync)
+    await run_writer(sync)
+    before = store.data.version
+    order = orjson.dumps({**ORDER, 'service': 'chat'})
+    store.write(MANIFEST_TABLE, 'rollout/chat', order)
+    late.apply_orders(await late.store.read_changes(MANIFEST_TABLE, before, 0), False)
+    await run_writer(late)
+    assert decode_row(store.data.rows[PHASE_TABLE, 'chat'][0]).phase is Phase.CANARY
+    assert get_stored(store) == (Phase.CANARY, 'in_progress')
+    assert decode_row(store.data.rows[PHASE_TABLE, 'llm'][0]).order_id.version == 'v3'
+
+
 @pytest.mark.parametrize('is_listing', [True, False])
 async def test_removed_order_is_cancelled_everywhere(store, is_listing):
     """Guards against an order that daemons keep alive by passing it on."""
--- a/tests/rollouts/test_failures.py
+++ b/tests/rollouts/test_failures.py
@@ -1,12 +1,18 @@
+import collections
+
 import attrs
 import pytest
 
+from camphorpath.cluster.heartbeats import MAX_DATAGRAM_BYTES
+from camphorpath.cluster.rollouts import encode_tally
 from camphorpath.placement.ownership import Assignment
 from camphorpath.placement.records import Placed, Refused
 from camphorpath.placement.scheduler import Scheduler
-from camphorpath.rollouts.records import Phase
+from camphorpath.placement.slots import Slots
+from camphorpath.rollouts.records import Phase, Tally
+from camphorpath.rollouts.registry import Rollouts
 
-from .fleet import ORDER, Fleet, list_versions, make_call, make_group, make_rollouts
+from .fleet import BOUNDS, ORDER, Fleet, list_versions, make_call, make_group, make_rollouts
 from .test_load import answer_well, make_bad
 
 
@@ -35,6 +41,60 @@
     assert rollouts.get('llm').phase is Phase.REVERTED
 
 
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'slow': 2 * 10**9, 'slow_by_upstream': {'v2-0': 10**9, 'v2-1': 10**9}},
+        {'slow': 160, 'slow_by_upstream': {'v2-0': 80, 'v2-2': 80}},
+        {'timed_by_upstream': {'v2-0': 10**6, 'v2-1': 10}},
+        {'bad': 10},
+        {'bad': 10, 'bad_by_upstream': {'v2-0': 5, 'v2-1': 50}},
+    ],
+)
+def test_impossible_counts_of_a_peer_are_ignored(fields):
+    """Guards against a good version that is reverted, or a bad one moved to, for one odd report."""
+    group = make_group(v1=4, v2=4)
+    rollouts = make_rollouts(group)
+    for number in range(80):
+        rollouts.record_answer(group[number % 8].upstream, 'draft', False, 1.0)
+    before = rollouts._states['llm'].evidence.copy_sums()
+    tally = Tally(
+        service='llm',
+        version='v2',
+        route='draft',
+        revision=7,
+        answers=20,
+        bad=0,
+        slow=80,
+        bad_by_upstream={},
+        slow_by_upstream={'v2-0': 40, 'v2-1': 40},
+        timed_by_upstream={'v2-0': 10, 'v2-1': 10},
+    )
+    rollouts.apply_tallies('peer', [attrs.evolve(tally, **fields)])
+    assert rollouts._states['llm'].evidence.sums == before
+    assert not rollouts.update(1, 2)
+    rollouts.apply_tallies('peer', [tally])
+    assert rollouts._states['llm'].evidence.sums != before
+
+
+def test_counts_of_many_upstreams_fit_in_a_heartbeat():
+    """Guards against a datagram that is cut off: its sender would count as lost."""
+    group = [
+        Slots(attrs.evolve(slots.upstream, upstream_id=f'{number:036}'))
+        for number, slots in enumerate(make_group(v1=900))
+    ]
+    rollouts, peer = make_rollouts(group), make_rollouts(group)
+    for _ in range(2):
+        for slots in group:
+            rollouts.record_answer(slots.upstream, 'draft', True, 1.0)
+        (tally,) = rollouts.share_tallies()
+        assert encode_tally(tally).ByteSize() < MAX_DATAGRAM_BYTES / 3
+        peer.apply_tallies('d1', [tally])
+    (counts,) = peer._states['llm'].evidence.sums.values()
+    assert counts.answers == 1800
+    assert counts.bad == tally.bad > 0
+
+
 def test_restart_of_all_daemons_keeps_the_limits():
     """Guards against daemons that use their parts again and again after restarts."""
     fleet = Fleet(
@@ -131,6 +191,28 @@
     assert list_versions(rollouts, group, 3) == {'v2'}
 
 
+def test_call_on_its_way_to_a_version_of_an_earlier_order_is_not_sent():
+    """Guards against calls that connect to a bad version while a newer order names another."""
+    group = make_group(v1=2, v2=2, v3=2)
+    rollouts = make_rollouts(group)
+    rollouts.apply_phase('llm', 7, Phase.REVERTED, 1)
+    rollouts.start(attrs.evolve(ORDER, version='v3', revision=8, written_at=2), 2)
+    assert not rollouts.may_send(group[2].upstream, 2)
+    assert rollouts.may_send(group[0].upstream, 2)
+    assert rollouts.may_send(group[4].upstream, 2)
+
+
+def test_cap_holds_beside_a_version_that_is_barred_no_longer():
+    """Guards against an order without a cap because an old order named the version beside it."""
+    group = make_group(v2=2, v3=2)
+    rollouts = make_rollouts(group)
+    later = ORDER.ends_at + 61
+    rollouts.start(attrs.evolve(ORDER, version='v3', revision=8, written_at=later), later)
+    rollouts.update(later, 1000)
+    rollouts._states['llm'].exposure._rounding = 0
+    assert list_versions(rollouts, group, later) == {'v2'}
+
+
 def test_removed_order_returns_to_the_other_versions():
     """Guards against a version without a verdict that serves all calls once its order is gone."""
     group = make_group(v1=2, v2=2)
@@ -171,3 +253,26 @@
     scheduler.rollouts.apply_phase('llm', 7, Phase.REVERTED, 0.5)
     (refused,) = submit(scheduler, make_call('late', 'v2'))
     assert isinstance(refused, Refused)
+
+
+def test_daemons_that_start_together_do_not_each_take_the_allowance():
+    """Guards against starting daemons that know no peers yet, each of which takes all of it."""
+    group = make_group(v1=4, v2=4)
+    sent = collections.Counter()
+    for _ in range(40):
+        rollouts = Rollouts(BOUNDS)
+        rollouts.record_registered({'llm': group})
+        rollouts.start(ORDER, 6)
+        for number in range(20):
+            # Peers are heard after 0.3 s.
+            now = 6 + number * 0.05
+            rollouts.update(now, 1 if number < 6 else 40)
+            upstream = rollouts.list_allowed(make_call(number), group, now)[0].upstream
+            rollouts.record_placement(upstream)
+            rollouts.record_send(upstream)
+            sent[upstream.software_version] += 1
+    assert sent['v2'] <= BOUNDS.canary_share * sent.total() + BOUNDS.canary_allowance / 2
+    # After that each takes its part.
+    now = 6 + 1.5
+    part = rollouts._states['llm'].exposure._get_part(now)
+    assert part == pytest.approx(0.7 * 0.1 * 20 + 0.5 * 50 / 40)
