Drop old departures of calls that leave without a limit

Cause: instants of departures were dropped only where the part of a region was checked. Calls of a service without upstreams at home skip that check, so their list grew with each call until the service paused for 3 s.

Change: each placement drops the instants that are older than a report interval.

--- a/camphorpath/placement/egress.py
+++ b/camphorpath/placement/egress.py
@@ -177,7 +177,9 @@
             self._changes.append(EgressChange(call.service, True, 1, (region,)))
         departures.count += 1
         departures.last_at = now
-        departures.recent.setdefault(region, []).append(now)
+        # Also drops the older instants: a call that leaves without a limit counts none.
+        departures.count_recent(region, now)
+        departures.recent[region].append(now)
 
     def pop_changes(self, now: float) -> list[EgressChange]:
         """Return for which services calls began or ceased to leave since the last time."""
--- a/tests/placement/test_egress.py
+++ b/tests/placement/test_egress.py
@@ -265,3 +265,14 @@
     harness.scheduler.expire(late - 0.05)
     assert harness.get_upstream_id('next')
     assert len(counted) < 10 * len(upstreams)
+
+
+def test_instants_of_departures_are_dropped():
+    """Guards against memory that grows with each call of a service without upstreams at home."""
+    harness = SchedulerHarness([make_upstream(2, 'b', slots=20)], owned=[])
+    for number in range(200):
+        now = number / 10
+        lend(harness, 8, '', now)
+        harness.release(harness.submit(f'c{number}', now=now), now)
+    kept = harness.scheduler.egress._departures['llm'].recent['r2']
+    assert len(kept) <= 3
