Estimate the wait at home without the calls that end elsewhere

Cause: while none of a daemon's calls ran in its region, its wait at home was estimated from all calls that ended, also if all of them ran in another region. Calls stayed for slots that other daemons use, although slots were lent to it.

Change: in that case one call is assumed to run at home beside those elsewhere.

Result: with 20 releases elsewhere in 2 s and four calls running there, the estimate is 0.5 s instead of 0.1 s, and a call with an objective of 0.6 s leaves.

--- a/camphorpath/placement/egress.py
+++ b/camphorpath/placement/egress.py
@@ -155,6 +155,8 @@
         """Return the share of this daemon's running calls that run in its region.
 
         Slots become free here in proportion to it. It is 0 if no upstream here may run the call.
+        Without a running call here, one is assumed beside those elsewhere, as the calls that end
+        there free no slot here.
         """
         home, total = 0, 0
         has_home = False
@@ -165,7 +167,7 @@
                 has_home = has_home or call.may_run_at(slots.upstream)
         if not has_home:
             return 0
-        return home / total if home else 1
+        return home / total if home else 1 / (total + 1)
 
     def record_placement(self, call: WaitingCall, upstream: Upstream, now: float) -> None:
         """Count a call that was placed, if it left the region."""
--- a/tests/placement/test_egress.py
+++ b/tests/placement/test_egress.py
@@ -276,3 +276,21 @@
         harness.release(harness.submit(f'c{number}', now=now), now)
     kept = harness.scheduler.egress._departures['llm'].recent['r2']
     assert len(kept) <= 3
+
+
+def test_calls_that_end_elsewhere_do_not_shorten_the_wait_at_home():
+    """Guards against a call that waits here for slots that are used by other daemons only.
+
+    Its wait was estimated from all calls that end, also if all of them ran in another region.
+    """
+    harness = make_egress_harness(home_slots=1)
+    harness.scheduler.apply_loads('near', 'near-1', {'i-1': Load(1)}, {})
+    calls = [harness.make_call(f'c{number}') for number in range(24)]
+    for call in calls:
+        harness.scheduler.slots['i-2'].occupy(call, 0)
+        harness.scheduler.record_first_byte('i-2', call, 0.1)
+    for call in calls[:20]:
+        harness.scheduler.release('i-2', call, 1)
+    lend(harness, 4, 'me', 1)
+    harness.submit('new', now=1, objective_s=0.6)
+    assert harness.get_upstream_id('new') == 'i-2'
