Share quotas mostly among the daemons that take calls

Cause: the equal parts of a bucket were those of all daemons. Where calls come at few of many daemons, these had claimed less than one call of a customer with little demand, and the call waited for the next report, longer than it could.

Change: daemons that report demand of any customer share 0.75 of the equal parts. A daemon counts itself to them after three reports, when it knows of others that began at the same moment.

--- a/camphorpath/placement/quota.py
+++ b/camphorpath/placement/quota.py
@@ -40,6 +40,12 @@
 # Part that is claimed by all daemons together of a bucket for which none has demand: a burst at one
 # daemon finds the rest at its next heartbeat.
 IDLE_SHARE = 0.5
+# Largest part of the equal shares of daemons that take no calls, while others do: with 420 daemons
+# of which a few take calls, equal parts for all leave these with less than one call each.
+IDLE_DAEMONS_SHARE = 0.25
+# Reports with demand after which a daemon takes its share as one that takes calls. By then it has
+# heard from those that began at the same time.
+TAKING_REPORT_COUNT = 3
 # Units a second below which a daemon has no demand.
 MIN_DEMAND = 1e-3
 # A daemon that starts or was frozen claims at most this share until it has heard from the others.
@@ -155,6 +161,10 @@
     _peers: dict[str, _Peer] = attrs.field(factory=dict)
     # The peers among which the buckets are shared.
     _sharers: list[_Peer] = attrs.field(factory=list)
+    # How many of them, and of this daemon, take calls.
+    _taking_count: int = 0
+    # Latest reports of this daemon that stated demand, without a gap.
+    _demand_report_count: int = 0
     _started_at: float | None = None
     # Until then, this daemon may not have heard from all others.
     _settled_at: float = -math.inf
@@ -260,6 +270,7 @@
         accounts = self._accounts.items()
         used = {name: self.used.get(name, 0) + account.claimed for name, account in accounts}
         demand = {name: account.demand for name, account in accounts if account.demand > MIN_DEMAND}
+        self._demand_report_count = self._demand_report_count + 1 if demand else 0
         # Customers that are no longer in the manifest stay counted for peers with an older one.
         return QuotaReport(used={**self.used, **used}, demand=demand, interval_s=self._interval_s)
 
@@ -373,20 +384,36 @@
         """Return the share of this daemon in the bucket of a customer."""
         own = account.decay_demand(now)
         total = own + max(account.others_demand, 0)
-        return self._compute_share(account, own, total)
+        return self._compute_share(account, own, total, takes_calls=self._takes_calls())
 
-    def _compute_share(self, account: _Account, demand: float, total: float) -> float:
+    def _takes_calls(self) -> bool:
+        return self._demand_report_count >= TAKING_REPORT_COUNT
+
+    def _compute_share(
+        self, account: _Account, demand: float, total: float, *, takes_calls: bool
+    ) -> float:
         """Return the share of a daemon with a demand, out of the total of all daemons.
 
         The less the bucket is in demand, the less the shares follow single calls.
         """
-        equal = 1 / (len(self._sharers) + 1)
+        equal = self._compute_equal_share(takes_calls=takes_calls)
         if total < MIN_DEMAND:
             return IDLE_SHARE * equal
         load = min(total / self._get_limits(account.customer).fill_rate, 1)
         busy = EQUAL_SHARE * equal + (1 - EQUAL_SHARE) * demand / total
         return load * busy + (1 - load) * IDLE_SHARE * equal
 
+    def _compute_equal_share(self, *, takes_calls: bool) -> float:
+        """Return the part of a daemon in what is shared without regard to the customer's demand."""
+        count = len(self._sharers) + 1
+        idle_count = count - self._taking_count
+        if not self._taking_count or not idle_count:
+            return 1 / count
+        # Not more than equal parts: of daemons that begin to take calls at the same moment, each
+        # counts only itself as idle.
+        idle_share = min(IDLE_DAEMONS_SHARE, idle_count / count)
+        return (1 - idle_share) / self._taking_count if takes_calls else idle_share / idle_count
+
     def _get_available(self, account: _Account, now: float) -> float:
         if not self._is_shared:
             return account.level
@@ -439,6 +466,7 @@
         lost_count = len(peers) - len(live)
         self._sharers = list(peers) if lost_count > len(live) else live
         self._is_shared = bool(self._sharers) or now < self._settled_at
+        self._taking_count = sum(1 for peer in self._sharers if peer.demand) + self._takes_calls()
 
     def _estimate_unheard(self, account: _Account, now: float) -> float:
         """Return the units that daemons which are not heard are taken to use, at their shares."""
@@ -450,7 +478,9 @@
             silent_s = now - peer.heard_at
             if silent_s <= SILENT_INTERVAL_COUNT * peer.interval_s:
                 continue
-            share = self._compute_share(account, peer.demand.get(name, 0), total)
+            demand = peer.demand.get(name, 0)
+            takes_calls = bool(peer.demand)
+            share = self._compute_share(account, demand, total, takes_calls=takes_calls)
             # Its last report holds what it claimed for an interval.
             units += share * fill_rate * (silent_s - peer.interval_s)
         return units
--- a/tests/placement/test_quota.py
+++ b/tests/placement/test_quota.py
@@ -1,3 +1,4 @@
+import attrs
 import hypothesis
 import pytest
 from hypothesis import strategies
@@ -114,3 +115,42 @@
     assert ledger.admit(customer, 5, 0, priority=0) == 0
     assert ledger.admit(customer, 100, RESERVE_HOLD_S, priority=2) == 0
     assert ledger.admit(customer, 5, RESERVE_HOLD_S, priority=2) > 0
+
+
+def test_daemons_without_calls_leave_units_to_the_others():
+    """Guards against calls that wait for a report, as each of many idle daemons claims its part."""
+    ledger = QuotaLedger(BOUNDS, starts_full=True)
+    customer = make_customer()
+    others = [make_customer(), attrs.evolve(make_customer(), name='other')]
+    ledger.start(0)
+    ledger.set_customers(others, 0)
+    for number in range(8):
+        now = number * INTERVAL_S
+        for peer in range(99):
+            demand = {'other': 5} if peer < 3 else {}
+            ledger.apply_report(f'd{peer}-1', QuotaReport(used={}, demand=demand), now)
+        ledger.record_arrival(others[1], 1, now)
+        ledger.make_report(now, INTERVAL_S)
+    assert ledger.admit(customer, 40, now) == 0
+
+
+def test_daemons_that_begin_to_take_calls_do_not_all_claim_the_part_of_the_others():
+    """Guards against a part for the daemons that take calls which each of many claims alone."""
+    ledgers = [QuotaLedger(STRICT, starts_full=True) for _ in range(20)]
+    customer = make_customer()
+    reports = [QuotaReport(used={})] * len(ledgers)
+    for ledger in ledgers:
+        ledger.start(0)
+        ledger.set_customers([customer, attrs.evolve(customer, name='other')], 0)
+    for number in range(12):
+        now = number * INTERVAL_S
+        for own, ledger in enumerate(ledgers):
+            for peer, report in enumerate(reports):
+                if peer != own:
+                    ledger.apply_report(f'd{peer}-1', report, now)
+        if number > 5:
+            for ledger in ledgers:
+                ledger.record_arrival(attrs.evolve(customer, name='other'), 5, now)
+        # All report at the same moment, so none knows what the others begin to do.
+        reports = [ledger.make_report(now, INTERVAL_S) for ledger in ledgers]
+        assert sum(report.used['c'] for report in reports) <= customer.burst
