State a wait for the quota behind the calls that still wait

Cause: a call that left the queue at the end of its time was told a wait behind more urgent calls only. Its caller returns behind the calls of its own priority that still wait as well, so it came too early and was refused again.

Change: the estimate counts them.

Result: with 20 units of the call and 80 of the next one at 100 units a second, the stated wait is 1 s; before, 0.2 s.

--- a/camphorpath/placement/quota_queue.py
+++ b/camphorpath/placement/quota_queue.py
@@ -147,7 +147,7 @@
         was_first = self.is_first(request)
         line = self._remove(request, QuotaState.REFUSED)
         request.expected_wait_s = self.ledger.estimate_wait(
-            customer, request.units, now, priority, line.count_ahead(priority - 1)
+            customer, request.units, now, priority, line.count_ahead(priority)
         )
         first = line.find_first()
         if was_first and first:
--- a/tests/placement/test_quota_queue.py
+++ b/tests/placement/test_quota_queue.py
@@ -1,4 +1,5 @@
 import attrs
+import pytest
 
 from camphorpath.placement import quota_queue
 from camphorpath.placement.quota_queue import QuotaQueue, QuotaRequest, QuotaState
@@ -67,3 +68,13 @@
     assert waiting.state is QuotaState.WAITING
     queue.admit_waiting('c', 5)
     assert waiting.state is QuotaState.ADMITTED
+
+
+def test_refused_call_is_told_the_wait_behind_the_calls_after_it():
+    """Guards against a Retry-After that leaves out the calls that a repeated call waits behind."""
+    customer = make_customer()
+    queue = make_queue(customer)
+    leaves = submit(queue, customer, 20)
+    submit(queue, customer, 80, wait_until=9)
+    queue.withdraw(leaves, 0)
+    assert leaves.expected_wait_s == pytest.approx(1)
