Estimate the wait at home only for calls without a slot there

Cause: the wait at home was estimated for each call before its slot was chosen, by a scan of all upstreams of the service, also with a free slot at home; and for each waiting call whenever a slot became free.

Change: Egress.select estimates it after it has found no slot at home. The scan skips upstreams without a running call once one at home is known.

--- a/camphorpath/placement/egress.py
+++ b/camphorpath/placement/egress.py
@@ -7,7 +7,7 @@
 
 import collections
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 
@@ -119,17 +119,23 @@
         return self.estimate_delay(call, upstream) + self.estimate_price(call, upstream)
 
     def select(
-        self, call: WaitingCall, usable: Iterable[Slots], home_wait_s: float, now: float
+        self,
+        call: WaitingCall,
+        usable: Iterable[Slots],
+        estimate_home_wait: Callable[[WaitingCall, float], float],
+        now: float,
     ) -> list[Slots]:
         """Return the usable upstreams that a call may take now.
 
-        An idle slot at home is taken first. Without one, the call may leave if it should, and for
-        regions of which this daemon has not taken its part since the last report.
+        An idle slot at home is taken first. Without one, the wait there is estimated, and the call
+        may leave if it should, for regions of which this daemon has not taken its part since the
+        last report.
         """
         allowed = [slots for slots in usable if call.may_run_at(slots.upstream)]
         home = [slots for slots in allowed if self.is_home(slots.upstream)]
-        if home:
+        if home or not allowed:
             return home
+        home_wait_s = estimate_home_wait(call, now)
         if call.is_bound or math.isinf(home_wait_s):
             # The caller of the rest of a begun stream holds a part of the answer, and a call that
             # no upstream here can run has nothing to wait for.
@@ -161,6 +167,8 @@
         home, total = 0, 0
         has_home = False
         for slots in group:
+            if has_home and not slots.running:
+                continue
             total += len(slots.running)
             if self.is_home(slots.upstream):
                 home += len(slots.running)
--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -446,9 +446,8 @@
             free = sum(slots.count_free(now) for slots in usable)
             if free <= self._count_reserved(call.service):
                 return None
-        home_wait_s = self._estimate_home_wait(call, now)
         candidates = self.rollouts.list_candidates(call, usable, now)
-        allowed = self.egress.select(call, candidates, home_wait_s, now)
+        allowed = self.egress.select(call, candidates, self._estimate_home_wait, now)
         best, best_cost = self._find_cheapest(call, allowed, now)
         if best is None or not self.egress.is_home(best.upstream):
             # A call that leaves would be late at home.
--- a/tests/placement/test_egress.py
+++ b/tests/placement/test_egress.py
@@ -294,3 +294,17 @@
     lend(harness, 4, 'me', 1)
     harness.submit('new', now=1, objective_s=0.6)
     assert harness.get_upstream_id('new') == 'i-2'
+
+
+def test_wait_at_home_is_not_estimated_while_a_slot_is_free_there(monkeypatch):
+    """Guards against a scan of all upstreams for each call: 0.9 ms with 4,200 of them."""
+    harness = make_egress_harness()
+    estimated = []
+    monkeypatch.setattr(
+        Scheduler, '_estimate_home_wait', lambda *args: estimated.append(args) or 0.0
+    )
+    harness.submit('first')
+    assert harness.get_upstream_id('first') == 'i-1'
+    assert not estimated
+    harness.submit('second')
+    assert estimated
