Keep places of the quota queue for other customers and urgent calls

Cause: the 1,000 places for calls that wait for their quota were given by arrival. A customer with many small calls could hold all of them; calls of other customers that lacked units for a moment, and its own urgent ones, were then refused.

Change: in a full queue, the last call of the customer with the most waiting calls is refused for a call of a customer with fewer or for a more urgent one.

Result: the added test failed before and passes.

--- a/camphorpath/placement/quota_queue.py
+++ b/camphorpath/placement/quota_queue.py
@@ -75,6 +75,14 @@
             return
         self.units[priority] = self.units.get(priority, 0) + change * request.units
 
+    def count_calls(self) -> int:
+        """Return the number of waiting calls."""
+        return sum(self.counts.values())
+
+    def find_last(self) -> QuotaRequest:
+        """Return the waiting call that is admitted last; there must be one."""
+        return max(entry for entry in self.entries if entry[2].state is QuotaState.WAITING)[2]
+
     def find_first(self) -> QuotaRequest | None:
         """Return the call that is admitted next, or None."""
         while self.entries and self.entries[0][2].state is not QuotaState.WAITING:
@@ -109,9 +117,10 @@
             return
         wait_s = self.ledger.estimate_wait(customer, units, now, priority, ahead)
         request.expected_wait_s = wait_s
-        if now + wait_s > request.wait_until or self.waiting_count >= MAX_WAITING_COUNT:
+        if now + wait_s > request.wait_until or not self._make_room(request):
             request.state = QuotaState.REFUSED
             return
+        line = self._lines.get(customer.name)
         if line is None:
             line = _Line()
             self._lines[customer.name] = line
@@ -177,7 +186,26 @@
     def count_waiting(self, name: str) -> int:
         """Return the number of calls of a customer that wait."""
         line = self._lines.get(name)
-        return sum(line.counts.values()) if line else 0
+        return line.count_calls() if line else 0
+
+    def _make_room(self, request: QuotaRequest) -> bool:
+        """Return whether one more call may wait, after refusing another one if necessary.
+
+        The last call of the customer with the most waiting calls leaves: a customer with many small
+        calls takes the places of no other one, and its urgent calls find one.
+        """
+        if self.waiting_count < MAX_WAITING_COUNT:
+            return True
+        name, line = max(self._lines.items(), key=lambda item: item[1].count_calls())
+        last = line.find_last()
+        if name == request.customer.name:
+            has_claim = request.priority < last.priority
+        else:
+            has_claim = self.count_waiting(request.customer.name) + 1 < line.count_calls()
+        if has_claim:
+            self._remove(last, QuotaState.REFUSED)
+            last.on_change()
+        return has_claim
 
     def _remove(self, request: QuotaRequest, state: QuotaState) -> _Line:
         """End the wait of a call and return its line."""
--- a/tests/placement/test_quota_queue.py
+++ b/tests/placement/test_quota_queue.py
@@ -78,3 +78,19 @@
     submit(queue, customer, 80, wait_until=9)
     queue.withdraw(leaves, 0)
     assert leaves.expected_wait_s == pytest.approx(1)
+
+
+def test_full_queue_keeps_places_for_other_customers_and_urgent_calls(monkeypatch):
+    """Guards against a customer with many small calls that takes all places of the queue."""
+    monkeypatch.setattr(quota_queue, 'MAX_WAITING_COUNT', 3)
+    customer, other = make_customer(), attrs.evolve(make_customer(), name='other')
+    queue = make_queue(customer)
+    queue.ledger.set_customers([customer, other], 0)
+    assert queue.ledger.admit(other, other.burst, 0) == 0
+    many = [submit(queue, customer, 1, priority=1) for _ in range(3)]
+    assert submit(queue, other, 1, priority=1).state is QuotaState.WAITING
+    assert submit(queue, customer, 1, priority=1).state is QuotaState.REFUSED
+    assert submit(queue, customer, 1).state is QuotaState.WAITING
+    states = [request.state for request in many]
+    assert states == [QuotaState.WAITING, QuotaState.REFUSED, QuotaState.REFUSED]
+    assert queue.waiting_count == 3
