Take slots that are lent to another daemon in parts

Cause: a daemon that is not active may use slots that the owner lends to an active one. They counted as lent to it alone, so all idle daemons of other regions could take all of them between two reports.

Change: only slots that are lent to the daemon by name count as its own.

Result: of 8 slots lent to another daemon, an idle one takes 4 at once, not 8.

--- a/camphorpath/placement/slots.py
+++ b/camphorpath/placement/slots.py
@@ -274,7 +274,7 @@
         may_borrow = not is_active or load.borrower in {'', name}
         self.lent = load.lent if may_borrow else 0
         self.lent_until = lent_until
-        self.is_lent_to_all = load.lent > 0 and not load.borrower
+        self.is_lent_to_all = load.lent > 0 and load.borrower != name
         # Borrowers learn of each other's calls only by heartbeat, so a few may exceed at a time.
         self.may_exceed = random.random() * borrower_count < MAX_EXTRA_CALLS
 
--- a/tests/placement/test_egress.py
+++ b/tests/placement/test_egress.py
@@ -308,3 +308,16 @@
     assert not estimated
     harness.submit('second')
     assert estimated
+
+
+def test_slots_lent_to_another_daemon_are_taken_in_parts():
+    """Guards against idle daemons that all take the slots that are lent to one active daemon."""
+    harness = make_egress_harness(lent=0)
+    upstreams = [slots.upstream for slots in harness.scheduler.slots.values()]
+    actives = {'r2': ('other', 'active')}
+    harness.scheduler.set_upstreams(upstreams, Assignment(actives, {'i-1': 'me', 'i-2': 'other'}))
+    lend(harness, 8, 'active', 0)
+    late = min(harness.submit(f'c{number}', wait_s=3).latest_start_at for number in range(9))
+    harness.scheduler.expire(late - 0.1)
+    placed = [harness.get_upstream_id(name) for name in harness.decisions]
+    assert placed.count('i-2') == 4
