Do not count ended incarnations as daemons that are cut off

Cause: a daemon that has lost more peers than it hears takes itself for cut off and keeps to its share for a window. Lost incarnations of a daemon that restarts again and again counted, so in a small fleet their shares were left unused.

Change: reports name their daemon; a new incarnation drops the lost ones of the same name.

--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -192,7 +192,7 @@
             demand=dict(heartbeat.quota_demand),
             interval_s=heartbeat.interval,
         )
-        self.relay.quota.apply_report(heartbeat.incarnation, report, now)
+        self.relay.quota.apply_report(heartbeat.incarnation, report, now, heartbeat.name)
         apply_served(self.relay, heartbeat, now)
         loads = {load.upstream: decode_load(load, now) for load in heartbeat.loads}
         changed = self.relay.scheduler.apply_loads(
--- a/camphorpath/placement/quota.py
+++ b/camphorpath/placement/quota.py
@@ -137,6 +137,8 @@
 class _Peer:
     """The last report of another daemon incarnation."""
 
+    # Name of the daemon; empty if unknown.
+    name: str = ''
     # None if the next report is the first one that counts.
     used: dict[str, float] | None = None
     demand: dict[str, float] = attrs.field(factory=dict)
@@ -274,9 +276,19 @@
         # Customers that are no longer in the manifest stay counted for peers with an older one.
         return QuotaReport(used={**self.used, **used}, demand=demand, interval_s=self._interval_s)
 
-    def apply_report(self, incarnation: str, report: QuotaReport, now: float) -> None:
-        """Apply the last report of another daemon."""
-        peer = self._peers.setdefault(incarnation, _Peer())
+    def apply_report(
+        self, incarnation: str, report: QuotaReport, now: float, name: str = ''
+    ) -> None:
+        """Apply the last report of another daemon, of which `name` is the name if it is known.
+
+        Its lost incarnations are forgotten: they have ended, and are not cut off.
+        """
+        if incarnation not in self._peers:
+            for other, known_peer in list(self._peers.items()):
+                if name and known_peer.name == name and known_peer.lost_at is not None:
+                    self._peers.pop(other)
+            self._peers[incarnation] = _Peer(name)
+        peer = self._peers[incarnation]
         known = peer.used
         peer.used = report.used
         peer.demand = {name: max(demand, 0) for name, demand in report.demand.items()}
--- a/tests/placement/test_quota.py
+++ b/tests/placement/test_quota.py
@@ -154,3 +154,22 @@
         # All report at the same moment, so none knows what the others begin to do.
         reports = [ledger.make_report(now, INTERVAL_S) for ledger in ledgers]
         assert sum(report.used['c'] for report in reports) <= customer.burst
+
+
+def test_restarts_of_one_daemon_do_not_lower_the_shares_of_the_others():
+    """Guards against ended incarnations that count as daemons cut off from this one."""
+    claims = []
+    for restart_count in (0, 4):
+        ledger = QuotaLedger(BOUNDS, starts_full=True)
+        ledger.start(0)
+        ledger.set_customers([make_customer()], 0)
+        for incarnation in ('d1-0', 'd2-0'):
+            ledger.apply_report(incarnation, QuotaReport(used={}), 0, incarnation[:2])
+        ledger.make_report(0, INTERVAL_S)
+        for number in range(1, restart_count + 1):
+            ledger.remove_daemon(f'd1-{number - 1}', 1)
+            ledger.apply_report(f'd1-{number}', QuotaReport(used={}), 1, 'd1')
+        for incarnation in (f'd1-{restart_count}', 'd2-0'):
+            ledger.apply_report(incarnation, QuotaReport(used={}), 1, incarnation[:2])
+        claims.append(ledger.make_report(1, INTERVAL_S).used['c'])
+    assert claims[0] == pytest.approx(claims[1])
