Ask for the wait at home where a version's share is used up

Cause: joining two reviews left a name that no longer exists.

Change: the second choice passes the function that estimates the wait, like the first.

--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -453,7 +453,7 @@
             # The idle slots at home may all be of a version whose share is used up.
             uncapped = self.rollouts.list_uncapped(call, candidates, now)
             if len(uncapped) < len(candidates):
-                allowed = self.egress.select(call, uncapped, home_wait_s, now)
+                allowed = self.egress.select(call, uncapped, self._estimate_home_wait, now)
                 best, best_cost = self._find_cheapest(call, allowed, now)
         if best is None or not self.egress.is_home(best.upstream):
             # A call that leaves would be late at home.
