Let a call take a faster upstream of another region beside an idle slot at home

Change: with an idle slot at home the costs decide, which contain distance and price; the parts that a daemon may take between two reports hold as before.

--- a/camphorpath/placement/egress.py
+++ b/camphorpath/placement/egress.py
@@ -127,33 +127,39 @@
     ) -> list[Slots]:
         """Return the usable upstreams that a call may take now.
 
-        An idle slot at home is taken first. Without one, the wait there is estimated, and the call
-        may leave if it should, for regions of which this daemon has not taken its part since the
-        last report.
+        With an idle slot at home all may be taken: their costs, which contain the distance and the
+        price, tell whether a faster upstream elsewhere pays. Without one, the wait at home is
+        estimated, and the call may leave if it should, for regions of which this daemon has not
+        taken its part since the last report.
         """
         allowed = [slots for slots in usable if call.may_run_at(slots.upstream)]
-        home = [slots for slots in allowed if self.is_home(slots.upstream)]
-        if home or not allowed:
-            return home
-        home_wait_s = estimate_home_wait(call, now)
-        if call.is_bound or math.isinf(home_wait_s):
-            # The caller of the rest of a begun stream holds a part of the answer, and a call that
-            # no upstream here can run has nothing to wait for.
+        if not allowed or call.is_bound:
+            # The caller of the rest of a begun stream holds a part of the answer.
             return allowed
+        home_wait_s: float = 0
+        if not any(self.is_home(slots.upstream) for slots in allowed):
+            home_wait_s = estimate_home_wait(call, now)
+            if math.isinf(home_wait_s):
+                # No upstream here can run the call, so that it has nothing to wait for.
+                return allowed
         departures = self._departures.get(call.service)
         is_leaving = departures is not None and departures.last_at > now - RETURN_AFTER_S
         used_up = self._list_used_up(departures, allowed, now) if departures else frozenset()
         return [
             slots
             for slots in allowed
-            if self._get_region(slots.upstream.zone) not in used_up
-            and should_leave(
-                call,
-                home_wait_s,
-                self.estimate_delay(call, slots.upstream),
-                self.estimate_price(call, slots.upstream),
-                now,
-                is_leaving=is_leaving,
+            if self.is_home(slots.upstream)
+            or self._get_region(slots.upstream.zone) not in used_up
+            and (
+                not home_wait_s
+                or should_leave(
+                    call,
+                    home_wait_s,
+                    self.estimate_delay(call, slots.upstream),
+                    self.estimate_price(call, slots.upstream),
+                    now,
+                    is_leaving=is_leaving,
+                )
             )
         ]
 
