Split the choice of upstreams that a call may leave for

Change: the upstreams of other regions with a part left, and whether leaving pays, are functions of their own; slots at home come first among equal costs.

--- a/camphorpath/placement/egress.py
+++ b/camphorpath/placement/egress.py
@@ -2,7 +2,7 @@
 
 Answers demand and upstreams that are unevenly distributed over regions: calls are late or refused
 in one while slots are free in another. Traffic between regions is slower and costs money, so a call
-that can be served in time at home stays. Home is the region of the daemon.
+that waits stays if it can be served in time at home. Home is the region of the daemon.
 """
 
 import collections
@@ -136,32 +136,15 @@
         if not allowed or call.is_bound:
             # The caller of the rest of a begun stream holds a part of the answer.
             return allowed
-        home_wait_s: float = 0
-        if not any(self.is_home(slots.upstream) for slots in allowed):
-            home_wait_s = estimate_home_wait(call, now)
-            if math.isinf(home_wait_s):
-                # No upstream here can run the call, so that it has nothing to wait for.
-                return allowed
-        departures = self._departures.get(call.service)
-        is_leaving = departures is not None and departures.last_at > now - RETURN_AFTER_S
-        used_up = self._list_used_up(departures, allowed, now) if departures else frozenset()
-        return [
-            slots
-            for slots in allowed
-            if self.is_home(slots.upstream)
-            or self._get_region(slots.upstream.zone) not in used_up
-            and (
-                not home_wait_s
-                or should_leave(
-                    call,
-                    home_wait_s,
-                    self.estimate_delay(call, slots.upstream),
-                    self.estimate_price(call, slots.upstream),
-                    now,
-                    is_leaving=is_leaving,
-                )
-            )
-        ]
+        home = [slots for slots in allowed if self.is_home(slots.upstream)]
+        away = self._list_away(call, allowed, now)
+        if home:
+            return home + away
+        home_wait_s = estimate_home_wait(call, now)
+        if math.isinf(home_wait_s):
+            # No upstream here can run the call, so that it has nothing to wait for.
+            return allowed
+        return [slots for slots in away if self._pays(call, slots.upstream, home_wait_s, now)]
 
     def measure_home_share(self, call: WaitingCall, group: Iterable[Slots]) -> float:
         """Return the share of this daemon's running calls that run in its region.
@@ -229,6 +212,25 @@
                 used_up.add(region)
         return frozenset(used_up)
 
+    def _list_away(self, call: WaitingCall, allowed: list[Slots], now: float) -> list[Slots]:
+        """Return the upstreams of the other regions of which a part of the lent slots is left."""
+        departures = self._departures.get(call.service)
+        used_up = self._list_used_up(departures, allowed, now) if departures else frozenset()
+        return [
+            slots
+            for slots in allowed
+            if not self.is_home(slots.upstream)
+            and self._get_region(slots.upstream.zone) not in used_up
+        ]
+
+    def _pays(self, call: WaitingCall, upstream: Upstream, home_wait_s: float, now: float) -> bool:
+        """Return whether a call without a free slot at home should leave for an upstream."""
+        departures = self._departures.get(call.service)
+        is_leaving = departures is not None and departures.last_at > now - RETURN_AFTER_S
+        delay_s = self.estimate_delay(call, upstream)
+        price_s = self.estimate_price(call, upstream)
+        return should_leave(call, home_wait_s, delay_s, price_s, now, is_leaving=is_leaving)
+
     def _get_connect_s(self, zone: str) -> float:
         default_s = OTHER_ZONE_CONNECT_S if self._is_home(zone) else OTHER_REGION_CONNECT_S
         return self._connect_s.get(zone, default_s)
