Admit calls from the bucket directly where the tolerance allows it

Cause: claims cut a bucket into parts that are smaller than a few long calls while a fleet is small, so calls below the limit waited for the next report or got 429.

Change: a customer's calls are admitted directly as long as the demand of a flood during an interval of heartbeats fits into 0.67 of the tolerance. Claims remain for larger fleets, and until a daemon that starts or was frozen has heard the others. The use of daemons that are not heard is extrapolated in both modes.

--- a/camphorpath/placement/quota.py
+++ b/camphorpath/placement/quota.py
@@ -4,14 +4,18 @@
 refusing one whose bursts move from daemon to daemon. The limit applies to a sliding window and is
 rate times window plus burst.
 
-All daemons keep the same account of each customer: a token bucket that fills at a common rate. A
-daemon does not admit calls from the bucket but from units that it claimed from it. With each
-heartbeat it returns what is left of its last claim, claims its share of the bucket anew and reports
-the sum of what it has used and claimed. So the use of a daemon is known before it happens, also if
-the daemon is killed or frozen afterwards, and extrapolation from rates takes the form of claims:
-the shares follow the units that callers ask of each daemon. Between two heartbeats it claims no
-more than its share of what was left and of what is filled since. While another daemon is not heard,
-its use is extrapolated at its share. A daemon without others admits calls from the bucket directly.
+All daemons keep the same account of each customer: a token bucket that fills at a common rate. Each
+heartbeat reports the units used; while another daemon is not heard, its use is extrapolated at its
+share. What a flood uses before the others hear of it grows with the interval of heartbeats, which
+grows with the fleet. As long as the tolerance holds that much, calls are admitted from the bucket
+directly.
+
+Otherwise, and until a daemon that starts has heard the others, calls are admitted from units that
+the daemon claimed before. With each heartbeat it returns what is left of its last claim, claims its
+share of the bucket anew and reports the sum of what it has used and claimed. So the use of a daemon
+is known before it happens, also if the daemon is killed or frozen afterwards. The shares follow the
+units that callers ask of each daemon. Between two heartbeats it claims no more than its share of
+what was left and of what is filled since.
 
 A bucket that is filled at the rate alone would admit less than the limit under sustained demand, so
 it is filled faster and holds more than the burst, by the part of the tolerance that the lag of
@@ -25,6 +29,11 @@
 
 from ..routing import Customer
 
+# Demand of a flood, as a multiple of the rate: a customer that sends eight times its typical load.
+FLOOD_FACTOR = 8.0
+# Part of the tolerance that sustained demand may take while calls are admitted from the bucket
+# directly; the rest is for what daemons do not know of each other.
+DIRECT_TOLERANCE_SHARE = 0.33
 # Part of the tolerance that is left to calls larger than the burst, which overdraw the bucket.
 OVERDRAFT_SHARE = 0.25
 # Share of the burst that a call leaves to more urgent ones, per step of priority below the highest.
@@ -131,6 +140,8 @@
     # Units, as is `max_units`, the largest call.
     capacity: float
     max_units: float
+    # Whether calls are admitted from claims, instead of from the bucket directly.
+    uses_claims: bool
 
 
 @attrs.define
@@ -172,8 +183,10 @@
     _settled_at: float = -math.inf
     _reported_at: float = -math.inf
     _interval_s: float = MIN_INTERVAL_S
-    # Whether calls are admitted from claims.
+    # Whether other daemons use the buckets, too.
     _is_shared: bool = False
+    # Whether this daemon has heard of them since it started or was frozen.
+    _is_settled: bool = True
 
     def admit(self, customer: Customer, units: float, now: float, priority: int = 0) -> float:
         """Take the units of a call that arrives and return 0, or the seconds until it gets them.
@@ -205,16 +218,17 @@
         self._fill(account, now)
         if units > self._get_limits(customer).max_units:
             return False
+        uses_claims = self._get_limits(customer).uses_claims
         needed = self._count_needed(account, units, now, priority)
         missing = needed - self._get_available(account, now)
-        if self._is_shared and 0 < missing <= self._get_drawable(account, now):
+        if uses_claims and 0 < missing <= self._get_drawable(account, now):
             account.level -= missing
             account.claimed += missing
             account.drawn += missing
         elif missing > 0:
             account.lacking = max(account.lacking, needed)
             return False
-        if self._is_shared:
+        if uses_claims:
             account.claimed -= units
         else:
             account.level -= units
@@ -235,7 +249,7 @@
         missing = self._count_needed(account, units, now, priority) + ahead
         missing -= self._get_available(account, now)
         rate = self._get_limits(customer).fill_rate
-        if missing <= 0 or not self._is_shared:
+        if missing <= 0 or not self._get_limits(customer).uses_claims:
             return max(missing, 0) / rate
         # The rest is claimed from the next report on, with the demand known by then.
         share = self._get_share(account, now)
@@ -251,7 +265,7 @@
         if customer.rate <= 0:
             return
         account = self._accounts.get(customer.name)
-        if account is not None and self._is_shared:
+        if account is not None and self._get_limits(account.customer).uses_claims:
             account.claimed += units
         elif account is not None:
             capacity = self._get_limits(account.customer).capacity
@@ -328,6 +342,7 @@
         self._started_at = now
         self._settled_at = math.inf
         self._is_shared = True
+        self._is_settled = False
 
     def get_current(self, customer: Customer) -> Customer:
         """Return a customer as in the last manifest; unchanged if that does not limit it."""
@@ -376,9 +391,9 @@
         account.level = min(account.level + returned, capacity)
         available = max(account.level, 0)
         account.claimed = 0
-        if self._is_shared:
+        if self._get_limits(account.customer).uses_claims:
             share = self._get_share(account, now)
-            if now < self._settled_at:
+            if not self._is_settled:
                 share = min(share, START_SHARE)
             # The others claimed their shares of the bucket at other times: the share of this daemon
             # is that of what there was before.
@@ -427,10 +442,11 @@
         return (1 - idle_share) / self._taking_count if takes_calls else idle_share / idle_count
 
     def _get_available(self, account: _Account, now: float) -> float:
-        if not self._is_shared:
-            return account.level
-        # A claim of long ago was refilled meanwhile.
-        return 0 if self._is_frozen(now) else account.claimed
+        # What others used since the last report is not known after a long time.
+        if self._is_shared and self._is_frozen(now):
+            return 0
+        uses_claims = self._get_limits(account.customer).uses_claims
+        return account.claimed if uses_claims else account.level
 
     def _get_drawable(self, account: _Account, now: float) -> float:
         """Return the units that may be claimed before the next report.
@@ -451,7 +467,7 @@
         # A request above the capacity would never be admitted, so a full bucket is enough for it.
         capacity = self._get_limits(account.customer).capacity
         needed = min(units, capacity)
-        if self._is_shared:
+        if self._get_limits(account.customer).uses_claims:
             share = self._get_share(account, now)
             needed = min(units, capacity * MAX_CLAIM_SHARE)
         urgent = [
@@ -477,7 +493,8 @@
         live = [peer for peer in peers if peer.lost_at is None]
         lost_count = len(peers) - len(live)
         self._sharers = list(peers) if lost_count > len(live) else live
-        self._is_shared = bool(self._sharers) or now < self._settled_at
+        self._is_settled = now >= self._settled_at
+        self._is_shared = bool(self._sharers) or not self._is_settled
         self._taking_count = sum(1 for peer in self._sharers if peer.demand) + self._takes_calls()
 
     def _estimate_unheard(self, account: _Account, now: float) -> float:
@@ -516,7 +533,8 @@
     def _get_limits(self, customer: Customer) -> _Limits:
         """Return the limits of the bucket of a customer."""
         customer_limits = self._limits.get(customer.name)
-        key = (customer.rate, customer.burst, self._is_shared, self._interval_s)
+        is_alone = not self._is_shared
+        key = (customer.rate, customer.burst, is_alone, self._is_settled, self._interval_s)
         if customer_limits is None or customer_limits.key != key:
             customer_limits = self._compute_limits(customer, key)
             self._limits[customer.name] = customer_limits
@@ -525,14 +543,24 @@
     def _compute_limits(self, customer: Customer, key: tuple[float, ...]) -> _Limits:
         """Divide the tolerance between the fill rate, the capacity and what is not known in time.
 
-        Over a window, the daemons use at most a full bucket, the fill of the window and the lag (as
-        units are used up to an interval after they were claimed), and the claims that others do not
-        know of as a heartbeat is late or lost: at most another full bucket.
+        With claims, the daemons use over a window at most a full bucket, the fill of the window and
+        the lag (as units are used up to an interval after they were claimed), and the claims that
+        others do not know of as a heartbeat is late or lost: at most another full bucket.
         """
         bounds = self.bounds
         limit = customer.rate * bounds.window_s + customer.burst
         tolerance = bounds.overshoot * limit + bounds.allowance
         overdraft = OVERDRAFT_SHARE * tolerance
+        unknown = FLOOD_FACTOR * customer.rate * self._interval_s
+        is_known = self._is_settled and unknown <= (1 - DIRECT_TOLERANCE_SHARE) * tolerance
+        if self._is_shared and is_known:
+            return _Limits(
+                key=key,
+                fill_rate=customer.rate + DIRECT_TOLERANCE_SHARE * tolerance / bounds.window_s,
+                capacity=customer.burst,
+                max_units=customer.burst + overdraft,
+                uses_claims=False,
+            )
         lag_s: float = 0
         bucket_count = 1
         spare = tolerance - overdraft
@@ -550,4 +578,5 @@
             fill_rate=customer.rate + extra_rate,
             capacity=customer.burst + extra_capacity,
             max_units=customer.burst + overdraft,
+            uses_claims=self._is_shared,
         )
--- a/tests/placement/test_quota.py
+++ b/tests/placement/test_quota.py
@@ -173,3 +173,21 @@
             ledger.apply_report(incarnation, QuotaReport(used={}), 1, incarnation[:2])
         claims.append(ledger.make_report(1, INTERVAL_S).used['c'])
     assert claims[0] == pytest.approx(claims[1])
+
+
+def test_burst_at_one_daemon_of_a_small_fleet_is_admitted_at_once():
+    """Guards against calls below the limit that wait for a report although the tolerance holds."""
+    bounds = QuotaBounds(window_s=8, overshoot=0.1, allowance=190000)
+    customer = make_customer(rate=47000, burst=65520)
+    ledger = QuotaLedger(bounds, starts_full=True)
+    ledger.start(0)
+    ledger.set_customers([customer], 0)
+    for number in range(8):
+        for peer in range(8):
+            report = QuotaReport(used={}, demand={'c': 1000})
+            ledger.apply_report(f'd{peer}-1', report, number * INTERVAL_S)
+        ledger.make_report(number * INTERVAL_S, INTERVAL_S)
+    calls = [ledger.admit(customer, 4000, now=1.8) for _ in range(16)]
+    assert not any(calls)
+    # What the fleet uses is known in time to hold the limit, too.
+    assert ledger.admit(customer, 4000, now=1.8) > 0
