Count reports from after the current instant without growth

test_each_customer_above_its_share_and_each_odd_daemon_is_logged_once updated the shares at instant 0, while apply_heartbeat stamps the report of the peer with the lease clock. The retained share 0.5 ** ((now - received_at) / 5) is then above 1 and overflows once the machine has run for more than 5,120 s.

CustomerShares retains a count that is later than now unchanged, and the demand of a quota does not decay twice for the same seconds after such an instant. The other formulas of placement (pace, rate limits, the fill of quotas, speeds) and the counts of roll-outs already bound the elapsed time, or have none.

The two new tests fail without the changes in the product.

--- a/camphorpath/placement/customers.py
+++ b/camphorpath/placement/customers.py
@@ -173,8 +173,8 @@
         for waiting_account in waiting:
             waiting_account.last_call_at = now
             self._waited_at = now
-        retained = 0.5 ** ((now - self._updated_at) / SERVED_HALF_LIFE_S)
-        self._updated_at = now
+        retained = _compute_retained(self._updated_at, now)
+        self._updated_at = max(now, self._updated_at)
         for name, account in list(self._accounts.items()):
             account.served_tokens *= retained
             if _is_idle(account, now):
@@ -212,7 +212,7 @@
         total: collections.defaultdict[str, float] = collections.defaultdict(float)
         total.update(self.share_served())
         for report in self._reports.values():
-            retained = 0.5 ** ((now - report.received_at) / SERVED_HALF_LIFE_S)
+            retained = _compute_retained(report.received_at, now)
             for name, tokens in report.served.items():
                 total[name] += retained * tokens
         return total
@@ -234,6 +234,11 @@
             account.apply_overuse(served[name] / share if share else 0)
 
 
+def _compute_retained(counted_at: float, now: float) -> float:
+    """Return the share of a count that is left now; 1 for a count that is later than now."""
+    return 0.5 ** (max(now - counted_at, 0) / SERVED_HALF_LIFE_S)
+
+
 def _is_idle(account: Account, now: float) -> bool:
     """Return whether an account can be dropped: nothing of it counts or must be reported."""
     if account.is_reported or account.new_tokens or account.new_refusals:
--- a/camphorpath/placement/quota.py
+++ b/camphorpath/placement/quota.py
@@ -116,7 +116,7 @@
     def decay_demand(self, now: float) -> float:
         """Return the demand in units per second at `now`."""
         self.demand *= math.exp(min(self.demand_at - now, 0) / DEMAND_TIME_S)
-        self.demand_at = now
+        self.demand_at = max(now, self.demand_at)
         return self.demand
 
 
--- a/tests/placement/test_customers.py
+++ b/tests/placement/test_customers.py
@@ -129,6 +129,19 @@
     assert not shares._reports
 
 
+def test_instant_before_a_report_does_not_raise_the_counts():
+    """Guards against counts that grow without limit, and overflow, for a report from later on."""
+    shares = make_shares()
+    shares.update(1e6, [])
+    for name, tokens in (('a', 300), ('b', 100)):
+        shares.open_account(name, 1e6).record_placement(tokens)
+    shares.apply_report('d2', {'a': 300, 'b': 100}, 1e6)
+    for now in (0, 1e6):
+        shares.update(now, [])
+        assert shares.share_served() == {'a': 300, 'b': 100}
+        assert shares.open_account('a', now).overuse == pytest.approx(1.5)
+
+
 def test_idle_customer_leaves_the_others_within_their_shares():
     """Guards against shares that a customer without calls lowers for minutes."""
     shares = make_shares()
--- a/tests/placement/test_quota.py
+++ b/tests/placement/test_quota.py
@@ -92,6 +92,15 @@
     assert ledger.admit(customer, 100, 0) == 0
 
 
+def test_instant_before_an_arrival_does_not_lower_the_demand():
+    """Guards against demand that decays twice for the same seconds."""
+    ledger = QuotaLedger(BOUNDS, starts_full=True)
+    customer = make_customer()
+    for now in (100, 90):
+        ledger.record_arrival(customer, 10, now)
+    assert ledger.make_report(100, INTERVAL_S).demand == {customer.name: 20}
+
+
 def test_rate_of_zero_means_no_limit():
     """Guards against refusing customers without a quota."""
     ledger = QuotaLedger(STRICT, starts_full=False)
