Give concurrent test runs addresses of their own

Concurrent runs of the suite draw the same ones. The metrics port 9100 is fixed, so a daemon of the second run ended with "cannot listen on 127.169.138.3:9100: Address already in use", and wait_ready went on waiting for it until its limit of 30 s.

Fleets now draw from the system's generator and reserve their addresses by a bound socket. wait_ready fails at once, with the log, if a process has ended by itself. Its limit is unchanged; the product was not at fault.

--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -26,6 +26,13 @@
 # Exit codes of processes that were told to end.
 ENDS = frozenset((0, -signal.SIGTERM, -signal.SIGKILL))
 END_LIMIT_S = 2.0
+# Other tests seed the global generator, so that concurrent test runs would draw the same addresses.
+ADDRESSES = random.SystemRandom()
+NET_ATTEMPTS = 100
+# Port of the first host of a net that marks the net as taken; the daemons use it on other hosts.
+RESERVED_PORT = 9100
+# Characters of the log of a daemon that ended which an error shows.
+SHOWN_LOG_LENGTH = 2000
 PORT_NAMES = ('frontend', 'ready', 'control_plane', 'directory_service', 'internal')
 BOUNDS = {
     'seed_lag_s': 3,
@@ -211,6 +218,13 @@
                 for link in links:
                     link.heal()
 
+    def check_running(self):
+        """Raise AssertionError with the end of the log if the process has ended by itself."""
+        if not self.is_running and not self.is_starting and not self.is_ending:
+            log = self.log_path.read_text(errors='replace')[-SHOWN_LOG_LENGTH:]
+            message = f'{self.name} ended by itself with {self.process.returncode}: {log}'
+            raise AssertionError(message)
+
     async def is_ready(self):
         answer = await fetch(f'{self.host}:{self.ports["ready"]}', '/camphorpath/readyz')
         return answer is not None and answer[0] == 200
@@ -307,7 +321,8 @@
     async def wait_ready(self, daemons):
         async with asyncio.timeout(READY_LIMIT_S):
             for daemon in daemons:
-                while not await daemon.is_ready():  # noqa: ASYNC110  it is asked
+                while not await daemon.is_ready():
+                    daemon.check_running()
                     await asyncio.sleep(0.05)
 
     def choose_address(self):
@@ -334,7 +349,7 @@
         stack.push_async_callback(_end_tasks, others)
         if folder is None:
             folder = stack.enter_context(tempfile.TemporaryDirectory(prefix='camphorpath-'))
-        net = f'127.{random.randint(16, 250)}.{random.randint(1, 250)}'
+        net = stack.enter_context(reserve_net())
         fleet = Fleet(pathlib.Path(folder), rng, MetadataStore(), net=net)
         store_host = f'{net}.1'
         async with fleet.store.serve(store_host, find_free_ports([store_host], 1)[0]):
@@ -347,6 +362,22 @@
                 await fleet.close()
 
 
+@contextlib.contextmanager
+def reserve_net():
+    """Yield the first three parts of loopback addresses that no other fleet uses until the end."""
+    for _ in range(NET_ATTEMPTS):
+        net = f'127.{ADDRESSES.randint(16, 250)}.{ADDRESSES.randint(1, 250)}'
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as reserved:
+            try:
+                reserved.bind((f'{net}.1', RESERVED_PORT))
+            except OSError:
+                continue
+            yield net
+            return
+    message = f'port {RESERVED_PORT} is taken on {NET_ATTEMPTS} loopback addresses'
+    raise OSError(message)
+
+
 async def _end_tasks(others):
     """Wait for the tasks of closed connections, and cancel the rest."""
     await asyncio.sleep(0)
@@ -434,7 +465,7 @@
     """Return ports that are free on all hosts, over TCP and UDP."""
     found = []
     while len(found) < count:
-        port = random.randint(20000, 32000)
+        port = ADDRESSES.randint(20000, 32000)
         if port in found:
             continue
         try:
