Choose the ports of tests of heartbeats and stream queries per run

Cause: four tests bound the UDP ports 47391 to 47394, so that one of two test runs side by side failed with "Address already in use".

Change: the ports are found as for fleets of processes.

--- a/tests/cluster/test_heartbeats.py
+++ b/tests/cluster/test_heartbeats.py
@@ -12,7 +12,10 @@
 from camphorpath.cluster.members import Members
 from camphorpath.schema import camphorpath_pb2 as pb
 
-PORT = 47391
+from ..processes.fleet import find_free_ports
+
+# Test runs side by side need ports of their own.
+PORT = find_free_ports(['127.0.0.1', '127.0.0.2'], 1)[0]
 
 
 def make_heartbeat(**fields):
--- a/tests/edge/test_stream_copies.py
+++ b/tests/edge/test_stream_copies.py
@@ -22,10 +22,13 @@
 from camphorpath.streams import Origin, OriginLookup, StreamRecords, digest_stream
 from camphorpath.streams import records as records_module
 
+from ..processes.fleet import find_free_ports
 from ..relay.support import make_context
 from .test_state import SETTINGS
 
 V1, V2, UNKNOWN = Origin('llm', 'v1'), Origin('llm', 'v2'), Origin('llm', '')
+# Test runs side by side need ports of their own.
+PORT = find_free_ports(['127.0.0.1', '127.0.0.2'], 1)[0]
 STREAM = b'attempt-1'
 DIGEST = digest_stream(STREAM)
 ZONES = ('a', 'b', 'c')
@@ -498,7 +501,7 @@
         async with anyio.create_task_group() as group:
             for number in (1, 2):
                 settings = attrs.evolve(
-                    SETTINGS, name=f'd{number}', host=f'127.0.0.{number}', heartbeat_port=47394
+                    SETTINGS, name=f'd{number}', host=f'127.0.0.{number}', heartbeat_port=PORT
                 )
                 daemon = daemon_module.build_edge(settings)
                 receiver = daemon_module._make_receiver(daemon)
@@ -521,7 +524,7 @@
     """Guards against a suspension that only the members and the follower learn of."""
 
     async def test():
-        settings = attrs.evolve(SETTINGS, host='127.0.0.1', heartbeat_port=47394)
+        settings = attrs.evolve(SETTINGS, host='127.0.0.1', heartbeat_port=PORT)
         daemon = daemon_module.build_edge(settings)
         instants = itertools.chain([0, 10], itertools.repeat(10))
         recorded = []
--- a/tests/edge/test_stream_queries.py
+++ b/tests/edge/test_stream_queries.py
@@ -23,10 +23,12 @@
 from camphorpath.schema import camphorpath_pb2 as pb
 from camphorpath.streams import Origin, Source, StreamRecords, digest_stream
 
+from ..processes.fleet import find_free_ports
 from ..relay.support import make_context
 from .test_state import SETTINGS
 
-PORT = 47393
+# Test runs side by side need ports of their own.
+PORT = find_free_ports([f'127.0.0.{number}' for number in (1, 2)], 1)[0]
 ORIGIN = Origin('llm-chat', 'v1.1')
 STREAM = b'attempt-1'
 DIGEST = digest_stream(STREAM)
