Keep the order of calls while the load rises for all customers

Cause: what customers were served in some seconds exceeds their shares by chance. Their calls then went behind those of the others and were no longer ordered by size, so fewer calls were served on small deployments without a flood.

Change: a customer with a quota is shifted only while its callers ask for 1.5 times as much of its quota as those of its priority do on average. The demand is the one that the quotas exchange.

--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -128,6 +128,7 @@
         get_budget_share=lambda: state.compute_budget_share(),
     )
     relay.quota.start(read_lease_clock())
+    relay.scheduler.customers.read_demand = relay.quota.get_demand
     state = DaemonState(settings=settings, incarnation=incarnation, relay=relay, members=members)
     store = MetadataStore(settings.store_url)
     peers = make_state_client()
--- a/camphorpath/placement/customers.py
+++ b/camphorpath/placement/customers.py
@@ -4,12 +4,13 @@
 the weighted tokens of the calls that it places, by customer; the counts decay, and daemons exchange
 them. The share of a customer is the part of what all customers of its priority were served that its
 weight gives it. A waiting call of a customer above its share is ordered behind those of the
-customers at or below theirs, but never behind the next rank.
+customers at or below theirs, but never behind the next rank. A customer whose callers do not ask
+for much more than its share, as in a load that rises for all, keeps the order of its calls.
 """
 
 import collections
 import math
-from collections.abc import Collection, Iterable, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 
 import attrs
 
@@ -43,6 +44,10 @@
 # How fast a call moves behind those of customers within their share: nearly all of the way at 1.2
 # times the share, so that a customer at many times its usual traffic gets little more than that.
 OVERUSE_STEEPNESS = 32.0
+# A customer with a quota is shifted only if its callers ask for this multiple of what the others
+# ask for, relative to their quotas. What customers were served in some seconds exceeds their shares
+# by chance as well, and calls that change their order for that are no longer ordered by size.
+FLOOD_FACTOR = 1.5
 # Part of the shift by size that remains above the share: at most as much as one doubling of the
 # overuse. Without it, the calls of customers that are equally far above their shares, because the
 # others send little, are not ordered by size.
@@ -119,6 +124,9 @@
 class CustomerShares:
     """The customers of the manifest, and what they were served by all daemons."""
 
+    # Returns the units per second that callers of a customer with a quota ask of all daemons.
+    # None if it is not known.
+    read_demand: Callable[[str], float] | None = None
     # By name; empty if the manifest holds no customers.
     _customers: dict[str, Customer] = attrs.field(factory=dict)
     _weights: dict[str, float] = attrs.field(factory=dict)
@@ -227,11 +235,40 @@
                 continue
             tokens_by_priority[customer.priority] += tokens
             weight_by_priority[customer.priority] += self._weights[name]
+        flooding = self._find_flooding(served)
         for name, account in self._accounts.items():
             priority = self._customers[name].priority
             weight_share = self._weights[name] / weight_by_priority[priority]
             share = weight_share * tokens_by_priority[priority]
-            account.apply_overuse(served[name] / share if share else 0)
+            is_above = share and name in flooding
+            account.apply_overuse(served[name] / share if is_above else 0)
+
+    def _find_flooding(self, served: Mapping[str, float]) -> frozenset[str]:
+        """Return the customers that ask for much more of their quotas than those of their priority.
+
+        Customers of which the demand is not known are among them.
+        """
+        customers = [self._customers[name] for name in served if name in self._customers]
+        limited = [customer for customer in customers if customer.rate > 0]
+        if self.read_demand is None or not limited:
+            return frozenset(served)
+        # Demand as a multiple of the rate, as rates in tokens and in requests cannot be compared.
+        demands = {
+            customer.name: self.read_demand(customer.name) / customer.rate for customer in limited
+        }
+        weight_by_priority: collections.defaultdict[int, float] = collections.defaultdict(float)
+        demand_by_priority: collections.defaultdict[int, float] = collections.defaultdict(float)
+        for customer in limited:
+            weight = self._weights[customer.name]
+            weight_by_priority[customer.priority] += weight
+            demand_by_priority[customer.priority] += weight * demands[customer.name]
+        usual = [
+            customer.name
+            for customer in limited
+            if demands[customer.name] * weight_by_priority[customer.priority]
+            < FLOOD_FACTOR * demand_by_priority[customer.priority]
+        ]
+        return frozenset(served) - frozenset(usual)
 
 
 def _compute_retained(counted_at: float, now: float) -> float:
--- a/camphorpath/placement/quota.py
+++ b/camphorpath/placement/quota.py
@@ -344,6 +344,14 @@
         self._is_shared = True
         self._is_settled = False
 
+    def get_demand(self, name: str) -> float:
+        """Return the units per second that callers lately asked of all daemons for a customer.
+
+        It is 0 for a customer that is not known or has no quota.
+        """
+        account = self._accounts.get(name)
+        return account.demand + max(account.others_demand, 0) if account else 0
+
     def get_current(self, customer: Customer) -> Customer:
         """Return a customer as in the last manifest; unchanged if that does not limit it."""
         account = self._accounts.get(customer.name)
--- a/tests/placement/test_customers.py
+++ b/tests/placement/test_customers.py
@@ -106,6 +106,18 @@
     assert small / 3 < mean / 2 < large / 3
 
 
+def test_calls_keep_their_order_while_the_load_rises_for_all_customers():
+    """Guards against fewer served calls as chance moves customers above their shares."""
+    shares = make_shares([100] * 8)
+    shares.read_demand = {'a': 300, 'b': 700, 'c': 200}.__getitem__
+    for name, tokens in (('a', 300), ('b', 300), ('c', 10)):
+        shares.open_account(name, 0).record_placement(tokens)
+    shares.update(0, [])
+    shifts = [shares.open_account(name, 0).overuse_shift for name in 'abc']
+    assert shifts[0] == shifts[2] == 0
+    assert shifts[1] > 0
+
+
 def test_no_share_moves_a_call_past_another_rank():
     """Guards against an urgent call that waits behind a less urgent one of another customer."""
     harness = SchedulerHarness([])
