Give orders in the soak of real processes and check their rules

Change: a service of its own, with callers of its own, is moved by seeded orders to good versions and to bad ones, which fail or slow down a part of their answers from the start or later. Checked are the requests after the 50th bad answer, the share that a bad version gets, that only one of `completed` and `reverted` is written, and, as for all streams, that none holds events of two versions, also when the old upstreams stop at `completed`. `--without has_orders` leaves it out. The random numbers of the troubles, releases and other callers are drawn as before.

--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -48,6 +48,9 @@
     'recovery_time_s': 12,
     'pass_latency_ms': 200,
     'ttl_max_s': 5,
+    'canary_share': 0.1,
+    'canary_allowance': 50,
+    'rollback_timeout_ms': 5000,
 }
 LIMITS = {
     'max_header_bytes': 16384,
--- a/tests/processes/soak.py
+++ b/tests/processes/soak.py
@@ -11,6 +11,7 @@
 from camphorpath.edge.streams import MAX_SEEN_LAG_S
 from camphorpath.streams.services import HORIZON_MARGIN_S, HORIZON_TIMEOUTS
 
+from . import orders as service_orders
 from .callers import DEADLINE_S, Caller, count_take_ups, list_run_faults
 from .fleet import ROUTES, make_manifest, make_route, open_fleet
 from .releases import OLD, SHARES, list_releases
@@ -53,6 +54,8 @@
     # away for long while versions change; both only with overlapping releases.
     has_returning_version: bool = True
     has_long_store_loss: bool = True
+    # Whether a service of its own is moved to good and bad versions by orders.
+    has_orders: bool = True
 
     @property
     def longest_timeout_ms(self):
@@ -76,6 +79,7 @@
     record: list
     exit_codes: list
     take_ups: TakeUps
+    orders: list
 
     def summarize(self):
         taken_up, gone_on = count_take_ups(self.streams)
@@ -85,6 +89,7 @@
             f'{gone_on} went on, {len(self.bookings)} bookings, '
             f'{sum(booking.status is None for booking in self.bookings)} unanswered, '
             f'{len(self.faults)} faults, exit codes {self.exit_codes}; {self.take_ups.summarize()}'
+            f'; orders: {[order.describe() for order in self.orders]}'
         )
 
 
@@ -97,6 +102,8 @@
         for zone in 'ab':
             await fleet.add_upstream(OLD, service='spare', zone=zone, **SHARES)
             await fleet.add_upstream(OLD, service='ledger', zone=zone, repeat_share=0.05)
+        runs = []
+        old = await service_orders.add_upstreams(fleet, OLD, runs) if plan.has_orders else []
         await fleet.start_daemons()
         await asyncio.sleep(SETTLE_S)
         callers = [_make_caller(fleet, number, plan) for number in range(plan.caller_count)]
@@ -106,6 +113,13 @@
                 group.create_task(_call(fleet, caller, plan, until))
             troubles = Troubles(fleet, plan)
             group.create_task(troubles.play(until))
+            if plan.has_orders:
+                for number in range(service_orders.CALLER_COUNT):
+                    callers.append(_make_caller(fleet, f'moved/{number}', plan))
+                    calling = service_orders.call_service(fleet, callers[-1], until)
+                    group.create_task(calling)
+                play = service_orders.play_orders(fleet, plan, until, old, runs)
+                playing = group.create_task(play)
             for release in list_releases(fleet, plan, until, troubles.kill_all):
                 group.create_task(release)
         for caller in callers:
@@ -116,8 +130,10 @@
         faults += list_run_faults(callers, fleet.upstreams)
         faults += [fault for daemon in fleet.daemons for fault in daemon.list_faults()]
         codes = [code for daemon in fleet.daemons for code in daemon.exit_codes if code != -9]
+        orders = playing.result() if plan.has_orders else []
+        faults += [fault for order in orders for fault in order.list_faults()]
         take_ups = measure_take_ups(streams)
-        return Outcome(faults, streams, bookings, fleet.record, codes, take_ups)
+        return Outcome(faults, streams, bookings, fleet.record, codes, take_ups, orders)
 
 
 def make_routes(plan, *, service=SERVICES[0], is_resumable=True, has_longer_prefix=False):
@@ -126,6 +142,9 @@
     routes = [route | (changes if route['service'] in SERVICES else {}) for route in ROUTES]
     if not is_resumable:
         routes[0] |= {'stream_resume': False}
+    if plan.has_orders:
+        service = service_orders.SERVICE
+        routes.append(make_route('move', service_orders.PATH, service, timeout_ms=plan.timeout_ms))
     if plan.has_second_kind:
         routes.append(make_route('tale', '/tale/', service, timeout_ms=plan.longest_timeout_ms))
     if has_longer_prefix:
@@ -136,7 +155,7 @@
 
 def _make_caller(fleet, number, plan):
     rng = random.Random(f'{plan.seed}/{number}')
-    is_slow = number % 8 == 7
+    is_slow = isinstance(number, int) and number % 8 == 7
     return Caller(
         rng,
         fleet.choose_address,
--- a/tests/processes/store.py
+++ b/tests/processes/store.py
@@ -60,6 +60,8 @@
     # Share of the writes whose answer is lost, chosen by their number.
     lost_writes: int = 0
     calls: dict = attrs.field(factory=dict)
+    # Called with the place and the content of each row that a daemon writes.
+    on_write: object = lambda place, content: None
     history: list = attrs.field(factory=list)
     copies: list = attrs.field(factory=list)
     # The oldest revision after which all changes are known.
@@ -256,7 +258,9 @@
                 return 412, {'rows': [], 'row_version': self.revision}
         self.revision += 1
         for entry in body.get('write', ()):
-            self._apply(_get_place(entry), base64.b64decode(entry['value']))
+            content = base64.b64decode(entry['value'])
+            self._apply(_get_place(entry), content)
+            self.on_write(_get_place(entry), content)
         for entry in body.get('remove', ()):
             self._apply(_get_place(entry), None)
         self._notify()
--- a/tests/processes/upstreams.py
+++ b/tests/processes/upstreams.py
@@ -47,6 +47,12 @@
     misplaced_share: float = 0.0
     # Share of the answers after which an old one is sent once more on the connection.
     repeat_share: float = 0.0
+    # Share of the answers that are bad from an instant on the monotonic clock on, as they fail or
+    # begin some seconds late, and when bad ones began.
+    bad_share: float = 0.0
+    bad_from: float = 0.0
+    slow_s: float = 0.0
+    bad_times: list[float] = attrs.field(factory=list)
     # On the monotonic clock: until when nothing is sent, and until when requests are refused.
     stalled_until: float = 0.0
     refusing_until: float = 0.0
@@ -134,6 +140,11 @@
         self.runs.append(Run(attempt, headers.get('last-event-id', ''), request.path))
         self.on_run(self, request)
         try:
+            if self._is_bad() and not self.slow_s:
+                self.bad_times.append(time.monotonic())
+                writer.write(make_head(500, self._make_headers(attempt) | {'Content-Length': 0}))
+                await writer.drain()
+                return True
             if request.path.startswith('/book/'):
                 return await self._answer_booking(attempt, writer)
             return await self._stream(request, attempt, writer)
@@ -148,6 +159,10 @@
         await writer.drain()
         return True
 
+    def _is_bad(self):
+        is_begun = self.bad_share > 0 and time.monotonic() >= self.bad_from
+        return is_begun and self.rng.random() < self.bad_share
+
     async def _answer_booking(self, attempt, writer):
         await asyncio.sleep(self.event_interval_s)
         await self._wait_out_stall()
@@ -211,6 +226,9 @@
         headers = self._make_headers(attempt) | {'Content-Type': 'text/event-stream'}
         headers |= {'Transfer-Encoding': 'chunked'} if is_chunked else {'Connection': 'close'}
         await asyncio.sleep(self.event_interval_s)
+        if self.slow_s and self._is_bad():
+            await asyncio.sleep(self.slow_s)
+            self.bad_times.append(time.monotonic())
         writer.write(make_head(200, headers))
         for number in range(first, total + 1):
             if number == silent_at:
