Bound what a daemon buffers for slow callers and slow upstreams

Cause: whole messages were bounded, but not the bytes that streams and unsent requests hold for peers that read slowly. A caller that stopped reading held its slot until its deadline or until the upstream aborted the response.

Change: with a memory limit in the settings (limits.memory_mb), a ledger counts request bodies, their unsent copies, whole answers and what callers have not taken; a quarter of the limit is the bound. A caller that acknowledges nothing of a waiting stream for 8 s counts as disconnected. Above half of the bound, readers without progress for 4 s end, the most bytes for the longest time first. Requests above 64 KiB that do not fit with one copy are refused with 503 before their body is read; the most urgent routes may fill the whole bound. Progress is measured by unacknowledged bytes, and streams are sent in parts of 1 KiB, as larger parts are acknowledged in larger steps.

--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -19,6 +19,7 @@
 from ..cluster.state_transfer import make_state_client
 from ..errors import PlatformError, TableOutcomeUnknown, TableUnavailable
 from ..events import Event, EventLog
+from ..memory.bounds import make_bounds
 from ..placement.budget import RetryBudget
 from ..placement.quota import QuotaBounds, QuotaLedger
 from ..placement.scheduler import Scheduler
@@ -28,6 +29,7 @@
 from ..platform.wire import HEADER_NAMES
 from ..relay.context import RelayContext
 from ..relay.egress import emit_egress_changes
+from ..relay.memory import relieve_memory
 from ..relay.metrics import RelayMetrics
 from ..relay.reports import ReportReader
 from ..relay.server import serve_calls, serve_pages
@@ -127,6 +129,7 @@
         metrics=RelayMetrics(),
         get_budget_share=lambda: state.compute_budget_share(),
     )
+    relay.memory.apply_bounds(make_bounds(settings.memory_mb))
     relay.quota.start(read_lease_clock())
     state = DaemonState(settings=settings, incarnation=incarnation, relay=relay, members=members)
     store = MetadataStore(settings.store_url)
@@ -364,6 +367,7 @@
         daemon.relay.scheduler.expire(now)
         report_customers(daemon.relay, now)
         emit_egress_changes(daemon.relay, now)
+        relieve_memory(daemon.relay)
         daemon.quarantine.update(now)
         if daemon.rollouts is not None:
             daemon.rollouts.update(now)
--- a/camphorpath/edge/pages.py
+++ b/camphorpath/edge/pages.py
@@ -11,6 +11,7 @@
 from ..relay.caller import CallerRequest
 from ..relay.context import RelayContext
 from ..relay.headers import find_header
+from ..relay.memory import update_memory_metrics
 from ..relay.server import PageAnswer
 from .state import DaemonState
 
@@ -87,6 +88,7 @@
         if request.path != METRICS_PATH:
             return STATUS_NOT_FOUND, [], b''
         relay.metrics.in_progress.set({}, relay.in_progress)
+        update_memory_metrics(relay)
         body, headers = render(relay.metrics.registry, [])
         pairs = [(name.lower().encode(), text.encode()) for name, text in headers.items()]
         return STATUS_OK, pairs, body
--- a/camphorpath/edge/settings.py
+++ b/camphorpath/edge/settings.py
@@ -59,6 +59,8 @@
     is_first_start: bool
     # Processor time that this machine provides, in cores.
     cores: float
+    # Memory limit of the process in MB; 0 if none is stated.
+    memory_mb: float = 0
     store_url: str
     bounds: Bounds
     # Write calls that all daemons together may send to the store.
--- a/camphorpath/relay/caller.py
+++ b/camphorpath/relay/caller.py
@@ -8,11 +8,13 @@
 import attrs
 import h11
 
-from ..buffers import BufferPool, Reservation
+from ..buffers import Reservation
 from ..errors import CallerDisconnected, Refusal
+from ..memory.ledger import MemoryLedger
 from ..routing import CallerLimits
 from .headers import Headers, find_header
 from .messages import parse_event
+from .slow_readers import send_stream, send_whole
 from .sockets import Connection
 
 STATUS_BAD_REQUEST = 400
@@ -74,8 +76,10 @@
     is_idle: bool = False
     # Returns the current limits when a request begins; None if they never change.
     read_limits: Callable[[], CallerLimits] | None = None
-    # The bodies of the requests of all callers.
-    buffers: BufferPool = attrs.field(factory=BufferPool)
+    # What is buffered for all callers.
+    memory: MemoryLedger = attrs.field(factory=MemoryLedger)
+    # Returns whether the request with this target and these headers is for a most urgent route.
+    is_urgent: Callable[[bytes, Headers], bool] = lambda target, headers: False
     # The body of the current request.
     _reservation: Reservation = attrs.field(init=False)
     _is_sending: bool = False
@@ -84,7 +88,7 @@
 
     @_reservation.default
     def _make_reservation(self) -> Reservation:
-        return Reservation(self.buffers)
+        return Reservation(self.memory.requests)
 
     @http.default
     def _make_http(self) -> h11.Connection:
@@ -122,7 +126,7 @@
         if b'content-length' in names and b'transfer-encoding' in names:
             # Two lengths allow request smuggling: a request hidden in the body of another one.
             raise _refuse('both content-length and transfer-encoding', STATUS_BAD_REQUEST)
-        body = await self._read_body(headers)
+        body = await self._read_body(head.target, headers)
         return CallerRequest(head.method, head.target, headers, body, first_byte_at)
 
     async def wait_until_closed(self) -> None:
@@ -157,15 +161,15 @@
         if self._is_end_unmarked:
             self.connection.set_reset_on_exit(is_set=True)
         payload = self._render_head(status, [*headers, (b'transfer-encoding', b'chunked')])
-        await self._send(payload + (self.http.send(h11.Data(data=first)) or b''))
+        await self._send_stream(payload + (self.http.send(h11.Data(data=first)) or b''))
 
     async def send_part(self, part: bytes) -> None:
         """Send a part of a chunked answer; raise CallerDisconnected."""
-        await self._send(self.http.send(h11.Data(data=part)) or b'')
+        await self._send_stream(self.http.send(h11.Data(data=part)) or b'')
 
     async def end_stream(self) -> None:
         """Send the end of a chunked answer; raise CallerDisconnected."""
-        await self._send(self.http.send(h11.EndOfMessage()) or b'')
+        await self._send_stream(self.http.send(h11.EndOfMessage()) or b'')
         if self._is_end_unmarked:
             self.connection.set_reset_on_exit(is_set=False)
 
@@ -284,12 +288,11 @@
                 raise CallerDisconnected(repr(error), step='read_request') from error
             self.http.receive_data(chunk)
 
-    async def _read_body(self, headers: Headers) -> bytes:
+    async def _read_body(self, target: bytes, headers: Headers) -> bytes:
         stated = find_header(headers, b'content-length')
-        if stated and self._exceeds(int(stated), get_max_body_bytes):
-            raise _refuse(
-                f'request body exceeds {self.limits.max_body_bytes} bytes', STATUS_TOO_LARGE
-            )
+        if stated:
+            self._check_body_size(int(stated))
+            self._check_memory(int(stated), 0, target, headers)
         body = bytearray()
         while True:
             event: object = None
@@ -305,22 +308,33 @@
                 )
             body += event.data
             self._reserve(body)
-            if self._exceeds(len(body), get_max_body_bytes):
-                raise _refuse(
-                    f'request body exceeds {self.limits.max_body_bytes} bytes', STATUS_TOO_LARGE
-                )
+            self._check_memory(len(body), len(body), target, headers)
+            self._check_body_size(len(body))
+
+    def _check_body_size(self, size: int) -> None:
+        if self._exceeds(size, get_max_body_bytes):
+            raise _refuse(
+                f'request body exceeds {self.limits.max_body_bytes} bytes', STATUS_TOO_LARGE
+            )
 
     def _reserve(self, body: bytearray) -> None:
         """Count a body as held; clear it and raise Refusal if those of all callers are too long."""
         if self._reservation.resize(len(body)):
             return
         body.clear()
-        raise Refusal(
-            'no_memory',
-            'the requests in progress exceed the memory for their bodies',
-            retry_after_s=MEMORY_RETRY_AFTER_S,
-            step='read_request',
-        )
+        raise _refuse_memory()
+
+    def _check_memory(self, size: int, counted: int, target: bytes, headers: Headers) -> None:
+        """Raise Refusal if too much is buffered for a body of `size` bytes.
+
+        Of these, `counted` bytes are buffered already.
+        """
+        if self.memory.admits(size, counted, is_urgent=False):
+            return
+        if not (
+            self.is_urgent(target, headers) and self.memory.admits(size, counted, is_urgent=True)
+        ):
+            raise _refuse_memory()
 
     @property
     def _is_end_unmarked(self) -> bool:
@@ -337,16 +351,33 @@
             headers = [*headers, (b'connection', b'close')]
         return self.http.send(h11.Response(status_code=status, headers=headers))
 
-    async def _send(self, payload: bytes) -> None:
+    async def _send_stream(self, payload: bytes) -> None:
+        await self._send(payload, is_stream=True)
+
+    async def _send(self, payload: bytes, *, is_stream: bool = False) -> None:
         # Remains set if an error or a cancellation leaves bytes unsent.
         self._is_sending = True
         try:
-            await self.connection.send_all(payload)
+            if self.memory.bounds is None:
+                await self.connection.send_all(payload)
+            elif is_stream:
+                await send_stream(self.connection, payload, self.memory)
+            else:
+                await send_whole(self.connection, payload, self.memory)
         except OSError as error:
             raise CallerDisconnected(repr(error), step='send_answer') from error
         self._is_sending = False
 
 
+def _refuse_memory() -> Refusal:
+    return Refusal(
+        'no_memory',
+        'the requests in progress exceed the memory for their bodies',
+        retry_after_s=MEMORY_RETRY_AFTER_S,
+        step='read_request',
+    )
+
+
 def _refuse(message: str, status: int) -> Refusal:
     return Refusal('bad_request', message, status=status, step='read_request')
 
--- a/camphorpath/relay/context.py
+++ b/camphorpath/relay/context.py
@@ -10,6 +10,7 @@
 from ..buffers import BufferPool
 from ..clocks import read_lease_clock
 from ..events import EventLog
+from ..memory.ledger import MemoryLedger
 from ..placement.budget import RetryBudget
 from ..placement.crashes import Pattern
 from ..placement.quarantine import Quarantine
@@ -19,8 +20,9 @@
 from ..rollouts.registry import Rollouts
 from ..routing import CallerLimits, RoutingTable, Upstream
 from ..streams import OriginLookup
-from .caller import CallerConnection
+from .caller import CallerConnection, CallerRequest
 from .header_names import HeaderNames
+from .headers import Headers
 from .metrics import RelayMetrics
 from .reports import ReportReader
 from .upstream import UpstreamPool
@@ -39,10 +41,8 @@
     quota: QuotaLedger
     budget: RetryBudget
     pool: UpstreamPool
-    # Parts of answers that are held until they can be passed on.
-    buffers: BufferPool = attrs.field(factory=BufferPool)
-    # Bodies of requests.
-    request_buffers: BufferPool = attrs.field(factory=BufferPool)
+    # What is buffered for callers and upstreams.
+    memory: MemoryLedger = attrs.field(factory=MemoryLedger)
     # None if upstreams report no incarnation; then their entries tell their versions.
     reports: ReportReader | None = None
     quarantine: Quarantine = attrs.field(factory=Quarantine)
@@ -88,15 +88,30 @@
         return QuotaQueue(self.quota)
 
     def __attrs_post_init__(self) -> None:
-        """Give the roll-outs to the scheduler."""
+        """Give the roll-outs to the scheduler and the bounds on memory to the connections."""
+        self.pool.memory = self.memory
         if self.rollouts is not None:
             self.scheduler.rollouts = self.rollouts
 
+    @property
+    def buffers(self) -> BufferPool:
+        """Parts of answers that are held until they can be passed on."""
+        return self.memory.answers
+
     @property
     def limits(self) -> CallerLimits:
         """The current limits on the requests of callers."""
         return self.routing_table.limits if self.routing_table else CallerLimits()
 
+    def is_urgent(self, target: bytes, headers: Headers) -> bool:
+        """Return whether a request is for a route of the most urgent priority."""
+        table = self.routing_table
+        if table is None:
+            return False
+        request = CallerRequest(b'', target, headers, b'')
+        route = table.find_route(request.host, request.path)
+        return route is not None and route.priority == min(each.priority for each in table.routes)
+
     def apply_routing_table(self, table: RoutingTable) -> None:
         """Replace the routing table by that of a newer manifest."""
         self.routing_table = table
--- a/camphorpath/relay/metrics.py
+++ b/camphorpath/relay/metrics.py
@@ -21,6 +21,8 @@
     customer_tokens: Counter = attrs.field(init=False)
     customer_refusals: Counter = attrs.field(init=False)
     by_distance: Counter = attrs.field(init=False)
+    buffered_bytes: Gauge = attrs.field(init=False)
+    ended_readers: Counter = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Register the metrics."""
@@ -68,6 +70,16 @@
             'Tokens of the calls that got a slot, by customer.',
             registry=registry,
         )
+        self.buffered_bytes = Gauge(
+            'camphorpath_buffered_bytes',
+            'Bytes buffered for callers and upstreams: request, answer, to_caller, to_upstream.',
+            registry=registry,
+        )
+        self.ended_readers = Counter(
+            'camphorpath_ended_readers_total',
+            'Callers and upstreams given up as they read nothing, by kind and reason.',
+            registry=registry,
+        )
         self.customer_refusals = Counter(
             'camphorpath_customer_refusals_total',
             'Calls that got no slot in time, by customer.',
--- a/camphorpath/relay/server.py
+++ b/camphorpath/relay/server.py
@@ -31,6 +31,7 @@
 from .context import RelayContext
 from .headers import Headers
 from .quota import return_units, take_quota
+from .slow_readers import MAX_UNSENT_BYTES
 from .sockets import Connection, accept_connections
 
 PageAnswer = tuple[int, Headers, bytes]
@@ -56,8 +57,11 @@
             connection,
             context.limits,
             read_limits=lambda: context.limits,
-            buffers=context.request_buffers,
+            memory=context.memory,
+            is_urgent=context.is_urgent,
         )
+        if context.memory.bounds is not None:
+            connection.limit_unsent(MAX_UNSENT_BYTES)
         context.connections.add(caller)
         try:
             await _serve_connection(context, caller)
--- a/camphorpath/relay/sockets.py
+++ b/camphorpath/relay/sockets.py
@@ -5,9 +5,12 @@
 """
 
 import contextlib
+import fcntl
 import select
 import socket
 import struct
+import sys
+import termios
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -25,6 +28,8 @@
 MS_PER_S = 1000
 # Value of SO_LINGER that makes close() send a reset.
 LINGER_RESET = struct.pack('ii', 1, 0)
+# Size of the C type int, in which the kernel counts queued bytes.
+INT_BYTES = struct.calcsize('i')
 LINGER_OFF = struct.pack('ii', 0, 0)
 ACCEPT_RETRY_DELAY_S = 0.05
 # Polling interval for a close by the peer behind unread input: work for a caller that left must end
@@ -64,10 +69,10 @@
                 return received
             await self._wait(anyio.wait_readable)
 
-    def try_send(self, payload: bytes | memoryview) -> int:
+    def try_send(self, payload: bytes | memoryview, flags: int = 0) -> int:
         """Send without waiting and return the number of bytes sent; raise OSError."""
         try:
-            return self._sock.send(payload)
+            return self._sock.send(payload, flags)
         except BlockingIOError:
             return 0
 
@@ -84,6 +89,10 @@
         """Return when input, its end or an error is pending; raise OSError if closed here."""
         await self._wait(anyio.wait_readable)
 
+    async def wait_writable(self) -> None:
+        """Return when bytes can be sent; raise OSError if closed here."""
+        await self._wait(anyio.wait_writable)
+
     async def wait_readable_or_writable(self) -> None:
         """Return when the connection is readable or writable."""
         async with anyio.create_task_group() as group:
@@ -111,6 +120,22 @@
         """Return whether unread bytes are pending; false at the end of input and after an error."""
         return bool(self._peek())
 
+    def count_unacknowledged(self) -> int:
+        """Return the bytes that the kernel holds until the peer acknowledges them.
+
+        Raises OSError if the connection was closed here.
+        """
+        if self.is_closed:
+            raise ConnectionAbortedError('socket closed by this process')
+        queued = fcntl.ioctl(self._sock, termios.TIOCOUTQ, bytes(INT_BYTES))
+        return int.from_bytes(queued, sys.byteorder)
+
+    def limit_unsent(self, size: int) -> None:
+        """Let the kernel take no further bytes while more than `size` bytes wait to be sent."""
+        # A connection that is lost raises the error when it is used.
+        with contextlib.suppress(OSError):
+            self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, size)
+
     def close(self, *, reset: bool = False) -> None:
         """Close the connection; with `reset`, the peer sees an error instead of an orderly end."""
         if self.is_closed:
--- a/camphorpath/relay/upstream.py
+++ b/camphorpath/relay/upstream.py
@@ -9,10 +9,12 @@
 
 from ..clocks import read_lease_clock
 from ..errors import AnswerTooLarge, EndedEarly, NotSent, SentUnknown, Truncated
+from ..memory.ledger import BufferKind, MemoryLedger
 from ..routing import Route, Upstream
 from ..turns import get_cost
 from .headers import Headers, find_header
 from .messages import parse_event
+from .slow_readers import wait_for_upstream
 from .sockets import Connection, open_connection
 
 # The kernel resends a lost SYN after one second, in any deployment; a call is sent to another
@@ -34,6 +36,8 @@
 # send them without end.
 MAX_SKIPPED_HEADS = 16
 MAX_SKIPPED_BODY_BYTES = 1024 * 1024
+# An empty part of a payload would keep all of it in memory.
+NOTHING_UNSENT = memoryview(b'')
 # No Content, Not Modified.
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
 # Higher numbers are no status of HTTP; h11 rejects the lower ones.
@@ -64,7 +68,8 @@
     # Cost of the parts of the current body that were read, in bytes.
     _body_cost: int = 0
     _request: h11.Request | None = None
-    _unsent: bytes = b''
+    _unsent: memoryview = NOTHING_UNSENT
+    memory: MemoryLedger = attrs.field(factory=MemoryLedger, kw_only=True)
 
     def send(self, request: h11.Request, body: bytes) -> None:
         """Start to send a request; bytes that do not fit are sent by `read_event`.
@@ -80,7 +85,7 @@
             sent = self.connection.try_send(payload)
         except OSError as error:
             raise NotSent(repr(error), step='send', peer=self.address) from error
-        self._unsent = payload[sent:]
+        self._unsent = memoryview(payload)[sent:] or NOTHING_UNSENT
 
     async def read_event(self, max_body_cost: float = math.inf) -> object:
         """Send the rest of the request, if any, and return the next event of the answer.
@@ -93,13 +98,25 @@
             if event is not h11.NEED_DATA:
                 self._limit_body(event, max_body_cost)
                 return event
+            if self._unsent:
+                await self._send_rest()
+            self.http.receive_data(await self.connection.receive())
+
+    async def _send_rest(self) -> None:
+        """Send the rest of the request, until the upstream answers; raise OSError.
+
+        Raises SentUnknown if the upstream reads nothing while too much is buffered.
+        """
+        ledger = self.memory
+        with ledger.open_reader(BufferKind.TO_UPSTREAM, read_lease_clock()) as reader:
             while self._unsent:
-                await self.connection.wait_readable_or_writable()
+                if not await wait_for_upstream(self.connection, self._unsent, ledger, reader):
+                    message = f'the upstream has read nothing for {reader.idle_s:.1f} s'
+                    raise SentUnknown(message, step='send', peer=self.address)
                 sent = self.connection.try_send(self._unsent)
-                self._unsent = self._unsent[sent:]
+                self._unsent = self._unsent[sent:] or NOTHING_UNSENT
                 if self.connection.has_input():
-                    break
-            self.http.receive_data(await self.connection.receive())
+                    return
 
     @property
     def is_head_request(self) -> bool:
@@ -217,6 +234,8 @@
 
     # Since the start of the daemon.
     opened_count: int = 0
+    # What is buffered for upstreams.
+    memory: MemoryLedger = attrs.field(factory=MemoryLedger)
     _idle: dict[str, list[UpstreamConnection]] = attrs.field(factory=dict)
     # Called with the seconds that it took to connect to an upstream.
     on_connected: Callable[[Upstream, float], None] = lambda upstream, seconds: None
@@ -244,7 +263,7 @@
             raise NotSent(repr(error), step='connect', peer=upstream.address) from error
         self.opened_count += 1
         self.on_connected(upstream, read_lease_clock() - now)
-        return UpstreamConnection(connection, upstream.address)
+        return UpstreamConnection(connection, upstream.address, memory=self.memory)
 
     async def is_listening(self, upstream: Upstream) -> bool:
         """Return whether an upstream accepts connections.
@@ -262,7 +281,9 @@
         except (OSError, TimeoutError) as error:
             raise NotSent(repr(error), step='connect', peer=upstream.address) from error
         self.opened_count += 1
-        conn = UpstreamConnection(connection, upstream.address, idle_since=read_lease_clock())
+        conn = UpstreamConnection(
+            connection, upstream.address, idle_since=read_lease_clock(), memory=self.memory
+        )
         # An upstream may answer an idle connection that times out.
         conn.was_used = True
         self._idle.setdefault(upstream.address, []).append(conn)
