Count the tokens of calls at engines, and send none beyond their memory

Cause: nothing counted the tokens of the calls at an engine. When they exceed its memory, it preempts the newest request in the middle of its stream.

Change: each upstream keeps the tokens (prompt and largest output) of the calls of this daemon and, by heartbeat fields 12 and 13 of UpstreamLoad, of the others. The memory is kv_capacity_tokens of the manifest, or kv_total_tokens of a report that is read anyway; without either there is no bound. A call that does not fit waits or goes elsewhere; one larger than every engine is refused at once. While slots are lent, owner and borrower use half of the free memory each until the next report.

--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -1,6 +1,7 @@
 """Builds, runs and gracefully stops an edge daemon."""
 
 import contextlib
+import functools
 import random
 import secrets
 import signal
@@ -21,6 +22,7 @@
 from ..events import Event, EventLog
 from ..memory.bounds import make_bounds
 from ..placement.budget import RetryBudget
+from ..placement.engine_limits import record_report
 from ..placement.quota import QuotaBounds, QuotaLedger
 from ..placement.scheduler import Scheduler
 from ..platform.fields import decode_fields
@@ -129,6 +131,7 @@
         metrics=RelayMetrics(),
         get_budget_share=lambda: state.compute_budget_share(),
     )
+    relay.reports.on_memory = functools.partial(record_report, relay.scheduler.slots)
     relay.memory.apply_bounds(make_bounds(settings.memory_mb))
     relay.quota.start(read_lease_clock())
     state = DaemonState(settings=settings, incarnation=incarnation, relay=relay, members=members)
@@ -367,7 +370,7 @@
         daemon.relay.scheduler.expire(now)
         report_customers(daemon.relay, now)
         emit_egress_changes(daemon.relay, now)
-        relieve_memory(daemon.relay)
+        relieve_memory(daemon.relay, now)
         daemon.quarantine.update(now)
         if daemon.rollouts is not None:
             daemon.rollouts.update(now)
--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -18,6 +18,7 @@
 from ..hashing import rendezvous_score
 from ..placement.budget import share_allowance
 from ..placement.crashes import Crash, Pattern
+from ..placement.engine_limits import apply_services
 from ..placement.ownership import Assignment, Candidate, assign_owners, choose_actives
 from ..placement.quota import QuotaReport
 from ..platform.entries import decode_upstream
@@ -270,7 +271,10 @@
         self._has_upstream_changes = False
         owners = assign_owners(actives, usable, settings.regions)
         self.assignment = Assignment(actives, owners)
-        self.relay.scheduler.set_upstreams(self.view.all(), self.assignment)
+        scheduler, table = self.relay.scheduler, self.relay.routing_table
+        scheduler.set_upstreams(self.view.all(), self.assignment)
+        if table is not None:
+            apply_services(scheduler.slots.values(), table.services)
 
     def is_watcher(self) -> bool:
         """Return whether this daemon polls the store for changes and announces them."""
--- a/camphorpath/placement/egress.py
+++ b/camphorpath/placement/egress.py
@@ -132,7 +132,7 @@
         estimated, and the call may leave if it should, for regions of which this daemon has not
         taken its part since the last report.
         """
-        allowed = [slots for slots in usable if call.may_run_at(slots.upstream)]
+        allowed = [slots for slots in usable if slots.accepts(call)]
         if not allowed or call.is_bound:
             # The caller of the rest of a begun stream holds a part of the answer.
             return allowed
@@ -161,7 +161,7 @@
             total += len(slots.running)
             if self.is_home(slots.upstream):
                 home += len(slots.running)
-                has_home = has_home or call.may_run_at(slots.upstream)
+                has_home = has_home or slots.could_run(call)
         if not has_home:
             return 0
         return home / total if home else 1 / (total + 1)
--- a/camphorpath/placement/lending.py
+++ b/camphorpath/placement/lending.py
@@ -97,7 +97,7 @@
 
 def count_lendable(slots: Slots, waiting: Iterable[WaitingCall], now: float) -> int:
     """Return how many slots of an upstream are free to be lent; 0 if a call here waits for it."""
-    if any(call.may_run_at(slots.upstream) for call in waiting):
+    if any(slots.could_run(call) for call in waiting):
         return 0
     if not slots.may_lend(now):
         return 0
--- a/camphorpath/placement/records.py
+++ b/camphorpath/placement/records.py
@@ -50,6 +50,10 @@
     lent_requests: Mapping[str, int] = types.MappingProxyType({})
     # The last pace that the upstream stated to its owner; None if it states none.
     pace: PaceStatement | None = None
+    # Tokens of the calls of the daemon; 0 if the memory of the upstream is not known.
+    held_tokens: float = 0
+    # The memory that the upstream reported, in tokens; 0 if it is not known.
+    memory_tokens: float = 0
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -73,6 +77,10 @@
     deadline: float
     prompt_tokens: float
     output_tokens: float
+    # Prompt and largest output; 0 if they are not stated.
+    max_tokens: float = 0
+    # Ids and tokens of the parts of its prompt that other calls may share, in order.
+    prompt_parts: tuple[tuple[bytes, float], ...] = ()
     # Size of the body of its request.
     body_bytes: int = attrs.field(default=0, kw_only=True)
     on_decision: Callable[[Decision], None]
--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -15,6 +15,7 @@
 from .costs import choose_cheapest, estimate_cost
 from .customers import CustomerShares
 from .egress import Egress
+from .engine_limits import explain_no_candidate
 from .lending import Borrowers, PeerDemand, lend_requests, lend_slots, return_slot
 from .ownership import Assignment
 from .queue import CallQueue, make_refusal
@@ -148,13 +149,13 @@
         for upstream_id in self._reported_upstreams.get(incarnation, frozenset()) - loads.keys():
             known_slots = self.slots.get(upstream_id)
             if known_slots is not None:
-                known_slots.peer_in_flight.pop(incarnation, None)
+                known_slots.drop_peer(incarnation)
         self._reported_upstreams[incarnation] = frozenset(loads)
         for upstream_id, load in loads.items():
             slots = self.slots.get(upstream_id)
             if slots is None:
                 continue
-            slots.peer_in_flight[incarnation] = load.in_flight
+            slots.apply_peer(incarnation, load)
             was_limited = slots.rate_limit.is_limited
             if load.rate_statement is not None:
                 slots.record_rate(load.rate_statement, is_from_peer=True)
@@ -177,7 +178,7 @@
         self._reported_upstreams.pop(incarnation, None)
         self._demand_elsewhere.remove(incarnation)
         for slots in self.slots.values():
-            slots.peer_in_flight.pop(incarnation, None)
+            slots.drop_peer(incarnation)
 
     def report_loads(self, borrower_count: int, now: float) -> dict[str, Load]:
         """Return the load report by upstream id: running calls of this daemon and slots it lends.
@@ -192,8 +193,7 @@
             turn = number + self._report_count
             if not slots.is_owner:
                 if slots.running or slots.rate_limit.should_report(now):
-                    statement = slots.rate_limit.statement
-                    loads[upstream_id] = Load(len(slots.running), rate_statement=statement)
+                    loads[upstream_id] = slots.report_use()
                 continue
             loads[upstream_id] = self._report_owned(slots, turn, borrower_count, now)
         return loads
@@ -216,15 +216,7 @@
             borrowers = Borrowers(borrower_count, self._away_actives)
             demand = self._demand_elsewhere
             lent, borrower = lend_slots(slots, state.queue.calls, demand, borrowers, turn, now)
-        return Load(
-            len(slots.running),
-            lent,
-            borrower,
-            slots.speed.factor,
-            slots.rate_limit.statement,
-            lent_requests,
-            slots.pace.last,
-        )
+        return slots.report_owned(lent, borrower, lent_requests)
 
     def count_waiting(self) -> dict[str, int]:
         """Return the number of waiting calls by service; services without any are left out."""
@@ -260,7 +252,9 @@
                 return
         waiting = len(service.queue.calls)
         if not self._has_candidates(call, now):
-            call.on_decision(make_refusal(NO_UPSTREAM, NO_UPSTREAM_WAIT_S, call, now, waiting))
+            group = self._slots_by_service.get(call.service, ())
+            reason = explain_no_candidate(call, group, NO_UPSTREAM)
+            call.on_decision(make_refusal(reason, NO_UPSTREAM_WAIT_S, call, now, waiting))
             return
         if not call.is_bound and self._yields_to_urgent(call, now):
             # A late answer is worth little, and urgent calls would miss the slot.
@@ -409,7 +403,7 @@
     def _has_candidates(self, call: WaitingCall, now: float) -> bool:
         group = self._slots_by_service.get(call.service, [])
         group = self.rollouts.list_candidates(call, group, now)
-        return any(call.may_run_at(slots.upstream) for slots in group)
+        return any(slots.could_run(call) for slots in group)
 
     def _list_usable(self, service: str, now: float) -> list[Slots]:
         """Return the upstreams that can take a call now."""
@@ -469,9 +463,10 @@
         a faster upstream than a usable one goes on waiting.
         """
         allowed = self.rollouts.list_allowed(call, usable, now)
-        if any(call.may_run_at(slots.upstream) for slots in allowed):
+        if any(slots.accepts(call) for slots in allowed):
             return None
-        return self._find_cheapest(call, extra, now)[0]
+        fitting = [slots for slots in extra if slots.accepts(call)]
+        return self._find_cheapest(call, fitting, now)[0]
 
     def _find_cheapest(
         self, call: WaitingCall, group: list[Slots], now: float
@@ -493,7 +488,7 @@
             return False
         group = self._slots_by_service.get(call.service, [])
         for slots in self.rollouts.list_allowed(call, group, now):
-            if not slots.is_owner or not call.may_run_at(slots.upstream):
+            if not slots.is_owner or not slots.could_run(call):
                 continue
             if not slots.is_available_at(now, starts_at=now + wait_s):
                 continue
--- a/camphorpath/placement/slots.py
+++ b/camphorpath/placement/slots.py
@@ -6,6 +6,7 @@
 import attrs
 
 from ..routing import Upstream
+from .engine_memory import EngineMemory, TokenCharge
 from .health import Health
 from .pace import Pace
 from .rate_limits import RateLimit, RateStatement
@@ -43,6 +44,8 @@
     output_tokens: float
     # Expected pace of the upstream when the call was sent.
     pace_at_send: float
+    # Its tokens in the memory of the upstream.
+    charge: TokenCharge = attrs.field(factory=TokenCharge)
     # It was sent without a free slot, and may wait inside the upstream.
     is_extra: bool = False
     has_first_byte: bool = False
@@ -70,6 +73,7 @@
     health: Health = attrs.field(factory=Health)
     speed: Speed = attrs.field(factory=Speed)
     pace: Pace = attrs.field(factory=Pace)
+    memory: EngineMemory = attrs.field(factory=EngineMemory)
     # Calls that the upstream reported beyond those of this daemon; valid until `unaccounted_until`.
     unaccounted_calls: int = 0
     unaccounted_until: float = 0
@@ -104,6 +108,16 @@
         """Return whether a call may be sent now."""
         return self.count_free(now) > 0 and self._accepts_call(now, ignores_health=ignores_health)
 
+    def could_run(self, call: WaitingCall) -> bool:
+        """Return whether a call may be sent to the upstream while it has no other calls."""
+        return call.may_run_at(self.upstream) and self.memory.could_hold(call)
+
+    def accepts(self, call: WaitingCall) -> bool:
+        """Return whether a call may be sent beside the running ones, if a slot is free."""
+        if not call.may_run_at(self.upstream):
+            return False
+        return self.memory.has_room(call)
+
     def accepts_extra(self, now: float, *, ignores_health: bool) -> bool:
         """Return whether a call may be sent now to an upstream of which no slot is lent.
 
@@ -159,6 +173,7 @@
 
     def record_first_byte(self, running: RunningCall, now: float) -> None:
         """Add the time to the first byte of a call to the speed, as if at the usual pace."""
+        self.memory.confirm(running.charge)
         pace = (running.pace_at_send + self.pace.estimate(now)) / 2
         self.speed.record_first_byte((now - running.sent_at) / pace, running.prefill_tokens)
 
@@ -207,6 +222,7 @@
             prompt_tokens=call.prompt_tokens,
             output_tokens=call.output_tokens,
             pace_at_send=self.pace.estimate(now),
+            charge=self.memory.take(call),
             is_extra=is_extra,
         )
         self.health.record_send(now)
@@ -220,6 +236,8 @@
     def release(self, call_id: str) -> RunningCall | None:
         """Free the slot of a call and return it; None if it holds none."""
         running = self.running.pop(call_id, None)
+        if running is not None:
+            self.memory.release(running.charge)
         if running is None or running.is_extra or self.is_owner:
             return running
         # With a rate limit a borrowed slot is for one call.
@@ -236,12 +254,50 @@
             self.lent = 0
         return is_changed
 
+    def report_use(self) -> Load:
+        """Return the load report of a daemon that does not own the upstream."""
+        return Load(
+            len(self.running),
+            rate_statement=self.rate_limit.statement,
+            held_tokens=self.memory.held_tokens if self.memory.total_tokens else 0,
+            memory_tokens=self.memory.reported_tokens,
+        )
+
+    def report_owned(self, lent: int, borrower: str, lent_requests: dict[str, int]) -> Load:
+        """Return the load report of the owner, with the slots or requests that it lends."""
+        self.memory.lend(is_lent=bool(lent or lent_requests))
+        return Load(
+            len(self.running),
+            lent,
+            borrower,
+            self.speed.factor,
+            self.rate_limit.statement,
+            lent_requests,
+            self.pace.last,
+            self.memory.held_tokens if self.memory.total_tokens else 0,
+            self.memory.reported_tokens,
+        )
+
+    def apply_peer(self, incarnation: str, load: Load) -> None:
+        """Apply the running calls that another daemon reports."""
+        self.peer_in_flight[incarnation] = load.in_flight
+        self.memory.set_peer(incarnation, load.held_tokens)
+        if not self.memory.reported_tokens:
+            self.memory.reported_tokens = load.memory_tokens
+
+    def drop_peer(self, incarnation: str) -> None:
+        """Drop the running calls of another daemon."""
+        self.peer_in_flight.pop(incarnation, None)
+        self.memory.set_peer(incarnation, 0)
+
     def assign(self, owner: str, *, is_owner: bool) -> None:
         """Set the owner; a new one does not know what was sent to the upstream before."""
         if is_owner and not self.is_owner:
             self.rate_limit.discard_tokens()
         if owner != self.owner:
             self.may_exceed = False
+            # Until the first report of the new owner or of this one.
+            self.memory.lend(is_lent=False)
         self.owner = owner
         self.is_owner = is_owner
 
@@ -263,6 +319,7 @@
         self.speed.factor = load.factor or self.speed.factor
         if load.pace is not None:
             self.pace.record(load.pace)
+        self.memory.borrow(is_lent=bool(load.lent or load.lent_requests))
         if load.rate_statement is None:
             # The owner sends to the upstream, so it would know of a limit that still holds.
             self.rate_limit.expire(now)
--- a/camphorpath/platform/manifest.py
+++ b/camphorpath/platform/manifest.py
@@ -106,6 +106,7 @@
         name=fields.text('name'),
         max_connections=int(fields.number('max_connections', 0)),
         is_engine=fields.has('inference_engine'),
+        memory_tokens=fields.number('kv_capacity_tokens', 0),
     )
 
 
--- a/camphorpath/platform/reports.py
+++ b/camphorpath/platform/reports.py
@@ -9,4 +9,13 @@
     return decode_fields(body).whole('born', 0)
 
 
-REPORT_FORMAT = ReportFormat(path=b'/camphorpath/report', decode_incarnation=decode_incarnation)
+def decode_memory(body: bytes) -> float:
+    """Return the tokens that the upstream can hold, 0 if it states none; raise PlatformError."""
+    return decode_fields(body).number('kv_total_tokens', 0)
+
+
+REPORT_FORMAT = ReportFormat(
+    path=b'/camphorpath/report',
+    decode_incarnation=decode_incarnation,
+    decode_memory=decode_memory,
+)
--- a/camphorpath/relay/acceptance.py
+++ b/camphorpath/relay/acceptance.py
@@ -64,6 +64,10 @@
     units: float
     # Ids of the parts of its prompt that other calls may share, in order.
     shared_parts: tuple[bytes, ...] = ()
+    # Prompt and highest number of output tokens; 0 if they are not stated.
+    max_tokens: float = 0
+    # The first of `shared_parts` with their tokens, as far as these are stated.
+    prompt_parts: tuple[tuple[bytes, float], ...] = ()
     # Whether it has taken its units and they were not given back.
     holds_units: bool = False
     # Attempts that may have reached an upstream.
@@ -175,6 +179,8 @@
         output_tokens=_estimate_output(request.headers, header_names, output),
         units=customer.count_units(tokens) if customer else 0,
         shared_parts=shared_parts,
+        max_tokens=tokens or 0,
+        prompt_parts=_read_part_tokens(request.headers, header_names),
         part_digests=digest_parts(service, shared_parts),
     )
     check_quarantine(context, call, now)
@@ -255,6 +261,21 @@
     return tuple(part.partition(b':')[0].strip() for part in parts[:MAX_SHARED_PARTS])
 
 
+def _read_part_tokens(
+    headers: Headers, header_names: HeaderNames
+) -> tuple[tuple[bytes, float], ...]:
+    """Return the ids and tokens of the shared parts of a prompt, up to the first without tokens."""
+    parts: list[tuple[bytes, float]] = []
+    *entries, _own_part = find_header(headers, header_names.prompt_parts).split(b',')
+    for entry in entries[:MAX_SHARED_PARTS]:
+        name, _, text = entry.partition(b':')
+        tokens = _read_token_count(text)
+        if tokens is None:
+            break
+        parts.append((name.strip(), tokens))
+    return tuple(parts)
+
+
 def _estimate_output(headers: Headers, header_names: HeaderNames, highest: float) -> float:
     count = _read_token_count(find_header(headers, header_names.length_hint))
     return highest * ASSUMED_OUTPUT_SHARE if count is None else min(count, highest)
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -390,6 +390,8 @@
             deadline=call.deadline,
             prompt_tokens=call.prompt_tokens,
             output_tokens=call.output_tokens,
+            max_tokens=call.max_tokens,
+            prompt_parts=call.prompt_parts,
             body_bytes=len(call.request.body),
             max_event_gap_s=call.route.max_event_gap_s,
             on_decision=decide,
@@ -1128,11 +1130,3 @@
 def _make_stall(attempt: Attempt) -> Truncated:
     message = 'no event within the stall timeout'
     return Truncated(message, step='receive_body', peer=attempt.upstream.address)
-
-
-def render_refusal(refusal: Refusal) -> tuple[int, Headers, bytes]:
-    """Return the HTTP status, headers and body of a refusal."""
-    headers: Headers = [(b'content-type', b'text/plain; charset=utf-8')]
-    if refusal.retry_after_s is not None:
-        headers.append((b'retry-after', f'{refusal.retry_after_s:.3f}'.encode()))
-    return refusal.status, headers, f'{refusal.reason}\n'.encode()
--- a/camphorpath/relay/context.py
+++ b/camphorpath/relay/context.py
@@ -13,6 +13,7 @@
 from ..memory.ledger import MemoryLedger
 from ..placement.budget import RetryBudget
 from ..placement.crashes import Pattern
+from ..placement.engine_limits import apply_services
 from ..placement.quarantine import Quarantine
 from ..placement.quota import QuotaLedger
 from ..placement.quota_queue import QuotaQueue
@@ -74,6 +75,8 @@
     connections: set[CallerConnection] = attrs.field(factory=set)
     # The calls that wait for units of `quota`.
     quota_queue: QuotaQueue = attrs.field(init=False)
+    # When calls that did not fit into engines were logged last, on the lease clock.
+    blocked_reported_at: float = -math.inf
     # Set when the calls in progress are cancelled at the end of a stop.
     is_cancelling: bool = False
     # Cancel scopes of the calls without a final answer.
@@ -120,6 +123,7 @@
         customers = (table.customers or {}).values()
         self.quota.set_customers(customers, now)
         self.scheduler.customers.apply_customers(customers)
+        apply_services(self.scheduler.slots.values(), table.services)
         self._routing_table_replaced.set()
         self._routing_table_replaced = anyio.Event()
 
--- a/camphorpath/relay/metrics.py
+++ b/camphorpath/relay/metrics.py
@@ -23,6 +23,7 @@
     by_distance: Counter = attrs.field(init=False)
     buffered_bytes: Gauge = attrs.field(init=False)
     ended_readers: Counter = attrs.field(init=False)
+    engine_tokens: Gauge = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Register the metrics."""
@@ -80,6 +81,11 @@
             'Callers and upstreams given up as they read nothing, by kind and reason.',
             registry=registry,
         )
+        self.engine_tokens = Gauge(
+            'camphorpath_engine_tokens',
+            'Tokens of the calls of all daemons at an upstream of which the memory is known.',
+            registry=registry,
+        )
         self.customer_refusals = Counter(
             'camphorpath_customer_refusals_total',
             'Calls that got no slot in time, by customer.',
--- a/camphorpath/relay/reports.py
+++ b/camphorpath/relay/reports.py
@@ -5,6 +5,7 @@
 import anyio
 import attrs
 import h11
+from loguru import logger
 
 from ..errors import NotSent, PlatformError
 from ..routing import Upstream
@@ -25,6 +26,9 @@
     path: bytes
     # Returns the incarnation in the body of a report, 0 if it states none; raises PlatformError.
     decode_incarnation: Callable[[bytes], int]
+    # Returns the tokens that the upstream can hold, 0 if the report states none; raises
+    # PlatformError.
+    decode_memory: Callable[[bytes], float] = lambda body: 0
 
 
 @attrs.frozen
@@ -44,6 +48,9 @@
     """Asks upstreams for reports, and remembers those that state no incarnation."""
 
     report_format: ReportFormat
+    # Called with the tokens that an upstream can hold, by its report; 0 if it states none.
+    on_memory: Callable[[Upstream, float], None] = lambda upstream, tokens: None
+    _is_fault_logged: bool = False
     # Instants until which new streams begin without a report, by upstream and incarnation.
     _pauses: dict[tuple[str, int], float] = attrs.field(factory=dict)
 
@@ -79,8 +86,21 @@
             return ProcessIdentity(0, str(error))
         except (NotSent, OSError, h11.RemoteProtocolError) as error:
             return ProcessIdentity(0, repr(error), is_lost=True)
+        if incarnation == upstream.incarnation:
+            self._apply_memory(upstream, body)
         return ProcessIdentity(incarnation, '' if incarnation else 'the report states none')
 
+    def _apply_memory(self, upstream: Upstream, body: bytes) -> None:
+        """Pass on the memory in a report; the first one that cannot be read is logged."""
+        try:
+            tokens = self.report_format.decode_memory(body)
+        except PlatformError as error:
+            if not self._is_fault_logged:
+                logger.warning('memory in the report of {}: {}', upstream.upstream_id, error)
+            self._is_fault_logged = True
+            return
+        self.on_memory(upstream, tokens)
+
 
 async def _read_report(conn: UpstreamConnection) -> bytes:
     """Return the body of a report; raise OSError, h11.RemoteProtocolError or PlatformError."""
--- a/camphorpath/relay/server.py
+++ b/camphorpath/relay/server.py
@@ -20,7 +20,6 @@
     STATUS_GATEWAY_TIMEOUT,
     STATUS_SERVER_ERROR,
     CallHandler,
-    render_refusal,
 )
 from .caller import (
     STATUS_HEAD_TOO_LARGE,
@@ -31,6 +30,7 @@
 from .context import RelayContext
 from .headers import Headers
 from .quota import return_units, take_quota
+from .refusals import render_refusal
 from .slow_readers import MAX_UNSENT_BYTES
 from .sockets import Connection, accept_connections
 
--- a/camphorpath/routing/records.py
+++ b/camphorpath/routing/records.py
@@ -54,6 +54,8 @@
     # Connections that one upstream accepts from all daemons together.
     max_connections: int
     is_engine: bool
+    # Tokens that the memory of one of its engines holds; 0 if it is not stated.
+    memory_tokens: float = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/relay/test_slow_readers.py
+++ b/tests/relay/test_slow_readers.py
@@ -123,7 +123,7 @@
 
             async def relieve():
                 while True:
-                    relieve_memory(context)
+                    relieve_memory(context, read_lease_clock())
                     await anyio.sleep(0.05)
 
             async with anyio.create_task_group() as group:
