--- a/camphorpath/placement/engine_memory.py
+++ b/camphorpath/placement/engine_memory.py
@@ -70,11 +70,16 @@
         return not total or call.max_tokens <= total
 
     def has_room(self, call: WaitingCall) -> bool:
-        """Return whether a call fits beside the calls that are known to be there."""
+        """Return whether a call fits beside the calls that are known to be there.
+
+        The rest of a begun stream may be sent without a lent slot, so it need not be lent memory.
+        """
         total = self.total_tokens
-        if not total:
+        if not (total and call.max_tokens):
             return True
-        free = min(total - self.held_tokens - self.peer_tokens, self._budget)
+        free = total - self.held_tokens - self.peer_tokens
+        if not call.is_bound:
+            free = min(free, self._budget)
         if call.max_tokens <= free or call.max_tokens - self._count_present(call) <= free:
             return True
         self.blocked_tokens = call.max_tokens
@@ -138,7 +143,8 @@
         self.peer_tokens = max(self.peer_tokens + tokens - known, 0) if self._by_peer else 0
 
     def _count_free(self) -> float:
-        return max(self.total_tokens - self.held_tokens - self.peer_tokens, 0)
+        total = self.total_tokens or math.inf
+        return max(total - self.held_tokens - self.peer_tokens, 0)
 
     def _hold(self, tokens: float) -> None:
         self.held_tokens += tokens
--- a/camphorpath/relay/caller.py
+++ b/camphorpath/relay/caller.py
@@ -292,7 +292,8 @@
         stated = find_header(headers, b'content-length')
         if stated:
             self._check_body_size(int(stated))
-            self._check_memory(int(stated), 0, target, headers)
+            if not self._has_memory(int(stated), 0, target, headers):
+                raise _refuse_memory()
         body = bytearray()
         while True:
             event: object = None
@@ -307,8 +308,7 @@
                     'connection closed before the end of the request', step='read_request'
                 )
             body += event.data
-            self._reserve(body)
-            self._check_memory(len(body), len(body), target, headers)
+            self._reserve(body, target, headers)
             self._check_body_size(len(body))
 
     def _check_body_size(self, size: int) -> None:
@@ -317,24 +317,20 @@
                 f'request body exceeds {self.limits.max_body_bytes} bytes', STATUS_TOO_LARGE
             )
 
-    def _reserve(self, body: bytearray) -> None:
-        """Count a body as held; clear it and raise Refusal if those of all callers are too long."""
-        if self._reservation.resize(len(body)):
+    def _reserve(self, body: bytearray, target: bytes, headers: Headers) -> None:
+        """Count a body as held; clear it and raise Refusal if too much is buffered."""
+        size = len(body)
+        if self._reservation.resize(size) and self._has_memory(size, size, target, headers):
             return
         body.clear()
         raise _refuse_memory()
 
-    def _check_memory(self, size: int, counted: int, target: bytes, headers: Headers) -> None:
-        """Raise Refusal if too much is buffered for a body of `size` bytes.
-
-        Of these, `counted` bytes are buffered already.
-        """
+    def _has_memory(self, size: int, counted: int, target: bytes, headers: Headers) -> bool:
+        """Return whether a body of `size` bytes may be buffered; `counted` of these are already."""
         if self.memory.admits(size, counted, is_urgent=False):
-            return
-        if not (
-            self.is_urgent(target, headers) and self.memory.admits(size, counted, is_urgent=True)
-        ):
-            raise _refuse_memory()
+            return True
+        is_urgent = self.is_urgent(target, headers)
+        return is_urgent and self.memory.admits(size, counted, is_urgent=True)
 
     @property
     def _is_end_unmarked(self) -> bool:
