Test the names of the fields that state the memory of engines and daemons

Cause: a wrong field name would switch the bounds off without any failing test.

Change: kv_capacity_tokens of a manifest, kv_total_tokens of a report and limits.memory_mb of the settings are decoded in tests.

--- a/tests/platform/test_manifest.py
+++ b/tests/platform/test_manifest.py
@@ -6,6 +6,7 @@
 from camphorpath.errors import PlatformError
 from camphorpath.platform.entries import decode_upstream
 from camphorpath.platform.manifest import decode_manifest
+from camphorpath.platform.reports import decode_memory
 from camphorpath.routing import CallKind
 
 ROUTE = {
@@ -116,3 +117,12 @@
     """Guards against calls to the address in a malformed entry of another writer."""
     with pytest.raises(PlatformError):
         decode_upstream('i-1', text)
+
+
+def test_memory_of_engines_is_decoded():
+    """Guards against engines without a bound as a field is read under another name."""
+    services = [{'name': 'llm', 'kv_capacity_tokens': 793319}, {'name': 'other'}]
+    table = decode(services=services)
+    assert [service.memory_tokens for service in table.services.values()] == [793319, 0]
+    assert decode_memory(b'{"born": 7, "kv_used_tokens": 5, "kv_total_tokens": 557809}') == 557809
+    assert decode_memory(b'{"born": 7}') == 0
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -20,7 +20,7 @@
     'internal_port_range': [7600, 7615],
     'seed_nodes': ['10.0.0.2:3'],
     'is_bootstrap': True,
-    'limits': {'cpu_quota': 0.5, 'core_count': 2, 'max_fds': 4100},
+    'limits': {'cpu_quota': 0.5, 'core_count': 2, 'max_fds': 4100, 'memory_mb': 300},
     'platform': {'address': '10.0.9.9:5', 'writes_per_s': 1200},
     'bounds': {
         'contact_timeout_ms': 3000,
@@ -53,6 +53,7 @@
     assert settings.store_url == 'http://10.0.9.9:5'
     assert settings.seeds == ('10.0.0.2:3',)
     assert settings.store_writes_per_s == 1200
+    assert settings.memory_mb == 300
 
 
 @pytest.mark.parametrize(
