--- a/camphorpath/relay/server.py
+++ b/camphorpath/relay/server.py
@@ -20,7 +20,6 @@
     STATUS_GATEWAY_TIMEOUT,
     STATUS_SERVER_ERROR,
     CallHandler,
-    render_refusal,
 )
 from .caller import (
     STATUS_HEAD_TOO_LARGE,
@@ -31,6 +30,8 @@
 from .context import RelayContext
 from .headers import Headers
 from .quota import return_units, take_quota
+from .refusals import render_refusal
+from .slow_readers import MAX_UNSENT_BYTES
 from .sockets import Connection, accept_connections
 
 PageAnswer = tuple[int, Headers, bytes]
@@ -56,8 +57,11 @@
             connection,
             context.limits,
             read_limits=lambda: context.limits,
-            buffers=context.request_buffers,
+            memory=context.memory,
+            is_urgent=context.is_urgent,
         )
+        if context.memory.bounds is not None:
+            connection.limit_unsent(MAX_UNSENT_BYTES)
         context.connections.add(caller)
         try:
             await _serve_connection(context, caller)
