Limit an owner to half of the free memory only if there are peers

Cause: a daemon that knows no other daemon lends slots in its load reports all the same, and so used half of the free memory of its engines only. A call above half was refused as `queue_full` at an idle engine.

Change: the limit applies only while other daemons report.

--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -216,7 +216,7 @@
             borrowers = Borrowers(borrower_count, self._away_actives)
             demand = self._demand_elsewhere
             lent, borrower = lend_slots(slots, state.queue.calls, demand, borrowers, turn, now)
-        return slots.report_owned(lent, borrower, lent_requests)
+        return slots.report_owned(lent, borrower, lent_requests, peers=self._reported_upstreams)
 
     def count_waiting(self) -> dict[str, int]:
         """Return the number of waiting calls by service; services without any are left out."""
--- a/camphorpath/placement/slots.py
+++ b/camphorpath/placement/slots.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections.abc import Collection
 
 import attrs
 
@@ -263,9 +264,14 @@
             memory_tokens=self.memory.reported_tokens,
         )
 
-    def report_owned(self, lent: int, borrower: str, lent_requests: dict[str, int]) -> Load:
-        """Return the load report of the owner, with the slots or requests that it lends."""
-        self.memory.lend(is_lent=bool(lent or lent_requests))
+    def report_owned(
+        self, lent: int, borrower: str, lent_requests: dict[str, int], *, peers: Collection[str]
+    ) -> Load:
+        """Return the load report of the owner, with the slots or requests that it lends.
+
+        `peers` are the other daemons that could use them.
+        """
+        self.memory.lend(is_lent=bool(lent or lent_requests) and bool(peers))
         return Load(
             len(self.running),
             lent,
--- a/tests/placement/test_engine_memory.py
+++ b/tests/placement/test_engine_memory.py
@@ -127,3 +127,11 @@
     message = encode_load('i-1', Load(1, held_tokens=tokens, memory_tokens=tokens), 0)
     decoded = decode_load(message, 0)
     assert (decoded.held_tokens, decoded.memory_tokens) == (0, 0)
+
+
+def test_daemon_without_peers_uses_the_whole_memory():
+    """Guards against a large call that waits for a report, as slots are lent to no one."""
+    harness = make_harness()
+    harness.scheduler.report_loads(1, 0)
+    harness.submit('call', max_tokens=6000, now=0.01)
+    assert harness.get_upstream_id('call')
