Let a call above the lent half of an engine wait for the next report

Cause: an owner that lends slots uses half of the free memory until its next report. A larger call found no engine, and the wait that is estimated from released slots (2 s without any) exceeded its bound, so it was refused at once as `queue_full`, also at an idle engine. The owner lends nothing in the report after such a call is queued, so it would have run within one interval.

Change: a call that does not fit only because of what is lent until the next report is queued, whatever the estimate; its own bound on the wait still applies.

--- a/camphorpath/placement/engine_limits.py
+++ b/camphorpath/placement/engine_limits.py
@@ -28,6 +28,20 @@
         slots.memory.reported_tokens = tokens
 
 
+def awaits_report(call: WaitingCall, group: Iterable[Slots], now: float) -> bool:
+    """Return whether the next load report of this daemon lets a call run at an owned upstream.
+
+    A daemon at which calls wait lends no slots, so it may use all of the free memory.
+    """
+    return any(
+        slots.is_owner
+        and slots.count_free(now) > 0
+        and slots.could_run(call)
+        and slots.memory.awaits_report(call)
+        for slots in group
+    )
+
+
 def explain_no_candidate(call: WaitingCall, group: Iterable[Slots], default: str) -> str:
     """Return the reason of the refusal of a call that no upstream of its service can run."""
     if any(call.may_run_at(slots.upstream) and not slots.could_run(call) for slots in group):
--- a/camphorpath/placement/engine_memory.py
+++ b/camphorpath/placement/engine_memory.py
@@ -85,6 +85,12 @@
         self.blocked_tokens = call.max_tokens
         return False
 
+    def awaits_report(self, call: WaitingCall) -> bool:
+        """Return whether a new call does not fit only because of what is lent until a report."""
+        needed = call.max_tokens - self._count_present(call)
+        free = self.total_tokens - self.held_tokens - self.peer_tokens
+        return not call.is_bound and self._budget < needed <= free
+
     def lend(self, *, is_lent: bool) -> None:
         """Limit what the owner uses until its next report, if it lends slots in this one."""
         self._budget = self._count_free() * OWNER_SHARE if is_lent else math.inf
--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -15,7 +15,7 @@
 from .costs import choose_cheapest, estimate_cost
 from .customers import CustomerShares
 from .egress import Egress
-from .engine_limits import explain_no_candidate
+from .engine_limits import awaits_report, explain_no_candidate
 from .lending import Borrowers, PeerDemand, lend_requests, lend_slots, return_slot
 from .ownership import Assignment
 from .queue import CallQueue, make_refusal
@@ -251,8 +251,8 @@
                 self._place(call, chosen, now)
                 return
         waiting = len(service.queue.calls)
+        group = self._slots_by_service.get(call.service, ())
         if not self._has_candidates(call, now):
-            group = self._slots_by_service.get(call.service, ())
             reason = explain_no_candidate(call, group, NO_UPSTREAM)
             call.on_decision(make_refusal(reason, NO_UPSTREAM_WAIT_S, call, now, waiting))
             return
@@ -266,7 +266,7 @@
         if call not in service.queue.calls:
             return
         wait_s = self._estimate_wait(service, call, now)
-        if now + wait_s > call.wait_until:
+        if now + wait_s > call.wait_until and not awaits_report(call, group, now):
             service.queue.remove(call)
             service.record_refusal(call, now)
             call.on_decision(make_refusal('queue_full', wait_s, call, now, waiting))
--- a/tests/placement/test_engine_memory.py
+++ b/tests/placement/test_engine_memory.py
@@ -135,3 +135,15 @@
     harness.scheduler.report_loads(1, 0)
     harness.submit('call', max_tokens=6000, now=0.01)
     assert harness.get_upstream_id('call')
+
+
+def test_call_above_the_lent_half_waits_for_the_next_report():
+    """Guards against a call that is refused at once, as its half of an idle engine is too small."""
+    harness = make_harness()
+    harness.scheduler.apply_loads('other', 'other-1', {}, {})
+    harness.scheduler.report_loads(1, 0)
+    harness.submit('call', max_tokens=6000, now=0.01)
+    assert 'call' not in harness.decisions
+    harness.scheduler.report_loads(1, 0.25)
+    harness.scheduler.expire(0.3)
+    assert harness.get_upstream_id('call')
