Let newer statements of an engine's memory replace older ones

Cause: a daemon kept the first memory that another daemon stated for an engine. If it learned of a restart before the other one, it took the memory of the earlier incarnation from the next heartbeat, ignored all later ones, and passed the value on. Calls that fit into the new process were refused as `exceeds_engine_memory` until the daemon read a report itself.

Change: what this daemon read and what it heard are kept apart. The former counts first, the latter is replaced by each statement.

--- a/camphorpath/placement/engine_memory.py
+++ b/camphorpath/placement/engine_memory.py
@@ -46,8 +46,10 @@
 
     # As the manifest states for the service; 0 if it does not.
     configured_tokens: float = 0
-    # As the engine reported to this daemon, or to another one; 0 if unknown.
+    # As the engine reported to this daemon; 0 if unknown.
     reported_tokens: float = 0
+    # As another daemon stated last. It may be that of an earlier incarnation of the engine.
+    heard_tokens: float = 0
     # Tokens of the calls of this daemon.
     held_tokens: float = 0
     # Tokens of the calls of all other daemons.
@@ -62,7 +64,7 @@
     @property
     def total_tokens(self) -> float:
         """The memory of the engine; 0 if it is not known."""
-        return self.configured_tokens or self.reported_tokens
+        return self.configured_tokens or self.reported_tokens or self.heard_tokens
 
     def could_hold(self, call: WaitingCall) -> bool:
         """Return whether the engine can run a call without any other."""
--- a/camphorpath/placement/slots.py
+++ b/camphorpath/placement/slots.py
@@ -281,15 +281,15 @@
             lent_requests,
             self.pace.last,
             self.memory.held_tokens if self.memory.total_tokens else 0,
-            self.memory.reported_tokens,
+            self.memory.reported_tokens or self.memory.heard_tokens,
         )
 
     def apply_peer(self, incarnation: str, load: Load) -> None:
         """Apply the running calls that another daemon reports."""
         self.peer_in_flight[incarnation] = load.in_flight
         self.memory.set_peer(incarnation, load.held_tokens)
-        if not self.memory.reported_tokens:
-            self.memory.reported_tokens = load.memory_tokens
+        if load.memory_tokens:
+            self.memory.heard_tokens = load.memory_tokens
 
     def drop_peer(self, incarnation: str) -> None:
         """Drop the running calls of another daemon."""
--- a/tests/placement/test_engine_memory.py
+++ b/tests/placement/test_engine_memory.py
@@ -147,3 +147,18 @@
     harness.scheduler.report_loads(1, 0.25)
     harness.scheduler.expire(0.3)
     assert harness.get_upstream_id('call')
+
+
+def test_newer_statement_of_the_memory_replaces_an_older_one():
+    """Guards against the memory of an earlier incarnation that is kept, as peers restart later."""
+    harness = make_harness(tokens=0)
+    scheduler = harness.scheduler
+    for tokens in (1000, 5000):
+        loads = {'i-0': Load(1, memory_tokens=tokens)}
+        scheduler.apply_loads('other', 'other-1', loads, {})
+    harness.submit('call', max_tokens=4000)
+    assert harness.get_upstream_id('call')
+    # The engine itself told this daemon.
+    engine_limits.record_report(scheduler.slots, make_upstream(0), 6000)
+    scheduler.apply_loads('other', 'other-1', loads, {})
+    assert scheduler.slots['i-0'].memory.total_tokens == 6000
