Let lent requests of a rate-limited engine use memory until they expire

Cause: a request that the owner of a rate-limited upstream lends is valid for up to 1 s, also if its next report lends none. That report set the memory that the borrower may use to 0, so the request could not be sent and was lost.

Change: such a report leaves the limit on memory as it is while a lent request is valid.

--- a/camphorpath/placement/slots.py
+++ b/camphorpath/placement/slots.py
@@ -325,7 +325,10 @@
         self.speed.factor = load.factor or self.speed.factor
         if load.pace is not None:
             self.pace.record(load.pace)
-        self.memory.borrow(is_lent=bool(load.lent or load.lent_requests))
+        # Lent requests stay valid when the next ones are lent to other daemons, or none are.
+        keeps_requests = self.rate_limit.is_limited and self.lent > 0 and now <= self.lent_until
+        if load.lent or load.lent_requests or not keeps_requests:
+            self.memory.borrow(is_lent=bool(load.lent or load.lent_requests))
         if load.rate_statement is None:
             # The owner sends to the upstream, so it would know of a limit that still holds.
             self.rate_limit.expire(now)
--- a/tests/placement/test_engine_memory.py
+++ b/tests/placement/test_engine_memory.py
@@ -1,11 +1,13 @@
 import collections
 import random
 
+import attrs
 import pytest
 
 from camphorpath.cluster.loads import decode_load, encode_load
 from camphorpath.placement import engine_limits
 from camphorpath.placement.ownership import Assignment
+from camphorpath.placement.rate_limits import RateStatement
 from camphorpath.placement.records import Load, Placed, Refused
 from camphorpath.placement.scheduler import Scheduler
 from camphorpath.routing import Service
@@ -149,6 +151,22 @@
     assert harness.get_upstream_id('call')
 
 
+def test_lent_request_may_use_memory_until_it_expires():
+    """Guards against a request of a rate-limited engine that is lost, as no more are lent."""
+    harness = make_harness()
+    scheduler = harness.scheduler
+    upstream = make_upstream(0)
+    owners = {upstream.upstream_id: 'other'}
+    scheduler.set_upstreams([upstream], Assignment({'r': ('me', 'other')}, owners))
+    load = Load(0, rate_statement=RateStatement(5, 0), lent_requests={'me': 1})
+    for now, lent in ((0.1, {'me': 1}), (0.35, {})):
+        stated = attrs.evolve(load, lent_requests=lent)
+        loads = {upstream.upstream_id: stated}
+        scheduler.apply_loads('other', 'other-1', loads, {}, now=now, lent_until=2)
+    harness.submit('call', max_tokens=1000, now=0.4)
+    assert harness.get_upstream_id('call')
+
+
 def test_newer_statement_of_the_memory_replaces_an_older_one():
     """Guards against the memory of an earlier incarnation that is kept, as peers restart later."""
     harness = make_harness(tokens=0)
