Take urgent requests while others fill the pool of bodies

Cause: the pool of request bodies holds half of the bound on buffered bytes, and refused urgent and ordinary requests alike when it was full. At that point less is buffered than the 0.8 of the bound up to which ordinary requests are admitted, so the part that is kept for urgent requests was never used.

Change: a request for a most urgent route is taken beyond the pool, within the bound on all buffered bytes. Without a memory limit nothing changes.

Result: the new test failed before the change (503). tests/memory and tests/relay/test_slow_readers.py pass; other tests of tests/relay were not run.

--- a/camphorpath/relay/caller.py
+++ b/camphorpath/relay/caller.py
@@ -320,11 +320,22 @@
     def _reserve(self, body: bytearray, target: bytes, headers: Headers) -> None:
         """Count a body as held; clear it and raise Refusal if too much is buffered."""
         size = len(body)
-        if self._reservation.resize(size) and self._has_memory(size, size, target, headers):
+        if self._reservation.resize(size):
+            has_memory = self._has_memory(size, size, target, headers)
+        else:
+            # Less urgent requests may hold the whole pool.
+            has_memory = self._has_memory_beyond_pool(size, target, headers)
+        if has_memory:
             return
         body.clear()
         raise _refuse_memory()
 
+    def _has_memory_beyond_pool(self, size: int, target: bytes, headers: Headers) -> bool:
+        """Return whether a body may be buffered although the pool of bodies is full."""
+        if self.memory.bounds is None or not self.is_urgent(target, headers):
+            return False
+        return self.memory.admits(size, size, is_urgent=True)
+
     def _has_memory(self, size: int, counted: int, target: bytes, headers: Headers) -> bool:
         """Return whether a body of `size` bytes may be buffered; `counted` of these are already."""
         if self.memory.admits(size, counted, is_urgent=False):
--- a/tests/relay/test_slow_readers.py
+++ b/tests/relay/test_slow_readers.py
@@ -131,3 +131,23 @@
             assert status == 200
 
     run(test)
+
+
+def test_urgent_request_is_taken_while_others_fill_the_pool_of_bodies():
+    """Guards against urgent requests that are refused because of less urgent ones."""
+
+    async def test():
+        handle = answer_with(support.make_answer())
+        async with open_upstream(handle) as upstream, open_relay(upstream) as (context, port):
+            context.memory.apply_bounds(BOUNDS)
+            context.memory.requests.used_bytes = BOUNDS.pool_bytes - 1000
+            table = context.routing_table
+            routes = [attrs.evolve(route, priority=1) for route in table.routes]
+            urgent = attrs.evolve(routes[0], priority=0, prefix='/urgent/')
+            context.apply_routing_table(attrs.evolve(table, routes=[*routes, urgent]))
+            request = make_request(body=b'x' * 500_000, method=b'POST')
+            assert (await ask(port, request))[0] == 503
+            request = make_request(b'/urgent/x', body=b'x' * 500_000, method=b'POST')
+            assert (await ask(port, request))[0] == 200
+
+    run(test)
