--- a/camphorpath/placement/engine_memory.py
+++ b/camphorpath/placement/engine_memory.py
@@ -46,8 +46,10 @@
 
     # As the manifest states for the service; 0 if it does not.
     configured_tokens: float = 0
-    # As the engine reported to this daemon, or to another one; 0 if unknown.
+    # As the engine reported to this daemon; 0 if unknown.
     reported_tokens: float = 0
+    # As another daemon stated last. It may be that of an earlier incarnation of the engine.
+    heard_tokens: float = 0
     # Tokens of the calls of this daemon.
     held_tokens: float = 0
     # Tokens of the calls of all other daemons.
@@ -62,7 +64,7 @@
     @property
     def total_tokens(self) -> float:
         """The memory of the engine; 0 if it is not known."""
-        return self.configured_tokens or self.reported_tokens
+        return self.configured_tokens or self.reported_tokens or self.heard_tokens
 
     def could_hold(self, call: WaitingCall) -> bool:
         """Return whether the engine can run a call without any other."""
@@ -85,6 +87,12 @@
         self.blocked_tokens = call.max_tokens
         return False
 
+    def awaits_report(self, call: WaitingCall) -> bool:
+        """Return whether a new call does not fit only because of what is lent until a report."""
+        needed = call.max_tokens - self._count_present(call)
+        free = self.total_tokens - self.held_tokens - self.peer_tokens
+        return not call.is_bound and self._budget < needed <= free
+
     def lend(self, *, is_lent: bool) -> None:
         """Limit what the owner uses until its next report, if it lends slots in this one."""
         self._budget = self._count_free() * OWNER_SHARE if is_lent else math.inf
--- a/camphorpath/placement/slots.py
+++ b/camphorpath/placement/slots.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections.abc import Collection
 
 import attrs
 
@@ -263,9 +264,14 @@
             memory_tokens=self.memory.reported_tokens,
         )
 
-    def report_owned(self, lent: int, borrower: str, lent_requests: dict[str, int]) -> Load:
-        """Return the load report of the owner, with the slots or requests that it lends."""
-        self.memory.lend(is_lent=bool(lent or lent_requests))
+    def report_owned(
+        self, lent: int, borrower: str, lent_requests: dict[str, int], *, peers: Collection[str]
+    ) -> Load:
+        """Return the load report of the owner, with the slots or requests that it lends.
+
+        `peers` are the other daemons that could use them.
+        """
+        self.memory.lend(is_lent=bool(lent or lent_requests) and bool(peers))
         return Load(
             len(self.running),
             lent,
@@ -275,15 +281,15 @@
             lent_requests,
             self.pace.last,
             self.memory.held_tokens if self.memory.total_tokens else 0,
-            self.memory.reported_tokens,
+            self.memory.reported_tokens or self.memory.heard_tokens,
         )
 
     def apply_peer(self, incarnation: str, load: Load) -> None:
         """Apply the running calls that another daemon reports."""
         self.peer_in_flight[incarnation] = load.in_flight
         self.memory.set_peer(incarnation, load.held_tokens)
-        if not self.memory.reported_tokens:
-            self.memory.reported_tokens = load.memory_tokens
+        if load.memory_tokens:
+            self.memory.heard_tokens = load.memory_tokens
 
     def drop_peer(self, incarnation: str) -> None:
         """Drop the running calls of another daemon."""
@@ -319,7 +325,10 @@
         self.speed.factor = load.factor or self.speed.factor
         if load.pace is not None:
             self.pace.record(load.pace)
-        self.memory.borrow(is_lent=bool(load.lent or load.lent_requests))
+        # Lent requests stay valid when the next ones are lent to other daemons, or none are.
+        keeps_requests = self.rate_limit.is_limited and self.lent > 0 and now <= self.lent_until
+        if load.lent or load.lent_requests or not keeps_requests:
+            self.memory.borrow(is_lent=bool(load.lent or load.lent_requests))
         if load.rate_statement is None:
             # The owner sends to the upstream, so it would know of a limit that still holds.
             self.rate_limit.expire(now)
