Leave a part of the tolerance to calls above the burst in direct mode

Cause (review): while calls are admitted from the bucket directly, each daemon let a call exceed the burst by a quarter of the tolerance, but nothing of the tolerance was left for it.

Change: unknown use may take 0.42 of the tolerance instead of 0.67, and the daemons share the quarter for calls above the burst.

Result: test_calls_above_the_burst_share_their_part_of_the_tolerance fails without the change.

--- a/camphorpath/placement/quota.py
+++ b/camphorpath/placement/quota.py
@@ -542,7 +542,15 @@
         """Return the limits of the bucket of a customer."""
         customer_limits = self._limits.get(customer.name)
         is_alone = not self._is_shared
-        key = (customer.rate, customer.burst, is_alone, self._is_settled, self._interval_s)
+        daemon_count = len(self._sharers) + 1
+        key = (
+            customer.rate,
+            customer.burst,
+            is_alone,
+            self._is_settled,
+            self._interval_s,
+            daemon_count,
+        )
         if customer_limits is None or customer_limits.key != key:
             customer_limits = self._compute_limits(customer, key)
             self._limits[customer.name] = customer_limits
@@ -560,13 +568,14 @@
         tolerance = bounds.overshoot * limit + bounds.allowance
         overdraft = OVERDRAFT_SHARE * tolerance
         unknown = FLOOD_FACTOR * customer.rate * self._interval_s
-        is_known = self._is_settled and unknown <= (1 - DIRECT_TOLERANCE_SHARE) * tolerance
-        if self._is_shared and is_known:
+        max_unknown = (1 - DIRECT_TOLERANCE_SHARE - OVERDRAFT_SHARE) * tolerance
+        if self._is_shared and self._is_settled and unknown <= max_unknown:
             return _Limits(
                 key=key,
                 fill_rate=customer.rate + DIRECT_TOLERANCE_SHARE * tolerance / bounds.window_s,
                 capacity=customer.burst,
-                max_units=customer.burst + overdraft,
+                # Each daemon may admit such a call before it hears of those of the others.
+                max_units=customer.burst + overdraft / (len(self._sharers) + 1),
                 uses_claims=False,
             )
         lag_s: float = 0
--- a/tests/placement/test_quota.py
+++ b/tests/placement/test_quota.py
@@ -1,3 +1,5 @@
+import math
+
 import attrs
 import hypothesis
 import pytest
@@ -200,3 +202,17 @@
     assert not any(calls)
     # What the fleet uses is known in time to hold the limit, too.
     assert ledger.admit(customer, 4000, now=1.8) > 0
+
+
+def test_calls_above_the_burst_share_their_part_of_the_tolerance():
+    """Guards against large calls that each daemon admits before it hears of those of the others."""
+    bounds = QuotaBounds(window_s=8, overshoot=0.1, allowance=190000)
+    customer = make_customer(rate=47000, burst=65520)
+    ledger = QuotaLedger(bounds, starts_full=True)
+    ledger.set_customers([customer], 0)
+    for peer in range(8):
+        ledger.apply_report(f'd{peer}-1', QuotaReport(used={}), 0)
+    ledger.make_report(0, INTERVAL_S)
+    excess = 0.25 * (0.1 * (8 * 47000 + 65520) + 190000) / 9
+    assert ledger.admit(customer, customer.burst + excess + 1, 0) == math.inf
+    assert ledger.admit(customer, customer.burst + excess - 1, 0) == 0
