Compare the demand of a customer with that of the others only

Cause (review): the average demand included the customer itself, so one with two thirds of the weight of its priority never counted as a flood.

Change: it is compared with the other customers with a quota. The only one with a quota counts as a flood, as before the comparison.

Result: test_flood_of_one_of_two_customers_goes_behind_the_other fails without the change.

--- a/camphorpath/placement/customers.py
+++ b/camphorpath/placement/customers.py
@@ -44,9 +44,9 @@
 # How fast a call moves behind those of customers within their share: nearly all of the way at 1.2
 # times the share, so that a customer at many times its usual traffic gets little more than that.
 OVERUSE_STEEPNESS = 32.0
-# A customer with a quota is shifted only if its callers ask for this multiple of what the others
-# ask for, relative to their quotas. What customers were served in some seconds exceeds their shares
-# by chance as well, and calls that change their order for that are no longer ordered by size.
+# A customer with a quota is shifted only if its callers ask for this multiple of what those of
+# the others ask for, relative to their quotas. What customers were served in some seconds exceeds
+# their shares by chance as well, and calls that are reordered for that are not ordered by size.
 FLOOD_FACTOR = 1.5
 # Part of the shift by size that remains above the share: at most as much as one doubling of the
 # overuse. Without it, the calls of customers that are equally far above their shares, because the
@@ -244,9 +244,10 @@
             account.apply_overuse(served[name] / share if is_above else 0)
 
     def _find_flooding(self, served: Mapping[str, float]) -> frozenset[str]:
-        """Return the customers that ask for much more of their quotas than those of their priority.
+        """Return the customers that ask for much more of their quotas than the others.
 
-        Customers of which the demand is not known are among them.
+        The others are those of the same priority with a quota. Customers for which this is not
+        known are among the returned ones.
         """
         customers = [self._customers[name] for name in served if name in self._customers]
         limited = [customer for customer in customers if customer.rate > 0]
@@ -262,13 +263,14 @@
             weight = self._weights[customer.name]
             weight_by_priority[customer.priority] += weight
             demand_by_priority[customer.priority] += weight * demands[customer.name]
-        usual = [
-            customer.name
-            for customer in limited
-            if demands[customer.name] * weight_by_priority[customer.priority]
-            < FLOOD_FACTOR * demand_by_priority[customer.priority]
-        ]
-        return frozenset(served) - frozenset(usual)
+        usual = set()
+        for customer in limited:
+            weight, demand = self._weights[customer.name], demands[customer.name]
+            others_weight = weight_by_priority[customer.priority] - weight
+            others_demand = demand_by_priority[customer.priority] - weight * demand
+            if demand * others_weight < FLOOD_FACTOR * others_demand:
+                usual.add(customer.name)
+        return frozenset(served) - usual
 
 
 def _compute_retained(counted_at: float, now: float) -> float:
--- a/tests/placement/test_customers.py
+++ b/tests/placement/test_customers.py
@@ -118,6 +118,16 @@
     assert shifts[1] > 0
 
 
+def test_flood_of_one_of_two_customers_goes_behind_the_other():
+    """Guards against a flood that is compared with an average in which it counts itself."""
+    shares = make_shares([300] + [100] * 7)
+    shares.read_demand = {'a': 700, 'b': 100}.__getitem__
+    for name, tokens in (('a', 700), ('b', 100)):
+        shares.open_account(name, 0).record_placement(tokens)
+    shares.update(0, [])
+    assert shares.open_account('a', 0).overuse_shift > 0
+
+
 def test_no_share_moves_a_call_past_another_rank():
     """Guards against an urgent call that waits behind a less urgent one of another customer."""
     harness = SchedulerHarness([])
