--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -1,7 +1,6 @@
 """Builds, runs and gracefully stops an edge daemon."""
 
 import contextlib
-import functools
 import random
 import secrets
 import signal
@@ -22,7 +21,6 @@
 from ..events import Event, EventLog
 from ..memory.bounds import make_bounds
 from ..placement.budget import RetryBudget
-from ..placement.engine_limits import record_report
 from ..placement.quota import QuotaBounds, QuotaLedger
 from ..placement.scheduler import Scheduler
 from ..platform.fields import decode_fields
@@ -131,7 +129,6 @@
         metrics=RelayMetrics(),
         get_budget_share=lambda: state.compute_budget_share(),
     )
-    relay.reports.on_memory = functools.partial(record_report, relay.scheduler.slots)
     relay.memory.apply_bounds(make_bounds(settings.memory_mb))
     relay.quota.start(read_lease_clock())
     relay.scheduler.customers.read_demand = relay.quota.get_demand
