Let calls leave the region by decision only if the settings ask for it

Change: settings field leaves_region, false if missing. Without it the costs of zones, the choice among lent slots and the lending between regions are as before the part.

Result: tests of the decision run with it; a new test without it.

--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -131,6 +131,7 @@
     )
     relay.memory.apply_bounds(make_bounds(settings.memory_mb))
     relay.quota.start(read_lease_clock())
+    relay.scheduler.egress.is_enabled = settings.leaves_region
     relay.scheduler.customers.read_demand = relay.quota.get_demand
     state = DaemonState(settings=settings, incarnation=incarnation, relay=relay, members=members)
     store = MetadataStore(settings.store_url)
--- a/camphorpath/edge/settings.py
+++ b/camphorpath/edge/settings.py
@@ -61,6 +61,8 @@
     cores: float
     # Memory limit of the process in MB; 0 if none is stated.
     memory_mb: float = 0
+    # Whether calls leave the region by what it gains and costs them; see docs/design/egress.md.
+    leaves_region: bool = False
     store_url: str
     bounds: Bounds
     # Write calls that all daemons together may send to the store.
--- a/camphorpath/placement/egress.py
+++ b/camphorpath/placement/egress.py
@@ -80,6 +80,8 @@
 
     zone: str
     regions: Mapping[str, str]
+    # Otherwise a call takes any lent slot, and another zone costs the times before measurements.
+    is_enabled: bool = True
     # Moving average of the seconds to connect, by zone.
     _connect_s: dict[str, float] = attrs.field(factory=dict)
     _departures: dict[str, _Departures] = attrs.field(factory=dict)
@@ -100,6 +102,10 @@
         """Return whether an upstream is in the region of the daemon."""
         return self._is_home(upstream.zone)
 
+    def is_leaving(self, upstream: Upstream) -> bool:
+        """Return whether a call at an upstream leaves the region by decision."""
+        return self.is_enabled and not self.is_home(upstream)
+
     def estimate_delay(self, call: WaitingCall, upstream: Upstream) -> float:
         """Return the seconds that the way to an upstream adds to the first byte of a call."""
         if upstream.zone == self.zone:
@@ -116,7 +122,11 @@
 
     def estimate_cost(self, call: WaitingCall, upstream: Upstream) -> float:
         """Return the cost in seconds of the way to an upstream: its delay and its price."""
-        return self.estimate_delay(call, upstream) + self.estimate_price(call, upstream)
+        if self.is_enabled:
+            return self.estimate_delay(call, upstream) + self.estimate_price(call, upstream)
+        if upstream.zone == self.zone:
+            return 0
+        return OTHER_ZONE_CONNECT_S if self.is_home(upstream) else OTHER_REGION_CONNECT_S
 
     def select(
         self,
@@ -133,7 +143,7 @@
         taken its part since the last report.
         """
         allowed = [slots for slots in usable if slots.accepts(call)]
-        if not allowed or call.is_bound:
+        if not allowed or call.is_bound or not self.is_enabled:
             # The caller of the rest of a begun stream holds a part of the answer.
             return allowed
         home = [slots for slots in allowed if self.is_home(slots.upstream)]
--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -88,7 +88,7 @@
     _demand_elsewhere: PeerDemand = attrs.field(factory=PeerDemand)
     # Names of the daemons to which callers are directed.
     _actives: list[str] = attrs.field(factory=list)
-    # Those of them in other regions, if this daemon is one of them.
+    # Those of them in other regions, if this daemon is one of them and calls leave by decision.
     _away_actives: frozenset[str] = frozenset()
     # Load reports made so far; rotates the borrowers.
     _report_count: int = 0
@@ -107,7 +107,8 @@
     def set_upstreams(self, upstreams: Iterable[Upstream], assignment: Assignment) -> None:
         """Replace the registered upstreams and their owners."""
         self._actives = sorted(name for names in assignment.actives.values() for name in names)
-        self._away_actives = assignment.list_away(self.name)
+        away = assignment.list_away(self.name)
+        self._away_actives = away if self.egress.is_enabled else frozenset()
         listed = {upstream.upstream_id: upstream for upstream in upstreams}
         for upstream_id, upstream in listed.items():
             known = self.slots.get(upstream_id)
@@ -449,7 +450,7 @@
             if len(uncapped) < len(candidates):
                 allowed = self.egress.select(call, uncapped, self._estimate_home_wait, now)
                 best, best_cost = self._find_cheapest(call, allowed, now)
-        if best is None or not self.egress.is_home(best.upstream):
+        if best is None or self.egress.is_leaving(best.upstream):
             # A call that leaves would be late at home.
             return best
         return None if self._should_wait(call, best_cost, now) else best
--- a/camphorpath/platform/settings.py
+++ b/camphorpath/platform/settings.py
@@ -58,6 +58,7 @@
         # The quota is a fraction of a core that is `core_count` times as fast as a typical core.
         cores=machine.number('cpu_quota') * machine.number('core_count', 1),
         memory_mb=_decode_optional(machine, 'memory_mb') or 0,
+        leaves_region=fields.flag('leaves_region'),
         store_url=f'http://{platform.text("address")}',
         store_writes_per_s=platform.number('writes_per_s', DEFAULT_STORE_WRITES_PER_S),
         bounds=_decode_bounds(fields.section('bounds')),
--- a/tests/placement/test_egress.py
+++ b/tests/placement/test_egress.py
@@ -3,6 +3,7 @@
 import attrs
 import pytest
 
+from camphorpath.placement.egress import OTHER_REGION_CONNECT_S
 from camphorpath.placement.ownership import Assignment
 from camphorpath.placement.records import Load, Refused
 from camphorpath.placement.scheduler import Scheduler
@@ -166,6 +167,17 @@
     assert [(change.is_leaving, change.departures) for change in changes] == [(True, 1), (False, 1)]
 
 
+def test_call_takes_a_lent_slot_at_once_unless_leaving_is_a_decision():
+    """Guards against deployments that did not ask for the decision and are served differently."""
+    harness = make_egress_harness()
+    harness.scheduler.egress.is_enabled = False
+    harness.submit('first')
+    harness.submit('second')
+    assert harness.get_upstream_id('second') == 'i-2'
+    call = harness.decisions['second']
+    assert harness.scheduler.egress.estimate_cost(None, call.upstream) == OTHER_REGION_CONNECT_S
+
+
 def test_large_call_of_a_late_rank_does_not_pay_its_way():
     """Guards against bytes between regions that cost more than the late call is worth."""
     harness = make_egress_harness()
