Review case 6: retry once more, and end all processes if a case is told to end

Cause: beside six other runs the daemons started so late that the last retry came before they were in touch, and the case counted nothing. A case that was told to end left its daemons running. Change: a fourth retry; TROUBLE=0 counts its new streams; the lab kills what it has started.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -25,7 +25,7 @@
 EVENT_COUNT, EVENT_INTERVAL_S = 40, 0.15
 DEADLINE_S = 12.0
 # Requesters retry a few times: so long after each failure.
-PAUSES_S = (1.0, 2.0, 3.0)
+PAUSES_S = (1.0, 2.0, 3.0, 3.0)
 # Of the rule.
 MIN_TAKE_UPS = 12
 # As the long stream of the small deployments that may be resumed.
@@ -132,6 +132,8 @@
 
         tasks = []
         began_at = record.now()
+        if not lab.HAS_TROUBLE:
+            in_touch_from[0] = time.monotonic()
         steps = [(KILL_AT_S + RELEASE_AFTER_S, release)]
         if lab.HAS_TROUBLE:
             steps.append((KILL_AT_S, lose_power))
--- a/review/lab-2/lab.py
+++ b/review/lab-2/lab.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import random
+import signal
 import sys
 import time
 import traceback
@@ -21,6 +22,8 @@
 CONNECT_LIMIT_S = 1.0
 KEY = 'key-of-tenant-a'
 HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
+# Ids of all processes that were started.
+STARTED = []
 
 
 class Daemon(fleets.Daemon):
@@ -51,6 +54,7 @@
                 stdout=log,
                 stderr=log,
             )
+        STARTED.append(self.process.pid)
         self.is_starting = False
 
 
@@ -152,16 +156,32 @@
     return []
 
 
+def end_processes():
+    """Kill the started processes that still run; they are children of this one."""
+    for pid in STARTED:
+        with contextlib.suppress(ChildProcessError, ProcessLookupError):
+            if os.waitpid(pid, os.WNOHANG) == (0, 0):
+                os.kill(pid, signal.SIGKILL)
+                os.waitpid(pid, 0)
+
+
+def _interrupt(_number, _frame):
+    raise KeyboardInterrupt
+
+
 def run_case(folder, main, limit_s=110.0):
     """Run `main(record)`, write its record and exit with what it returns."""
     record = Record(folder)
     random.seed()
+    # Ends the processes, too, if the case itself is told to end.
+    signal.signal(signal.SIGTERM, _interrupt)
     code = NOT_RUN
     try:
         code = asyncio.run(asyncio.wait_for(main(record), limit_s))
     except BaseException:
         record.log(traceback.format_exc())
     finally:
+        end_processes()
         record.log(f'exit {code}')
         with contextlib.suppress(OSError):
             record.write()
