Group crashes by one call only if the calls have the same prompt

Callers saw: all calls with the content of the crashing ones were refused with 503 crashes_upstreams, sound ones too, if one of them was lost beside a crash.

Cause: the quarantine counted crashes of calls with an equal digest (path, key, body) as crashes of one call, whatever their prompts. What a sound call that was lost beside a crashing one has in common with it is the digest alone, so that the pattern held back every call with the digest.

Change: only crashes by calls with the same suspected prompt parts count as repetitions. A call that really comes again has the same prompt.

--- a/camphorpath/placement/quarantine.py
+++ b/camphorpath/placement/quarantine.py
@@ -289,10 +289,16 @@
         Crashes of upstreams that another pattern explains do not count.
         """
         candidates = []
-        for trait in (latest.digest, *self._list_suspected(latest.parts)):
+        suspected = self._list_suspected(latest.parts)
+        for trait in (latest.digest, *suspected):
             crashes = list(self._crashes_by_trait.get(trait, ()))
             if len(crashes) < CRASH_LIMIT:
                 continue
+            if trait == latest.digest:
+                # A call with the same content but another prompt is no repetition.
+                crashes = [
+                    crash for crash in crashes if self._list_suspected(crash.parts) == suspected
+                ]
             explained = self._list_explained()
             crashes = [crash for crash in crashes if crash.upstream not in explained]
             if len({crash.upstream for crash in crashes}) >= CRASH_LIMIT:
--- a/tests/placement/test_quarantine.py
+++ b/tests/placement/test_quarantine.py
@@ -132,6 +132,19 @@
     assert not quarantine.is_quarantined(b'call-9', FIRST_PART)
 
 
+def test_sound_calls_alike_but_for_the_crashing_part_are_served():
+    """Guards against quarantine of all calls with the content of those that have a crashing part."""
+    quarantine = Quarantine()
+    quarantine.record_answer(FIRST_PART, 0)
+    for number in range(2 * CRASH_LIMIT):
+        for parts in (FIRST_PART, CRASHING_PROMPT):
+            crash = Crash(CALL_DIGEST, f'i-{number}', parts)
+            quarantine.record_crash(crash, 0, is_from_peer=False)
+        quarantine.record_success(CALL_DIGEST, 0)
+    assert quarantine.is_quarantined(CALL_DIGEST, CRASHING_PROMPT)
+    assert not quarantine.is_quarantined(CALL_DIGEST, FIRST_PART)
+
+
 def test_repeats_of_one_crashing_call_do_not_hide_the_part():
     """Guards against a quarantine of the first call only, which its caller and retries repeat."""
     quarantine = Quarantine()
