Count crashes by prompt part at any moment of an answer

Cause: a crash was recorded without the prompt parts of its call once a part of the answer had come, and two parts of a stream cleared the prompt parts for a minute. Both took it for granted that such a part crashes upstreams at the head of an answer.

Change: crashes count for the parts whenever they happen, and only a complete answer clears them. An answer in progress stands against crashes that came earlier in their answers, while it lasts; crashes are announced with the events that had arrived. An unmarked end of an upstream that does not leave counts, too, and so does the crash of a silent upstream whose stream is taken over.

--- a/camphorpath/edge/quarantine.py
+++ b/camphorpath/edge/quarantine.py
@@ -54,7 +54,10 @@
         self._announce_batches(
             [
                 pb.CrashedUpstream(
-                    digest=crash.digest, upstream=crash.upstream, parts=sorted(crash.parts)
+                    digest=crash.digest,
+                    upstream=crash.upstream,
+                    parts=sorted(crash.parts),
+                    events=crash.events,
                 )
                 for crash in quarantine.drain_crashes()
             ],
--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -222,7 +222,7 @@
             self.mark_leaving(leaving.upstream, leaving.incarnation, heartbeat.name)
         quarantine = self.relay.quarantine
         for crash in heartbeat.news.crashes:
-            reported = Crash(crash.digest, crash.upstream, frozenset(crash.parts))
+            reported = Crash(crash.digest, crash.upstream, frozenset(crash.parts), crash.events)
             quarantine.record_crash(reported, read_lease_clock(), is_from_peer=True)
         for digest in heartbeat.news.cleared:
             quarantine.apply_cleared(digest, read_lease_clock())
--- a/camphorpath/placement/crashes.py
+++ b/camphorpath/placement/crashes.py
@@ -25,9 +25,10 @@
 
     digest: bytes
     upstream: str
-    # Digests of its prompt parts; empty if its answer had begun, as a part that crashes upstreams
-    # does so before that.
+    # Digests of its prompt parts.
     parts: frozenset[bytes] = frozenset()
+    # Whole events of its answer that had arrived from the upstream.
+    events: int = 0
 
     @property
     def traits(self) -> tuple[bytes, ...]:
@@ -35,6 +36,16 @@
         return (self.digest, *(self.parts - {self.digest}))
 
 
+@attrs.define(eq=False)
+class AnswerProgress:
+    """How much of the answer to a call has arrived from its upstream."""
+
+    # Digests of the prompt parts of the call.
+    parts: frozenset[bytes]
+    # Whole events.
+    events: int = 0
+
+
 @attrs.frozen
 class Pattern:
     """What calls have in common that crash upstreams."""
--- a/camphorpath/placement/quarantine.py
+++ b/camphorpath/placement/quarantine.py
@@ -8,14 +8,19 @@
 An upstream that crashes takes all of its calls with it, and calls with a crashing part share their
 other parts with sound calls. So a part is suspected only if no call with it was answered lately,
 and of the explanations of the same crashes the one that matches the fewest calls is taken.
+
+A part may crash upstreams at any moment of an answer, so only a complete answer shows that the
+parts of its call are sound. An answer in progress shows it of crashes that came earlier in theirs.
 """
 
 import collections
+import contextlib
 import math
+from collections.abc import Iterator
 
 import attrs
 
-from .crashes import Crash, Pattern, QuarantinedPattern
+from .crashes import AnswerProgress, Crash, Pattern, QuarantinedPattern
 
 # Upstreams that calls with the same pattern may crash before they are quarantined.
 CRASH_LIMIT = 3
@@ -76,6 +81,8 @@
     _answered_at: collections.OrderedDict[bytes, float] = attrs.field(
         factory=collections.OrderedDict
     )
+    # Answers that upstreams are writing to calls of this daemon.
+    _answers: set[AnswerProgress] = attrs.field(factory=set)
     # Crashes seen by this daemon that were not announced to the others yet.
     _unannounced_crashes: list[Crash] = attrs.field(factory=list)
     # Suspected calls and parts that were answered here, not announced to the others yet; a dict as
@@ -120,8 +127,17 @@
         if pattern is None or pattern.digest:
             self._add_patterns(crash, now, is_from_peer=is_from_peer)
 
+    @contextlib.contextmanager
+    def track_answer(self, answer: AnswerProgress) -> Iterator[None]:
+        """Take an answer in progress as evidence for the prompt parts of its call meanwhile."""
+        self._answers.add(answer)
+        try:
+            yield
+        finally:
+            self._answers.discard(answer)
+
     def record_answer(self, parts: frozenset[bytes], now: float) -> None:
-        """Record that an upstream went on answering a call, which clears its prompt parts."""
+        """Record that a call was answered completely, which clears its prompt parts."""
         for part in parts:
             self._clear_part(part, now, is_from_peer=False)
 
@@ -300,7 +316,14 @@
                     crash for crash in crashes if self._list_suspected(crash.parts) == suspected
                 ]
             explained = self._list_explained()
-            crashes = [crash for crash in crashes if crash.upstream not in explained]
+            longest = max(
+                (answer.events for answer in self._answers if trait in answer.parts), default=0
+            )
+            crashes = [
+                crash
+                for crash in crashes
+                if crash.upstream not in explained and crash.events >= longest
+            ]
             if len({crash.upstream for crash in crashes}) >= CRASH_LIMIT:
                 candidates.append(self._find_common(crashes))
         return candidates
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -26,7 +26,7 @@
     UpstreamError,
 )
 from ..events import Event
-from ..placement.crashes import Crash, digest_parts
+from ..placement.crashes import AnswerProgress, Crash, digest_parts
 from ..placement.records import Decision, Placed, Refused, WaitingCall
 from ..placement.scheduler import NO_UPSTREAM
 from ..placement.slots import Slots
@@ -44,6 +44,7 @@
 from .caller import CallerConnection
 from .context import RelayContext
 from .events import EventSplitter, MisplacedEventError
+from .failures import is_crash
 from .header_names import HeaderNames
 from .headers import Headers, find_header, select_answer_headers, select_request_headers
 from .reports import ProcessIdentity
@@ -70,9 +71,6 @@
 NOT_EXECUTED_RETRY_AFTER_S = 0.2
 # Largest event of a stream; the longest ones in use have a few hundred bytes.
 MAX_EVENT_BYTES = 262144
-# A prompt part that crashes upstreams does so when an answer begins: after this many parts of a
-# stream the prompt is known as sound.
-SOUND_ANSWER_PARTS = 2
 # Ids of events that a header can carry; after another one, a stream cannot be resumed.
 RESUMABLE_ID = re.compile(rb'[!-~](?:[ -~]*[!-~])?')
 # The upstream may have restarted since its slot was granted, or its entry may be outdated.
@@ -113,6 +111,8 @@
     answer: UpstreamAnswer | None = None
     # Parts of a streamed answer that arrived, each of whole events.
     received_parts: int = 0
+    # None before the stream of this attempt begins.
+    progress: AnswerProgress | None = None
     is_complete: bool = False
     is_ended: bool = False
     # Raised by reading the answer while it was not awaited.
@@ -739,11 +739,15 @@
         splitter = self.splitter
         splitter.start_run(self._get_resumed_id())
         before = splitter.event_count
-        while not answer.is_complete:
-            events = await self._read_events(attempt)
-            if events:
-                self._count_received_part(attempt)
-                await self._send_part(attempt, events)
+        attempt.progress = AnswerProgress(self.call.part_digests)
+        with self.context.quarantine.track_answer(attempt.progress):
+            while not answer.is_complete:
+                events = await self._read_events(attempt)
+                if events:
+                    self._is_relaying = True
+                    attempt.received_parts += 1
+                    attempt.progress.events = splitter.event_count - before
+                    await self._send_part(attempt, events)
         self._check_stream_end(attempt)
         await self._check_process(attempt)
         self._is_relaying = True
@@ -820,7 +824,8 @@
         if read_before:
             self._discard_replacement()
             return read_before[0]
-        raise _make_stall(silent)
+        # The silent upstream may have crashed meanwhile.
+        raise silent.read_error or _make_stall(silent)
 
     async def _read_unless_resumed(
         self, replacement: Attempt, read_silent: Callable[[anyio.CancelScope], Awaitable[None]]
@@ -901,12 +906,6 @@
         slots = self.context.scheduler.slots.get(upstream.upstream_id)
         return slots is None or slots.upstream.is_leaving
 
-    def _count_received_part(self, attempt: Attempt) -> None:
-        self._is_relaying = True
-        attempt.received_parts += 1
-        if attempt.received_parts == SOUND_ANSWER_PARTS:
-            self._record_sound_parts()
-
     def _record_sound_parts(self) -> None:
         self.context.quarantine.record_answer(self.call.part_digests, read_lease_clock())
 
@@ -986,8 +985,7 @@
             self._fail_upstream(upstream, error.message, is_certain=is_certain)
         if attempt.count is not None:
             attempt.count.record_failure(error)
-        if _is_connection_lost(error):
-            # The call may have crashed the upstream.
+        if is_crash(error, has_left=self._has_left(upstream)):
             self._record_crash(attempt)
         self.context.metrics.attempts.inc({'result': type(error).__name__})
         self.context.events.emit(
@@ -1006,7 +1004,8 @@
         crash = Crash(
             get_call_digest(self.context.header_names, self.call),
             f'{upstream.upstream_id}/{upstream.incarnation}',
-            frozenset() if attempt.received_parts else self.call.part_digests,
+            self.call.part_digests,
+            attempt.progress.events if attempt.progress else 0,
         )
         self.context.quarantine.record_crash(
             crash, read_lease_clock(), is_from_peer=False, is_probe=self.call.is_probe
@@ -1102,13 +1101,6 @@
         return Refusal('upstream_failed', error.message, status=STATUS_BAD_GATEWAY, peer=error.peer)
 
 
-def _is_connection_lost(error: UpstreamError) -> bool:
-    """Return whether the connection ended, rather than that the answer was refused or too late."""
-    if isinstance(error, EndedEarly):
-        return True
-    return isinstance(error, (SentUnknown, Truncated)) and error.__cause__ is not None
-
-
 async def _read_into(
     found: list[Answer],
     silent: Attempt,
--- /dev/null
+++ b/camphorpath/relay/failures.py
@@ -0,0 +1,15 @@
+"""What the failure of an upstream says about the call that was sent to it."""
+
+from ..errors import EndedEarly, EndUnclear, SentUnknown, Truncated, UpstreamError
+
+
+def is_crash(error: UpstreamError, *, has_left: bool) -> bool:
+    """Return whether a call may have crashed its upstream: the connection ended with its answer.
+
+    Not if the answer was refused or too late. `has_left` tells that the upstream leaves as planned.
+    """
+    if isinstance(error, EndUnclear):
+        return not has_left
+    if isinstance(error, EndedEarly):
+        return True
+    return isinstance(error, (SentUnknown, Truncated)) and error.__cause__ is not None
