Do not pass on an upstream's status as a promise that a call was not run

Cause: within the relay only a mark in the answer counts as "not run", but the answer itself was passed on with its status, which is the daemon's word for the same.

Change: 408, 429 and 503 without the mark become 502 on all kinds of routes, also where a server error was kept for want of a better answer. Health and retries are as before.

--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -41,16 +41,17 @@
 )
 from .answer_counts import AnswerCount
 from .answer_headers import FLAG_SET, STATUS_MISDIRECTED, apply_answer_headers
+from .attempts import Attempt, FailedAnswer, make_stall
 from .caller import CallerConnection
 from .context import RelayContext
 from .events import EventSplitter, MisplacedEventError
-from .failures import is_crash
+from .failures import NOT_RUN_STATUSES, is_crash
 from .header_names import HeaderNames
-from .headers import Headers, find_header, select_answer_headers, select_request_headers
+from .headers import find_header, select_answer_headers, select_request_headers
 from .reports import ProcessIdentity
 from .stalls import get_stall_timeout
 from .survival import Survival, check_survival
-from .upstream import UpstreamAnswer, UpstreamConnection, get_connect_timeout, read_answer
+from .upstream import UpstreamAnswer, get_connect_timeout, read_answer
 
 Answer = TypeVar('Answer')
 
@@ -93,49 +94,6 @@
 TOKENS_PER_EVENT = 4
 
 
-@attrs.define(eq=False)
-class Attempt:
-    """The slot of a call at an upstream, and its send there."""
-
-    upstream: Upstream
-    waiting: WaitingCall
-    conn: UpstreamConnection | None = None
-    # The entry of the process that the connection leads to, once there was one.
-    process_entry: Upstream = attrs.field(init=False)
-    is_sent: bool = False
-    # None before it is sent.
-    count: AnswerCount | None = None
-    # Whether the call may have run before this attempt.
-    ran_before: bool = False
-    # None before the head of the answer is read.
-    answer: UpstreamAnswer | None = None
-    # Parts of a streamed answer that arrived, each of whole events.
-    received_parts: int = 0
-    # None before the stream of this attempt begins.
-    progress: AnswerProgress | None = None
-    is_complete: bool = False
-    is_ended: bool = False
-    # Raised by reading the answer while it was not awaited.
-    read_error: Exception | None = None
-
-    @process_entry.default
-    def _get_granted_entry(self) -> Upstream:
-        return self.upstream
-
-    def has_unread_bytes(self) -> bool:
-        """Return whether the upstream has sent bytes that were not read."""
-        return self.conn is not None and self.conn.connection.has_unread_bytes()
-
-
-@attrs.frozen
-class FailedAnswer:
-    """The complete answer of an upstream that failed; relayed if no other upstream answers."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
 @attrs.define(eq=False)
 class CallHandler:
     """Serves one call and holds its state meanwhile."""
@@ -558,10 +516,10 @@
 
     def _record_send(self, attempt: Attempt) -> None:
         call, upstream, rollouts = self.call, attempt.upstream, self.context.scheduler.rollouts
+        call.may_have_run = True
         if not call.send_count:
             self.context.budget.record_call(call.service, read_lease_clock())
         call.send_count += 1
-        call.may_have_run = True
         distance = self.context.scheduler.egress.classify(upstream)
         self.context.metrics.by_distance.inc({'distance': distance})
         slots, now = self._find_slots(upstream), read_lease_clock()
@@ -720,8 +678,10 @@
         await self._check_process(attempt)
         headers = select_answer_headers(answer.headers)
         is_failure = answer.status >= STATUS_SERVER_ERROR
+        may_relay = answer.status not in NOT_RUN_STATUSES
         if is_failure and self.call.route.is_repeatable and self._can_send_again():
-            self._failed_answer = FailedAnswer(answer.status, headers, body)
+            if may_relay:
+                self._failed_answer = FailedAnswer(answer.status, headers, body)
             raise Truncated(f'status {answer.status}', step='receive_head', peer=answer.peer)
         self._is_relaying = True
         if answer.status < STATUS_REDIRECT:
@@ -730,6 +690,11 @@
         # The caller may take long to read the answer.
         attempt.is_complete = True
         self._end_attempt(attempt)
+        if not may_relay:
+            if is_failure:
+                self._fail_upstream(attempt.upstream, 'the upstream answered with a server error')
+            message = f'status {answer.status} without a statement that the call was not run'
+            raise Refusal('upstream_failed', message, status=STATUS_BAD_GATEWAY, peer=answer.peer)
         await self.caller.send_answer(answer.status, headers, body)
         return FAILED if is_failure else SERVED
 
@@ -776,7 +741,7 @@
         if self.has_answer_started:
             return await self._read_or_resume(attempt, read)
         if self._can_retry_elsewhere():
-            raise _make_stall(attempt)
+            raise make_stall(attempt)
         return await read()
 
     async def _read_or_resume(
@@ -825,7 +790,7 @@
             self._discard_replacement()
             return read_before[0]
         # The silent upstream may have crashed meanwhile.
-        raise silent.read_error or _make_stall(silent)
+        raise silent.read_error or make_stall(silent)
 
     async def _read_unless_resumed(
         self, replacement: Attempt, read_silent: Callable[[anyio.CancelScope], Awaitable[None]]
@@ -1117,8 +1082,3 @@
         silent.read_error = error
         return
     scope.cancel()
-
-
-def _make_stall(attempt: Attempt) -> Truncated:
-    message = 'no event within the stall timeout'
-    return Truncated(message, step='receive_body', peer=attempt.upstream.address)
--- a/camphorpath/relay/failures.py
+++ b/camphorpath/relay/failures.py
@@ -2,6 +2,10 @@
 
 from ..errors import EndedEarly, EndUnclear, SentUnknown, Truncated, UpstreamError
 
+# Statuses that tell a caller that its request has not run. An upstream states that by a mark in its
+# answer, so that its status alone must not be passed on as such a promise.
+NOT_RUN_STATUSES = frozenset((408, 429, 503))
+
 
 def is_crash(error: UpstreamError, *, has_left: bool) -> bool:
     """Return whether a call may have crashed its upstream: the connection ended with its answer.
--- a/tests/relay/test_calls.py
+++ b/tests/relay/test_calls.py
@@ -268,6 +268,29 @@
     run(test)
 
 
+@pytest.mark.parametrize('path', [b'/write/x', b'/twice/x', b'/once/x', b'/read/x', b'/stream/x'])
+@pytest.mark.parametrize('status', [b'408 Timeout', b'429 Busy', b'503 Failed'])
+def test_status_of_an_upstream_is_not_passed_on_as_a_promise(status, path):
+    """Guards against orders that callers repeat, as the upstream failed with 503 after the run."""
+
+    async def test():
+        failed = make_answer(b'failed after the run', status)
+        async with (
+            open_upstream(answer_with(failed)) as first,
+            open_upstream(answer_with(failed)) as second,
+            open_relay(first, second) as (context, port),
+        ):
+            code, head, _body = await ask(port, make_request(path))
+            is_retried = path in {b'/read/x', b'/stream/x'} and status.startswith(b'503')
+            assert (len(first.requests), len(second.requests)) == (1, is_retried)
+            health = context.scheduler.slots['i-0'].health
+            assert health.failures == status.startswith(b'503')
+        assert code == 502
+        assert b'signature' not in head.lower()
+
+    run(test)
+
+
 @pytest.mark.parametrize(
     'broken',
     [
