Answer 502 to a probe that crashed an upstream and is held back before its retry

Callers saw: 503, which promises that the call has not run, though an upstream had run it.

Cause: the check before a send refuses as if the call had not been sent before. The check while a call waits, which does look at that, runs only when a pattern is added.

Change: both give the same refusal.

Result: test_probe_that_crashed_an_upstream_is_not_refused_as_not_run failed before (503) and passes.

--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -323,6 +323,13 @@
         except Refusal:
             scope.cancel()
 
+    def _check_quarantine(self) -> None:
+        """Raise Refusal if the call must not be sent; it may have run at another upstream."""
+        try:
+            check_quarantine(self.context, self.call, read_lease_clock())
+        except Refusal:
+            raise self._refuse_quarantined() from None
+
     def _refuse_quarantined(self) -> Refusal:
         message = 'calls like this one crashed several upstreams'
         if self.call.may_have_run:
@@ -363,7 +370,7 @@
         upstream = attempt.upstream
         try:
             if not attempt.is_sent:
-                check_quarantine(self.context, self.call, read_lease_clock())
+                self._check_quarantine()
                 await self._connect(attempt)
                 self._send(attempt)
             if attempt.answer is None:
--- a/tests/relay/test_calls.py
+++ b/tests/relay/test_calls.py
@@ -6,9 +6,11 @@
 import attrs
 import pytest
 
+from camphorpath.clocks import read_lease_clock
 from camphorpath.placement.budget import RetryBudget
+from camphorpath.placement.crashes import Crash, digest_call
 from camphorpath.placement.ownership import Assignment
-from camphorpath.placement.quarantine import CRASH_LIMIT
+from camphorpath.placement.quarantine import CRASH_LIMIT, PROBE_INTERVAL_S
 from camphorpath.relay import upstream as upstream_module
 from camphorpath.relay.caller import MAX_READ_AHEAD_BYTES
 from camphorpath.relay.sockets import LINGER_RESET, READ_BYTES
@@ -291,6 +293,27 @@
     run(test)
 
 
+def test_probe_that_crashed_an_upstream_is_not_refused_as_not_run():
+    """Guards against a promise of "not run" to a call that was held back before its retry."""
+
+    async def test():
+        async with (
+            open_upstream(answer_with(None)) as first,
+            open_upstream(answer_with(make_answer())) as second,
+            open_relay(first, second) as (context, port),
+        ):
+            crashed_at = read_lease_clock() - PROBE_INTERVAL_S
+            for number in range(CRASH_LIMIT):
+                crash = Crash(digest_call(b'/read/x', b'', b''), f'other-{number}')
+                context.quarantine.record_crash(crash, crashed_at, is_from_peer=True)
+            context.recheck_quarantine()
+            status, _head, _body = await ask(port, make_request())
+            assert (len(first.requests), len(second.requests)) == (1, 0)
+        assert status == 502
+
+    run(test)
+
+
 @pytest.mark.parametrize(
     'broken',
     [
