Let streams go on at the only version that lost daemons have used

Cause: while one version serves, nothing is written about streams, as the only version is certain. Once all daemons are gone and a second version joins before they are back, it no longer is, and nothing tells that no stream can have begun at the second one.

Change: each daemon keeps a row with the versions at which it may have begun streams, written before the first event at a version. A stream that no running daemon and no record knows goes on at the only version in the rows of the daemons that are gone. After a restore of the store the rows are not believed until a horizon has passed.

--- /dev/null
+++ b/camphorpath/edge/begun_versions.py
@@ -0,0 +1,280 @@
+"""Keeps the software versions at which each daemon may have begun streams in the metadata store.
+
+A stream that no running daemon knows, and that the store has no record of, began at a daemon that
+is gone. Its version is certain if all daemons that are gone have begun streams at one version only.
+Their rows tell that also if another version was registered after they were gone.
+"""
+
+import math
+from collections.abc import Callable, Iterable
+
+import anyio
+import attrs
+import orjson
+
+from ..clocks import read_lease_clock
+from ..errors import PlatformError, TableOutcomeUnknown, TableUnavailable
+from ..events import Event, EventLog
+from ..platform.revisions import FIRST_ERA, get_era
+from ..platform.store import MAX_WRITE_ROWS, MetadataStore, Rows, Written
+from ..streams import Origin, ResumableServices
+from ..streams.rows import convert_to_ms, read_seconds
+from .history_reads import HistoryReads
+
+TABLE = 'camphorpath-begun'
+# All rows have the same part, so that one call reads them.
+PART = 'begun'
+UPDATE_INTERVAL_S = 1.0
+# A row is written again after this time, as readers ignore rows of daemons that are long gone.
+REFRESH_INTERVAL_S = 15.0
+# A row counts for this much longer, as its daemon may have lost the store before it was gone.
+MAX_REFRESH_DELAY_S = 20.0
+# The first event of a stream is held up for its version to be written for no longer than this.
+MAX_ANNOUNCE_S = 0.3
+RETRY_DELAY_S = 1.0
+
+
+@attrs.frozen
+class BegunRow:
+    """The origins at which a daemon may have begun streams; times on the store's steady clock."""
+
+    origins: frozenset[Origin]
+    # When it was written, in seconds.
+    written_s: float
+    era: int
+    # When its writer first knew of the era, in seconds.
+    era_since_s: float
+
+
+def list_resumable(
+    registered: Iterable[tuple[str, str]], services: ResumableServices
+) -> list[Origin]:
+    """Return those of some services and versions to which resumable routes lead or have led."""
+    names = services.list_services()
+    return [Origin(service, version) for service, version in registered if service in names]
+
+
+def encode_row(row: BegunRow) -> bytes:
+    """Return the content of a row."""
+    versions = sorted((origin.service, origin.software_version) for origin in row.origins)
+    return orjson.dumps(
+        {
+            'versions': versions,
+            'written_ms': convert_to_ms(row.written_s),
+            'era': row.era,
+            'era_since_ms': convert_to_ms(row.era_since_s),
+        }
+    )
+
+
+def decode_row(content: bytes | None) -> BegunRow:
+    """Return the content of a row; raise PlatformError with the reason if it is unreadable."""
+    try:
+        document = orjson.loads(content or b'{}')
+        origins = frozenset(Origin(service, version) for service, version in document['versions'])
+        written_s = read_seconds(document['written_ms'])
+        era_since_s = read_seconds(document['era_since_ms'])
+        era = int(document['era'])
+    except (KeyError, TypeError, ValueError) as error:
+        raise PlatformError(f'not a row of begun versions: {error!r}', step='decode') from error
+    if written_s is None or era_since_s is None:
+        raise PlatformError('a time is missing', step='decode')
+    return BegunRow(origins, written_s, era, era_since_s)
+
+
+@attrs.define(kw_only=True)
+class BegunVersions:
+    """Writes the row of this daemon, and reads those of daemons that are gone."""
+
+    store: MetadataStore
+    events: EventLog
+    incarnation: str
+    # The origins of each registered upstream of resumable routes.
+    list_registered: Callable[[], Iterable[Origin]]
+    # For how long a stream of a service may go on after its begin.
+    get_horizon_s: Callable[[str], float]
+    # Returns the event that is set, and replaced, when the store was restored from a copy.
+    get_restored: Callable[[], anyio.Event]
+    read_clock: Callable[[], float] = read_lease_clock
+    # When a stream last began here at each origin.
+    _begun: dict[Origin, float] = attrs.field(factory=dict)
+    # The origins in the row of this daemon.
+    _written: frozenset[Origin] = frozenset()
+    _written_at: float = -math.inf
+    # Rises after a write with an unknown outcome, which may take effect after a later one.
+    _row_number: int = 0
+    # The store's clock minus the lease clock; None before the store has told its time.
+    _store_offset_s: float | None = None
+    _era: int = 0
+    # When this daemon first knew of the era, on the lease clock.
+    _era_since: float = 0
+    # Keys of rows of daemons that are long gone.
+    _outdated_keys: list[str] = attrs.field(factory=list)
+    _write_lock: anyio.Lock = attrs.field(factory=anyio.Lock)
+    # When a stream may wait for a write again after a failure.
+    _next_announce_at: float = -math.inf
+    _is_failing: bool = False
+    # The latest rows that were read.
+    _rows: Rows = attrs.field(factory=lambda: Rows([], 0))
+    _reads: HistoryReads = attrs.field(init=False)
+
+    @_reads.default
+    def _make_reads(self) -> HistoryReads:
+        return HistoryReads(self.events, lambda: None, (self._read_rows,))
+
+    async def follow(self) -> None:
+        """Keep the row of this daemon current until cancelled."""
+        restored = self.get_restored()
+        while True:
+            if restored.is_set():
+                restored = self.get_restored()
+                self._written = frozenset()
+            if self._is_due():
+                await self._try_write()
+            await anyio.sleep(UPDATE_INTERVAL_S)
+
+    def begin(self, service: str, software_version: str) -> bool:
+        """Record that a stream begins here; return whether to announce its origin before.
+
+        An empty version is unknown.
+        """
+        now = self.read_clock()
+        origin = Origin(service, software_version)
+        self._begun[origin] = now
+        return origin not in self._written and now >= self._next_announce_at
+
+    async def announce(self) -> None:
+        """Write the origins at which streams begin here; give up after MAX_ANNOUNCE_S.
+
+        `follow` tries again, for which no stream waits.
+        """
+        with anyio.move_on_after(MAX_ANNOUNCE_S):
+            await self._try_write()
+        if self._is_due():
+            self._next_announce_at = self.read_clock() + RETRY_DELAY_S
+
+    async def list_lost(self, answered: frozenset[str]) -> frozenset[Origin] | None:
+        """Return the origins at which daemons that have not answered may have begun streams.
+
+        `answered` holds incarnations. Returns None if the store cannot be read, or if a restore may
+        have lost some.
+        """
+        is_read = await self._reads.confirm()
+        rows = self._rows
+        if not is_read or rows.store_time_s is None:
+            return None
+        decoded = self._decode_rows(rows)
+        if not self._is_complete(decoded.values(), rows.store_time_s):
+            return None
+        found: set[Origin] = set()
+        for key, row in decoded.items():
+            incarnation = key.rpartition('.')[0]
+            if incarnation == self.incarnation or incarnation in answered:
+                continue
+            age_s = rows.store_time_s - row.written_s - REFRESH_INTERVAL_S - MAX_REFRESH_DELAY_S
+            recent = {each for each in row.origins if age_s <= self.get_horizon_s(each.service)}
+            found |= recent
+            if not recent:
+                self._outdated_keys.append(key)
+        return frozenset(found)
+
+    def _is_complete(self, rows: Iterable[BegunRow], store_time_s: float) -> bool:
+        """Return whether no row is missing of a daemon whose streams may still be taken up."""
+        if self._era == FIRST_ERA:
+            return True
+        since_s = self._to_store_time(self._era_since)
+        services = set()
+        for row in rows:
+            services |= {origin.service for origin in row.origins}
+            if row.era == self._era:
+                since_s = min(since_s, row.era_since_s)
+        horizon_s = max(map(self.get_horizon_s, services), default=0)
+        return store_time_s - since_s > horizon_s
+
+    async def _read_rows(self) -> None:
+        """Read the rows of all daemons; raise TableUnavailable."""
+        self._rows = await self.store.read_table(TABLE, PART)
+        era = get_era(self._rows.revision)
+        self._learn_times(self._rows.store_time_s, self._rows.answered_at, era)
+
+    def _decode_rows(self, rows: Rows) -> dict[str, BegunRow]:
+        decoded: dict[str, BegunRow] = {}
+        for row in rows.rows:
+            try:
+                decoded[row.key] = decode_row(row.value)
+            except PlatformError as error:
+                self.events.emit(
+                    Event.STREAM_ROW_INVALID,
+                    table=TABLE,
+                    part=PART,
+                    key=row.key,
+                    problem=error.message,
+                )
+                self._outdated_keys.append(row.key)
+        return decoded
+
+    def _is_due(self) -> bool:
+        origins = self._list_origins()
+        if not origins:
+            return False
+        is_outdated = self.read_clock() - self._written_at >= REFRESH_INTERVAL_S
+        return is_outdated or not origins <= self._written
+
+    def _list_origins(self) -> frozenset[Origin]:
+        """Return the origins that are registered, or at which streams began here lately."""
+        now = self.read_clock()
+        for origin, begun_at in list(self._begun.items()):
+            if now - begun_at > self.get_horizon_s(origin.service):
+                self._begun.pop(origin)
+        return frozenset((*self.list_registered(), *self._begun))
+
+    async def _try_write(self) -> None:
+        """Write the row of this daemon; log a failure."""
+        async with self._write_lock:
+            try:
+                while self._is_due():
+                    await self._write()
+            except (TableUnavailable, TableOutcomeUnknown) as error:
+                if not self._is_failing:
+                    self.events.emit(Event.STREAM_STORE_FAILED, task='begun', problem=str(error))
+                self._is_failing = True
+                return
+        self._is_failing = False
+
+    async def _write(self) -> None:
+        """Write the row of this daemon; raise TableUnavailable or TableOutcomeUnknown."""
+        if self._store_offset_s is None:
+            await self._read_rows()
+        now, era, origins = self.read_clock(), self._era, self._list_origins()
+        row = BegunRow(origins, self._to_store_time(now), era, self._to_store_time(self._era_since))
+        key = f'{self.incarnation}.{self._row_number}'
+        outdated = self._outdated_keys[: MAX_WRITE_ROWS - 1]
+        # Until the answer, the write may take effect after a later one.
+        self._row_number += 1
+        written = await self._send(key, row, outdated)
+        self._row_number -= 1
+        self._outdated_keys = self._outdated_keys[len(outdated) :]
+        self._learn_times(written.store_time_s, written.answered_at, written.era or era)
+        if self._era == era:
+            self._written = origins
+            self._written_at = now
+
+    async def _send(self, key: str, row: BegunRow, outdated: list[str]) -> Written:
+        try:
+            return await self.store.write_rows(TABLE, PART, {key: encode_row(row)}, outdated)
+        except TableUnavailable:
+            # It had no effect.
+            self._row_number -= 1
+            raise
+
+    def _learn_times(self, store_time_s: float | None, answered_at: float, era: int) -> None:
+        if store_time_s is not None:
+            self._store_offset_s = store_time_s - answered_at
+        if era > self._era:
+            self._era = era
+            self._era_since = answered_at
+            self._written = frozenset()
+
+    def _to_store_time(self, at: float) -> float:
+        """Return an instant of the lease clock on the store's clock, not before its zero."""
+        return max(at + (self._store_offset_s or 0), 0)
--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -37,6 +37,7 @@
 from ..relay.upstream import UpstreamPool
 from ..routing import Upstream
 from ..schema import camphorpath_pb2 as pb
+from .begun_versions import BegunVersions, list_resumable
 from .customers import report_customers
 from .entry_reads import EntryReads
 from .history_reads import HistoryReads
@@ -94,6 +95,7 @@
     # None if orders to move services are ignored.
     rollouts: RolloutSync | None = None
     streams: StreamStore
+    begun_versions: BegunVersions
     stream_queries: StreamQueries
     stream_copies: StreamCopies
     peers: httpx.AsyncClient
@@ -181,7 +183,6 @@
         record_registered=streams.record_registered,
         reads=(follower.read_upstreams, streams.read_versions, streams.read_targets),
     )
-    relay.origins.announce_version = streams.announce_version
     process_reads = HistoryReads(
         events, record_registered=streams.record_registered, reads=(follower.read_upstreams,)
     )
@@ -201,12 +202,40 @@
         quarantine=QuarantineSync(relay, state, heartbeats, store),
         rollouts=connect_rollouts(state, follower, heartbeats, store),
         streams=streams,
+        begun_versions=_make_begun_versions(state, store, streams),
         stream_queries=stream_queries,
         stream_copies=StreamCopies(relay.origins.records, state, heartbeats),
         peers=peers,
     )
 
 
+def _make_begun_versions(
+    state: DaemonState, store: MetadataStore, streams: StreamStore
+) -> BegunVersions:
+    """Return the versions at which this daemon begins streams; calls announce them from now on."""
+    origins = state.relay.origins
+    begun_versions = BegunVersions(
+        store=store,
+        events=state.relay.events,
+        incarnation=state.incarnation,
+        list_registered=lambda: list_resumable(state.list_versions(), origins.services),
+        get_horizon_s=origins.services.get_horizon_s,
+        get_restored=lambda: state.restored,
+    )
+
+    async def announce_version(service: str, software_version: str) -> None:
+        if not begun_versions.begin(service, software_version):
+            await streams.announce_version(service, software_version)
+            return
+        async with anyio.create_task_group() as group:
+            group.start_soon(begun_versions.announce)
+            group.start_soon(streams.announce_version, service, software_version)
+
+    origins.announce_version = announce_version
+    origins.list_lost = begun_versions.list_lost
+    return begun_versions
+
+
 async def run_edge(settings: EdgeSettings, output: LogOutput) -> None:
     """Run a daemon until SIGTERM or SIGINT, then shut it down gracefully."""
     daemon = build_edge(settings)
@@ -247,6 +276,7 @@
         daemon.quarantine.rewrite_rows,
         daemon.streams.follow_versions,
         daemon.streams.write_records,
+        daemon.begun_versions.follow,
     ):
         group.start_soon(task)
     for run_task in (
--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -7,7 +7,6 @@
 
 import math
 from collections.abc import Callable, Iterable
-from typing import Protocol
 
 import anyio
 import attrs
@@ -34,6 +33,7 @@
 from .reads import SharedReads
 from .settings import EdgeSettings
 from .targets import TargetStore
+from .version_news import ShareVersion, share_nothing
 
 STREAM_TABLE = 'camphorpath-streams'
 VERSION_TABLE = 'camphorpath-versions'
@@ -68,17 +68,6 @@
 Pair = tuple[str, str]
 
 
-class ShareVersion(Protocol):
-    """Tells the other daemons that a stream begins at a version."""
-
-    def __call__(self, service: str, software_version: str, *, is_written: bool) -> None:
-        """Send a service and a version, and whether the store holds its row."""
-
-
-def _share_nothing(_service: str, _software_version: str, *, is_written: bool) -> None:
-    """Tell nobody; for a daemon without peers."""
-
-
 @attrs.define
 class StreamStore:
     """Writes the records of this daemon, looks up those of others, and follows the versions."""
@@ -106,7 +95,7 @@
     # Services at which streams may have begun; None for a daemon without routes.
     services: ResumableServices | None = None
     # Called for versions that the other daemons may not learn from the upstreams.
-    share_version: ShareVersion = _share_nothing
+    share_version: ShareVersion = share_nothing
     # Whether the versions were read from the store.
     is_loaded: bool = False
     # Whether versions may have come and gone unseen since.
--- a/camphorpath/edge/version_news.py
+++ b/camphorpath/edge/version_news.py
@@ -3,6 +3,8 @@
 The messages are announcements: daemons of older builds find no changes in them.
 """
 
+from typing import Protocol
+
 import attrs
 
 from ..cluster.heartbeats import HeartbeatSocket
@@ -11,6 +13,17 @@
 from .stream_queries import is_name
 
 
+class ShareVersion(Protocol):
+    """Tells the other daemons that a stream begins at a version."""
+
+    def __call__(self, service: str, software_version: str, *, is_written: bool) -> None:
+        """Send a service and a version, and whether the store holds its row."""
+
+
+def share_nothing(_service: str, _software_version: str, *, is_written: bool) -> None:
+    """Tell nobody; for a daemon without peers."""
+
+
 @attrs.frozen
 class VersionNews:
     """Sends and decodes announcements of versions at which streams begin."""
--- a/camphorpath/streams/lookup.py
+++ b/camphorpath/streams/lookup.py
@@ -35,6 +35,10 @@
     """Return no record; for a daemon without a store."""
 
 
+async def _know_no_lost(_answered: frozenset[str]) -> None:
+    """Return that nothing is known of daemons that are gone; for a daemon without a store."""
+
+
 async def _announce_nothing(_service: str, _software_version: str) -> None:
     """Announce no version; for a daemon without a store."""
 
@@ -60,6 +64,9 @@
     # Looks a stream up in the store, but for the rows of the incarnations that answered; raises
     # TableUnavailable.
     read_store: Callable[[bytes, frozenset[str]], Awaitable[KnownOrigin | None]] = _read_nothing
+    # Returns the origins at which the streams of incarnations that have not answered may have
+    # begun, None if that is unknown; it reads the store after its call.
+    list_lost: Callable[[frozenset[str]], Awaitable[frozenset[Origin] | None]] = _know_no_lost
 
     async def find(
         self, stream_id: bytes, services: Iterable[str], path: StreamPath | None = None
@@ -75,9 +82,9 @@
             return found
         if found is not None:
             # The daemon that recorded the stream may know better by now.
-            return await self._find_record(stream_id)
+            return await self._find_record(stream_id, services, path)
         if self._find_only_version(services, path) is None:
-            return await self._find_record(stream_id)
+            return await self._find_record(stream_id, services, path)
         return await self._confirm_only_version(stream_id, services, path)
 
     async def may_have_begun(self, path: StreamPath) -> bool:
@@ -119,7 +126,7 @@
         async def find_record() -> None:
             with anyio.move_on_after(HEAD_START_S):
                 await is_read.wait()
-            finish(await self._find_record(stream_id))
+            finish(await self._find_record(stream_id, services, path))
 
         def finish(found: KnownOrigin | None) -> None:
             if found is not None:
@@ -131,7 +138,9 @@
             group.start_soon(find_record)
         return outcomes[0] if outcomes else None
 
-    async def _find_record(self, stream_id: bytes) -> KnownOrigin | None:
+    async def _find_record(
+        self, stream_id: bytes, services: Iterable[str], path: StreamPath | None
+    ) -> KnownOrigin | None:
         """Return what the peers or the store know of a stream; None if it is unknown."""
         if not stream_id:
             return None
@@ -142,30 +151,54 @@
         if asked.is_given_up:
             # The store would have to be read for all daemons.
             return None
-        try:
-            return await self.read_store(digest, asked.answered)
-        except TableUnavailable:
-            # Logged where it was raised.
-            return None
+        lost: list[frozenset[Origin]] = []
+
+        async def read_lost() -> None:
+            lost.append(await self.list_lost(asked.answered) or frozenset())
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(read_lost)
+            try:
+                known = await self.read_store(digest, asked.answered)
+            except TableUnavailable:
+                # Logged where it was raised. Its record may be in the rows that were not read.
+                group.cancel_scope.cancel()
+                return None
+            if known is not None:
+                group.cancel_scope.cancel()
+                return known
+        return self._choose_only(lost[0], services, path, Source.ONLY_BEGUN)
 
     def _find_only_version(
         self, services: Iterable[str], path: StreamPath | None
     ) -> KnownOrigin | None:
         """Return the only origin in the history that a recent stream can have, if just one."""
         now = read_lease_clock()
+        recent = [
+            Origin(service, software_version)
+            for service in self.services.list_services().union(services)
+            for software_version in self.history.list_since(
+                service, now - self.services.get_horizon_s(service)
+            )
+        ]
+        return self._choose_only(recent, services, path, Source.ONLY_VERSION)
+
+    def _choose_only(
+        self,
+        origins: Iterable[Origin],
+        services: Iterable[str],
+        path: StreamPath | None,
+        source: Source,
+    ) -> KnownOrigin | None:
+        """Return the only one of some origins that a stream of a path can have, if just one."""
+        now = read_lease_clock()
         candidates = frozenset(services)
         if path is not None:
             others = self.services.list_candidates(path, now)
             if others is None:
                 return None
             candidates |= others
-        origins = [
-            Origin(service, software_version)
-            for service in candidates
-            for software_version in self.history.list_since(
-                service, now - self.services.get_horizon_s(service)
-            )
-        ]
-        if len(origins) != 1 or not origins[0].software_version:
+        possible = [origin for origin in origins if origin.service in candidates]
+        if len(possible) != 1 or not possible[0].software_version:
             return None
-        return KnownOrigin(origins[0], now, Source.ONLY_VERSION)
+        return KnownOrigin(possible[0], now, source)
--- a/camphorpath/streams/records.py
+++ b/camphorpath/streams/records.py
@@ -21,6 +21,8 @@
     STORE = 'store'
     # No other version of the service was registered since the stream can have begun.
     ONLY_VERSION = 'only_version'
+    # All daemons that are gone have begun streams at this version only.
+    ONLY_BEGUN = 'only_begun'
 
 
 @attrs.frozen
--- a/tests/edge/test_stop.py
+++ b/tests/edge/test_stop.py
@@ -111,6 +111,7 @@
         heartbeats=Datagrams(),
         quarantine=None,
         streams=Streams(),
+        begun_versions=None,
         stream_queries=None,
         stream_copies=StreamCopies(relay.origins.records, state, Datagrams()),
         peers=None,
