Write the records of all streams before a planned stop

Callers saw: streams that began before a roll-out of all daemons could not be taken up after it, if a second version joined meanwhile.

Cause: only records of services with several versions were written, at a stop too. The copies at other daemons are gone with these.

Change: a planned stop writes all records that it has, whatever the number of versions.

Result: test_last_write_of_a_planned_stop[only_version] failed before and passes.

--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -161,7 +161,11 @@
             await anyio.sleep(pause_s)
 
     async def flush(self, limit_s: float) -> None:
-        """Write what is unwritten before a planned stop; give up after `limit_s` seconds."""
+        """Write what is unwritten before a planned stop; give up after `limit_s` seconds.
+
+        Records of services with one version, too, as the next daemons may find several.
+        """
+        self._own_rows.add(self.records.drain_unwritten(lambda _service: True), self.read_clock())
         with anyio.move_on_after(limit_s) as scope:
             await self._flush()
         if scope.cancelled_caught:
--- a/tests/edge/test_stream_store.py
+++ b/tests/edge/test_stream_store.py
@@ -647,10 +647,11 @@
     assert own in store.list_origins()
 
 
-async def test_last_write_of_a_planned_stop(store):
-    """Guards against the last streams of a daemon that is stopped."""
+@pytest.mark.parametrize('origins', [(OLD, NEW), (OLD,)], ids=['mixed', 'only_version'])
+async def test_last_write_of_a_planned_stop(store, origins):
+    """Guards against the last streams of a daemon that is stopped, also before a release."""
     daemon = Daemon(store)
-    daemon.mix()
+    daemon.mix(*origins)
     begun = {daemon.begin(number): OLD for number in range(100)}
     await daemon.streams.flush(1)
     assert store.list_origins() == begun
