Believe rows of lost daemons after a restore that one of them outlived

Callers saw: after a restore of the store, streams were refused for a horizon once all daemons were lost, although these had written all that they knew again.

Cause: the rows of begun versions told when their writer first knew of the era, which says when a restore was, not whether a row of another daemon was lost.

Change: a row tells whether it has all versions that were registered within the horizon. One such row of the current era, of a daemon that is gone, stands for those that the restore has lost.

Result: test_streams_go_on_if_another_version_came_while_all_daemons_were_down[True] is new and passes; [True] of test_streams_are_refused_if_lost_daemons_may_have_used_several_versions still holds.

--- a/camphorpath/edge/begun_versions.py
+++ b/camphorpath/edge/begun_versions.py
@@ -17,7 +17,7 @@
 from ..events import Event, EventLog
 from ..platform.revisions import FIRST_ERA, get_era
 from ..platform.store import MAX_WRITE_ROWS, MetadataStore, Rows, Written
-from ..streams import Origin, ResumableServices
+from ..streams import Origin, ResumableServices, VersionHistory
 from ..streams.rows import convert_to_ms, read_seconds
 from .history_reads import HistoryReads
 
@@ -42,16 +42,17 @@
     # When it was written, in seconds.
     written_s: float
     era: int
-    # When its writer first knew of the era, in seconds.
-    era_since_s: float
+    # Whether it has all that were registered within the horizon, at whatever daemon they were used.
+    is_complete: bool
 
 
-def list_resumable(
-    registered: Iterable[tuple[str, str]], services: ResumableServices
-) -> list[Origin]:
-    """Return those of some services and versions to which resumable routes lead or have led."""
-    names = services.list_services()
-    return [Origin(service, version) for service, version in registered if service in names]
+def list_recent(history: VersionHistory, services: ResumableServices, now: float) -> list[Origin]:
+    """Return the origins at which streams that may still be taken up can have begun."""
+    return [
+        Origin(service, software_version)
+        for service in services.list_services()
+        for software_version in history.list_since(service, now - services.get_horizon_s(service))
+    ]
 
 
 def encode_row(row: BegunRow) -> bytes:
@@ -62,7 +63,7 @@
             'versions': versions,
             'written_ms': convert_to_ms(row.written_s),
             'era': row.era,
-            'era_since_ms': convert_to_ms(row.era_since_s),
+            'is_complete': row.is_complete,
         }
     )
 
@@ -73,13 +74,13 @@
         document = orjson.loads(content or b'{}')
         origins = frozenset(Origin(service, version) for service, version in document['versions'])
         written_s = read_seconds(document['written_ms'])
-        era_since_s = read_seconds(document['era_since_ms'])
         era = int(document['era'])
+        is_complete = bool(document['is_complete'])
     except (KeyError, TypeError, ValueError) as error:
         raise PlatformError(f'not a row of begun versions: {error!r}', step='decode') from error
-    if written_s is None or era_since_s is None:
-        raise PlatformError('a time is missing', step='decode')
-    return BegunRow(origins, written_s, era, era_since_s)
+    if written_s is None:
+        raise PlatformError('the time is missing', step='decode')
+    return BegunRow(origins, written_s, era, is_complete)
 
 
 @attrs.define(kw_only=True)
@@ -89,8 +90,10 @@
     store: MetadataStore
     events: EventLog
     incarnation: str
-    # The origins of each registered upstream of resumable routes.
+    # The origins that were registered within the horizon, as far as this daemon knows.
     list_registered: Callable[[], Iterable[Origin]]
+    # Returns whether this daemon knows all of them.
+    is_history_complete: Callable[[], bool]
     # For how long a stream of a service may go on after its begin.
     get_horizon_s: Callable[[str], float]
     # Returns the event that is set, and replaced, when the store was restored from a copy.
@@ -106,10 +109,8 @@
     # The store's clock minus the lease clock; None before the store has told its time.
     _store_offset_s: float | None = None
     _era: int = 0
-    # When this daemon first knew of the era, on the lease clock.
-    _era_since: float = 0
-    # Keys of rows of daemons that are long gone.
-    _outdated_keys: list[str] = attrs.field(factory=list)
+    # Keys of rows of daemons that are long gone, and of unreadable rows.
+    _outdated_keys: set[str] = attrs.field(factory=set)
     _write_lock: anyio.Lock = attrs.field(factory=anyio.Lock)
     # When a stream may wait for a write again after a failure.
     _next_announce_at: float = -math.inf
@@ -163,33 +164,20 @@
         rows = self._rows
         if not is_read or rows.store_time_s is None:
             return None
-        decoded = self._decode_rows(rows)
-        if not self._is_complete(decoded.values(), rows.store_time_s):
-            return None
         found: set[Origin] = set()
-        for key, row in decoded.items():
+        # A restore of the store may have lost the rows of other daemons.
+        is_complete = self._era == FIRST_ERA
+        for key, row in self._decode_rows(rows).items():
             incarnation = key.rpartition('.')[0]
             if incarnation == self.incarnation or incarnation in answered:
                 continue
+            is_complete = is_complete or (row.era == self._era and row.is_complete)
             age_s = rows.store_time_s - row.written_s - REFRESH_INTERVAL_S - MAX_REFRESH_DELAY_S
             recent = {each for each in row.origins if age_s <= self.get_horizon_s(each.service)}
             found |= recent
             if not recent:
-                self._outdated_keys.append(key)
-        return frozenset(found)
-
-    def _is_complete(self, rows: Iterable[BegunRow], store_time_s: float) -> bool:
-        """Return whether no row is missing of a daemon whose streams may still be taken up."""
-        if self._era == FIRST_ERA:
-            return True
-        since_s = self._to_store_time(self._era_since)
-        services = set()
-        for row in rows:
-            services |= {origin.service for origin in row.origins}
-            if row.era == self._era:
-                since_s = min(since_s, row.era_since_s)
-        horizon_s = max(map(self.get_horizon_s, services), default=0)
-        return store_time_s - since_s > horizon_s
+                self._outdated_keys.add(key)
+        return frozenset(found) if is_complete else None
 
     async def _read_rows(self) -> None:
         """Read the rows of all daemons; raise TableUnavailable."""
@@ -210,7 +198,7 @@
                     key=row.key,
                     problem=error.message,
                 )
-                self._outdated_keys.append(row.key)
+                self._outdated_keys.add(row.key)
         return decoded
 
     def _is_due(self) -> bool:
@@ -221,7 +209,7 @@
         return is_outdated or not origins <= self._written
 
     def _list_origins(self) -> frozenset[Origin]:
-        """Return the origins that are registered, or at which streams began here lately."""
+        """Return the origins that were registered, or at which streams began here, lately."""
         now = self.read_clock()
         for origin, begun_at in list(self._begun.items()):
             if now - begun_at > self.get_horizon_s(origin.service):
@@ -246,14 +234,14 @@
         if self._store_offset_s is None:
             await self._read_rows()
         now, era, origins = self.read_clock(), self._era, self._list_origins()
-        row = BegunRow(origins, self._to_store_time(now), era, self._to_store_time(self._era_since))
+        row = BegunRow(origins, self._to_store_time(now), era, self.is_history_complete())
         key = f'{self.incarnation}.{self._row_number}'
-        outdated = self._outdated_keys[: MAX_WRITE_ROWS - 1]
+        outdated = sorted(self._outdated_keys)[: MAX_WRITE_ROWS - 1]
         # Until the answer, the write may take effect after a later one.
         self._row_number += 1
         written = await self._send(key, row, outdated)
         self._row_number -= 1
-        self._outdated_keys = self._outdated_keys[len(outdated) :]
+        self._outdated_keys.difference_update(outdated)
         self._learn_times(written.store_time_s, written.answered_at, written.era or era)
         if self._era == era:
             self._written = origins
@@ -272,7 +260,6 @@
             self._store_offset_s = store_time_s - answered_at
         if era > self._era:
             self._era = era
-            self._era_since = answered_at
             self._written = frozenset()
 
     def _to_store_time(self, at: float) -> float:
--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -37,7 +37,7 @@
 from ..relay.upstream import UpstreamPool
 from ..routing import Upstream
 from ..schema import camphorpath_pb2 as pb
-from .begun_versions import BegunVersions, list_resumable
+from .begun_versions import BegunVersions, list_recent
 from .customers import report_customers
 from .entry_reads import EntryReads
 from .history_reads import HistoryReads
@@ -218,7 +218,8 @@
         store=store,
         events=state.relay.events,
         incarnation=state.incarnation,
-        list_registered=lambda: list_resumable(state.list_versions(), origins.services),
+        list_registered=lambda: list_recent(origins.history, origins.services, read_lease_clock()),
+        is_history_complete=streams.is_history_complete,
         get_horizon_s=origins.services.get_horizon_s,
         get_restored=lambda: state.restored,
     )
--- a/tests/edge/test_kill_of_all_daemons.py
+++ b/tests/edge/test_kill_of_all_daemons.py
@@ -12,6 +12,7 @@
 from camphorpath.edge import daemon as daemon_module
 from camphorpath.edge.begun_versions import PART as BEGUN_PART
 from camphorpath.edge.begun_versions import TABLE as BEGUN_TABLE
+from camphorpath.edge.begun_versions import decode_row as decode_begun_row
 from camphorpath.edge.daemon import EdgeDaemon, build_edge
 from camphorpath.edge.streams import STREAM_TABLE, VERSION_TABLE
 from camphorpath.platform.store import MetadataStore
@@ -258,6 +259,13 @@
     ]
 
 
+def list_complete(store):
+    """Return the rows of daemons that know all versions in the current era."""
+    keys = store.list_keys(BEGUN_TABLE, BEGUN_PART)
+    rows = [decode_begun_row(store.rows[BEGUN_TABLE, BEGUN_PART, key]) for key in keys]
+    return [row for row in rows if row.is_complete and row.era == store.era]
+
+
 async def assert_refused(port, stream_id, reason=b'stream_version_unknown\n'):
     """Take a stream up; check that it is refused at once."""
     began_at = read_lease_clock()
@@ -365,11 +373,21 @@
     assert len(store.list_keys(BEGUN_TABLE, BEGUN_PART)) == 2 * len(daemons)
 
 
-async def test_streams_go_on_if_another_version_came_while_all_daemons_were_down(store, old, new):
+@pytest.mark.parametrize('is_restored', [True, False])
+async def test_streams_go_on_if_another_version_came_while_all_daemons_were_down(
+    store, old, new, is_restored
+):
     """Guards against refused streams of the only version that served before a loss of power."""
     async with run_fleet(store, old) as daemons:
         await wait_until_loaded(daemons)
         begun = await begin_streams(daemons, versions=(b'v1',))
+        if is_restored:
+            # The daemons outlive the restore, and write again what it has lost.
+            store.restore({})
+            for daemon in daemons:
+                daemon.edge.state.restored.set()
+                daemon.edge.state.restored = anyio.Event()
+            await wait_for(lambda: store.count_versions() and len(list_complete(store)) == 3)
     async with run_fleet(store, old, new) as daemons:
         await wait_until_loaded(daemons)
         for number, stream_id in enumerate(begun):
