Remove outdated rows of begun versions, and use the newest that were read

Callers saw nothing yet; found by reading. Rows of daemons that are gone were removed only after a take-up that no daemon knew, so that each start added a row for good. A slow read could replace what a later one had read, and so hide a version that began in between. An unreadable row was passed over as if its daemon had begun no streams.

Change: rows that were not written for 600 s are removed with the first write of a daemon and those after a read; an older revision does not replace a newer one; with an unreadable row nothing is concluded.

--- a/camphorpath/edge/begun_versions.py
+++ b/camphorpath/edge/begun_versions.py
@@ -32,6 +32,8 @@
 # The first event of a stream is held up for its version to be written for no longer than this.
 MAX_ANNOUNCE_S = 0.3
 RETRY_DELAY_S = 1.0
+# Rows that were not written for longer are removed.
+ROW_RETENTION_S = 600.0
 
 
 @attrs.frozen
@@ -109,14 +111,15 @@
     # The store's clock minus the lease clock; None before the store has told its time.
     _store_offset_s: float | None = None
     _era: int = 0
-    # Keys of rows of daemons that are long gone, and of unreadable rows.
+    # Keys of rows to remove.
     _outdated_keys: set[str] = attrs.field(factory=set)
     _write_lock: anyio.Lock = attrs.field(factory=anyio.Lock)
     # When a stream may wait for a write again after a failure.
     _next_announce_at: float = -math.inf
     _is_failing: bool = False
-    # The latest rows that were read.
+    # The latest rows that were read, and by key what could be decoded of them.
     _rows: Rows = attrs.field(factory=lambda: Rows([], 0))
+    _decoded: dict[str, BegunRow] = attrs.field(factory=dict)
     _reads: HistoryReads = attrs.field(init=False)
 
     @_reads.default
@@ -157,49 +160,44 @@
     async def list_lost(self, answered: frozenset[str]) -> frozenset[Origin] | None:
         """Return the origins at which daemons that have not answered may have begun streams.
 
-        `answered` holds incarnations. Returns None if the store cannot be read, or if a restore may
-        have lost some.
+        `answered` holds incarnations. Returns None if the store or a row cannot be read, or if a
+        restore may have lost rows.
         """
         is_read = await self._reads.confirm()
-        rows = self._rows
-        if not is_read or rows.store_time_s is None:
+        rows, decoded = self._rows, self._decoded
+        if not is_read or rows.store_time_s is None or len(decoded) < len(rows.rows):
             return None
         found: set[Origin] = set()
         # A restore of the store may have lost the rows of other daemons.
-        is_complete = self._era == FIRST_ERA
-        for key, row in self._decode_rows(rows).items():
+        is_complete = get_era(rows.revision) == FIRST_ERA
+        for key, row in decoded.items():
             incarnation = key.rpartition('.')[0]
             if incarnation == self.incarnation or incarnation in answered:
                 continue
-            is_complete = is_complete or (row.era == self._era and row.is_complete)
-            age_s = rows.store_time_s - row.written_s - REFRESH_INTERVAL_S - MAX_REFRESH_DELAY_S
-            recent = {each for each in row.origins if age_s <= self.get_horizon_s(each.service)}
-            found |= recent
-            if not recent:
-                self._outdated_keys.add(key)
+            is_complete = is_complete or (row.era == get_era(rows.revision) and row.is_complete)
+            silent_s = rows.store_time_s - row.written_s - REFRESH_INTERVAL_S - MAX_REFRESH_DELAY_S
+            found |= {each for each in row.origins if silent_s <= self.get_horizon_s(each.service)}
         return frozenset(found) if is_complete else None
 
     async def _read_rows(self) -> None:
         """Read the rows of all daemons; raise TableUnavailable."""
-        self._rows = await self.store.read_table(TABLE, PART)
-        era = get_era(self._rows.revision)
-        self._learn_times(self._rows.store_time_s, self._rows.answered_at, era)
-
-    def _decode_rows(self, rows: Rows) -> dict[str, BegunRow]:
-        decoded: dict[str, BegunRow] = {}
+        rows = await self.store.read_table(TABLE, PART)
+        self._learn_times(rows.store_time_s, rows.answered_at, get_era(rows.revision))
+        if rows.revision < self._rows.revision:
+            # A read that began later has ended before.
+            return
+        self._rows = rows
+        self._decoded = {}
         for row in rows.rows:
             try:
-                decoded[row.key] = decode_row(row.value)
+                self._decoded[row.key] = decode_row(row.value)
             except PlatformError as error:
-                self.events.emit(
-                    Event.STREAM_ROW_INVALID,
-                    table=TABLE,
-                    part=PART,
-                    key=row.key,
-                    problem=error.message,
-                )
-                self._outdated_keys.add(row.key)
-        return decoded
+                self._log_failure(f'row {row.key}: {error.message}')
+        if rows.store_time_s is not None:
+            outdated_s = rows.store_time_s - ROW_RETENTION_S
+            self._outdated_keys = {
+                key for key, row in self._decoded.items() if row.written_s < outdated_s
+            }
 
     def _is_due(self) -> bool:
         origins = self._list_origins()
@@ -223,12 +221,16 @@
                 while self._is_due():
                     await self._write()
             except (TableUnavailable, TableOutcomeUnknown) as error:
-                if not self._is_failing:
-                    self.events.emit(Event.STREAM_STORE_FAILED, task='begun', problem=str(error))
-                self._is_failing = True
+                self._log_failure(str(error))
                 return
         self._is_failing = False
 
+    def _log_failure(self, problem: str) -> None:
+        """Log a problem, unless the last call failed, too."""
+        if not self._is_failing:
+            self.events.emit(Event.STREAM_STORE_FAILED, task='begun', problem=problem)
+        self._is_failing = True
+
     async def _write(self) -> None:
         """Write the row of this daemon; raise TableUnavailable or TableOutcomeUnknown."""
         if self._store_offset_s is None:
--- a/tests/edge/test_kill_of_all_daemons.py
+++ b/tests/edge/test_kill_of_all_daemons.py
@@ -6,6 +6,7 @@
 
 import anyio
 import attrs
+import orjson
 import pytest
 
 from camphorpath.clocks import read_lease_clock
@@ -259,6 +260,13 @@
     ]
 
 
+def has_all_versions(store):
+    """Return whether a row tells that all versions and targets are written in the current era."""
+    keys = store.list_keys(VERSION_TABLE, '')
+    contents = [orjson.loads(store.rows[VERSION_TABLE, '', key]) for key in keys]
+    return any(content.get('era') == store.era for content in contents)
+
+
 def list_complete(store):
     """Return the rows of daemons that know all versions in the current era."""
     keys = store.list_keys(BEGUN_TABLE, BEGUN_PART)
@@ -387,7 +395,7 @@
             for daemon in daemons:
                 daemon.edge.state.restored.set()
                 daemon.edge.state.restored = anyio.Event()
-            await wait_for(lambda: store.count_versions() and len(list_complete(store)) == 3)
+            await wait_for(lambda: has_all_versions(store) and len(list_complete(store)) == 3)
     async with run_fleet(store, old, new) as daemons:
         await wait_until_loaded(daemons)
         for number, stream_id in enumerate(begun):
