--- a/review/lab3/runner.py
+++ b/review/lab3/runner.py
@@ -16,6 +16,7 @@
         self.slots, self.work_s, self.version = slots, work_s, 'v1'
         self.born = int(time.time() * 1000)
         self.active, self.arrivals, self.writers = 0, [], set()
+        self.is_leaving = False
         self.plan_failure = lambda request: None
 
     async def start(self, address):
@@ -54,6 +55,10 @@
             self.writers.discard(writer)
             writer.close()
 
+    def _make_headers(self, attempt):
+        named = {'X-Attempt-Id': attempt, 'Keep-Alive': 'timeout=10'}
+        return {**named, 'Server-Leaving': 1} if self.is_leaving else named
+
     async def _serve_request(self, request, writer):
         """Answer a request; return whether the channel may serve more."""
         writer.write(await self._answer(request))
@@ -67,7 +72,7 @@
         if request.path == '/healthz':
             return make_answer(200, b'', {'X-Runner-Id': self.name})
         attempt = request.headers.get('x-attempt-id', '')
-        named = {'X-Attempt-Id': attempt, 'Keep-Alive': 'timeout=10'}
+        named = self._make_headers(attempt)
         if request.headers.get('x-expected-runner', self.name) != self.name:
             return make_answer(421, b'', {**named, 'X-Runner-Id': self.name})
         if not attempt:
@@ -81,6 +86,8 @@
             await asyncio.sleep(self.work_s)
         finally:
             self.active -= 1
+        # It may have begun to leave meanwhile.
+        named = self._make_headers(attempt)
         named['X-Runner-Signature'] = f'{self.name}.{attempt}'
         named['X-Runner-Load'] = f'{self.active},0,{self.slots}'
         failure = self.plan_failure(request)
@@ -112,7 +119,7 @@
         if not request.path.startswith('/draft/') or 'x-attempt-id' not in request.headers:
             return await super()._serve_request(request, writer)
         attempt = request.headers['x-attempt-id']
-        named = {'X-Attempt-Id': attempt, 'Keep-Alive': 'timeout=10'}
+        named = self._make_headers(attempt)
         if request.headers.get('x-expected-runner', self.name) != self.name:
             writer.write(make_answer(421, b'', {**named, 'X-Runner-Id': self.name}))
             return True
