--- a/review/lab3/fleet.py
+++ b/review/lab3/fleet.py
@@ -19,9 +19,12 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 READY_LIMIT_S = 40.0
+# A play may take 120 s in all.
+LIMIT_S = 100.0
 PORTS = {'frontend': 0, 'ready': 1, 'control_plane': 2, 'directory_service': 3}
 STORE_LINK, INTERNAL = 4, 8
 PORTS_PER_DAEMON = 20
+METRICS_PORT = 9100
 BOUNDS = {
     'seed_lag_s': 3,
     'address_reuse_s': 2,
@@ -261,14 +264,31 @@
         self.record.append(f'{self.now():8.3f} {text}')
 
     def _choose_net(self):
+        """Choose loopback addresses and ports that are free; the first host marks them as taken."""
         for _ in range(100):
             self.net = f'127.{random.randint(16, 250)}.{random.randint(1, 250)}'
             self.first_port = random.randint(40, 60) * 500
-            with socket.socket() as probe, contextlib.suppress(OSError):
-                probe.bind((f'{self.net}.1', self.first_port))
-                return
+            # Held until the end, so that no other play takes the same net.
+            self._mark = socket.socket()
+            try:
+                self._mark.bind((f'{self.net}.1', METRICS_PORT))
+                self._check_ports()
+            except OSError:
+                self._mark.close()
+                continue
+            return
         raise CannotRun('no free loopback address')
 
+    def _check_ports(self):
+        """Raise OSError if a port is in use; the plays have up to ten daemons and 20 runners."""
+        hosts = [f'{self.net}.{last}' for last in (1, *range(10, 20), *range(101, 121))]
+        ports = range(self.first_port, self.first_port + 11 * PORTS_PER_DAEMON)
+        for host in hosts:
+            _probe(host, METRICS_PORT, socket.SOCK_STREAM, is_held=host == f'{self.net}.1')
+            for port in ports:
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    _probe(host, port, kind)
+
     async def start(self, zones, counts, manifest):
         """Start the store with a manifest and so many daemons in each zone; wait until ready."""
         await self.store.start(self.store_address)
@@ -306,6 +326,14 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def _probe(host, port, kind, *, is_held=False):
+    """Raise OSError if a port is in use, unless this process holds it."""
+    if is_held:
+        return
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind((host, port))
+
+
 def make_route(name, prefix, service, **changes):
     return {
         'name': name, 'hostname': 'a.example', 'prefix': prefix, 'route_type': 'non_idempotent',
@@ -328,27 +356,33 @@
 
 
 def play(case, folder):
-    """Run a case, write its record and exit: 1 if the rule was broken, 0 if not, 2 if not run."""
-    has_trouble = os.environ.get('TROUBLE', '1') != '0'
+    """Run a case, write its record and exit: 1 if the rule was broken, 0 if not, 2 if not run.
 
-    async def run():
-        fleet = Fleet()
-        code = 2
-        try:
-            async with asyncio.timeout(110):
-                code = int(await case(fleet, has_trouble))
-        except (CannotRun, TimeoutError, OSError) as error:
-            fleet.log(f'the case could not run: {error!r}')
-            code = 2
-        finally:
-            with contextlib.suppress(OSError):
-                if os.environ.get('KEEP_LOGS'):
-                    shutil.copytree(fleet.folder, os.environ['KEEP_LOGS'], dirs_exist_ok=True)
-            await fleet.close()
-            lines = [f'TROUBLE={int(has_trouble)}', *fleet.record, f'exit code {code}']
-            (pathlib.Path(folder) / 'record.txt').write_text('\n'.join(lines) + '\n')
-            print('\n'.join(fleet.record[-12:]), flush=True)
-        # Without the end of the event loop, which would report each open channel.
-        os._exit(code)
-
-    asyncio.run(run())
+    All other ends are 2, too, also if the case is told to end.
+    """
+    has_trouble = os.environ.get('TROUBLE', '1') != '0'
+    code = 2
+    try:
+        code = asyncio.run(_run(case, folder, has_trouble))
+    except BaseException as error:
+        print(f'the case could not run: {error!r}', flush=True)
+    # Without the end of the interpreter, which would report what is still open.
+    os._exit(code)
+
+
+async def _run(case, folder, has_trouble):
+    fleet = Fleet()
+    task = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    code = 2
+    try:
+        async with asyncio.timeout(LIMIT_S):
+            code = int(await case(fleet, has_trouble))
+    except BaseException as error:
+        fleet.log(f'the case could not run: {error!r}')
+    await fleet.close()
+    lines = [f'TROUBLE={int(has_trouble)}', *fleet.record, f'exit code {code}']
+    (pathlib.Path(folder) / 'record.txt').write_text('\n'.join(lines) + '\n')
+    print('\n'.join(fleet.record[-12:]), flush=True)
+    os._exit(code)
