Review case 13: calls are at the runner as its entry is removed

Change: 8 clients of each daemon, and the runner says that it leaves 10 ms after the removal of its entry.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -15,13 +15,14 @@
     make_route('draft', '/draft/', 'llm', route_type='streaming', timeout_ms=6000),
 ]
 DRAIN_S = BOUNDS['drain_timeout_ms'] / 1000
-# Clients of each daemon.
-CALLERS = 3
+# Clients of each daemon: so many that a call is at the first runner as its entry is removed.
+CALLERS = 8
 # A runner whose entry was removed serves on for this long, and then exits.
 SERVES_ON_S = DRAIN_S + 0.4
 # The first runner leaves so long after the daemon is ready again; the pause to the second one.
 FIRST_LEAVES_S = 0.2
 PAUSE_S = 0.85
+TOLD_S = 0.01
 # Differences between the clocks' readings in this process and on the way.
 MEASURE_S = 0.02
 
@@ -34,7 +35,7 @@
         headers = {'Host': 'a.example', 'X-Attempt-Id': attempt, 'X-Deadline-Ms': 1200}
         answer = await channel.send('POST', f'/book/{attempt}', headers, b'x' * 64, limit_s=1.2)
         fleet.log(f'{attempt} is answered {answer[0] if answer else None}')
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(0.005)
     channel.close()
 
 
@@ -63,8 +64,9 @@
     for index, pause_s in ((0, FIRST_LEAVES_S), (1, PAUSE_S)):
         await asyncio.sleep(pause_s)
         runner = fleet.runners[index]
-        runner.is_leaving = True
         left_at[runner.name] = fleet.store.put('servers', runner.name, None)
+        # It says so with its answers from when the store has told the daemons.
+        asyncio.get_running_loop().call_later(TOLD_S, setattr, runner, 'is_leaving', True)
         fleet.log(f'the entry of {runner.name} is removed; it serves on for {SERVES_ON_S} s')
         asyncio.get_running_loop().call_later(SERVES_ON_S, runner.exit)
     await asyncio.gather(*calls)
