--- a/camphorpath/edge/begun_versions.py
+++ b/camphorpath/edge/begun_versions.py
@@ -103,14 +103,22 @@
     read_clock: Callable[[], float] = read_lease_clock
     # When a stream last began here at each origin.
     _begun: dict[Origin, float] = attrs.field(factory=dict)
-    # The origins in the row of this daemon.
+    # The origins in the row of this daemon, as long as no restore of the store may have lost it.
     _written: frozenset[Origin] = frozenset()
+    # Those in the latest row that was written, also if it may be lost since.
+    _stated: frozenset[Origin] = frozenset()
+    # Those of the first row that may have been written, while no write was confirmed.
+    _attempted: frozenset[Origin] | None = None
     _written_at: float = -math.inf
     # Rises after a write with an unknown outcome, which may take effect after a later one.
     _row_number: int = 0
     # The store's clock minus the lease clock; None before the store has told its time.
     _store_offset_s: float | None = None
     _era: int = 0
+    # When this daemon last heard from other incarnations.
+    _heard: dict[str, float] = attrs.field(factory=dict)
+    # When the rows that cannot be decoded were found, by key.
+    _unreadable: dict[str, float] = attrs.field(factory=dict)
     # Keys of rows to remove.
     _outdated_keys: set[str] = attrs.field(factory=set)
     _write_lock: anyio.Lock = attrs.field(factory=anyio.Lock)
@@ -147,6 +155,36 @@
         self._begun[origin] = now
         return origin not in self._written and now >= self._next_announce_at
 
+    def is_stated(self, service: str, software_version: str) -> bool:
+        """Return whether the daemons that come after this one count an origin as begun here.
+
+        Its row in the store tells them so. While no row was written, as the store was away since
+        the start, they take all registered versions for begun here.
+        """
+        origin = Origin(service, software_version)
+        if self._stated:
+            return origin in self._stated
+        if not software_version:
+            return False
+        return origin in (self._attempted or self.list_registered())
+
+    def record_member(self, incarnation: str) -> None:
+        """Record that another daemon runs, which may have begun streams before it wrote its row."""
+        self._heard[incarnation] = self.read_clock()
+
+    async def try_begin(self, service: str, software_version: str) -> bool:
+        """Record that a stream is about to begin here; return whether it may.
+
+        It may not if other daemons could never learn its origin. Takes up to MAX_ANNOUNCE_S.
+        """
+        if self.begin(service, software_version):
+            await self.announce()
+        if self.is_stated(service, software_version):
+            return True
+        # No stream has begun there.
+        self._begun.pop(Origin(service, software_version), None)
+        return False
+
     async def announce(self) -> None:
         """Write the origins at which streams begin here; give up after MAX_ANNOUNCE_S.
 
@@ -160,24 +198,44 @@
     async def list_lost(self, answered: frozenset[str]) -> frozenset[Origin] | None:
         """Return the origins at which daemons that have not answered may have begun streams.
 
-        `answered` holds incarnations. Returns None if the store or a row cannot be read, or if a
-        restore may have lost rows.
+        `answered` holds incarnations. Returns None if the store cannot be read, or if a restore may
+        have lost rows.
         """
         is_read = await self._reads.confirm()
         rows, decoded = self._rows, self._decoded
-        if not is_read or rows.store_time_s is None or len(decoded) < len(rows.rows):
+        if not is_read or rows.store_time_s is None:
             return None
+        known = answered | {self.incarnation}
         found: set[Origin] = set()
         # A restore of the store may have lost the rows of other daemons.
         is_complete = get_era(rows.revision) == FIRST_ERA
         for key, row in decoded.items():
-            incarnation = key.rpartition('.')[0]
-            if incarnation == self.incarnation or incarnation in answered:
+            if _get_incarnation(key) in known:
                 continue
             is_complete = is_complete or (row.era == get_era(rows.revision) and row.is_complete)
             silent_s = rows.store_time_s - row.written_s - REFRESH_INTERVAL_S - MAX_REFRESH_DELAY_S
             found |= {each for each in row.origins if silent_s <= self.get_horizon_s(each.service)}
-        return frozenset(found) if is_complete else None
+        if not is_complete:
+            return None
+        if not self._list_unstated() <= known:
+            if not self.is_history_complete():
+                return None
+            found.update(self.list_registered())
+        return frozenset(found)
+
+    def _list_unstated(self) -> set[str]:
+        """Return the daemons of which no row tells at which versions they have begun streams."""
+        now = self.read_clock()
+        horizons_s = [self.get_horizon_s(each.service) for each in self.list_registered()]
+        longest_s = max(horizons_s, default=0)
+        self._heard = {name: at for name, at in self._heard.items() if now - at <= longest_s}
+        unstated = self._heard.keys() - set(map(_get_incarnation, self._decoded))
+        # Their daemons may have written them until then.
+        limit_s = longest_s + REFRESH_INTERVAL_S + MAX_REFRESH_DELAY_S
+        unstated.update(
+            _get_incarnation(key) for key, at in self._unreadable.items() if now - at <= limit_s
+        )
+        return unstated
 
     async def _read_rows(self) -> None:
         """Read the rows of all daemons; raise TableUnavailable."""
@@ -193,11 +251,17 @@
                 self._decoded[row.key] = decode_row(row.value)
             except PlatformError as error:
                 self._log_failure(f'row {row.key}: {error.message}')
+        now = self.read_clock()
+        unreadable = [row.key for row in rows.rows if row.key not in self._decoded]
+        self._unreadable = {key: self._unreadable.get(key, now) for key in unreadable}
         if rows.store_time_s is not None:
             outdated_s = rows.store_time_s - ROW_RETENTION_S
             self._outdated_keys = {
                 key for key, row in self._decoded.items() if row.written_s < outdated_s
             }
+            self._outdated_keys.update(
+                key for key, at in self._unreadable.items() if now - at > ROW_RETENTION_S
+            )
 
     def _is_due(self) -> bool:
         origins = self._list_origins()
@@ -239,11 +303,14 @@
         row = BegunRow(origins, self._to_store_time(now), era, self.is_history_complete())
         key = f'{self.incarnation}.{self._row_number}'
         outdated = sorted(self._outdated_keys)[: MAX_WRITE_ROWS - 1]
+        if self._attempted is None:
+            self._attempted = origins
         # Until the answer, the write may take effect after a later one.
         self._row_number += 1
         written = await self._send(key, row, outdated)
         self._row_number -= 1
         self._outdated_keys.difference_update(outdated)
+        self._stated = origins
         self._learn_times(written.store_time_s, written.answered_at, written.era or era)
         if self._era == era:
             self._written = origins
@@ -267,3 +334,8 @@
     def _to_store_time(self, at: float) -> float:
         """Return an instant of the lease clock on the store's clock, not before its zero."""
         return max(at + (self._store_offset_s or 0), 0)
+
+
+def _get_incarnation(key: str) -> str:
+    """Return the incarnation of the daemon that wrote a row."""
+    return key.rpartition('.')[0]
--- a/camphorpath/edge/streams.py
+++ b/camphorpath/edge/streams.py
@@ -234,6 +234,11 @@
         if not is_known_to_fail:
             self.events.emit(Event.STREAM_STORE_FAILED, task='announce', problem=problem)
 
+    def is_stated(self, service: str, software_version: str) -> bool:
+        """Return whether a row or an upstream tells the other daemons of a version."""
+        pair = service, software_version
+        return pair in self._version_rows or pair in set(self.list_registered())
+
     async def _announce(self, pair: Pair) -> None:
         """Write the row of a version; raise TableUnavailable or TableOutcomeUnknown."""
         now = self.read_clock()
@@ -328,7 +333,7 @@
             except PlatformError as error:
                 self._reject_row(VERSION_TABLE, '', row.key, error)
         for version in found:
-            row_at = _to_lease_time(version.seen_s, rows)
+            row_at = rows.to_lease_time(version.seen_s)
             seen_at = min(rows.answered_at, row_at + MAX_SEEN_LAG_S)
             self.history.record(version.service, version.software_version, seen_at)
             # A version may have two rows.
@@ -466,7 +471,7 @@
 
     def _take_records(self, now: float) -> None:
         """Move the new records of services whose streams are ambiguous to the rows to write."""
-        services = {service for service, _version in self.history.list_last_seen()}
+        services = self.history.list_services()
         if not (services and self.records.has_unwritten):
             return
         self.records.expire(now - self._get_longest_horizon_s(services))
@@ -539,7 +544,7 @@
             self._complete_since = None
             return
         known = [rows.answered_at if self._complete_since is None else self._complete_since]
-        known += [_to_lease_time(version.complete_since_s, rows) for version in current]
+        known += [rows.to_lease_time(version.complete_since_s) for version in current]
         if self._complete_since is None:
             self.events.emit(Event.STREAM_VERSIONS_LOST, era=era, rows=len(found))
         self._complete_since = min(known)
@@ -551,7 +556,7 @@
         """Return whether a restore may have lost a version that began a recent stream."""
         if self._complete_since is None:
             return False
-        services = {service for service, _version in self.history.list_last_seen()}
+        services = self.history.list_services()
         return now - self._complete_since <= self._get_longest_horizon_s(services)
 
     def _is_reload_due(self) -> bool:
@@ -637,10 +642,7 @@
 
     def _forget_versions(self, before: float) -> None:
         self.history.expire(before)
-        for pair, written_at in list(self._versions_written.items()):
-            if written_at < before:
-                self._versions_written.pop(pair)
-        for known in (self._version_rows, self._followed, self._shared):
+        for known in (self._versions_written, self._version_rows, self._followed, self._shared):
             for pair, known_at in list(known.items()):
                 if known_at < before:
                     known.pop(pair)
@@ -655,8 +657,8 @@
 
     def _get_retention_s(self) -> float:
         """Return for how long a version is kept after its last registration."""
-        services = {service for service, _version in self.history.list_last_seen()}
-        return max(VERSION_RETENTION_S, self._get_longest_horizon_s(services))
+        horizon_s = self._get_longest_horizon_s(self.history.list_services())
+        return max(VERSION_RETENTION_S, horizon_s)
 
     def _get_longest_horizon_s(self, services: Iterable[str]) -> float:
         return max(map(self.get_horizon_s, services), default=0)
@@ -683,13 +685,3 @@
         self.events.emit(
             Event.STREAM_ROW_INVALID, table=table, part=part, key=key, problem=error.message
         )
-
-
-def _to_lease_time(store_time_s: float | None, rows: Rows) -> float:
-    """Return an instant of the store's clock on the lease clock, at the latest that of the answer.
-
-    One that is unknown counts as that of the answer.
-    """
-    if store_time_s is None or rows.store_time_s is None:
-        return rows.answered_at
-    return rows.answered_at - max(rows.store_time_s - store_time_s, 0)
--- a/camphorpath/platform/store.py
+++ b/camphorpath/platform/store.py
@@ -72,6 +72,15 @@
     # The store's steady clock when it answered, in seconds; None if it stated none.
     store_time_s: float | None = None
 
+    def to_lease_time(self, store_time_s: float | None) -> float:
+        """Return an instant of the store's clock on the lease clock, at most `answered_at`.
+
+        One that is unknown counts as that of the answer.
+        """
+        if store_time_s is None or self.store_time_s is None:
+            return self.answered_at
+        return self.answered_at - max(self.store_time_s - store_time_s, 0)
+
 
 @attrs.frozen
 class RowWrite:
--- a/camphorpath/relay/attempts.py
+++ b/camphorpath/relay/attempts.py
@@ -1,8 +1,13 @@
 """One send of a call to an upstream, and what came back."""
 
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import anyio
 import attrs
+import h11
 
-from ..errors import Truncated
+from ..errors import Truncated, UpstreamError
 from ..placement.crashes import AnswerProgress
 from ..placement.records import WaitingCall
 from ..routing import Upstream
@@ -10,6 +15,8 @@
 from .headers import Headers
 from .upstream import UpstreamAnswer, UpstreamConnection
 
+Answer = TypeVar('Answer')
+
 
 @attrs.define(eq=False)
 class Attempt:
@@ -58,3 +65,21 @@
     """Return the error of a stream whose upstream has sent no event for too long."""
     message = 'no event within the stall timeout'
     return Truncated(message, step='receive_body', peer=attempt.upstream.address)
+
+
+async def read_into(
+    found: list[Answer],
+    silent: Attempt,
+    read: Callable[[], Awaitable[Answer]],
+    scope: anyio.CancelScope,
+) -> None:
+    """Add what `read` returns to `found` and cancel a scope; keep an error for the next reader.
+
+    Bytes alone do not show that a silent upstream goes on, as they may never complete an event.
+    """
+    try:
+        found.append(await read())
+    except (UpstreamError, OSError, h11.LocalProtocolError) as error:
+        silent.read_error = error
+        return
+    scope.cancel()
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -41,7 +41,7 @@
 )
 from .answer_counts import AnswerCount
 from .answer_headers import FLAG_SET, STATUS_MISDIRECTED, apply_answer_headers
-from .attempts import Attempt, FailedAnswer, make_stall
+from .attempts import Attempt, FailedAnswer, make_stall, read_into
 from .caller import CallerConnection
 from .context import RelayContext
 from .events import EventSplitter, MisplacedEventError
@@ -76,6 +76,7 @@
 RESUMABLE_ID = re.compile(rb'[!-~](?:[ -~]*[!-~])?')
 # The upstream may have restarted since its slot was granted, or its entry may be outdated.
 OTHER_VERSION = 'the upstream may run another software version than that of the stream'
+UNKNOWN_VERSION = 'the other daemons could not learn which software version began the stream'
 NOT_ALLOWED = 'a roll-out no longer allows the software version of the upstream'
 # Longest time for finding out which software version began a stream.
 MAX_LOOKUP_S = 0.6
@@ -401,11 +402,13 @@
     async def _connect(self, attempt: Attempt) -> None:
         """Connect an attempt to its upstream.
 
-        Raises NotSent, or ProcessUnconfirmed if a stream that has begun cannot go on there, or if
-        a roll-out has ruled the software version out since the slot was granted.
+        Raises NotSent, or ProcessUnconfirmed if a stream that has begun cannot go on there, if one
+        cannot begin there, or if a roll-out has ruled the software version out since the grant.
         """
         await self._acquire_connection(attempt)
         await self._identify_process(attempt)
+        if self._origin is None and not await self._announce_version(attempt):
+            raise ProcessUnconfirmed(UNKNOWN_VERSION, step='send', peer=attempt.upstream.address)
         if self._origin is not None and not self._has_begun_version(attempt):
             raise ProcessUnconfirmed(OTHER_VERSION, step='send', peer=attempt.upstream.address)
         if not self.context.scheduler.rollouts.may_send(attempt.upstream, read_lease_clock()):
@@ -573,12 +576,18 @@
                 return entry
         return None
 
-    async def _look_up_version(self, attempt: Attempt) -> str:
-        """Return the version that begins a stream; its entry may have to be read first."""
-        incarnation = attempt.conn.incarnation
+    async def _announce_version(self, attempt: Attempt) -> bool:
+        """Tell the other daemons which version begins a stream; return whether they can learn it.
+
+        Its entry may have to be read first.
+        """
+        if not self._may_go_on_elsewhere():
+            return True
+        upstream, incarnation = attempt.upstream, attempt.conn.incarnation
         if self.context.reports is not None and incarnation and self._find_entry(attempt) is None:
-            await self.context.look_up_process(attempt.upstream.upstream_id, incarnation)
-        return self._find_version(attempt)
+            await self.context.look_up_process(upstream.upstream_id, incarnation)
+        version = self._find_version(attempt)
+        return await self.context.origins.announce_version(upstream.service, version)
 
     def _find_registered_version(self, upstream: Upstream) -> str:
         """Return the software version of the granted upstream; empty if its entry has changed it.
@@ -782,7 +791,7 @@
                 self._discard_replacement()
                 return None
             self._send(replacement)
-            read_silent = functools.partial(_read_into, read_before, silent, read)
+            read_silent = functools.partial(read_into, read_before, silent, read)
             with anyio.move_on_after(MAX_OVERLAP_S):
                 answer = await self._read_unless_resumed(replacement, read_silent)
                 if answer is not None and not read_before:
@@ -891,14 +900,11 @@
             )
             await self.caller.send_part(part)
         else:
-            service = attempt.upstream.service
-            if self.call.route.is_resumable:
-                version = await self._look_up_version(attempt)
-                await self.context.origins.announce_version(service, version)
+            # The entry may have changed since the send.
+            await self._announce_version(attempt)
             self.has_answer_started = True
             self._is_event_stream = answer.is_event_stream
-            # The entry may have changed meanwhile.
-            self._record_version(service, self._find_version(attempt))
+            self._record_version(attempt.upstream.service, self._find_version(attempt))
             self._record_first_part()
             headers = select_answer_headers(answer.headers)
             await self.caller.start_stream(answer.status, headers, part)
@@ -1072,21 +1078,3 @@
                 peer=error.peer,
             )
         return Refusal('upstream_failed', error.message, status=STATUS_BAD_GATEWAY, peer=error.peer)
-
-
-async def _read_into(
-    found: list[Answer],
-    silent: Attempt,
-    read: Callable[[], Awaitable[Answer]],
-    scope: anyio.CancelScope,
-) -> None:
-    """Add what `read` returns to `found` and cancel a scope; keep an error for the next reader.
-
-    Bytes alone do not show that a silent upstream goes on, as they may never complete an event.
-    """
-    try:
-        found.append(await read())
-    except (UpstreamError, OSError, h11.LocalProtocolError) as error:
-        silent.read_error = error
-        return
-    scope.cancel()
--- a/camphorpath/relay/upstream.py
+++ b/camphorpath/relay/upstream.py
@@ -157,6 +157,11 @@
         self.was_used = True
         return not self.connection.has_input()
 
+    def is_unused(self) -> bool:
+        """Return whether the connection served requests and has none in progress."""
+        is_idle = self.http.our_state is h11.IDLE and self.http.their_state is h11.IDLE
+        return is_idle and self.was_used and not self._unsent and not self.connection.has_input()
+
     def _limit_body(self, event: object, max_cost: float) -> None:
         if isinstance(event, h11.Response):
             self._body_cost = 0
@@ -295,7 +300,8 @@
         It is reset if its answer is incomplete.
         """
         idle = self._idle.setdefault(conn.address, [])
-        if is_complete and len(idle) < MAX_IDLE_CONNECTIONS and conn.make_reusable():
+        is_reusable = conn.make_reusable() if is_complete else conn.is_unused()
+        if len(idle) < MAX_IDLE_CONNECTIONS and is_reusable:
             idle.append(conn)
             return
         conn.connection.close(reset=not is_complete)
--- a/camphorpath/streams/history.py
+++ b/camphorpath/streams/history.py
@@ -28,6 +28,10 @@
         """Return whether several versions of a service were registered since an instant."""
         return len(self.list_since(service, since)) > 1
 
+    def list_services(self) -> frozenset[str]:
+        """Return the services of which a version is known."""
+        return frozenset(service for service, _software_version in self._last_seen)
+
     def list_last_seen(self) -> dict[tuple[str, str], float]:
         """Return when each version was last registered, by service and version."""
         return dict(self._last_seen)
--- a/camphorpath/streams/lookup.py
+++ b/camphorpath/streams/lookup.py
@@ -39,8 +39,9 @@
     """Return that nothing is known of daemons that are gone; for a daemon without a store."""
 
 
-async def _announce_nothing(_service: str, _software_version: str) -> None:
+async def _announce_nothing(_service: str, _software_version: str) -> bool:
     """Announce no version; for a daemon without a store."""
+    return True
 
 
 async def _confirm_at_once() -> bool:
@@ -58,8 +59,9 @@
     # Reads the versions that were registered until the begin of the call; returns whether all of
     # them that were registered within the horizon are in `history`.
     confirm_history: Callable[[], Awaitable[bool]] = _confirm_at_once
-    # Lets daemons that have not seen a version know that streams of a service begin at it.
-    announce_version: Callable[[str, str], Awaitable[None]] = _announce_nothing
+    # Lets daemons that have not seen a version know that a stream of a service begins at it.
+    # Returns whether they can learn it; otherwise the stream must not begin there.
+    announce_version: Callable[[str, str], Awaitable[bool]] = _announce_nothing
     ask_peers: Callable[[bytes], Awaitable[Asked]] = _ask_nobody
     # Looks a stream up in the store, but for the rows of the incarnations that answered; raises
     # TableUnavailable.
--- /dev/null
+++ b/tests/processes/test_unknown_processes.py
@@ -0,0 +1,117 @@
+"""Streams begin while the other daemons cannot learn which process of an upstream serves them."""
+
+import asyncio
+import itertools
+
+import pytest
+
+from .callers import Caller
+from .fleet import open_fleet
+
+pytestmark = pytest.mark.anyio
+
+EVENT_COUNT = 60
+BEGUN_COUNT = 4
+STREAM_COUNT = 9
+# The rows of daemons and versions are written by then.
+SETTLE_S = 2.0
+# Longer than a daemon needs to find out that nothing answers it.
+LOST_S = 3.0
+
+
+def begin_streams(fleet, addresses, later_addresses):
+    """Begin a stream at each address, which is taken up at later ones; return callers and tasks."""
+    callers, readings = [], []
+    for number, address in enumerate(addresses):
+        later = itertools.islice(itertools.cycle(later_addresses), number, None)
+        tried = itertools.chain([address], later)
+        caller = Caller(fleet.rng, lambda tried=tried: next(tried), log=fleet.log)
+        # Daemons that start refuse connections for a while.
+        caller.max_tries = 30
+        callers.append(caller)
+        readings.append(asyncio.create_task(caller.fetch_stream('/draft/', EVENT_COUNT)))
+    return callers, readings
+
+
+async def wait_until_begun(callers):
+    def have_begun():
+        return all(
+            caller.streams and len(caller.streams[0].events) >= BEGUN_COUNT for caller in callers
+        )
+
+    async with asyncio.timeout(5):
+        while not have_begun():  # noqa: ASYNC110  the condition has no event
+            await asyncio.sleep(0.005)
+
+
+async def assert_all_go_on(callers, readings):
+    """Check that each stream began with its first call, is complete and of one version."""
+    await asyncio.gather(*readings)
+    for caller in callers:
+        caller.close()
+        (stream,) = caller.streams
+        assert stream.list_faults() == []
+        assert stream.tries[0].status == 200
+        assert stream.is_complete
+
+
+@pytest.mark.parametrize('restarts', [('v2',), ('v2', 'v3'), ('v2', 'v1')])
+async def test_streams_do_not_begin_at_a_process_that_only_a_daemon_without_contact_knows(restarts):
+    """Guards against streams of two versions, joined by daemons that know the older one only."""
+    async with open_fleet(3) as fleet:
+        for zone in 'abc':
+            await fleet.add_upstream('v1', zone=zone)
+        await fleet.start_daemons()
+        await asyncio.sleep(SETTLE_S)
+        alone, *others = fleet.daemons
+        alone.cut_store()
+        alone.cut_peers()
+        for version in restarts:
+            await fleet.restart_upstream(fleet.upstreams[0], version)
+        await asyncio.sleep(LOST_S)
+        addresses = [daemon.address for daemon in others]
+        callers, readings = begin_streams(fleet, STREAM_COUNT * [alone.address], addresses)
+        await wait_until_begun(callers)
+        # Its streams break off, if there are any, and are taken up at daemons with contact.
+        await fleet.restart_upstream(fleet.upstreams[0])
+        await assert_all_go_on(callers, readings)
+
+
+async def test_streams_of_an_outage_go_on_after_a_kill_of_all_daemons():
+    """Guards against streams of a process whose version nobody could write before the kill."""
+    async with open_fleet(3) as fleet:
+        for zone in 'abc':
+            await fleet.add_upstream('v1', zone=zone)
+        await fleet.start_daemons()
+        await asyncio.sleep(SETTLE_S)
+        fleet.store.set_mode('away')
+        await fleet.restart_upstream(fleet.upstreams[0], 'v2', is_registered=False)
+        await asyncio.sleep(LOST_S)
+        addresses = [daemon.address for daemon in fleet.daemons]
+        callers, readings = begin_streams(fleet, 3 * addresses, addresses)
+        await wait_until_begun(callers)
+        for daemon in fleet.daemons:
+            await daemon.kill()
+        fleet.register(fleet.upstreams[0])
+        fleet.store.set_mode('up')
+        for daemon in fleet.daemons:
+            await daemon.start()
+        await assert_all_go_on(callers, readings)
+
+
+async def test_streams_begin_at_a_daemon_that_started_during_an_outage():
+    """Guards against a daemon that serves no streams until it can write its row."""
+    async with open_fleet(3) as fleet:
+        for zone in 'abc':
+            await fleet.add_upstream('v1', zone=zone)
+        await fleet.start_daemons()
+        await asyncio.sleep(SETTLE_S)
+        fleet.store.set_mode('away')
+        started, *others = fleet.daemons
+        await started.kill()
+        await started.start()
+        await fleet.wait_ready([started])
+        addresses = [daemon.address for daemon in others]
+        callers, readings = begin_streams(fleet, STREAM_COUNT * [started.address], addresses)
+        await wait_until_begun(callers)
+        await assert_all_go_on(callers, readings)
--- a/tests/relay/test_take_ups.py
+++ b/tests/relay/test_take_ups.py
@@ -9,6 +9,7 @@
 from camphorpath.clocks import read_lease_clock
 from camphorpath.events import Event
 from camphorpath.placement.crashes import Pattern, digest_parts
+from camphorpath.placement.ownership import Assignment
 from camphorpath.routing import CallKind
 from camphorpath.schema import camphorpath_pb2 as pb
 from camphorpath.streams import Asked, KnownOrigin, Origin, Source, digest_stream
@@ -219,6 +220,7 @@
         async def announce_version(service, software_version):
             announced.append((service, software_version))
             await is_announced.wait()
+            return True
 
         async with (
             open_upstream(stream_events([1, 2])) as first,
@@ -236,13 +238,44 @@
             await anyio.sleep(0.05)
             assert context.origins.records.find(digest_stream(b'1')) is None
             assert not received
+            assert not first.requests
             is_announced.set()
-        assert announced == [('llm', 'v1')]
+        # Before the send, and with the first event.
+        assert announced == 2 * [('llm', 'v1')]
         assert read_events(received[0][0]) == [b'data: e1', b'data: e2']
 
     run(test)
 
 
+def test_stream_begins_only_where_the_other_daemons_can_learn_its_version():
+    """Guards against streams that nobody can continue, or that are joined with another version."""
+
+    async def test():
+        async def announce_version(_service, software_version):
+            return software_version == 'v1'
+
+        async with (
+            open_upstream(stream_events([1]), 'v2') as unknown,
+            open_upstream(stream_events([1]), 'v1') as known,
+            open_relay(unknown, known) as (context, port),
+        ):
+            context.origins.announce_version = announce_version
+            for _ in range(4):
+                received, _is_reset = await read_to_end(port, BEGIN)
+                assert read_events(received) == [b'data: e1']
+            assert not unknown.requests
+            context.scheduler.set_upstreams(
+                [context.scheduler.slots['i-0'].upstream], Assignment({}, {'i-0': 'me'})
+            )
+            status, _head, _body = await ask(port, BEGIN)
+        # The call has not run.
+        assert status == 503
+        assert not unknown.requests
+        assert len(known.requests) == 4
+
+    run(test)
+
+
 @pytest.mark.parametrize('source', [Source.PEER, Source.STORE])
 def test_take_up_goes_on_at_the_version_that_others_know(source):
     """Guards against take-ups that only the daemon can serve at which the stream began."""
