--- a/camphorpath/cluster/follower.py
+++ b/camphorpath/cluster/follower.py
@@ -84,6 +84,8 @@
     # listing; None if such orders are ignored.
     on_orders: Callable[[Rows, bool], None] | None = None
     store_up: bool = False
+    # Whether the last call to the store failed; before the first answer or failure, it is unknown.
+    is_store_failing: bool = False
     # Whether a manifest could not be unpacked, so that the next one must not be a delta.
     _needs_whole_manifest: bool = False
     # Peers that are ahead by control address.
@@ -425,6 +427,7 @@
             self._confirmed_at = max(self._confirmed_at, min(self._read_at.values()))
 
     def _mark_store_down(self, error: TableUnavailable) -> None:
+        self.is_store_failing = True
         self.on_store_disruption()
         if self.store_up:
             self.store_up = False
@@ -433,6 +436,7 @@
     def _mark_store_up(self, failures: int) -> None:
         if failures:
             self.on_store_disruption()
+        self.is_store_failing = False
         if not self.store_up:
             self.store_up = True
             self.events.emit(Event.STORE_REGAINED, failures=failures)
--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -147,7 +147,7 @@
         events=events,
         peers=peers,
         is_watcher=state.is_watcher,
-        on_store_disruption=lambda: state.view.mark_store_unstable(read_lease_clock()),
+        on_store_disruption=lambda: state.record_store_failure(is_own=True),
         announce=lambda changes, after: heartbeats.send(
             state.make_announcement(changes, after), members.hosts
         ),
@@ -370,7 +370,7 @@
         state.members.add_host(seed.rpartition(':')[0])
     seeds = [seed for seed in daemon.settings.seeds if seed != daemon.settings.control_address]
     while True:
-        state.is_store_up = daemon.follower.store_up
+        state.is_store_up = not daemon.follower.is_store_failing
         state.expire()
         daemon.heartbeats.send(state.make_heartbeat(), state.members.hosts)
         daemon.follower.wake_polling()
@@ -396,6 +396,7 @@
             daemon.follower.mark_unconfirmed()
             daemon.streams.record_suspension(now - last)
         last = now
+        daemon.state.expire_upstreams()
         daemon.relay.scheduler.expire(now)
         report_customers(daemon.relay, now)
         emit_egress_changes(daemon.relay, now)
--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -53,7 +53,7 @@
     view: UpstreamView = attrs.field(factory=UpstreamView)
     rows: SharedRows = attrs.field(init=False)
     assignment: Assignment = attrs.field(factory=Assignment)
-    # Whether the store answered the last call.
+    # Whether the last call to the store did not fail.
     is_store_up: bool = True
     # Returns the seconds since the manifest and upstreams held here were confirmed by the store.
     read_store_age: Callable[[], float] = lambda: math.inf
@@ -187,7 +187,7 @@
             )
         self._adopt_quarantined(heartbeat)
         if not heartbeat.store_up:
-            self.view.mark_store_unstable(now)
+            self.record_store_failure()
         report = QuotaReport(
             used=dict(heartbeat.used),
             demand=dict(heartbeat.quota_demand),
@@ -228,6 +228,16 @@
             quarantine.apply_cleared(digest, read_lease_clock())
         self._adopt_quarantined(heartbeat)
 
+    def record_store_failure(self, *, is_own: bool = False) -> None:
+        """Take the store for lost if calls to it fail at most daemons; `is_own` if one failed here.
+
+        A few daemons may be cut off from it, or stand still, while upstreams reach it.
+        """
+        failing = [not member.heartbeat.store_up for member in self.members.known.values()]
+        failing.append(is_own or not self.is_store_up)
+        if 2 * sum(failing) > len(failing):
+            self.view.mark_store_unstable(read_lease_clock())
+
     def expire(self) -> None:
         """Remove members without recent heartbeats, and upstreams whose grace period is over."""
         now = read_lease_clock()
@@ -238,13 +248,19 @@
             self.relay.events.emit(
                 Event.MEMBER_LOST, member=member.heartbeat.incarnation, silent_s=silent_s
             )
-        gone = self.view.expire(now)
-        for upstream_id in gone:
-            self.relay.events.emit(Event.UPSTREAM_GONE, '', upstream_id, reason='not back')
+        self.expire_upstreams()
         self.rows.expire(now)
         self.relay.origins.expire(now)
-        self._has_upstream_changes = self._has_upstream_changes or bool(gone)
-        if lost or gone or self._was_ready != self.is_ready:
+        if lost or self._was_ready != self.is_ready:
+            self.reassign()
+
+    def expire_upstreams(self) -> None:
+        """Remove the upstreams whose entries lapsed and did not come back in time."""
+        gone = self.view.expire(read_lease_clock())
+        for upstream_id in gone:
+            self.relay.events.emit(Event.UPSTREAM_GONE, '', upstream_id, reason='not back')
+        if gone:
+            self._has_upstream_changes = True
             self.reassign()
 
     def reassign(self) -> None:
--- a/camphorpath/routing/upstreams.py
+++ b/camphorpath/routing/upstreams.py
@@ -7,7 +7,7 @@
 from .records import Upstream
 
 # Upstreams whose entries lapsed during an outage of the store register again within this time after
-# its recovery; the platform states about two seconds.
+# its recovery; the platform states about two seconds. An upstream that left instead exits later.
 REREGISTRATION_GRACE_S = 2.0
 # Entries removed within this time of each other count as removed together.
 BATCH_REMOVAL_WINDOW_S = 1.0
@@ -25,7 +25,8 @@
     """Registered upstreams by id.
 
     A removed entry counts as gone at once, unless most entries of its service lapse together while
-    the store is unstable: then they are kept until the upstreams have had time to register again.
+    the store is unstable: then each is kept until its upstream has had time to register again. One
+    that said that it leaves did not lapse.
 
     A store that was restored from a copy holds older entries again, and lacks newer ones. An older
     one is told by its incarnation and sequence, and is ignored. Those that are missing are kept as
@@ -152,10 +153,10 @@
 
     def _restore_lapsed(self, service: str, now: float) -> None:
         removed_together = [
-            upstream
+            (upstream, removed_at)
             for upstream, removed_at in self._recently_removed.values()
             if upstream.service == service
-            and not upstream.is_leaving
+            and not (upstream.is_leaving or upstream.key in self._leaving)
             and now <= removed_at + BATCH_REMOVAL_WINDOW_S
         ]
         lapsed = [
@@ -168,7 +169,7 @@
         )
         if len(removed_together) + len(lapsed) <= MIN_LAPSE_SHARE * total:
             return
-        for upstream in removed_together:
+        for upstream, removed_at in removed_together:
             self._recently_removed.pop(upstream.upstream_id)
             self._entries[upstream.upstream_id] = upstream
-            self._lapse_deadlines[upstream.upstream_id] = now + REREGISTRATION_GRACE_S
+            self._lapse_deadlines[upstream.upstream_id] = removed_at + REREGISTRATION_GRACE_S
--- a/tests/routing/test_upstreams.py
+++ b/tests/routing/test_upstreams.py
@@ -36,6 +36,28 @@
     assert list_ids(view) == {'i-1'}
 
 
+def test_entries_that_lapse_one_after_the_other_are_kept_until_each_had_its_time():
+    """Guards against calls to an upstream that left, as others were removed later."""
+    view = make_view(3)
+    view.mark_store_unstable(0)
+    assert view.remove('i-0', 0.1)
+    assert not view.remove('i-1', 0.95)
+    assert list_ids(view) == {'i-0', 'i-1', 'i-2'}
+    assert view.expire(2.1) == ['i-0']
+    assert view.expire(2.95) == ['i-1']
+
+
+def test_upstream_that_said_that_it_leaves_does_not_come_back():
+    """Guards against calls to an upstream that said in an answer that it leaves."""
+    view = make_view(3)
+    view.mark_store_unstable(0)
+    view.remove('i-0', 0.1)
+    view.mark_leaving('i-0', 0)
+    view.remove('i-1', 0.2)
+    view.remove('i-2', 0.2)
+    assert list_ids(view) == {'i-1', 'i-2'}
+
+
 def test_lapsed_entries_are_not_kept_while_the_store_is_stable():
     """Guards against calls to upstreams that were all removed at once on purpose."""
     view = make_view(4)
