--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -106,7 +106,9 @@
         self._sequence += 1
         settings = self.settings
         now = read_lease_clock()
-        quota_report = self.relay.quota.make_report(now, self.heartbeat_interval_s)
+        quota_report = self.relay.quota.make_report(
+            now, self.heartbeat_interval_s, len(self.members.hosts)
+        )
         heartbeat = pb.EdgeHeartbeat(
             name=settings.name,
             incarnation=self.incarnation,
@@ -460,5 +462,9 @@
         return True
 
     def _discard_member_reports(self, member: Member) -> None:
-        self.relay.quota.remove_daemon(member.heartbeat.incarnation, read_lease_clock())
+        self.relay.quota.remove_daemon(
+            member.heartbeat.incarnation,
+            read_lease_clock(),
+            has_ended=member.heartbeat.stopping,
+        )
         self.relay.scheduler.remove_daemon(member.heartbeat.incarnation)
--- a/camphorpath/placement/quota.py
+++ b/camphorpath/placement/quota.py
@@ -5,10 +5,10 @@
 rate times window plus burst.
 
 All daemons keep the same account of each customer: a token bucket that fills at a common rate. Each
-heartbeat reports the units used; while another daemon is not heard, its use is extrapolated at its
-share. What a flood uses before the others hear of it grows with the interval of heartbeats, which
-grows with the fleet. As long as the tolerance holds that much, calls are admitted from the bucket
-directly.
+heartbeat reports the units used. A daemon that is not heard may be cut off and take calls, so that
+each side of a cut keeps to its part of the bucket, by its number of daemons. What a flood uses
+before the others hear of it grows with the interval of heartbeats, which grows with the fleet. As
+long as the tolerance holds that much, calls are admitted from the bucket directly.
 
 Otherwise, and until a daemon that starts has heard the others, calls are admitted from units that
 the daemon claimed before. With each heartbeat it returns what is left of its last claim, claims its
@@ -28,6 +28,7 @@
 import attrs
 
 from ..routing import Customer
+from .quota_peers import MIN_INTERVAL_S, QuotaPeer, compute_reach
 
 # Demand of a flood, as a multiple of the rate: a customer that sends eight times its typical load.
 FLOOD_FACTOR = 8.0
@@ -63,9 +64,9 @@
 # Intervals after which a daemon that reported nothing counts as frozen; the others count it as lost
 # by then and share its part.
 FROZEN_INTERVAL_COUNT = 4
-MIN_INTERVAL_S = 0.25
-# Intervals after which a daemon that was not heard is taken to use its share unseen.
-SILENT_INTERVAL_COUNT = 1.5
+# Windows for which its part is left to a daemon that is not heard, unless it has ended. No sign
+# tells a daemon that is gone for good from one that is cut off for longer.
+LOST_WINDOW_COUNT = 3
 # Largest part of a bucket that one call has to claim; with more, it would wait for all others.
 MAX_CLAIM_SHARE = 0.6
 
@@ -113,8 +114,6 @@
     claimed_at: float = 0
     # What this daemon took from the bucket since then.
     drawn: float = 0
-    # Units that daemons which are not heard are taken to have used; returned when they are heard.
-    unheard: float = 0
     # Units per second asked of this daemon at `demand_at`, and of the others.
     demand: float = 0
     demand_at: float = 0
@@ -135,30 +134,15 @@
 
     # What they were computed from.
     key: tuple[float, ...]
-    # Units per second.
+    # Units per second for the daemons that are heard, as is the capacity, in units.
     fill_rate: float
-    # Units, as is `max_units`, the largest call.
     capacity: float
+    # The largest call.
     max_units: float
     # Whether calls are admitted from claims, instead of from the bucket directly.
     uses_claims: bool
 
 
-@attrs.define
-class _Peer:
-    """The last report of another daemon incarnation."""
-
-    # Name of the daemon; empty if unknown.
-    name: str = ''
-    # None if the next report is the first one that counts.
-    used: dict[str, float] | None = None
-    demand: dict[str, float] = attrs.field(factory=dict)
-    interval_s: float = MIN_INTERVAL_S
-    heard_at: float = -math.inf
-    # When its heartbeats ceased; None while they arrive.
-    lost_at: float | None = None
-
-
 @attrs.define
 class QuotaLedger:
     """Usage of all customers as known to one daemon; instants are on the lease clock."""
@@ -171,9 +155,13 @@
     used: dict[str, float] = attrs.field(factory=dict)
     _accounts: dict[str, _Account] = attrs.field(factory=dict)
     _limits: dict[str, _Limits] = attrs.field(factory=dict)
-    _peers: dict[str, _Peer] = attrs.field(factory=dict)
-    # The peers among which the buckets are shared.
-    _sharers: list[_Peer] = attrs.field(factory=list)
+    _peers: dict[str, QuotaPeer] = attrs.field(factory=dict)
+    # The peers that are heard, among which the buckets are shared.
+    _sharers: list[QuotaPeer] = attrs.field(factory=list)
+    # The part of the buckets that is for them and this daemon.
+    _reach: float = 1
+    # Other daemons that this one knows by their addresses, heard or not.
+    _host_count: int = 0
     # How many of them, and of this daemon, take calls.
     _taking_count: int = 0
     # Latest reports of this daemon that stated demand, without a gap.
@@ -272,8 +260,12 @@
             account.level = min(account.level + units, capacity)
         self.used[customer.name] = self.used.get(customer.name, 0) - units
 
-    def make_report(self, now: float, interval_s: float) -> QuotaReport:
-        """Claim units until the next report, `interval_s` later, and return the report to send."""
+    def make_report(self, now: float, interval_s: float, host_count: int = 0) -> QuotaReport:
+        """Claim units until the next report, `interval_s` later, and return the report to send.
+
+        Of the `host_count` other daemons, some may not have been heard since the start.
+        """
+        self._host_count = host_count
         if self._is_frozen(now):
             self._forget_others(now)
         self._interval_s = max(interval_s, MIN_INTERVAL_S)
@@ -301,7 +293,7 @@
             for other, known_peer in list(self._peers.items()):
                 if name and known_peer.name == name and known_peer.lost_at is not None:
                     self._peers.pop(other)
-            self._peers[incarnation] = _Peer(name)
+            self._peers[incarnation] = QuotaPeer(name)
         peer = self._peers[incarnation]
         known = peer.used
         peer.used = report.used
@@ -309,6 +301,8 @@
         peer.interval_s = max(report.interval_s, MIN_INTERVAL_S)
         peer.heard_at = now
         peer.lost_at = None
+        # Before its use is taken from what was withheld for it.
+        self._update_reach(now)
         if known is None:
             # The units may have been admitted and refilled long before this first report.
             return
@@ -322,17 +316,16 @@
             account.level = min(account.level - taken, capacity)
             account.taken_by_others += taken
 
-    def remove_daemon(self, incarnation: str, now: float) -> None:
-        """Mark a daemon incarnation as lost; its last report is kept for a window.
+    def remove_daemon(self, incarnation: str, now: float, *, has_ended: bool = False) -> None:
+        """Mark a daemon incarnation as lost; its part is left to it until it must have ended.
 
         If it is heard again within that time, what it used meanwhile counts.
         """
         peer = self._peers.get(incarnation)
-        if peer is not None and peer.lost_at is None:
+        if peer is not None and has_ended:
+            self._peers.pop(incarnation)
+        elif peer is not None and peer.lost_at is None:
             peer.lost_at = now
-            for account in self._accounts.values():
-                # What it used before it was lost is not known.
-                account.unheard = 0
 
     def start(self, now: float) -> None:
         """Start filling the buckets at `now`, including those of customers not seen yet.
@@ -371,7 +364,7 @@
         account = self._accounts.get(customer.name)
         if account is None:
             level = customer.burst if self.starts_full else 0
-            account = _Account(customer, level, self._started_at)
+            account = _Account(customer, level * self._reach, self._started_at)
             self._accounts[customer.name] = account
         elif account.customer != customer:
             self._fill(account, now)
@@ -380,8 +373,8 @@
 
     def _fill(self, account: _Account, now: float) -> None:
         limits = self._get_limits(account.customer)
-        grown = account.level + max(now - account.filled_at, 0) * limits.fill_rate
-        account.level = min(grown, limits.capacity)
+        filled = max(now - account.filled_at, 0) * limits.fill_rate
+        account.level = min(account.level + filled, limits.capacity)
         account.filled_at = max(now, account.filled_at)
 
     def _claim(self, account: _Account, now: float) -> None:
@@ -391,12 +384,9 @@
         name = account.customer.name
         capacity = self._get_limits(account.customer).capacity
         account.others_demand = sum(peer.demand.get(name, 0) for peer in self._sharers)
-        unheard = self._estimate_unheard(account, now)
-        returned = account.claimed + account.unheard - unheard
-        account.unheard = unheard
         # What a waiting call has saved up stays claimed.
         kept = min(max(account.claimed, 0), account.lacking)
-        account.level = min(account.level + returned, capacity)
+        account.level = min(account.level + account.claimed, capacity)
         available = max(account.level, 0)
         account.claimed = 0
         if self._get_limits(account.customer).uses_claims:
@@ -488,39 +478,37 @@
         return min(needed + share * reserve, max(needed, share * capacity))
 
     def _choose_sharers(self, now: float) -> None:
-        """Choose the peers among which the buckets are shared until the next report.
-
-        A daemon that has lost most others is probably cut off itself and they still take calls, so
-        it keeps to its share for a window.
-        """
-        window_s = self.bounds.window_s
+        """Choose the peers among which the buckets are shared until the next report."""
+        retention_s = LOST_WINDOW_COUNT * self.bounds.window_s
         for incarnation, peer in list(self._peers.items()):
-            if peer.lost_at is not None and now - peer.lost_at > window_s:
+            if peer.lost_at is not None and now - peer.lost_at > retention_s:
                 self._peers.pop(incarnation)
-        peers = self._peers.values()
-        live = [peer for peer in peers if peer.lost_at is None]
-        lost_count = len(peers) - len(live)
-        self._sharers = list(peers) if lost_count > len(live) else live
+        self._sharers = [peer for peer in self._peers.values() if peer.is_heard(now)]
+        self._update_reach(now)
         self._is_settled = now >= self._settled_at
-        self._is_shared = bool(self._sharers) or not self._is_settled
+        self._is_shared = bool(self._peers) or not self._is_settled
         self._taking_count = sum(1 for peer in self._sharers if peer.demand) + self._takes_calls()
 
-    def _estimate_unheard(self, account: _Account, now: float) -> float:
-        """Return the units that daemons which are not heard are taken to use, at their shares."""
-        name = account.customer.name
-        fill_rate = self._get_limits(account.customer).fill_rate
-        total = account.demand + max(account.others_demand, 0)
-        units: float = 0
-        for peer in self._sharers:
-            silent_s = now - peer.heard_at
-            if silent_s <= SILENT_INTERVAL_COUNT * peer.interval_s:
-                continue
-            demand = peer.demand.get(name, 0)
-            takes_calls = bool(peer.demand)
-            share = self._compute_share(account, demand, total, takes_calls=takes_calls)
-            # Its last report holds what it claimed for an interval.
-            units += share * fill_rate * (silent_s - peer.interval_s)
-        return units
+    def _update_reach(self, now: float) -> None:
+        """Withhold the parts of daemons that fell silent, and return those of heard ones."""
+        started_at = now if self._started_at is None else self._started_at
+        is_new = now - started_at <= LOST_WINDOW_COUNT * self.bounds.window_s
+        # Some may have been cut off since before the start of this daemon.
+        host_count = self._host_count if is_new else 0
+        reach = compute_reach(self._peers.values(), host_count, now)
+        changed = [peer for peer in self._peers.values() if peer.is_silent == peer.is_heard(now)]
+        if reach == self._reach and not changed:
+            return
+        part = 1 / (1 + max(len(self._peers), host_count))
+        for account in self._accounts.values():
+            self._fill(account, now)
+            fill_rate = self._get_limits(account.customer).fill_rate * part / self._reach
+            units = max(account.level, 0) * part / self._reach
+            for peer in changed:
+                account.level += peer.exchange(account.customer.name, units, fill_rate, now)
+        for peer in changed:
+            peer.toggle(now)
+        self._reach = reach
 
     def _is_frozen(self, now: float) -> bool:
         """Return whether this daemon has reported nothing for so long that it counts as lost."""
@@ -532,24 +520,24 @@
         self._settled_at = math.inf
         for peer in self._peers.values():
             peer.used = None
+            peer.silent_since = None
         for account in self._accounts.values():
             account.level = 0
             account.claimed = 0
-            account.unheard = 0
             account.filled_at = now
 
     def _get_limits(self, customer: Customer) -> _Limits:
         """Return the limits of the bucket of a customer."""
         customer_limits = self._limits.get(customer.name)
         is_alone = not self._is_shared
-        daemon_count = len(self._sharers) + 1
         key = (
             customer.rate,
             customer.burst,
             is_alone,
             self._is_settled,
             self._interval_s,
-            daemon_count,
+            len(self._peers),
+            self._reach,
         )
         if customer_limits is None or customer_limits.key != key:
             customer_limits = self._compute_limits(customer, key)
@@ -572,10 +560,11 @@
         if self._is_shared and self._is_settled and unknown <= max_unknown:
             return _Limits(
                 key=key,
-                fill_rate=customer.rate + DIRECT_TOLERANCE_SHARE * tolerance / bounds.window_s,
-                capacity=customer.burst,
+                fill_rate=self._reach
+                * (customer.rate + DIRECT_TOLERANCE_SHARE * tolerance / bounds.window_s),
+                capacity=self._reach * customer.burst,
                 # Each daemon may admit such a call before it hears of those of the others.
-                max_units=customer.burst + overdraft / (len(self._sharers) + 1),
+                max_units=customer.burst + overdraft / (len(self._peers) + 1),
                 uses_claims=False,
             )
         lag_s: float = 0
@@ -592,8 +581,8 @@
         extra_capacity = max(spare - extra_rate * window_s, 0) / bucket_count
         return _Limits(
             key=key,
-            fill_rate=customer.rate + extra_rate,
-            capacity=customer.burst + extra_capacity,
+            fill_rate=self._reach * (customer.rate + extra_rate),
+            capacity=self._reach * (customer.burst + extra_capacity),
             max_units=customer.burst + overdraft,
             uses_claims=self._is_shared,
         )
--- a/tests/placement/test_quota_fleet.py
+++ b/tests/placement/test_quota_fleet.py
@@ -49,6 +49,8 @@
     calls: list = attrs.field(factory=list)
     admitted: list = attrs.field(factory=list)
     waiting: list = attrs.field(factory=list)
+    # When FLOOD begins to send 5 times its rate.
+    flood_from: float = 0
     random: object = None
 
     def __attrs_post_init__(self):
@@ -74,7 +76,8 @@
             if daemon.frozen_until > self.now or sent_at + self.interval_s / 4 > self.now:
                 self.mail.append((sent_at, receiver, sender, report))
                 continue
-            daemon.queue.ledger.apply_report(sender, report, self.now)
+            name = sender.partition('-')[0]
+            daemon.queue.ledger.apply_report(sender, report, self.now, name)
             daemon.heard[sender] = self.now
         for incarnation, daemon in self.daemons.items():
             if daemon.frozen_until <= self.now:
@@ -90,7 +93,7 @@
                 daemon.queue.ledger.remove_daemon(sender, self.now)
         if self.now >= daemon.report_at:
             daemon.report_at = self.now + self.interval_s
-            report = daemon.queue.ledger.make_report(self.now, self.interval_s)
+            report = daemon.queue.ledger.make_report(self.now, self.interval_s, self.count - 1)
             for receiver in sorted(self.daemons.keys() - {incarnation}):
                 if self.random.random() >= self.loss:
                     self.mail.append((self.now, receiver, incarnation, report))
@@ -129,7 +132,8 @@
         while self.now < END_S:
             disturb(self)
             bursts = 1.5 * BURSTY.burst * STEP_S / 0.4 if self.now % 4.5 < 0.4 else 0
-            self.step(((FLOOD, 5 * FLOOD.rate * STEP_S), (BURSTY, bursts)))
+            factor = 5 if self.now >= self.flood_from else 0.3
+            self.step(((FLOOD, factor * FLOOD.rate * STEP_S), (BURSTY, bursts)))
 
     def check_rule(self):
         for customer in (FLOOD, BURSTY):
@@ -198,3 +202,79 @@
     fleet.play(disturb)
     fleet.check_rule()
     assert fleet.get_used_share() >= 0.9
+
+
+CUT_AT_S = 10
+# Longer than a window, and than cuts that platforms state.
+CUT_S = 14
+
+
+def cut_into(fleet, sides):
+    """Drop what daemons on different sides of a cut send each other; `sides` hold numbers."""
+    if not CUT_AT_S < fleet.now < CUT_AT_S + CUT_S:
+        return
+    side_by_name = {f'd{number}': index for index, side in enumerate(sides) for number in side}
+
+    def is_together(first, second):
+        return side_by_name[first.partition('-')[0]] == side_by_name[second.partition('-')[0]]
+
+    fleet.mail = [mail for mail in fleet.mail if is_together(mail[1], mail[2])]
+
+
+ALONE = [[number] for number in range(9)]
+HALVES = [range(4), range(4, 9)]
+THIRDS = [range(3), range(3, 6), range(6, 9)]
+THREE_ALONE = [[0], [1], [2], range(3, 9)]
+
+
+@pytest.mark.parametrize('flood_from', [0, CUT_AT_S, CUT_AT_S + 2, CUT_AT_S + 9])
+@pytest.mark.parametrize('sides', [ALONE, HALVES, THIRDS, THREE_ALONE, [[0], range(1, 9)]])
+@pytest.mark.parametrize('interval_s', [0.25, 1])
+def test_sides_of_a_cut_together_keep_the_rule(interval_s, sides, flood_from):
+    """Guards against daemons that are cut off from each other and each use the whole quota."""
+    fleet = Fleet(9, interval_s, seed=3, flood_from=flood_from)
+    fleet.play(lambda fleet: cut_into(fleet, sides))
+    fleet.check_rule()
+
+
+@pytest.mark.parametrize('sides', [HALVES, THREE_ALONE])
+@pytest.mark.parametrize('interval_s', [0.25, 1])
+def test_daemons_that_start_during_a_cut_keep_the_rule(interval_s, sides):
+    """Guards against a daemon that takes those that it never heard for gone."""
+    fleet = Fleet(9, interval_s, seed=4, flood_from=CUT_AT_S)
+
+    def disturb(fleet):
+        cut_into(fleet, sides)
+        if fleet.now == pytest.approx(CUT_AT_S + 4):
+            for number in (0, 5):
+                fleet.daemons.pop(f'd{number}-0')
+        if fleet.now == pytest.approx(CUT_AT_S + 5):
+            for number in (0, 5):
+                fleet.start(f'd{number}-1')
+
+    fleet.play(disturb)
+    fleet.check_rule()
+
+
+def test_part_of_a_daemon_that_is_gone_comes_back():
+    """Guards against a quota of which a part is lost with each daemon that was killed."""
+    fleet = Fleet(6, 0.25, seed=5, loss=0)
+    ledger = fleet.daemons['d0-0'].queue.ledger
+    while fleet.now < 8:
+        fleet.step(())
+    assert ledger._reach == 1
+    fleet.daemons.pop('d5-0')
+    while fleet.now < 10:
+        fleet.step(())
+    assert ledger._reach == pytest.approx(5 / 6)
+    # As a new process of the same name, at once.
+    fleet.start('d5-1')
+    while fleet.now < 11:
+        fleet.step(())
+    assert ledger._reach == 1
+    # Else when it would have used no part for longer than cuts last.
+    fleet.daemons.pop('d5-1')
+    while fleet.now < 11 + 3 * BOUNDS.window_s + 3:
+        fleet.step(())
+    assert ledger._reach == 1
+    assert len(ledger._peers) == 4
