--- a/camphorpath/cluster/shared.py
+++ b/camphorpath/cluster/shared.py
@@ -210,8 +210,13 @@
             self.on_outdated_upstreams(outdated)
 
     def _is_removed_since(self, row: pb.SharedRow) -> bool:
-        """Return whether a row is of an upstream whose removal is no longer remembered."""
-        if not self.is_listed or row.key in self.upstreams:
+        """Return whether an upstream was removed after a row of it.
+
+        Its removal may be no longer remembered, or an earlier one, as a listing does not tell when
+        a missing upstream was removed.
+        """
+        known = self.upstreams.get(row.key)
+        if not self.is_listed or (known is not None and (row.removed or not known.removed)):
             return False
         return row.revision <= self.upstreams_revision
 
--- a/tests/cluster/test_shared.py
+++ b/tests/cluster/test_shared.py
@@ -154,6 +154,25 @@
     assert reported == ([] if way == 'apply_upstream' else [1])
 
 
+@pytest.mark.parametrize('is_announced', [True, False])
+def test_late_row_does_not_bring_back_an_upstream_that_was_removed_twice(is_announced):
+    """Guards against a row of between two removals, of which a listing hides the second one."""
+    observed = ObservedRows()
+    observed.rows.apply_listing([make_row('a', 1), make_row('b', 2)], 2, 0)
+    observed.rows.apply_changes([make_row('a', 5, removed=True)], 5, 1)
+    observed.rows.apply_listing([make_row('b', 2)], 20, 2)
+    changes = list(observed.changes)
+    late = make_row('a', 10)
+    if is_announced:
+        state = pb.SharedState(upstreams=[late], upstreams_revision=10)
+        observed.rows.apply_announced_rows(state, 9, 3)
+    else:
+        assert not observed.rows.apply_upstream(late, 3)
+    assert observed.changes == changes
+    observed.rows.apply_changes([make_row('a', 21)], 21, 4)
+    assert observed.changes[-1] == ('a', b'x', 21)
+
+
 def test_listing_of_a_peer_tells_the_removals_that_it_knows():
     """Guards against whole listings for all daemons that are behind after a few restarts."""
     old, restarted, behind = ObservedRows(), ObservedRows(), ObservedRows()
