--- a/camphorpath/placement/quota.py
+++ b/camphorpath/placement/quota.py
@@ -289,20 +289,16 @@
 
         Its lost incarnations are forgotten: they have ended, and are not cut off.
         """
-        if incarnation not in self._peers:
-            for other, known_peer in list(self._peers.items()):
-                if name and known_peer.name == name and known_peer.lost_at is not None:
-                    self._peers.pop(other)
-            self._peers[incarnation] = QuotaPeer(name)
-        peer = self._peers[incarnation]
+        peer = self._peers.get(incarnation) or self._add_peer(incarnation, name)
         known = peer.used
         peer.used = report.used
         peer.demand = {name: max(demand, 0) for name, demand in report.demand.items()}
         peer.interval_s = max(report.interval_s, MIN_INTERVAL_S)
         peer.heard_at = now
         peer.lost_at = None
-        # Before its use is taken from what was withheld for it.
-        self._update_reach(now)
+        if peer.is_silent or known is None:
+            # Before its use is taken from what was withheld for it.
+            self._update_reach(now)
         if known is None:
             # The units may have been admitted and refilled long before this first report.
             return
@@ -316,6 +312,13 @@
             account.level = min(account.level - taken, capacity)
             account.taken_by_others += taken
 
+    def _add_peer(self, incarnation: str, name: str) -> QuotaPeer:
+        for other, known_peer in list(self._peers.items()):
+            if name and known_peer.name == name and known_peer.lost_at is not None:
+                self._peers.pop(other)
+        self._peers[incarnation] = QuotaPeer(name)
+        return self._peers[incarnation]
+
     def remove_daemon(self, incarnation: str, now: float, *, has_ended: bool = False) -> None:
         """Mark a daemon incarnation as lost; its part is left to it until it must have ended.
 
