--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -3,7 +3,7 @@
 import functools
 import math
 import re
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from typing import TypeVar
 
 import anyio
@@ -408,7 +408,10 @@
         await self._acquire_connection(attempt)
         await self._identify_process(attempt)
         if self._origin is None and not await self._announce_version(attempt):
-            raise ProcessUnconfirmed(UNKNOWN_VERSION, step='send', peer=attempt.upstream.address)
+            # If no other upstream is left, a stream that nobody can continue is better than none.
+            if self._list_untried_versions():
+                peer = attempt.upstream.address
+                raise ProcessUnconfirmed(UNKNOWN_VERSION, step='send', peer=peer)
         if self._origin is not None and not self._has_begun_version(attempt):
             raise ProcessUnconfirmed(OTHER_VERSION, step='send', peer=attempt.upstream.address)
         if not self.context.scheduler.rollouts.may_send(attempt.upstream, read_lease_clock()):
@@ -1029,10 +1032,12 @@
         if self._origin is None:
             return True
         begun_version = self._origin.origin.software_version
-        versions = self.context.scheduler.list_versions(
+        return bool(begun_version) and begun_version in self._list_untried_versions()
+
+    def _list_untried_versions(self) -> Collection[str]:
+        return self.context.scheduler.list_versions(
             self.call.service, excluded=self.tried_upstreams
         )
-        return bool(begun_version) and begun_version in versions
 
     def _charge_retry(self) -> bool:
         """Take a retry from the budget; return whether there was one."""
