--- a/camphorpath/edge/begun_versions.py
+++ b/camphorpath/edge/begun_versions.py
@@ -141,6 +141,7 @@
             if restored.is_set():
                 restored = self.get_restored()
                 self._written = frozenset()
+            self._expire_heard()
             if self._is_due():
                 await self._try_write()
             await anyio.sleep(UPDATE_INTERVAL_S)
@@ -173,16 +174,18 @@
         self._heard[incarnation] = self.read_clock()
 
     async def try_begin(self, service: str, software_version: str) -> bool:
-        """Record that a stream is about to begin here; return whether it may.
+        """Return whether other daemons can learn that a stream begins here; write it if necessary.
 
-        It may not if other daemons could never learn its origin. Takes up to MAX_ANNOUNCE_S.
+        If not, the stream does not count as begun. Takes up to MAX_ANNOUNCE_S.
         """
+        origin = Origin(service, software_version)
+        begun_before = origin in self._begun
         if self.begin(service, software_version):
             await self.announce()
         if self.is_stated(service, software_version):
             return True
-        # No stream has begun there.
-        self._begun.pop(Origin(service, software_version), None)
+        if not begun_before:
+            self._begun.pop(origin, None)
         return False
 
     async def announce(self) -> None:
@@ -225,10 +228,8 @@
 
     def _list_unstated(self) -> set[str]:
         """Return the daemons of which no row tells at which versions they have begun streams."""
-        now = self.read_clock()
-        horizons_s = [self.get_horizon_s(each.service) for each in self.list_registered()]
-        longest_s = max(horizons_s, default=0)
-        self._heard = {name: at for name, at in self._heard.items() if now - at <= longest_s}
+        now, longest_s = self.read_clock(), self._get_longest_horizon_s()
+        self._expire_heard()
         unstated = self._heard.keys() - set(map(_get_incarnation, self._decoded))
         # Their daemons may have written them until then.
         limit_s = longest_s + REFRESH_INTERVAL_S + MAX_REFRESH_DELAY_S
@@ -237,6 +238,14 @@
         )
         return unstated
 
+    def _expire_heard(self) -> None:
+        """Forget the daemons that were last heard before any stream that may be taken up."""
+        since = self.read_clock() - self._get_longest_horizon_s()
+        self._heard = {name: at for name, at in self._heard.items() if at >= since}
+
+    def _get_longest_horizon_s(self) -> float:
+        return max((self.get_horizon_s(each.service) for each in self.list_registered()), default=0)
+
     async def _read_rows(self) -> None:
         """Read the rows of all daemons; raise TableUnavailable."""
         rows = await self.store.read_table(TABLE, PART)
--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -224,12 +224,22 @@
         get_restored=lambda: state.restored,
     )
 
-    async def announce_version(service: str, software_version: str) -> bool:
+    async def may_begin(service: str, software_version: str) -> bool:
         if not await begun_versions.try_begin(service, software_version):
             return False
-        await streams.announce_version(service, software_version)
+        if not streams.is_stated(service, software_version):
+            await streams.announce_version(service, software_version)
         return streams.is_stated(service, software_version)
 
+    async def announce_version(service: str, software_version: str) -> None:
+        if not begun_versions.begin(service, software_version):
+            await streams.announce_version(service, software_version)
+            return
+        async with anyio.create_task_group() as group:
+            group.start_soon(begun_versions.announce)
+            group.start_soon(streams.announce_version, service, software_version)
+
+    origins.may_begin = may_begin
     origins.announce_version = announce_version
     origins.list_lost = begun_versions.list_lost
     return begun_versions
--- a/camphorpath/relay/call.py
+++ b/camphorpath/relay/call.py
@@ -407,11 +407,8 @@
         """
         await self._acquire_connection(attempt)
         await self._identify_process(attempt)
-        if self._origin is None and not await self._announce_version(attempt):
-            # If no other upstream is left, a stream that nobody can continue is better than none.
-            if self._list_untried_versions():
-                peer = attempt.upstream.address
-                raise ProcessUnconfirmed(UNKNOWN_VERSION, step='send', peer=peer)
+        if self._origin is None and not await self._may_begin(attempt):
+            raise ProcessUnconfirmed(UNKNOWN_VERSION, step='send', peer=attempt.upstream.address)
         if self._origin is not None and not self._has_begun_version(attempt):
             raise ProcessUnconfirmed(OTHER_VERSION, step='send', peer=attempt.upstream.address)
         if not self.context.scheduler.rollouts.may_send(attempt.upstream, read_lease_clock()):
@@ -579,18 +576,23 @@
                 return entry
         return None
 
-    async def _announce_version(self, attempt: Attempt) -> bool:
-        """Tell the other daemons which version begins a stream; return whether they can learn it.
+    async def _may_begin(self, attempt: Attempt) -> bool:
+        """Return whether others can learn the version, or no other upstream is left to try.
 
-        Its entry may have to be read first.
+        A stream that may not go on elsewhere is better than none.
         """
         if not self._may_go_on_elsewhere():
             return True
-        upstream, incarnation = attempt.upstream, attempt.conn.incarnation
+        version = await self._look_up_version(attempt)
+        is_known = await self.context.origins.may_begin(attempt.upstream.service, version)
+        return is_known or not self._list_untried_versions()
+
+    async def _look_up_version(self, attempt: Attempt) -> str:
+        """Return the version that begins a stream; its entry may have to be read first."""
+        incarnation = attempt.conn.incarnation
         if self.context.reports is not None and incarnation and self._find_entry(attempt) is None:
-            await self.context.look_up_process(upstream.upstream_id, incarnation)
-        version = self._find_version(attempt)
-        return await self.context.origins.announce_version(upstream.service, version)
+            await self.context.look_up_process(attempt.upstream.upstream_id, incarnation)
+        return self._find_version(attempt)
 
     def _find_registered_version(self, upstream: Upstream) -> str:
         """Return the software version of the granted upstream; empty if its entry has changed it.
@@ -903,11 +905,14 @@
             )
             await self.caller.send_part(part)
         else:
-            # The entry may have changed since the send.
-            await self._announce_version(attempt)
+            service = attempt.upstream.service
+            if self.call.route.is_resumable:
+                version = await self._look_up_version(attempt)
+                await self.context.origins.announce_version(service, version)
             self.has_answer_started = True
             self._is_event_stream = answer.is_event_stream
-            self._record_version(attempt.upstream.service, self._find_version(attempt))
+            # The entry may have changed meanwhile.
+            self._record_version(service, self._find_version(attempt))
             self._record_first_part()
             headers = select_answer_headers(answer.headers)
             await self.caller.start_stream(answer.status, headers, part)
--- a/camphorpath/streams/lookup.py
+++ b/camphorpath/streams/lookup.py
@@ -39,8 +39,12 @@
     """Return that nothing is known of daemons that are gone; for a daemon without a store."""
 
 
-async def _announce_nothing(_service: str, _software_version: str) -> bool:
+async def _announce_nothing(_service: str, _software_version: str) -> None:
     """Announce no version; for a daemon without a store."""
+
+
+async def _begin_anywhere(_service: str, _software_version: str) -> bool:
+    """Let streams begin at all versions; for a daemon without a store."""
     return True
 
 
@@ -59,9 +63,11 @@
     # Reads the versions that were registered until the begin of the call; returns whether all of
     # them that were registered within the horizon are in `history`.
     confirm_history: Callable[[], Awaitable[bool]] = _confirm_at_once
+    # Returns whether other daemons can learn that a stream of a service begins at a version. If
+    # not, a stream should begin elsewhere.
+    may_begin: Callable[[str, str], Awaitable[bool]] = _begin_anywhere
     # Lets daemons that have not seen a version know that a stream of a service begins at it.
-    # Returns whether they can learn it; otherwise the stream must not begin there.
-    announce_version: Callable[[str, str], Awaitable[bool]] = _announce_nothing
+    announce_version: Callable[[str, str], Awaitable[None]] = _announce_nothing
     ask_peers: Callable[[bytes], Awaitable[Asked]] = _ask_nobody
     # Looks a stream up in the store, but for the rows of the incarnations that answered; raises
     # TableUnavailable.
--- a/tests/edge/test_begun_versions.py
+++ b/tests/edge/test_begun_versions.py
@@ -77,6 +77,21 @@
     assert not await daemon.try_begin(attrs.evolve(OLD, software_version=''))
 
 
+async def test_stream_that_began_at_an_unknown_version_is_written_once_the_store_is_back(store):
+    """Guards against streams that are taken for ones of the version in an older row."""
+    daemon = Daemon(store)
+    unknown = attrs.evolve(OLD, software_version='')
+    assert await daemon.try_begin(OLD)
+    store.status = 503
+    # No other upstream was left for it.
+    assert not await daemon.try_begin(unknown)
+    daemon.begun.begin(unknown.service, unknown.software_version)
+    assert not await daemon.try_begin(unknown)
+    store.status = 200
+    await store.clock.run(daemon.begun.follow, 2)
+    assert daemon.read_row().origins == {OLD, unknown}
+
+
 async def test_lost_daemon_without_a_row_may_have_begun_streams_at_all_versions(store):
     """Guards against streams that are joined as the daemon that began them had no row."""
     other = Daemon(store, 'other-1')
@@ -89,6 +104,8 @@
     assert await reader.begun.list_lost(frozenset()) is None
     reader.store.clock.now += HORIZON_S + 1
     assert await reader.begun.list_lost(frozenset()) == {OLD}
+    # Daemons that are long gone take no memory.
+    assert not reader.begun._heard
 
 
 async def test_unreadable_row_counts_as_one_of_all_registered_versions(store):
--- a/tests/processes/test_order.py
+++ b/tests/processes/test_order.py
@@ -13,6 +13,8 @@
 
 EVENT_COUNT = 60
 SETTLE_S = 2.0
+# A stream that has not begun by then was refused in all its tries.
+BEGIN_LIMIT_S = 10.0
 
 
 def make_caller(fleet, daemon):
@@ -29,8 +31,9 @@
         caller = make_caller(fleet, fleet.daemons[0])
         for _ in range(3):
             reading = asyncio.create_task(caller.fetch_stream('/draft/', EVENT_COUNT))
-            while not any(upstream.running for upstream in upstreams):  # noqa: ASYNC110  no event
-                await asyncio.sleep(0.01)
+            async with asyncio.timeout(BEGIN_LIMIT_S):
+                while not any(upstream.running for upstream in upstreams):  # noqa: ASYNC110  no event
+                    await asyncio.sleep(0.01)
             await asyncio.sleep(0.5)
             busy = next(upstream for upstream in upstreams if upstream.running)
             idle = next(upstream for upstream in upstreams if upstream is not busy)
--- a/tests/processes/test_unknown_processes.py
+++ b/tests/processes/test_unknown_processes.py
@@ -77,6 +77,25 @@
         await assert_all_go_on(callers, readings)
 
 
+async def test_streams_begin_at_a_daemon_without_contact_if_all_upstreams_have_restarted():
+    """Guards against refused streams where no upstream is left whose version others can learn."""
+    async with open_fleet(3) as fleet:
+        for zone in 'abc':
+            await fleet.add_upstream('v1', zone=zone)
+        await fleet.start_daemons()
+        await asyncio.sleep(SETTLE_S)
+        alone, *others = fleet.daemons
+        alone.cut_store()
+        alone.cut_peers()
+        for upstream in fleet.upstreams:
+            await fleet.restart_upstream(upstream, 'v2')
+        await asyncio.sleep(LOST_S)
+        addresses = [daemon.address for daemon in others]
+        callers, readings = begin_streams(fleet, STREAM_COUNT * [alone.address], addresses)
+        await wait_until_begun(callers)
+        await assert_all_go_on(callers, readings)
+
+
 async def test_streams_of_an_outage_go_on_after_a_kill_of_all_daemons():
     """Guards against streams of a process whose version nobody could write before the kill."""
     async with open_fleet(3) as fleet:
--- a/tests/relay/test_restarted_upstreams.py
+++ b/tests/relay/test_restarted_upstreams.py
@@ -232,7 +232,6 @@
 
         async def announce(service, software_version):
             announced.append((service, software_version))
-            return True
 
         process = serve_process(make_report(RESTARTED), [1, 2])
         async with open_upstream(process) as only, open_relay_with_reports(only) as (context, port):
@@ -247,8 +246,7 @@
             version = find_recorded_version(context)
         assert read_events(received) == [b'data: e1', b'data: e2']
         assert version == 'v2'
-        # Before the send, and with the first event.
-        assert announced == 2 * [('llm', 'v2')]
+        assert announced == [('llm', 'v2')]
 
     run(test)
 
--- a/tests/relay/test_take_ups.py
+++ b/tests/relay/test_take_ups.py
@@ -220,7 +220,6 @@
         async def announce_version(service, software_version):
             announced.append((service, software_version))
             await is_announced.wait()
-            return True
 
         async with (
             open_upstream(stream_events([1, 2])) as first,
@@ -238,10 +237,8 @@
             await anyio.sleep(0.05)
             assert context.origins.records.find(digest_stream(b'1')) is None
             assert not received
-            assert not first.requests
             is_announced.set()
-        # Before the send, and with the first event.
-        assert announced == 2 * [('llm', 'v1')]
+        assert announced == [('llm', 'v1')]
         assert read_events(received[0][0]) == [b'data: e1', b'data: e2']
 
     run(test)
@@ -251,7 +248,7 @@
     """Guards against streams that nobody can continue, or that are joined with another version."""
 
     async def test():
-        async def announce_version(_service, software_version):
+        async def may_begin(_service, software_version):
             return software_version == 'v1'
 
         async with (
@@ -259,7 +256,7 @@
             open_upstream(stream_events([1]), 'v1') as known,
             open_relay(unknown, known) as (context, port),
         ):
-            context.origins.announce_version = announce_version
+            context.origins.may_begin = may_begin
             for _ in range(4):
                 received, _is_reset = await read_to_end(port, BEGIN)
                 assert read_events(received) == [b'data: e1']
