--- a/camphorpath/edge/daemon.py
+++ b/camphorpath/edge/daemon.py
@@ -147,7 +147,7 @@
         events=events,
         peers=peers,
         is_watcher=state.is_watcher,
-        on_store_disruption=lambda: state.record_store_failure(is_own=True),
+        on_store_disruption=state.record_store_failure,
         announce=lambda changes, after: heartbeats.send(
             state.make_announcement(changes, after), members.hosts
         ),
--- a/camphorpath/edge/state.py
+++ b/camphorpath/edge/state.py
@@ -8,6 +8,7 @@
 import attrs
 
 from ..clocks import read_lease_clock
+from ..cluster.follower import MAX_CONFIRMATION_AGE_S
 from ..cluster.loads import decode_load, encode_load
 from ..cluster.members import Member, Members
 from ..cluster.quarantine import decode_quarantined, encode_quarantined, make_row_key
@@ -107,7 +108,7 @@
         settings = self.settings
         now = read_lease_clock()
         quota_report = self.relay.quota.make_report(
-            now, self.heartbeat_interval_s, len(self.members.hosts)
+            now, self.heartbeat_interval_s, len(self.members.list_running_hosts())
         )
         heartbeat = pb.EdgeHeartbeat(
             name=settings.name,
@@ -230,14 +231,12 @@
             quarantine.apply_cleared(digest, read_lease_clock())
         self._adopt_quarantined(heartbeat)
 
-    def record_store_failure(self, *, is_own: bool = False) -> None:
-        """Take the store for lost if calls to it fail at most daemons; `is_own` if one failed here.
+    def record_store_failure(self) -> None:
+        """Take the store for lost if it confirmed the state held here to nobody lately.
 
-        A few daemons may be cut off from it, or stand still, while upstreams reach it.
+        Else one daemon is cut off from it, or stood still, while upstreams reach it.
         """
-        failing = [not member.heartbeat.store_up for member in self.members.known.values()]
-        failing.append(is_own or not self.is_store_up)
-        if 2 * sum(failing) > len(failing):
+        if self.read_store_age() > MAX_CONFIRMATION_AGE_S:
             self.view.mark_store_unstable(read_lease_clock())
 
     def expire(self) -> None:
--- a/tests/edge/test_state.py
+++ b/tests/edge/test_state.py
@@ -239,6 +239,27 @@
     return row
 
 
+@pytest.mark.parametrize('is_lost', [True, False])
+def test_store_that_confirms_the_state_is_not_lost(state, is_lost):
+    """Guards against calls to upstreams that left, as a daemon that is cut off has no store.
+
+    In a large fleet most daemons state for seconds that they reach a store that is lost.
+    """
+    state.read_store_age = lambda: 4 if is_lost else 0.5
+    entries = [
+        pb.SharedRow(key=f'i-{number}', content=make_entry(1, 1).content, revision=1)
+        for number in range(3)
+    ]
+    state.rows.apply_listing(entries, 1, read_lease_clock())
+    for number in range(9):
+        state.apply_heartbeat(make_heartbeat(f'd{number}', f'd{number}-1', store_up=True))
+    state.apply_heartbeat(make_heartbeat('d9', 'd9-1', store_up=False))
+    for number in range(2):
+        removed = pb.SharedRow(key=f'i-{number}', revision=2 + number, removed=True)
+        state.rows.apply_changes([removed], 2 + number, read_lease_clock())
+    assert len(state.view.all()) == (3 if is_lost else 1)
+
+
 def test_entries_of_a_copy_of_the_store_do_not_replace_newer_ones(state):
     """Guards against calls to upstreams that left after the copy from which a store came back."""
     state.rows.apply_listing([make_entry(1, 14)], 20, 0)
