--- a/tests/placement/test_quota_fleet.py
+++ b/tests/placement/test_quota_fleet.py
@@ -1,5 +1,6 @@
 """Quotas over several daemons that exchange reports late, without a network."""
 
+import math
 import random
 
 import attrs
@@ -135,11 +136,11 @@
             factor = 5 if self.now >= self.flood_from else 0.3
             self.step(((FLOOD, factor * FLOOD.rate * STEP_S), (BURSTY, bursts)))
 
-    def check_rule(self):
-        for customer in (FLOOD, BURSTY):
+    def check_rule(self, customers=(FLOOD, BURSTY)):
+        for customer in customers:
             limit = customer.rate * BOUNDS.window_s + customer.burst
             rule = limit * (1 + BOUNDS.overshoot) + BOUNDS.allowance
-            used = [(at, r.units) for at, r in self.admitted if r.customer is customer]
+            used = [(at, r.units) for at, r in self.admitted if r.customer.name == customer.name]
             for end, _units in used:
                 window = sum(units for at, units in used if end - BOUNDS.window_s < at <= end)
                 assert window <= rule
@@ -256,6 +257,38 @@
     fleet.check_rule()
 
 
+@pytest.mark.parametrize('factor', [0.5, 2])
+@pytest.mark.parametrize('interval_s', [0.25, 1])
+def test_sides_keep_the_rule_while_one_of_them_gets_another_quota(interval_s, factor):
+    """Guards against sides that add up the parts of two quotas to more than the larger one."""
+    fleet = Fleet(9, interval_s, seed=6, flood_from=CUT_AT_S)
+    other = attrs.evolve(FLOOD, rate=factor * FLOOD.rate, burst=factor * FLOOD.burst)
+
+    def disturb(fleet):
+        cut_into(fleet, THREE_ALONE)
+        if fleet.now == pytest.approx(CUT_AT_S + 2):
+            for number in THREE_ALONE[-1]:
+                ledger = fleet.daemons[f'd{number}-0'].queue.ledger
+                ledger.set_customers((other, BURSTY), fleet.now)
+
+    fleet.play(disturb)
+    larger = other if factor > 1 else FLOOD
+    fleet.check_rule((larger, BURSTY))
+
+
+@pytest.mark.parametrize('sides', [HALVES, THREE_ALONE])
+def test_steady_calls_below_the_quota_are_not_refused_on_any_side(sides):
+    """Guards against parts of a cut that are too small for the calls that come there."""
+    fleet = Fleet(9, 0.25, seed=7, flood_from=math.inf)
+    fleet.play(lambda fleet: cut_into(fleet, sides))
+    refused = [
+        request
+        for at, request in fleet.calls
+        if request.customer is FLOOD and request.state is QuotaState.REFUSED and at > WARM_UP_S
+    ]
+    assert not refused
+
+
 def test_part_of_a_daemon_that_is_gone_comes_back():
     """Guards against a quota of which a part is lost with each daemon that was killed."""
     fleet = Fleet(6, 0.25, seed=5, loss=0)
