--- a/camphorpath/placement/quota.py
+++ b/camphorpath/placement/quota.py
@@ -508,9 +508,9 @@
             fill_rate = self._get_limits(account.customer).fill_rate * part / self._reach
             units = max(account.level, 0) * part / self._reach
             for peer in changed:
-                account.level += peer.exchange(account.customer.name, units, fill_rate, now)
+                account.level += peer.move_part(account.customer.name, units, fill_rate, now)
         for peer in changed:
-            peer.toggle(now)
+            peer.record_change(now)
         self._reach = reach
 
     def _is_frozen(self, now: float) -> bool:
--- a/camphorpath/placement/quota_peers.py
+++ b/camphorpath/placement/quota_peers.py
@@ -38,11 +38,11 @@
         silent_s = now - self.heard_at
         return self.lost_at is None and silent_s <= SILENT_INTERVAL_COUNT * self.interval_s
 
-    def exchange(self, customer: str, units: float, fill_rate: float, now: float) -> float:
-        """Withhold units of a bucket, or return them; return the change of the bucket.
+    def move_part(self, customer: str, units: float, fill_rate: float, now: float) -> float:
+        """Withhold the part of a bucket, or give it back; return the change of the bucket.
 
-        What is returned is the part as if the daemon had used nothing. `units` are its part of what
-        is left, and `fill_rate` is that of its part, in units per second.
+        What is given back is the part as if the daemon had used nothing. `units` are its part of
+        what is left, and `fill_rate` is that of its part, in units per second.
         """
         if self.silent_since is None:
             # Its last report holds what it claimed for an interval.
@@ -51,8 +51,8 @@
             return -self.withheld[customer]
         return self.withheld.get(customer, 0) + fill_rate * (now - self.silent_since)
 
-    def toggle(self, now: float) -> None:
-        """Record that the parts in all buckets were withheld, or returned."""
+    def record_change(self, now: float) -> None:
+        """Record that the parts of all buckets were withheld, or given back."""
         if self.silent_since is None:
             self.silent_since = now
             return
--- a/tests/processes/test_unknown_processes.py
+++ b/tests/processes/test_unknown_processes.py
@@ -1,6 +1,7 @@
 """Streams begin while the other daemons cannot learn which process of an upstream serves them."""
 
 import asyncio
+import contextlib
 import itertools
 
 import pytest
@@ -19,6 +20,17 @@
 LOST_S = 3.0
 
 
+@contextlib.asynccontextmanager
+async def open_settled_fleet():
+    """Start three daemons and an upstream of v1 in each availability zone."""
+    async with open_fleet(3) as fleet:
+        for zone in 'abc':
+            await fleet.add_upstream('v1', zone=zone)
+        await fleet.start_daemons()
+        await asyncio.sleep(SETTLE_S)
+        yield fleet
+
+
 def begin_streams(fleet, addresses, later_addresses):
     """Begin a stream at each address, which is taken up at later ones; return callers and tasks."""
     callers, readings = [], []
@@ -58,11 +70,7 @@
 @pytest.mark.parametrize('restarts', [('v2',), ('v2', 'v3'), ('v2', 'v1')])
 async def test_streams_do_not_begin_at_a_process_that_only_a_daemon_without_contact_knows(restarts):
     """Guards against streams of two versions, joined by daemons that know the older one only."""
-    async with open_fleet(3) as fleet:
-        for zone in 'abc':
-            await fleet.add_upstream('v1', zone=zone)
-        await fleet.start_daemons()
-        await asyncio.sleep(SETTLE_S)
+    async with open_settled_fleet() as fleet:
         alone, *others = fleet.daemons
         alone.cut_store()
         alone.cut_peers()
@@ -79,11 +87,7 @@
 
 async def test_streams_begin_at_a_daemon_without_contact_if_all_upstreams_have_restarted():
     """Guards against refused streams where no upstream is left whose version others can learn."""
-    async with open_fleet(3) as fleet:
-        for zone in 'abc':
-            await fleet.add_upstream('v1', zone=zone)
-        await fleet.start_daemons()
-        await asyncio.sleep(SETTLE_S)
+    async with open_settled_fleet() as fleet:
         alone, *others = fleet.daemons
         alone.cut_store()
         alone.cut_peers()
@@ -98,11 +102,7 @@
 
 async def test_streams_of_an_outage_go_on_after_a_kill_of_all_daemons():
     """Guards against streams of a process whose version nobody could write before the kill."""
-    async with open_fleet(3) as fleet:
-        for zone in 'abc':
-            await fleet.add_upstream('v1', zone=zone)
-        await fleet.start_daemons()
-        await asyncio.sleep(SETTLE_S)
+    async with open_settled_fleet() as fleet:
         fleet.store.set_mode('away')
         await fleet.restart_upstream(fleet.upstreams[0], 'v2', is_registered=False)
         await asyncio.sleep(LOST_S)
@@ -120,11 +120,7 @@
 
 async def test_streams_begin_at_a_daemon_that_started_during_an_outage():
     """Guards against a daemon that serves no streams until it can write its row."""
-    async with open_fleet(3) as fleet:
-        for zone in 'abc':
-            await fleet.add_upstream('v1', zone=zone)
-        await fleet.start_daemons()
-        await asyncio.sleep(SETTLE_S)
+    async with open_settled_fleet() as fleet:
         fleet.store.set_mode('away')
         started, *others = fleet.daemons
         await started.kill()
