--- a/camphorpath/placement/quota.py
+++ b/camphorpath/placement/quota.py
@@ -237,6 +237,9 @@
         missing = self._count_needed(account, units, now, priority) + ahead
         missing -= self._get_available(account, now)
         rate = self._get_limits(customer).fill_rate
+        if not self._is_settled:
+            # The others may be about to start, too, rather than be cut off.
+            rate /= self._reach
         if missing <= 0 or not self._get_limits(customer).uses_claims:
             return max(missing, 0) / rate
         # The rest is claimed from the next report on, with the demand known by then.
--- a/tests/placement/test_quota.py
+++ b/tests/placement/test_quota.py
@@ -75,6 +75,20 @@
     assert ledger.admit(customer, 1, 0) == 0
 
 
+def test_call_at_a_start_waits_for_the_others_to_start():
+    """Guards against refusals at each daemon after all daemons were restarted at once."""
+    customer = make_customer()
+    ledger = QuotaLedger(BOUNDS, starts_full=False)
+    ledger.start(0)
+    ledger.make_report(0, INTERVAL_S, host_count=8)
+    # Its own part alone would take 2.7 s.
+    assert ledger.admit(customer, 30, 0.05) <= 0.6
+    for number in range(1, 9):
+        ledger.make_report(number * INTERVAL_S, INTERVAL_S, host_count=8)
+    # They were not heard and may be cut off.
+    assert ledger.admit(customer, 100, 2.05) >= 5
+
+
 def test_refusal_states_when_units_are_available():
     """Guards against a Retry-After after which the caller is refused again."""
     customer = make_customer()
