--- a/camphorpath/placement/engine_limits.py
+++ b/camphorpath/placement/engine_limits.py
@@ -1,9 +1,10 @@
-"""Applies what is known of the memory of engines, and explains calls that fit nowhere.
+"""Applies what is known of the memory and rates of engines, and explains calls that fit nowhere.
 
 Answers calls that no engine of their service can hold: they would wait in vain until their time is
 over.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 
 from ..routing import Service, Upstream
@@ -57,3 +58,26 @@
             blocked[slots.upstream.service] = slots.memory.blocked_tokens
             slots.memory.blocked_tokens = 0
     return blocked
+
+
+def limit_wait(group: Iterable[Slots], ahead: int, wait_s: float, now: float) -> float:
+    """Return the expected seconds until `ahead` calls are sent, by the rates of the upstreams.
+
+    `wait_s` is what the calls that ended lately suggest. They say too little while all upstreams
+    state rates: some may have been sent before that. While slots are free, only the rates count.
+    """
+    rates: float = 0
+    free_rates: float = 0
+    free_slots = 0
+    for slots in group:
+        limit = slots.rate_limit
+        if not limit.is_limited:
+            rates = math.inf
+            continue
+        rates += limit.fill_rate
+        if slots.is_owner and slots.count_free_slots(now) > 0:
+            free_rates += limit.fill_rate * (1 - limit.lent_share)
+            free_slots += slots.count_free_slots(now)
+    if free_rates and ahead <= free_slots:
+        return min(max(wait_s, ahead / rates), ahead / free_rates)
+    return max(wait_s, ahead / rates) if rates else wait_s
--- a/camphorpath/placement/scheduler.py
+++ b/camphorpath/placement/scheduler.py
@@ -15,7 +15,7 @@
 from .costs import choose_cheapest, estimate_cost
 from .customers import CustomerShares
 from .egress import Egress
-from .engine_limits import awaits_report, explain_no_candidate
+from .engine_limits import awaits_report, explain_no_candidate, limit_wait
 from .lending import Borrowers, PeerDemand, lend_requests, lend_slots, return_slot
 from .ownership import Assignment
 from .queue import CallQueue, make_refusal
@@ -546,8 +546,7 @@
             1 for released_at in service.release_times if released_at > now - RATE_WINDOW_S
         )
         wait_s = ahead * RATE_WINDOW_S / recent if recent else DEFAULT_WAIT_S * ahead
-        # Calls may have ended lately that were sent before the limits were known.
-        return max(wait_s, ahead / self._sum_rates(call.service))
+        return limit_wait(self._slots_by_service.get(call.service, ()), ahead, wait_s, now)
 
     def _estimate_home_wait(self, call: WaitingCall, now: float) -> float:
         """Return the expected wait for a slot in the own region; infinite if it has none."""
@@ -559,15 +558,6 @@
             return math.inf
         return self._estimate_wait(self._services[call.service], call, now) / share
 
-    def _sum_rates(self, service: str) -> float:
-        """Return the requests per second that the upstreams of a service take together."""
-        rates: float = 0
-        for slots in self._slots_by_service.get(service, ()):
-            if not slots.rate_limit.is_limited:
-                return math.inf
-            rates += slots.rate_limit.fill_rate
-        return rates or math.inf
-
     def _place(self, call: WaitingCall, slots: Slots, now: float) -> None:
         slots.occupy(call, now)
         self.rollouts.record_placement(slots.upstream)
--- a/tests/placement/test_rate_limits.py
+++ b/tests/placement/test_rate_limits.py
@@ -300,3 +300,18 @@
     slots = scheduler.slots['i-1']
     reserved = scheduler._count_reserved('llm')
     assert reserved <= 0.2 * (slots.burst if owner_knows else SLOTS)
+
+
+def test_call_waits_for_the_next_request_that_a_rate_allows():
+    """Guards against a call that is refused at an idle upstream for a limit of milliseconds."""
+    decisions = []
+    scheduler = Scheduler(name='me', zone='a', regions={'a': 'r'})
+    scheduler.set_upstreams([make_upstream(1, slots=1)], Assignment({'r': ('me',)}, {'i-1': 'me'}))
+    first, second = (make_call(call_id, 10, decisions.append) for call_id in ('c1', 'c2'))
+    scheduler.submit(first, 10)
+    scheduler.slots['i-1'].record_rate(RateStatement(1000, 10), is_from_peer=False)
+    scheduler.release('i-1', first, 10)
+    scheduler.submit(second, 10 + 0.1 / 1000)
+    assert len(decisions) == 1
+    scheduler.expire(10 + 2 / 1000)
+    assert isinstance(decisions[1], Placed)
--- a/tests/relay/support.py
+++ b/tests/relay/support.py
@@ -9,6 +9,7 @@
 import attrs
 
 from camphorpath.clocks import read_lease_clock
+from camphorpath.edge.daemon import TIMER_INTERVAL_S
 from camphorpath.events import EventLog
 from camphorpath.placement.budget import RetryBudget
 from camphorpath.placement.ownership import Assignment
@@ -205,6 +206,21 @@
     listener.close()
 
 
+@contextlib.asynccontextmanager
+async def run_scheduler(context):
+    """Place waiting calls at intervals, as a daemon does."""
+
+    async def expire():
+        while True:
+            await anyio.sleep(TIMER_INTERVAL_S)
+            context.scheduler.expire(read_lease_clock())
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(expire)
+        yield
+        group.cancel_scope.cancel()
+
+
 def make_request(path=b'/read/x', attempt=b'1', headers=b'', body=b'', method=b'GET'):
     head = b'%b %b HTTP/1.1\r\nHost: h\r\nAttempt: %b\r\nDeadline-Ms: 5000\r\n%b'
     head %= (method, path, attempt, headers)
--- a/tests/relay/test_odd_headers.py
+++ b/tests/relay/test_odd_headers.py
@@ -9,7 +9,16 @@
 from camphorpath.routing import Customer
 from camphorpath.schema import camphorpath_pb2 as pb
 
-from .support import CUSTOMER, ask, make_answer, make_request, open_relay, open_upstream, run
+from .support import (
+    CUSTOMER,
+    ask,
+    make_answer,
+    make_request,
+    open_relay,
+    open_upstream,
+    run,
+    run_scheduler,
+)
 
 NUMBERS = (
     b'nan',
@@ -96,7 +105,9 @@
 
 
 @pytest.mark.parametrize('name', [b'Keep-Alive', b'Retry-After', b'Rate-Limit', b'Leaving'])
-@pytest.mark.parametrize('text', [*NUMBERS, b'timeout=' + b'9' * 5000, b'timeout=-1', b'timeout='])
+@pytest.mark.parametrize(
+    'text', [*NUMBERS, b'20', b'timeout=' + b'9' * 5000, b'timeout=-1', b'timeout=']
+)
 def test_odd_header_of_an_answer_does_not_cost_it(name, text):
     """Guards against a complete answer that is replaced by a failure because of a header."""
 
@@ -107,9 +118,11 @@
             await writer.drain()
 
     async def test():
-        async with open_upstream(answer) as upstream, open_relay(upstream) as (_context, port):
-            for _ in range(2):
-                assert (await ask(port, make_request()))[0] == 200
+        async with open_upstream(answer) as upstream, open_relay(upstream) as (context, port):
+            # The second call may have to wait for a request that the rate allows.
+            async with run_scheduler(context):
+                for _ in range(2):
+                    assert (await ask(port, make_request()))[0] == 200
 
     run(test)
 
