--- a/camphorpath/placement/quota.py
+++ b/camphorpath/placement/quota.py
@@ -28,7 +28,8 @@
 import attrs
 
 from ..routing import Customer
-from .quota_peers import MIN_INTERVAL_S, QuotaPeer, compute_reach
+from .quota_accounts import DEMAND_TIME_S, Account
+from .quota_peers import MIN_INTERVAL_S, BucketPart, QuotaPeer, QuotaReport, compute_reach
 
 # Demand of a flood, as a multiple of the rate: a customer that sends eight times its typical load.
 FLOOD_FACTOR = 8.0
@@ -43,8 +44,6 @@
 # The reserve is held for this time after the last more urgent call. Urgent traffic that pauses for
 # longer finds the bucket refilled by at least as much in these seconds.
 RESERVE_HOLD_S = 2.0
-# Time constant of the demand: several heartbeats, so that shares do not follow single calls.
-DEMAND_TIME_S = 1.0
 # Part of each bucket that is shared equally, so that a call finds some units at any daemon.
 EQUAL_SHARE = 0.2
 # Part that is claimed by all daemons together of a bucket for which none has demand: a burst at one
@@ -82,52 +81,6 @@
     allowance: float
 
 
-@attrs.frozen(kw_only=True)
-class QuotaReport:
-    """What a daemon tells the others; both by customer."""
-
-    # Units used since the start of the daemon, and those that are claimed.
-    used: dict[str, float]
-    # Units per second that callers lately asked for.
-    demand: dict[str, float] = attrs.field(factory=dict)
-    # Seconds until the next report, for which the units are claimed.
-    interval_s: float = MIN_INTERVAL_S
-
-
-@attrs.define
-class _Account:
-    """The state of one customer at this daemon, in units."""
-
-    customer: Customer
-    # What no daemon has used or claimed; negative after the daemons together took too much.
-    level: float
-    filled_at: float
-    # What this daemon has claimed and not used; negative after a call above the burst.
-    claimed: float = 0
-    # What other daemons have taken since the last claim.
-    taken_by_others: float = 0
-    # Units needed by the largest call that lacked units since the last claim.
-    lacking: float = 0
-    # Share of this daemon, and what was left in the bucket, after the last claim.
-    share: float = 0
-    left: float = 0
-    claimed_at: float = 0
-    # What this daemon took from the bucket since then.
-    drawn: float = 0
-    # Units per second asked of this daemon at `demand_at`, and of the others.
-    demand: float = 0
-    demand_at: float = 0
-    others_demand: float = 0
-    # Last arrival by priority.
-    arrived_at: dict[int, float] = attrs.field(factory=dict)
-
-    def decay_demand(self, now: float) -> float:
-        """Return the demand in units per second at `now`."""
-        self.demand *= math.exp(min(self.demand_at - now, 0) / DEMAND_TIME_S)
-        self.demand_at = max(now, self.demand_at)
-        return self.demand
-
-
 @attrs.frozen(kw_only=True)
 class _Limits:
     """The limits of the bucket of one customer."""
@@ -153,7 +106,7 @@
     starts_full: bool
     # Units admitted by this daemon, by customer.
     used: dict[str, float] = attrs.field(factory=dict)
-    _accounts: dict[str, _Account] = attrs.field(factory=dict)
+    _accounts: dict[str, Account] = attrs.field(factory=dict)
     _limits: dict[str, _Limits] = attrs.field(factory=dict)
     _peers: dict[str, QuotaPeer] = attrs.field(factory=dict)
     # The peers that are heard, among which the buckets are shared.
@@ -300,10 +253,9 @@
         peer.heard_at = now
         peer.lost_at = None
         if peer.is_silent or known is None:
-            # Before its use is taken from what was withheld for it.
+            # What it used since it was heard comes from what was withheld for it.
+            peer.charge(known)
             self._update_reach(now)
-        if known is None:
-            # The units may have been admitted and refilled long before this first report.
             return
         for name, units in report.used.items():
             account = self._accounts.get(name)
@@ -364,26 +316,26 @@
         for customer in limited.values():
             self._fill(self._get_account(customer, now), now)
 
-    def _get_account(self, customer: Customer, now: float) -> _Account:
+    def _get_account(self, customer: Customer, now: float) -> Account:
         if self._started_at is None:
             self._started_at = now
         account = self._accounts.get(customer.name)
         if account is None:
             level = customer.burst if self.starts_full else 0
-            account = _Account(customer, level * self._reach, self._started_at)
+            account = Account(customer, level * self._reach, self._started_at)
             self._accounts[customer.name] = account
         elif account.customer != customer:
             self._fill(account, now)
             account.customer = customer
         return account
 
-    def _fill(self, account: _Account, now: float) -> None:
+    def _fill(self, account: Account, now: float) -> None:
         limits = self._get_limits(account.customer)
         filled = max(now - account.filled_at, 0) * limits.fill_rate
         account.level = min(account.level + filled, limits.capacity)
         account.filled_at = max(now, account.filled_at)
 
-    def _claim(self, account: _Account, now: float) -> None:
+    def _claim(self, account: Account, now: float) -> None:
         """Return what is left of the last claim and claim units until the next report."""
         self._fill(account, now)
         account.decay_demand(now)
@@ -411,7 +363,7 @@
         account.taken_by_others = 0
         account.lacking = 0
 
-    def _get_share(self, account: _Account, now: float) -> float:
+    def _get_share(self, account: Account, now: float) -> float:
         """Return the share of this daemon in the bucket of a customer."""
         own = account.decay_demand(now)
         total = own + max(account.others_demand, 0)
@@ -421,7 +373,7 @@
         return self._demand_report_count >= TAKING_REPORT_COUNT
 
     def _compute_share(
-        self, account: _Account, demand: float, total: float, *, takes_calls: bool
+        self, account: Account, demand: float, total: float, *, takes_calls: bool
     ) -> float:
         """Return the share of a daemon with a demand, out of the total of all daemons.
 
@@ -445,14 +397,14 @@
         idle_share = min(IDLE_DAEMONS_SHARE, idle_count / count)
         return (1 - idle_share) / self._taking_count if takes_calls else idle_share / idle_count
 
-    def _get_available(self, account: _Account, now: float) -> float:
+    def _get_available(self, account: Account, now: float) -> float:
         # What others used since the last report is not known after a long time.
         if self._is_shared and self._is_frozen(now):
             return 0
         uses_claims = self._get_limits(account.customer).uses_claims
         return account.claimed if uses_claims else account.level
 
-    def _get_drawable(self, account: _Account, now: float) -> float:
+    def _get_drawable(self, account: Account, now: float) -> float:
         """Return the units that may be claimed before the next report.
 
         It is the share of this daemon in what the others left and in what was filled since: they do
@@ -464,7 +416,7 @@
         entitled = account.share * (account.left + filled) - account.drawn
         return min(max(entitled, 0), max(account.level, 0))
 
-    def _count_needed(self, account: _Account, units: float, now: float, priority: int) -> float:
+    def _count_needed(self, account: Account, units: float, now: float, priority: int) -> float:
         """Return the units that must be there for a call, with those left to more urgent ones."""
         burst = account.customer.burst
         share: float = 1
@@ -506,12 +458,13 @@
         if reach == self._reach and not changed:
             return
         part = 1 / (1 + max(len(self._peers), host_count))
-        for account in self._accounts.values():
+        for name, account in self._accounts.items():
             self._fill(account, now)
-            fill_rate = self._get_limits(account.customer).fill_rate * part / self._reach
-            units = max(account.level, 0) * part / self._reach
-            for peer in changed:
-                account.level += peer.move_part(account.customer.name, units, fill_rate, now)
+            limits = self._get_limits(account.customer)
+            bucket = BucketPart(max(account.level, 0), limits.capacity, limits.fill_rate)
+            bucket = bucket.cut(part / self._reach)
+            change = sum(peer.move_part(name, bucket, now) for peer in changed)
+            account.apply_change(change, self._reach / reach)
         for peer in changed:
             peer.record_change(now)
         self._reach = reach
@@ -535,11 +488,10 @@
     def _get_limits(self, customer: Customer) -> _Limits:
         """Return the limits of the bucket of a customer."""
         customer_limits = self._limits.get(customer.name)
-        is_alone = not self._is_shared
         key = (
             customer.rate,
             customer.burst,
-            is_alone,
+            self._is_shared,
             self._is_settled,
             self._interval_s,
             len(self._peers),
--- a/camphorpath/placement/quota_peers.py
+++ b/camphorpath/placement/quota_peers.py
@@ -1,6 +1,6 @@
 """The reports of other daemons on the quotas of customers."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 import attrs
 
@@ -9,6 +9,32 @@
 SILENT_INTERVAL_COUNT = 1.5
 
 
+@attrs.frozen(kw_only=True)
+class QuotaReport:
+    """What a daemon tells the others; both by customer."""
+
+    # Units used since the start of the daemon, and those that are claimed.
+    used: dict[str, float]
+    # Units per second that callers lately asked for.
+    demand: dict[str, float] = attrs.field(factory=dict)
+    # Seconds until the next report, for which the units are claimed.
+    interval_s: float = MIN_INTERVAL_S
+
+
+@attrs.frozen
+class BucketPart:
+    """The bucket of a customer, or a part of it."""
+
+    units: float
+    capacity: float
+    # Units per second.
+    fill_rate: float
+
+    def cut(self, share: float) -> 'BucketPart':
+        """Return a share of the bucket."""
+        return BucketPart(self.units * share, self.capacity * share, self.fill_rate * share)
+
+
 @attrs.define
 class QuotaPeer:
     """The last report of another daemon incarnation; instants are on the lease clock."""
@@ -27,6 +53,8 @@
     silent_since: float | None = None
     # The units of that part then, by customer.
     withheld: dict[str, float] = attrs.field(factory=dict)
+    # What the daemon used since, by customer.
+    charged: dict[str, float] = attrs.field(factory=dict)
 
     @property
     def is_silent(self) -> bool:
@@ -38,18 +66,32 @@
         silent_s = now - self.heard_at
         return self.lost_at is None and silent_s <= SILENT_INTERVAL_COUNT * self.interval_s
 
-    def move_part(self, customer: str, units: float, fill_rate: float, now: float) -> float:
-        """Withhold the part of a bucket, or give it back; return the change of the bucket.
+    def charge(self, known: Mapping[str, float] | None) -> None:
+        """Charge what was used since an earlier report to what is withheld.
 
-        What is given back is the part as if the daemon had used nothing. `units` are its part of
-        what is left, and `fill_rate` is that of its part, in units per second.
+        Without such a report, the units may have been admitted and refilled long before.
         """
+        if known is None or self.used is None:
+            return
+        for name, units in self.used.items():
+            self.charged[name] = self.charged.get(name, 0) + units - known.get(name, 0)
+
+    def move_part(self, customer: str, part: BucketPart, now: float) -> float:
+        """Withhold the part of a bucket, or give it back; return the change of the bucket."""
         if self.silent_since is None:
             # Its last report holds what it claimed for an interval.
             unheard_s = max(now - self.heard_at - self.interval_s, 0)
-            self.withheld[customer] = units + fill_rate * unheard_s
+            self.withheld[customer] = part.units + part.fill_rate * unheard_s
             return -self.withheld[customer]
-        return self.withheld.get(customer, 0) + fill_rate * (now - self.silent_since)
+        filled = self.withheld.get(customer, 0) + part.fill_rate * (now - self.silent_since)
+        charged = self.charged.get(customer, 0)
+        if filled <= charged:
+            return filled - charged
+        if self.demand.get(customer, 0) <= part.fill_rate:
+            return filled - charged
+        # Callers ask for more than is filled: all of it may have been used lately, after a time in
+        # which the part was full.
+        return max(min(filled, part.capacity) - charged, 0)
 
     def record_change(self, now: float) -> None:
         """Record that the parts of all buckets were withheld, or given back."""
@@ -58,6 +100,7 @@
             return
         self.silent_since = None
         self.withheld.clear()
+        self.charged.clear()
 
 
 def compute_reach(peers: Collection[QuotaPeer], host_count: int, now: float) -> float:
--- a/tests/placement/test_quota_fleet.py
+++ b/tests/placement/test_quota_fleet.py
@@ -257,6 +257,14 @@
     fleet.check_rule()
 
 
+@pytest.mark.parametrize('seed', [5, 8])
+def test_sides_that_meet_again_do_not_find_a_full_bucket(seed):
+    """Guards against a flood that gets what was filled for the other side before it began."""
+    fleet = Fleet(9, 1, seed, flood_from=CUT_AT_S + 9)
+    fleet.play(lambda fleet: cut_into(fleet, HALVES))
+    fleet.check_rule()
+
+
 @pytest.mark.parametrize('factor', [0.5, 2])
 @pytest.mark.parametrize('interval_s', [0.25, 1])
 def test_sides_keep_the_rule_while_one_of_them_gets_another_quota(interval_s, factor):
