--- a/camphorpath/placement/quota.py
+++ b/camphorpath/placement/quota.py
@@ -243,9 +243,9 @@
     ) -> None:
         """Apply the last report of another daemon, of which `name` is the name if it is known.
 
-        Its lost incarnations are forgotten: they have ended, and are not cut off.
+        Its incarnations that are not heard are forgotten: they have ended, and are not cut off.
         """
-        peer = self._peers.get(incarnation) or self._add_peer(incarnation, name)
+        peer = self._peers.get(incarnation) or self._add_peer(incarnation, name, now)
         known = peer.used
         peer.used = report.used
         peer.demand = {name: max(demand, 0) for name, demand in report.demand.items()}
@@ -267,9 +267,9 @@
             account.level = min(account.level - taken, capacity)
             account.taken_by_others += taken
 
-    def _add_peer(self, incarnation: str, name: str) -> QuotaPeer:
+    def _add_peer(self, incarnation: str, name: str, now: float) -> QuotaPeer:
         for other, known_peer in list(self._peers.items()):
-            if name and known_peer.name == name and known_peer.lost_at is not None:
+            if name and known_peer.name == name and not known_peer.is_heard(now):
                 self._peers.pop(other)
         self._peers[incarnation] = QuotaPeer(name)
         return self._peers[incarnation]
--- a/tests/placement/test_quota_fleet.py
+++ b/tests/placement/test_quota_fleet.py
@@ -319,3 +319,18 @@
         fleet.step(())
     assert ledger._reach == 1
     assert len(ledger._peers) == 4
+
+
+def test_part_of_a_daemon_that_restarts_at_once_comes_back():
+    """Guards against a part that is kept for a killed daemon as its next process came soon."""
+    fleet = Fleet(6, 1, seed=2, loss=0)
+    while fleet.now < WARM_UP_S:
+        fleet.step(())
+    fleet.daemons.pop('d5-0')
+    while fleet.now < WARM_UP_S + 2:
+        fleet.step(())
+    # The others count it as lost later.
+    fleet.start('d5-1')
+    while fleet.now < WARM_UP_S + 4:
+        fleet.step(())
+    assert fleet.daemons['d0-0'].queue.ledger._reach == 1
