--- a/camphorpath/placement/quota.py
+++ b/camphorpath/placement/quota.py
@@ -120,6 +120,9 @@
     # Latest reports of this daemon that stated demand, without a gap.
     _demand_report_count: int = 0
     _started_at: float | None = None
+    # What is withheld for each other daemon since its first report, by customer, and since when.
+    _withheld: dict[str, float] = attrs.field(factory=dict)
+    _withheld_at: float = 0
     # Until then, this daemon may not have heard from all others.
     _settled_at: float = -math.inf
     _reported_at: float = -math.inf
@@ -226,6 +229,7 @@
             self._forget_others(now)
         self._interval_s = max(interval_s, MIN_INTERVAL_S)
         if self._settled_at == math.inf:
+            self._withhold_others(now)
             self._settled_at = now + SETTLE_INTERVAL_COUNT * self._interval_s
         self._reported_at = now
         self._choose_sharers(now)
@@ -271,8 +275,12 @@
         for other, known_peer in list(self._peers.items()):
             if name and known_peer.name == name and not known_peer.is_heard(now):
                 self._peers.pop(other)
-        self._peers[incarnation] = QuotaPeer(name)
-        return self._peers[incarnation]
+        peer = QuotaPeer(name)
+        if not self._is_settled:
+            # Its part is withheld since the first report; what it used comes from that.
+            peer = QuotaPeer(name, {}, silent_since=self._withheld_at, withheld={**self._withheld})
+        self._peers[incarnation] = peer
+        return peer
 
     def remove_daemon(self, incarnation: str, now: float, *, has_ended: bool = False) -> None:
         """Mark a daemon incarnation as lost; its part is left to it until it must have ended.
@@ -350,7 +358,8 @@
         if self._get_limits(account.customer).uses_claims:
             share = self._get_share(account, now)
             if not self._is_settled:
-                share = min(share, START_SHARE)
+                # Of the whole bucket: the parts of those that are not heard are withheld already.
+                share = min(share, START_SHARE / self._reach)
             # The others claimed their shares of the bucket at other times: the share of this daemon
             # is that of what there was before.
             pool = max(available - kept + account.taken_by_others, 0)
@@ -447,8 +456,23 @@
         self._is_shared = bool(self._peers) or not self._is_settled
         self._taking_count = sum(1 for peer in self._sharers if peer.demand) + self._takes_calls()
 
+    def _withhold_others(self, now: float) -> None:
+        """Withhold the parts of all others before the first report, until they are heard."""
+        share = 1 / (1 + max(len(self._peers), self._host_count))
+        self._withheld_at = now
+        for name, account in self._accounts.items():
+            self._fill(account, now)
+            account.level *= share
+            self._withheld[name] = account.level
+        self._reach = share
+        for peer in self._peers.values():
+            peer.silent_since = now
+            peer.withheld = {**self._withheld}
+
     def _update_reach(self, now: float) -> None:
         """Withhold the parts of daemons that fell silent, and return those of heard ones."""
+        if self._settled_at == math.inf:
+            return
         started_at = now if self._started_at is None else self._started_at
         is_new = now - started_at <= LOST_WINDOW_COUNT * self.bounds.window_s
         # Some may have been cut off since before the start of this daemon.
@@ -476,10 +500,10 @@
 
     def _forget_others(self, now: float) -> None:
         """Start again with empty buckets: what the others used meanwhile is not known."""
+        self._started_at = now
         self._settled_at = math.inf
         for peer in self._peers.values():
             peer.used = None
-            peer.silent_since = None
         for account in self._accounts.values():
             account.level = 0
             account.claimed = 0
--- a/camphorpath/placement/quota_peers.py
+++ b/camphorpath/placement/quota_peers.py
@@ -53,6 +53,8 @@
     silent_since: float | None = None
     # The units of that part then, by customer.
     withheld: dict[str, float] = attrs.field(factory=dict)
+    # Whether its part was ever in the buckets here.
+    was_counted: bool = False
     # What the daemon used since, by customer.
     charged: dict[str, float] = attrs.field(factory=dict)
 
@@ -86,7 +88,8 @@
         filled = self.withheld.get(customer, 0) + part.fill_rate * (now - self.silent_since)
         charged = self.charged.get(customer, 0)
         if filled <= charged:
-            return filled - charged
+            # Of a daemon that was never heard, the units may have been used before.
+            return filled - charged if self.was_counted else 0
         if self.demand.get(customer, 0) <= part.fill_rate:
             return filled - charged
         # Callers ask for more than is filled: all of it may have been used lately, after a time in
@@ -95,6 +98,7 @@
 
     def record_change(self, now: float) -> None:
         """Record that the parts of all buckets were withheld, or given back."""
+        self.was_counted = True
         if self.silent_since is None:
             self.silent_since = now
             return
--- a/tests/placement/test_quota.py
+++ b/tests/placement/test_quota.py
@@ -200,6 +200,21 @@
     assert claims[0] == pytest.approx(claims[1])
 
 
+def test_daemon_that_starts_gets_what_was_filled_for_others_that_it_hears():
+    """Guards against calls that are refused as all daemons have started at once."""
+    claims = []
+    for host_count in (0, 7):
+        ledger = QuotaLedger(BOUNDS, starts_full=False)
+        ledger.start(0)
+        ledger.set_customers([make_customer()], 0)
+        ledger.record_arrival(make_customer(), 100, 0.02)
+        ledger.make_report(0.02, INTERVAL_S, host_count)
+        for number in range(host_count):
+            ledger.apply_report(f'd{number}-1', QuotaReport(used={}), 0.2, f'd{number}')
+        claims.append(ledger.make_report(0.02 + INTERVAL_S, INTERVAL_S, host_count).used['c'])
+    assert claims[1] == pytest.approx(claims[0], rel=0.1)
+
+
 def test_burst_at_one_daemon_of_a_small_fleet_is_admitted_at_once():
     """Guards against calls below the limit that wait for a report although the tolerance holds."""
     bounds = QuotaBounds(window_s=8, overshoot=0.1, allowance=190000)
--- a/tests/placement/test_quota_fleet.py
+++ b/tests/placement/test_quota_fleet.py
@@ -265,6 +265,22 @@
     fleet.check_rule()
 
 
+@pytest.mark.parametrize('interval_s', [0.25, 1])
+def test_daemons_that_all_start_at_once_and_again_keep_the_rule(interval_s):
+    """Guards against daemons that take a part of the quota again with each start."""
+    fleet = Fleet(9, interval_s, seed=3)
+
+    def disturb(fleet):
+        for restart, at in enumerate((11, 14)):
+            if fleet.now == pytest.approx(at):
+                fleet.daemons.clear()
+                for number in range(fleet.count):
+                    fleet.start(f'd{number}-{restart + 1}')
+
+    fleet.play(disturb)
+    fleet.check_rule()
+
+
 @pytest.mark.parametrize('factor', [0.5, 2])
 @pytest.mark.parametrize('interval_s', [0.25, 1])
 def test_sides_keep_the_rule_while_one_of_them_gets_another_quota(interval_s, factor):
