--- a/tests/processes/test_unknown_processes.py
+++ b/tests/processes/test_unknown_processes.py
@@ -130,3 +130,23 @@
         callers, readings = begin_streams(fleet, STREAM_COUNT * [started.address], addresses)
         await wait_until_begun(callers)
         await assert_all_go_on(callers, readings)
+
+
+async def test_streams_go_on_while_daemons_are_killed_one_by_one_and_a_version_joins():
+    """Guards against streams whose version only daemons knew that are killed in turn."""
+    async with open_settled_fleet() as fleet:
+        addresses = [daemon.address for daemon in fleet.daemons]
+        callers, readings = begin_streams(fleet, 2 * addresses, addresses)
+        await wait_until_begun(callers)
+        for daemon in fleet.daemons:
+            await daemon.kill()
+            if daemon is fleet.daemons[0]:
+                await fleet.restart_upstream(fleet.upstreams[0], 'v2')
+            others = [address for address in addresses if address != daemon.address]
+            more_callers, more_readings = begin_streams(fleet, 2 * others, addresses)
+            await wait_until_begun(more_callers)
+            callers += more_callers
+            readings += more_readings
+            await daemon.start()
+            await fleet.wait_ready([daemon])
+        await assert_all_go_on(callers, readings)
